--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,1108 @@
+//! Every decision of the controller, and every tuned value. Its types are in `src/interface.rs`.
+//!
+//! The ordinary path is the design page's: a call goes to the worker last found warm for its function while
+//! our requests there are under the function's lanes, else to the next worker under that bound along the
+//! function's hash order, which all controllers share, else it is held at priority count x mean latency,
+//! fixed at arrival; each answer releases the lowest held that has room. All else is a guard: on whether a
+//! worker may take a request now (`may_take`), or at a request's end (`attempt_ended`, `out_of_time`).
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::*;
+
+/// Served latencies kept per function, and the span over which its arrivals count: the design page's.
+const SAMPLES: usize = 10;
+const COUNT_SPAN: Micros = 10_000_000;
+/// Held requests looked at for one answer: bounds the work per event.
+const SCAN: usize = 64;
+/// How often held requests are looked at without an answer: room also comes back with time. In steps, but
+/// no oftener than this span, which is far under any aim that a load would fit in.
+const TICK_STEPS: Micros = 4;
+const TICK_LEAST: Micros = 20_000;
+/// A load's time before any was told or seen: that of a middling program.
+const LOAD_GUESS: f64 = 1_000_000.0;
+/// A second copy is begun when the wait for a warm one would take this share of a load: sooner, copies
+/// spread over the fleet and push each other out; later, callers wait longer than the load would take.
+const SPILL_SHARE: f64 = 0.5;
+/// A load that has taken this many times what it should is taken for stuck: another may begin elsewhere.
+const STUCK_LOADS: f64 = 3.0;
+/// Loads of ours waited for at one worker at once: workers run few at a time.
+const LOADS_AT_WORKER: usize = 2;
+/// Weight of one outcome in a worker's failing share, and the share from which it is barred: two failures
+/// in a row bar it, one amid successes does not.
+const FAIL_WEIGHT: f64 = 0.3;
+const FAIL_BAR: f64 = 0.5;
+/// First span of a bar, doubled at each failed trial up to the longest: a process restarts in seconds.
+const BAR_FIRST: Micros = 500_000;
+const BAR_LONGEST: Micros = 4_000_000;
+/// A worker that owes answers and has sent none for this many mean latencies of what it owes is silent.
+const SILENT_LATENCIES: f64 = 6.0;
+const SILENT_LEAST: f64 = 300_000.0;
+/// Part of the cold allowance that is used: what is in flight between controllers is not seen.
+const COLD_MARGIN: f64 = 0.7;
+/// After a "full", a worker is left alone for this many of the function's mean latencies.
+const FULL_LATENCIES: f64 = 1.0;
+/// A worker where a load failed or found no room is left alone by that function for this share of a load.
+const SHUN_LOADS: f64 = 0.5;
+/// Time kept for the way of an answer, in steps, before the client's deadline.
+const ANSWER_STEPS: Micros = 1;
+/// Waits before asking a list that failed again: the first, doubled up to a share of `must_ask_in`.
+const ASK_FIRST: Micros = 200_000;
+/// Functions without calls for this many keep-alives or counting spans are forgotten.
+const FORGET_SPANS: Micros = 3;
+/// The module sets timers under one tag.
+const TAG: u64 = 1;
+
+struct Worker {
+    entry: WorkerEntry,
+    /// Attempts out: all, and those on copies thought warm (the bound of the design counts these).
+    out: u32,
+    busy: u32,
+    loads: usize,
+    /// Failing share, whether a bar stands, till when and how long the next one lasts, trial under way.
+    failing: f64,
+    barred: bool,
+    barred_until: Micros,
+    bar: Micros,
+    trial: bool,
+    /// When it last answered anything, and whether a check for its silence is set.
+    heard: Micros,
+    watched: bool,
+    full_until: Micros,
+    /// When it came up, as far as known; what we sent while cold: when and how much work.
+    born: Option<Micros>,
+    cold_sends: VecDeque<(Micros, f64)>,
+}
+
+#[derive(Default)]
+struct Function {
+    latencies: VecDeque<f64>,
+    arrivals: VecDeque<Micros>,
+    lanes: u32,
+    load_time: Option<f64>,
+    last_warm: Option<(WorkerId, Micros)>,
+    warm: BTreeMap<WorkerId, Micros>,
+    loading: BTreeMap<WorkerId, Micros>,
+    shun: BTreeMap<WorkerId, Micros>,
+    out: BTreeMap<WorkerId, u32>,
+    held: u32,
+    last: Micros,
+    order: Vec<WorkerId>,
+    epoch: u64,
+}
+
+impl Function {
+    fn mean(&self) -> f64 {
+        if self.latencies.is_empty() {
+            0.0
+        } else {
+            self.latencies.iter().sum::<f64>() / self.latencies.len() as f64
+        }
+    }
+}
+
+struct Call {
+    class: usize,
+    function: FunctionId,
+    arrived: Micros,
+    answer_by: Micros,
+    priority: (u64, u64),
+    attempts: u32,
+    out: Option<u32>,
+    held: bool,
+    /// The first attempt that may have run: where and when.
+    ran: Option<(WorkerId, Micros)>,
+    /// Where the last attempt failed: tried again only when nothing else will do.
+    avoid: Option<WorkerId>,
+    streaming: bool,
+}
+
+struct Flight {
+    worker: WorkerId,
+    function: FunctionId,
+    class: usize,
+    sent: Micros,
+    loading: bool,
+    trial: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Answer(RequestId),
+    Silence(WorkerId),
+    Tick,
+    Ask,
+}
+
+/// One controller's decisions.
+pub struct Controller {
+    settings: Settings,
+    random: u64,
+    started: Option<Micros>,
+    workers: BTreeMap<WorkerId, Worker>,
+    epoch: u64,
+    functions: BTreeMap<FunctionId, Function>,
+    calls: BTreeMap<RequestId, Call>,
+    held: BTreeMap<(u64, u64), RequestId>,
+    flights: BTreeMap<(RequestId, u32), Flight>,
+    due: BTreeSet<(Micros, Due)>,
+    armed: Option<Micros>,
+    ticking: bool,
+    sequence: u64,
+    /// Mean latency per class at workers where we had nothing else out: near the work itself.
+    class_work: Vec<Option<f64>>,
+    load_mean: Option<f64>,
+    orders: VecDeque<Micros>,
+    taken: VecDeque<Micros>,
+    tenant_taken: BTreeMap<TenantId, VecDeque<Micros>>,
+    ask_wait: Micros,
+    swept: Micros,
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+impl Controller {
+    /// A controller that has seen nothing yet. `seed` is its only source of chance.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        if settings.classes.is_empty() {
+            return Err(SettingsError::NoClasses);
+        }
+        if settings.controllers == 0 {
+            return Err(SettingsError::NoControllers);
+        }
+        if settings.me >= settings.controllers {
+            return Err(SettingsError::NotAmongControllers);
+        }
+        if settings.limits.max_attempts == 0 {
+            return Err(SettingsError::NoAttempts);
+        }
+        Ok(Self {
+            class_work: vec![None; settings.classes.len()],
+            settings,
+            random: seed,
+            started: None,
+            workers: BTreeMap::new(),
+            epoch: 1,
+            functions: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            held: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            due: BTreeSet::new(),
+            armed: None,
+            ticking: false,
+            sequence: 0,
+            load_mean: None,
+            orders: VecDeque::new(),
+            taken: VecDeque::new(),
+            tenant_taken: BTreeMap::new(),
+            ask_wait: ASK_FIRST,
+            swept: 0,
+        })
+    }
+
+    /// Takes in one event at the time `now`, and appends what is to be done to `actions`.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        if self.started.is_none() {
+            self.started = Some(now);
+            if self.settings.discovery == Discovery::Ask {
+                actions.push(Action::Watch);
+            }
+        }
+        match event {
+            Event::Workers { form, entries } => self.workers_told(now, form, entries, actions),
+            Event::Request(request) => self.request(now, request, actions),
+            Event::Outcome { request, attempt, outcome, finished, elapsed, note, .. } => {
+                self.attempt_ended(now, request, attempt, outcome, finished, elapsed, note, actions);
+            }
+            Event::Started { request, .. } => self.stream_started(request),
+            Event::Loaded { worker, function, outcome, copies, elapsed } => {
+                self.loaded(now, worker, function, outcome, copies, elapsed, actions);
+            }
+            Event::Probed { worker, outcome, .. } => self.probed(now, worker, outcome),
+            Event::Timer { .. } | Event::Message { .. } => {}
+            Event::ClientGone { request } => self.client_gone(request, actions),
+        }
+        self.run_due(now, actions);
+        self.arm(now, actions);
+    }
+
+    // ---- the list of workers ----
+
+    fn workers_told(
+        &mut self,
+        now: Micros,
+        form: ListForm,
+        entries: Vec<WorkerEntry>,
+        actions: &mut Vec<Action>,
+    ) {
+        if form == ListForm::Failed {
+            if self.settings.discovery == Discovery::Ask {
+                // Asked again after a wait that grows, so that a fleet of askers does not keep the list down;
+                // never so long that what the list held meanwhile is deemed told.
+                self.random = mix(self.random);
+                let wait = self.ask_wait / 2 + self.random % (self.ask_wait / 2).max(1);
+                self.due.insert((now + wait, Due::Ask));
+                let most = (self.settings.rules.must_ask_in / 4).max(ASK_FIRST);
+                self.ask_wait = (self.ask_wait * 2).min(most);
+            }
+            return;
+        }
+        if form != ListForm::Restored {
+            self.ask_wait = ASK_FIRST;
+        }
+        if form != ListForm::Changes {
+            let named: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
+            for (id, worker) in &mut self.workers {
+                if !named.contains(id) {
+                    worker.entry.state = WorkerState::Gone;
+                }
+            }
+        }
+        for entry in entries {
+            let id = entry.worker;
+            let anew = match self.workers.get_mut(&id) {
+                Some(known) => {
+                    let anew = entry.born.is_some() && entry.born != known.entry.born;
+                    known.entry = entry;
+                    anew
+                }
+                None => {
+                    let worker = Worker {
+                        born: entry.born,
+                        entry,
+                        out: 0,
+                        busy: 0,
+                        loads: 0,
+                        failing: 0.0,
+                        barred: false,
+                        barred_until: 0,
+                        bar: BAR_FIRST,
+                        trial: false,
+                        heard: now,
+                        watched: false,
+                        full_until: 0,
+                        cold_sends: VecDeque::new(),
+                    };
+                    self.workers.insert(id, worker);
+                    false
+                }
+            };
+            if anew {
+                // A restart: it is empty and cold, and past failures say nothing of it.
+                let worker = self.workers.get_mut(&id).expect("just seen");
+                worker.born = worker.entry.born;
+                worker.failing = 0.0;
+                worker.barred = false;
+                worker.bar = BAR_FIRST;
+                worker.trial = false;
+                self.forget_copies(id);
+            }
+        }
+        let gone: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.entry.state == WorkerState::Gone)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.forget_copies(id);
+            if self.workers[&id].out == 0 {
+                self.workers.remove(&id);
+            }
+        }
+        self.epoch += 1;
+        self.release_all(now, actions);
+    }
+
+    fn forget_copies(&mut self, id: WorkerId) {
+        for function in self.functions.values_mut() {
+            function.warm.remove(&id);
+            function.loading.remove(&id);
+            if function.last_warm.is_some_and(|(w, _)| w == id) {
+                function.last_warm = None;
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.loads = 0;
+        }
+    }
+
+    // ---- the ordinary path ----
+
+    fn request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
+        if self.calls.contains_key(&request.id) || request.class.0 >= self.settings.classes.len() {
+            return;
+        }
+        if self.settings.loading.ration_window > 0 {
+            self.taken.push_back(now);
+        }
+        let over = self.over_quota(now, request.tenant);
+        let function = self.functions.entry(request.function).or_default();
+        function.lanes = request.lanes.max(1);
+        function.last = now;
+        if let Some(told) = request.load_time {
+            function.load_time = Some(told as f64);
+        }
+        function.arrivals.push_back(now);
+        while function.arrivals.front().is_some_and(|&t| t + COUNT_SPAN < now) {
+            function.arrivals.pop_front();
+        }
+        let mut priority = function.arrivals.len() as f64 * function.mean();
+        if over {
+            // A tenant beyond its quota waits behind the others, by what its calls are still worth.
+            priority = (priority + 1.0) / self.settings.over_quota_worth.max(0.01);
+        }
+        self.sequence += 1;
+        let answer_by = now + request.left.saturating_sub(ANSWER_STEPS * self.settings.step);
+        let call = Call {
+            class: request.class.0,
+            function: request.function,
+            arrived: now,
+            answer_by,
+            priority: (priority as u64, self.sequence),
+            attempts: 0,
+            out: None,
+            held: false,
+            ran: None,
+            avoid: None,
+            streaming: false,
+        };
+        self.calls.insert(request.id, call);
+        self.due.insert((answer_by, Due::Answer(request.id)));
+        self.place(now, request.id, actions);
+    }
+
+    /// Counts a tenant's calls in the last second against this controller's part of its quota.
+    fn over_quota(&mut self, now: Micros, tenant: Option<TenantId>) -> bool {
+        let Some(id) = tenant else { return false };
+        let Some(quota) = self.settings.tenants.get(id.0).and_then(|t| t.quota_per_s) else { return false };
+        let taken = self.tenant_taken.entry(id).or_default();
+        taken.push_back(now);
+        while taken.front().is_some_and(|&t| t + 1_000_000 < now) {
+            taken.pop_front();
+        }
+        taken.len() as f64 > (quota / f64::from(self.settings.controllers)).max(1.0)
+    }
+
+    fn place(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        match self.pick(now, id) {
+            Some(worker) => self.send(now, id, worker, actions),
+            None => self.hold(now, id),
+        }
+    }
+
+    fn hold(&mut self, now: Micros, id: RequestId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if !call.held {
+            call.held = true;
+            self.held.insert(call.priority, id);
+            if let Some(function) = self.functions.get_mut(&call.function) {
+                function.held += 1;
+            }
+        }
+        if !self.ticking {
+            self.ticking = true;
+            self.due.insert((now + self.tick(), Due::Tick));
+        }
+    }
+
+    fn unhold(&mut self, id: RequestId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if call.held {
+            call.held = false;
+            self.held.remove(&call.priority);
+            if let Some(function) = self.functions.get_mut(&call.function) {
+                function.held = function.held.saturating_sub(1);
+            }
+        }
+    }
+
+    fn tick(&self) -> Micros {
+        (self.settings.step * TICK_STEPS).max(TICK_LEAST)
+    }
+
+    /// The worker for a call: last warm, else the first along the shared order that may take it.
+    fn pick(&mut self, now: Micros, id: RequestId) -> Option<WorkerId> {
+        let call = self.calls.get(&id)?;
+        self.order(call.function);
+        let call = &self.calls[&id];
+        let function = self.functions.get(&call.function)?;
+        let keep = self.settings.loading.keep_alive;
+        if let Some((worker, at)) = function.last_warm
+            && at + keep > now
+            && call.avoid != Some(worker)
+            && self.may_take(now, worker, call, function, false)
+        {
+            return Some(worker);
+        }
+        let mut second = None;
+        for &worker in &function.order {
+            if self.may_take(now, worker, call, function, false) {
+                if call.avoid != Some(worker) {
+                    return Some(worker);
+                }
+                second = Some(worker);
+            }
+        }
+        if second.is_some() {
+            return second;
+        }
+        // Never all barred: with every worker suspect, the least bad takes it.
+        let barred = |w: &Worker| w.entry.state == WorkerState::On && !w.barred;
+        if self.workers.values().any(barred) {
+            return None;
+        }
+        let mut best: Option<(f64, WorkerId)> = None;
+        for &worker in &function.order {
+            if self.may_take(now, worker, call, function, true) {
+                let failing = self.workers[&worker].failing;
+                if best.is_none_or(|(f, _)| failing < f) {
+                    best = Some((failing, worker));
+                }
+            }
+        }
+        best.map(|(_, worker)| worker)
+    }
+
+    /// The function's rendezvous order, the same at every controller that holds the same list.
+    fn order(&mut self, id: FunctionId) {
+        let Some(function) = self.functions.get_mut(&id) else { return };
+        if function.epoch == self.epoch {
+            return;
+        }
+        let sized = matches!(self.settings.weights, Weights::Nominal | Weights::Rough);
+        let mut scored: Vec<(f64, WorkerId)> = Vec::with_capacity(self.workers.len());
+        for (worker, w) in &self.workers {
+            if w.entry.state != WorkerState::On {
+                continue;
+            }
+            let hash = mix(mix(id.0) ^ mix(worker.0.wrapping_mul(0x2545_f491_4f6c_dd1d)));
+            let unit = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+            let weight = if sized && w.entry.weight > 0.0 { w.entry.weight } else { 1.0 };
+            scored.push((-unit.min(0.999_999_999).ln() / weight, *worker));
+        }
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        function.order.clear();
+        function.order.extend(scored.iter().map(|(_, w)| *w));
+        function.epoch = self.epoch;
+    }
+
+    // ---- may this worker take this request now? ----
+
+    fn may_take(&self, now: Micros, id: WorkerId, call: &Call, function: &Function, desperate: bool) -> bool {
+        let Some(worker) = self.workers.get(&id) else { return false };
+        // Drains: nothing new from the moment it is told.
+        if worker.entry.state != WorkerState::On {
+            return false;
+        }
+        // Keyed and unsafe calls that may have run stay where a repeat is dropped.
+        if !self.effect_permits(now, call, worker) {
+            return false;
+        }
+        let unsafe_call = self.settings.classes[call.class].effect == Effect::Unsafe;
+        // Health: a barred worker takes one trial at a time once its bar is over, none of them unsafe.
+        if worker.barred && !desperate && (now < worker.barred_until || worker.trial || unsafe_call) {
+            return false;
+        }
+        if now < worker.full_until {
+            return false;
+        }
+        let warm = self.warm_at(now, function, id);
+        let there = function.out.get(&id).copied().unwrap_or(0);
+        // The design's bound. Calls that wait for a load use no core: they count for their own function only.
+        if (warm && worker.busy >= function.lanes) || there >= function.lanes {
+            return false;
+        }
+        if function.shun.get(&id).is_some_and(|&until| now < until) {
+            return false;
+        }
+        if !warm && !self.may_load(now, id, worker, function, call) {
+            return false;
+        }
+        self.cold_room(now, worker, call.class)
+    }
+
+    fn effect_permits(&self, now: Micros, call: &Call, worker: &Worker) -> bool {
+        let Some((first, since)) = call.ran else { return true };
+        match self.settings.classes[call.class].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { group, window } => {
+                // The last step may be over before the send counts.
+                if now + self.settings.step >= since + window {
+                    return false;
+                }
+                let Some(there) = self.workers.get(&first) else { return group == Group::All };
+                match group {
+                    Group::All => true,
+                    Group::Zone => there.entry.zone == worker.entry.zone,
+                    Group::Cell => there.entry.cell == worker.entry.cell,
+                }
+            }
+        }
+    }
+
+    fn warm_at(&self, now: Micros, function: &Function, worker: WorkerId) -> bool {
+        function.warm.get(&worker).is_some_and(|&at| at + self.settings.loading.keep_alive > now)
+    }
+
+    fn load_span(&self, function: &Function) -> f64 {
+        function.load_time.or(self.load_mean).unwrap_or(LOAD_GUESS)
+    }
+
+    /// May a copy be begun (or waited for) there? Waiting for a warm copy is weighed against a load, one
+    /// load for a function at a time, few at a worker.
+    fn may_load(&self, now: Micros, id: WorkerId, worker: &Worker, function: &Function, call: &Call) -> bool {
+        let miss = self.settings.loading.when_absent == WhenAbsent::Miss;
+        if function.loading.contains_key(&id) {
+            return !miss;
+        }
+        let span = self.load_span(function);
+        let stuck = (span * STUCK_LOADS) as Micros;
+        if function.loading.values().any(|&since| now < since + stuck) || worker.loads >= LOADS_AT_WORKER {
+            return false;
+        }
+        let mut copies = 0;
+        for &w in function.warm.keys() {
+            let sound = self.workers.get(&w).is_some_and(|x| x.entry.state == WorkerState::On && !x.barred);
+            if sound && self.warm_at(now, function, w) {
+                copies += 1;
+            }
+        }
+        if copies == 0 {
+            return true;
+        }
+        let ahead = f64::from(function.held + 1) * function.mean() / f64::from(copies * function.lanes);
+        let waited = now.saturating_sub(call.arrived) as f64;
+        ahead.max(waited) > span * SPILL_SHARE
+    }
+
+    /// Rule on cold workers: what all controllers may send within a fall span, over their number.
+    /// Also guards against a burst right after a start, and against our own restart: what an earlier life
+    /// sent in the last fall span is not known, so nothing goes to a cold worker until that span is over.
+    fn cold_room(&self, now: Micros, worker: &Worker, class: usize) -> bool {
+        let rules = &self.settings.rules;
+        let Some(born) = worker.born else { return true };
+        let age = now.saturating_sub(born);
+        if age >= rules.cold || rules.cold == 0 {
+            return true;
+        }
+        if self.started.is_some_and(|s| now < s + rules.fall && s > born) {
+            return false;
+        }
+        let share = rules.start_capacity + (1.0 - rules.start_capacity) * age as f64 / rules.cold as f64;
+        let rate = rules.overload_factor * share * COLD_MARGIN / f64::from(self.settings.controllers);
+        let work = self.work(class);
+        // Less than one call in a span: the span is stretched, and controllers begin one after another.
+        let span = (rules.fall as f64).max(work / rate);
+        if worker.cold_sends.is_empty() && span > rules.fall as f64 {
+            let turn = span * f64::from(self.settings.me) / f64::from(self.settings.controllers);
+            if (age as f64) < turn {
+                return false;
+            }
+        }
+        let sent: f64 =
+            worker.cold_sends.iter().filter(|(t, _)| (*t + span as Micros) > now).map(|(_, w)| w).sum();
+        sent + work <= rate * span * 1.000_001
+    }
+
+    /// Core time of a call of this class, as far as seen.
+    fn work(&self, class: usize) -> f64 {
+        self.class_work[class].unwrap_or(self.settings.classes[class].aim as f64 / 4.0)
+    }
+
+    // ---- sending ----
+
+    fn send(&mut self, now: Micros, id: RequestId, to: WorkerId, actions: &mut Vec<Action>) {
+        self.unhold(id);
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let number = call.attempts;
+        call.attempts += 1;
+        call.out = Some(number);
+        let (class, fid) = (call.class, call.function);
+        let work = self.work(class);
+        let Some(function) = self.functions.get_mut(&fid) else { return };
+        let keep = self.settings.loading.keep_alive;
+        let warm = function.warm.get(&to).is_some_and(|&at| at + keep > now);
+        *function.out.entry(to).or_insert(0) += 1;
+        let Some(worker) = self.workers.get_mut(&to) else { return };
+        if !warm
+            && self.settings.loading.when_absent == WhenAbsent::Load
+            && !function.loading.contains_key(&to)
+        {
+            function.loading.insert(to, now);
+            worker.loads += 1;
+        }
+        if worker.out == 0 {
+            worker.heard = now;
+        }
+        worker.out += 1;
+        if warm {
+            worker.busy += 1;
+        }
+        let trial = worker.barred;
+        worker.trial |= trial;
+        if worker.born.is_some_and(|b| now < b + self.settings.rules.cold) {
+            worker.cold_sends.push_back((now, work));
+            if worker.cold_sends.len() > 4 * SCAN {
+                worker.cold_sends.pop_front();
+            }
+        } else {
+            worker.cold_sends.clear();
+        }
+        self.flights.insert(
+            (id, number),
+            Flight { worker: to, function: fid, class, sent: now, loading: !warm, trial },
+        );
+        self.watch(now, to);
+        actions.push(Action::Send { request: id, worker: to, timeout: None });
+    }
+
+    /// Sets a check for the silence of a worker that owes answers, if none is set.
+    fn watch(&mut self, now: Micros, id: WorkerId) {
+        let Some(worker) = self.workers.get(&id) else { return };
+        if worker.watched {
+            return;
+        }
+        let owed = self.flights.values().filter(|f| f.worker == id);
+        let next = owed.map(|f| f.sent.max(worker.heard) + self.silence(f.function, f.loading)).min();
+        if let Some(at) = next {
+            self.due.insert((at.max(now + self.tick()), Due::Silence(id)));
+            self.workers.get_mut(&id).expect("just seen").watched = true;
+        }
+    }
+
+    /// How long a worker may owe an answer to a call of this function before its silence tells.
+    fn silence(&self, id: FunctionId, loading: bool) -> Micros {
+        let Some(function) = self.functions.get(&id) else { return SILENT_LEAST as Micros };
+        let mean = if function.latencies.is_empty() { SILENT_LEAST } else { function.mean() };
+        let load = if loading { self.load_span(function) * STUCK_LOADS } else { 0.0 };
+        ((mean * SILENT_LATENCIES).max(SILENT_LEAST) + load) as Micros
+    }
+
+    // ---- what comes back ----
+
+    #[allow(clippy::too_many_arguments)]
+    fn attempt_ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        number: u32,
+        outcome: Outcome,
+        finished: bool,
+        elapsed: Micros,
+        note: Option<LoadNote>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.remove(&(id, number)) else { return };
+        let at = flight.worker;
+        self.take_back(&flight);
+        self.judge(now, &flight, outcome, elapsed, actions);
+        let mut order = false;
+        if let Some(function) = self.functions.get_mut(&flight.function) {
+            match outcome {
+                Outcome::Ok => {
+                    let loaded = matches!(note, Some(LoadNote::Began | LoadNote::Waited));
+                    let mean = function.mean();
+                    if loaded {
+                        if note == Some(LoadNote::Began) {
+                            let span = (elapsed as f64 - mean).max(0.0);
+                            function.load_time =
+                                Some(function.load_time.map_or(span, |t| t + (span - t) * FAIL_WEIGHT));
+                            self.load_mean =
+                                Some(self.load_mean.map_or(span, |t| t + (span - t) * FAIL_WEIGHT));
+                        }
+                    } else if note.is_some() || !flight.loading {
+                        function.latencies.push_back(elapsed as f64);
+                        if function.latencies.len() > SAMPLES {
+                            function.latencies.pop_front();
+                        }
+                        if self.workers.get(&at).is_some_and(|w| w.out == 0) {
+                            let work = &mut self.class_work[flight.class];
+                            *work = Some(work.map_or(elapsed as f64, |m| m + (elapsed as f64 - m) * 0.05));
+                        }
+                    }
+                    function.warm.insert(at, now);
+                    function.last_warm = Some((at, now));
+                    self.load_over(flight.function, at);
+                }
+                Outcome::Miss => {
+                    // The copy has gone, or its load failed: nothing waits for it to come back by itself.
+                    function.warm.remove(&at);
+                    if function.last_warm.is_some_and(|(w, _)| w == at) {
+                        function.last_warm = None;
+                    }
+                    self.load_over(flight.function, at);
+                    order = self.settings.loading.when_absent == WhenAbsent::Miss;
+                }
+                Outcome::Full => {
+                    let wait = (function.mean() * FULL_LATENCIES) as Micros;
+                    if let Some(worker) = self.workers.get_mut(&at) {
+                        worker.full_until = now + wait.max(self.settings.step);
+                    }
+                    self.load_over(flight.function, at);
+                }
+                _ => self.load_over(flight.function, at),
+            }
+        }
+        if order {
+            self.order_copy(now, flight.function, at, actions);
+        }
+        if finished {
+            self.finish(id);
+        } else if let Some(call) = self.calls.get_mut(&id) {
+            if call.out == Some(number) {
+                call.out = None;
+            }
+            let proven =
+                matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
+            if !proven && call.ran.is_none() {
+                call.ran = Some((at, flight.sent));
+            }
+            if outcome != Outcome::Miss {
+                call.avoid = Some(at);
+            }
+            self.again(now, id, outcome, actions);
+        }
+        self.release(now, at, actions);
+    }
+
+    /// Another attempt if the effect and the count permit, else the final answer.
+    fn again(&mut self, now: Micros, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let spent = call.attempts >= self.settings.limits.max_attempts || outcome == Outcome::Moot;
+        let window_over = match self.settings.classes[call.class].effect {
+            Effect::Safe => false,
+            Effect::Unsafe => call.ran.is_some(),
+            Effect::Keyed { window, .. } => {
+                call.ran.is_some_and(|(_, since)| now + self.settings.step >= since + window)
+            }
+        };
+        if spent || window_over || now >= call.answer_by {
+            self.answer(id, actions);
+        } else {
+            self.place(now, id, actions);
+        }
+    }
+
+    /// The final answer by us: refused where a further try is harmless, else failed.
+    fn answer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let clean = call.out.is_none() && call.ran.is_none();
+        let refuse = clean
+            || match self.settings.classes[call.class].effect {
+                Effect::Safe => true,
+                Effect::Keyed { group, .. } => group == Group::All,
+                Effect::Unsafe => false,
+            };
+        let out = call.out;
+        if refuse {
+            actions.push(Action::Refuse { request: id, retry_after: None });
+        } else {
+            actions.push(Action::Fail { request: id });
+        }
+        if let Some(attempt) = out.filter(|_| self.settings.limits.cancel) {
+            actions.push(Action::Cancel { request: id, attempt });
+        }
+        self.finish(id);
+    }
+
+    fn finish(&mut self, id: RequestId) {
+        self.unhold(id);
+        if let Some(call) = self.calls.remove(&id) {
+            self.due.remove(&(call.answer_by, Due::Answer(id)));
+        }
+    }
+
+    fn client_gone(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        if let Some(call) = self.calls.get(&id) {
+            if let Some(attempt) = call.out.filter(|_| self.settings.limits.cancel && !call.streaming) {
+                actions.push(Action::Cancel { request: id, attempt });
+            }
+            self.finish(id);
+        }
+    }
+
+    fn stream_started(&mut self, id: RequestId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.streaming = true;
+            let by = call.answer_by;
+            self.due.remove(&(by, Due::Answer(id)));
+        }
+    }
+
+    fn take_back(&mut self, flight: &Flight) {
+        if let Some(worker) = self.workers.get_mut(&flight.worker) {
+            worker.out = worker.out.saturating_sub(1);
+            if !flight.loading {
+                worker.busy = worker.busy.saturating_sub(1);
+            }
+            if flight.trial {
+                worker.trial = false;
+            }
+        }
+        if let Some(function) = self.functions.get_mut(&flight.function)
+            && let Some(out) = function.out.get_mut(&flight.worker)
+        {
+            *out = out.saturating_sub(1);
+            if *out == 0 {
+                function.out.remove(&flight.worker);
+            }
+        }
+    }
+
+    fn load_over(&mut self, function: FunctionId, worker: WorkerId) {
+        if self.functions.get_mut(&function).is_some_and(|f| f.loading.remove(&worker).is_some())
+            && let Some(w) = self.workers.get_mut(&worker)
+        {
+            w.loads = w.loads.saturating_sub(1);
+        }
+    }
+
+    /// The one health estimate: a share of recent outcomes that failed, whatever the way.
+    fn judge(
+        &mut self,
+        now: Micros,
+        flight: &Flight,
+        outcome: Outcome,
+        elapsed: Micros,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(worker) = self.workers.get_mut(&flight.worker) else { return };
+        let failed = match outcome {
+            Outcome::Ok => false,
+            Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => true,
+            Outcome::Miss | Outcome::Full => {
+                worker.heard = now;
+                return;
+            }
+            Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => return,
+        };
+        let refused = outcome == Outcome::ConnectFailed && elapsed < self.settings.limits.connect_timeout / 2;
+        if refused || outcome == Outcome::Reset {
+            // Its process died: when it answers again it has started anew, whatever the list says so far.
+            worker.born = Some(now);
+            self.forget_copies(flight.worker);
+        }
+        self.count(now, flight.worker, failed, flight.trial, actions);
+    }
+
+    fn count(&mut self, now: Micros, id: WorkerId, failed: bool, trial: bool, actions: &mut Vec<Action>) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let target = if failed { 1.0 } else { 0.0 };
+        if !failed {
+            worker.heard = now;
+        }
+        worker.failing += (target - worker.failing) * FAIL_WEIGHT;
+        if worker.barred && !failed {
+            worker.barred = false;
+            worker.bar = BAR_FIRST;
+            worker.failing = worker.failing.min(FAIL_BAR / 2.0);
+            actions.push(Action::Log(format!("worker {} serves again", id.0)));
+        } else if failed && worker.barred && trial {
+            worker.bar = (worker.bar * 2).min(BAR_LONGEST);
+            worker.barred_until = now + worker.bar;
+        } else if failed && !worker.barred && worker.failing >= FAIL_BAR {
+            worker.barred = true;
+            worker.barred_until = now + worker.bar;
+            actions.push(Action::Log(format!("worker {} barred: it fails", id.0)));
+        }
+    }
+
+    fn probed(&mut self, now: Micros, id: WorkerId, outcome: Outcome) {
+        if let Some(worker) = self.workers.get_mut(&id)
+            && outcome == Outcome::Ok
+        {
+            worker.heard = now;
+        }
+    }
+
+    // ---- loads ----
+
+    /// After a miss one copy is ordered there, within the ration.
+    fn order_copy(&mut self, now: Micros, id: FunctionId, at: WorkerId, actions: &mut Vec<Action>) {
+        let on = self.workers.get(&at).is_some_and(|w| w.entry.state == WorkerState::On);
+        let Some(function) = self.functions.get_mut(&id) else { return };
+        if !on || !self.settings.loading.orders || function.loading.contains_key(&at) {
+            return;
+        }
+        if !self.ration(now) {
+            let span = self.load_span(&self.functions[&id]) * SHUN_LOADS;
+            self.functions.get_mut(&id).expect("just seen").shun.insert(at, now + span as Micros);
+            return;
+        }
+        let function = self.functions.get_mut(&id).expect("just seen");
+        function.loading.insert(at, now);
+        self.workers.get_mut(&at).expect("just seen").loads += 1;
+        actions.push(Action::Load { worker: at, function: id, count: 1 });
+    }
+
+    fn ration(&mut self, now: Micros) -> bool {
+        let loading = &self.settings.loading;
+        if loading.ration_window == 0 {
+            return true;
+        }
+        // Orders count a step longer and requests a step shorter than told: edges fall our way.
+        let step = self.settings.step;
+        while self.orders.front().is_some_and(|&t| t + loading.ration_window + step < now) {
+            self.orders.pop_front();
+        }
+        while self.taken.front().is_some_and(|&t| t + loading.ration_window < now + step) {
+            self.taken.pop_front();
+        }
+        let most = loading.ration_floor + loading.ration_share * self.taken.len() as f64;
+        if (self.orders.len() + 1) as f64 > most {
+            return false;
+        }
+        self.orders.push_back(now);
+        true
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn loaded(
+        &mut self,
+        now: Micros,
+        at: WorkerId,
+        id: FunctionId,
+        outcome: Outcome,
+        copies: u32,
+        elapsed: Micros,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.functions.get(&id).is_some_and(|f| f.loading.contains_key(&at)) {
+            return;
+        }
+        self.load_over(id, at);
+        let span = elapsed as f64;
+        let shun = self.load_span(&self.functions[&id]) * SHUN_LOADS;
+        let function = self.functions.get_mut(&id).expect("just seen");
+        if outcome == Outcome::Ok || copies > 0 {
+            function.warm.insert(at, now);
+            if function.last_warm.is_none_or(|(_, t)| t + self.settings.loading.keep_alive <= now) {
+                function.last_warm = Some((at, now));
+            }
+            function.load_time = Some(function.load_time.map_or(span, |t| t + (span - t) * FAIL_WEIGHT));
+            self.load_mean = Some(self.load_mean.map_or(span, |t| t + (span - t) * FAIL_WEIGHT));
+        } else {
+            function.shun.insert(at, now + shun as Micros);
+        }
+        self.release_all(now, actions);
+    }
+
+    // ---- releasing what is held ----
+
+    /// An answer from a worker: the lowest held priority that has room there goes, while there is room.
+    fn release(&mut self, now: Micros, at: WorkerId, actions: &mut Vec<Action>) {
+        let waiting: Vec<RequestId> = self.held.values().take(SCAN).copied().collect();
+        for id in waiting {
+            let Some(call) = self.calls.get(&id) else { continue };
+            let Some(function) = self.functions.get(&call.function) else { continue };
+            if call.avoid != Some(at) && self.may_take(now, at, call, function, false) {
+                // The call keeps to its own order: the worker with room need not be its first.
+                if let Some(worker) = self.pick(now, id) {
+                    self.send(now, id, worker, actions);
+                }
+            }
+        }
+    }
+
+    fn release_all(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let waiting: Vec<RequestId> = self.held.values().take(SCAN).copied().collect();
+        let mut without = BTreeSet::new();
+        for id in waiting {
+            let Some(call) = self.calls.get(&id) else { continue };
+            let key = (call.function, call.class, call.avoid, call.ran);
+            if without.contains(&key) {
+                continue;
+            }
+            match self.pick(now, id) {
+                Some(worker) => self.send(now, id, worker, actions),
+                None => {
+                    without.insert(key);
+                }
+            }
+        }
+    }
+
+    // ---- time ----
+
+    fn run_due(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        while let Some(&(at, due)) = self.due.first() {
+            if at > now {
+                break;
+            }
+            self.due.pop_first();
+            match due {
+                Due::Answer(id) => self.answer(id, actions),
+                Due::Silence(id) => self.silent(now, id, actions),
+                Due::Ask => actions.push(Action::Watch),
+                Due::Tick => {
+                    self.ticking = false;
+                    self.release_all(now, actions);
+                    if !self.held.is_empty() && !self.ticking {
+                        self.ticking = true;
+                        self.due.insert((now + self.tick(), Due::Tick));
+                    }
+                }
+            }
+        }
+        if now > self.swept + COUNT_SPAN {
+            self.swept = now;
+            let old = FORGET_SPANS * COUNT_SPAN.max(self.settings.loading.keep_alive);
+            self.functions.retain(|_, f| {
+                f.shun.retain(|_, until| *until > now);
+                f.last + old > now || f.held > 0 || !f.out.is_empty() || !f.loading.is_empty()
+            });
+        }
+    }
+
+    /// A worker that owes answers and has sent nothing for long is barred; safe calls there are withdrawn and
+    /// go elsewhere. Answers to silence of the machine, of the link, and of a process that hangs.
+    fn silent(&mut self, now: Micros, id: WorkerId, actions: &mut Vec<Action>) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        worker.watched = false;
+        let (heard, fresh) = (worker.heard, !worker.barred);
+        let owed: Vec<(RequestId, u32)> = self
+            .flights
+            .iter()
+            .filter(|(_, f)| f.worker == id && now >= f.sent.max(heard) + self.silence(f.function, f.loading))
+            .map(|(key, _)| *key)
+            .collect();
+        if owed.is_empty() {
+            self.watch(now, id);
+            return;
+        }
+        let worker = self.workers.get_mut(&id).expect("just seen");
+        worker.failing = worker.failing.max(FAIL_BAR);
+        if fresh {
+            worker.barred = true;
+            worker.barred_until = now + worker.bar;
+            actions.push(Action::Log(format!("worker {} barred: it is silent", id.0)));
+        }
+        for (request, attempt) in owed {
+            let Some(call) = self.calls.get(&request) else { continue };
+            let safe = self.settings.classes[call.class].effect == Effect::Safe;
+            let room = call.attempts < self.settings.limits.max_attempts;
+            if safe && room && call.out == Some(attempt) && !call.streaming && self.settings.limits.cancel {
+                actions.push(Action::Cancel { request, attempt });
+            }
+        }
+    }
+
+    fn arm(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if self.armed.is_some_and(|t| t <= now) {
+            self.armed = None;
+        }
+        if let Some(&(at, _)) = self.due.first()
+            && self.armed.is_none_or(|t| at < t)
+        {
+            self.armed = Some(at);
+            actions.push(Action::SetTimer { after: at.saturating_sub(now), tag: TAG });
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,5 @@
+//! placeholder
+mod choice;
+mod interface;
+pub use choice::Controller;
+pub use interface::*;
