--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,10 @@
 const COLD_MARGIN: f64 = 0.7;
 /// After a "full", a worker is left alone for this many of the function's mean latencies.
 const FULL_LATENCIES: f64 = 1.0;
+/// After a "full" we have at most this share of what was out there; each call served widens it again, up to
+/// a width that binds nothing. All controllers that meet a full worker shrink, so their sum follows its room.
+const WINDOW_CUT: f64 = 0.7;
+const WINDOW_MOST: f64 = 64.0;
 /// A worker where a load failed or found no room is left alone by that function for this share of a load.
 const SHUN_LOADS: f64 = 0.5;
 /// Time kept for the way of an answer, in steps, before the client's deadline.
@@ -69,6 +73,8 @@
     heard: Micros,
     watched: bool,
     full_until: Micros,
+    /// What we may have out there at once: shrinks when it turns calls away, grows as it serves.
+    window: f64,
     /// When it came up, as far as known; what we sent while cold: when and how much work.
     born: Option<Micros>,
     cold_sends: VecDeque<(Micros, f64)>,
@@ -138,6 +144,9 @@
 pub struct Controller {
     settings: Settings,
     random: u64,
+    /// The time of the event in hand, and what has been decided on it so far.
+    now: Micros,
+    out: Vec<Action>,
     started: Option<Micros>,
     workers: BTreeMap<WorkerId, Worker>,
     epoch: u64,
@@ -185,6 +194,8 @@
             class_work: vec![None; settings.classes.len()],
             settings,
             random: seed,
+            now: 0,
+            out: Vec::new(),
             started: None,
             workers: BTreeMap::new(),
             epoch: 1,
@@ -207,46 +218,42 @@
 
     /// Takes in one event at the time `now`, and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
         if self.started.is_none() {
             self.started = Some(now);
             if self.settings.discovery == Discovery::Ask {
-                actions.push(Action::Watch);
+                self.out.push(Action::Watch);
             }
         }
         match event {
-            Event::Workers { form, entries } => self.workers_told(now, form, entries, actions),
-            Event::Request(request) => self.request(now, request, actions),
+            Event::Workers { form, entries } => self.workers_told(form, entries),
+            Event::Request(request) => self.request(request),
             Event::Outcome { request, attempt, outcome, finished, elapsed, note, .. } => {
-                self.attempt_ended(now, request, attempt, outcome, finished, elapsed, note, actions);
+                self.attempt_ended(request, attempt, outcome, finished, elapsed, note);
             }
             Event::Started { request, .. } => self.stream_started(request),
             Event::Loaded { worker, function, outcome, copies, elapsed } => {
-                self.loaded(now, worker, function, outcome, copies, elapsed, actions);
+                self.loaded(worker, function, outcome, copies, elapsed);
             }
-            Event::Probed { worker, outcome, .. } => self.probed(now, worker, outcome),
+            Event::Probed { worker, outcome, .. } => self.probed(worker, outcome),
             Event::Timer { .. } | Event::Message { .. } => {}
-            Event::ClientGone { request } => self.client_gone(request, actions),
+            Event::ClientGone { request } => self.client_gone(request),
         }
-        self.run_due(now, actions);
-        self.arm(now, actions);
+        self.run_due();
+        self.arm();
+        actions.append(&mut self.out);
     }
 
     // ---- the list of workers ----
 
-    fn workers_told(
-        &mut self,
-        now: Micros,
-        form: ListForm,
-        entries: Vec<WorkerEntry>,
-        actions: &mut Vec<Action>,
-    ) {
+    fn workers_told(&mut self, form: ListForm, entries: Vec<WorkerEntry>) {
         if form == ListForm::Failed {
             if self.settings.discovery == Discovery::Ask {
                 // Asked again after a wait that grows, so that a fleet of askers does not keep the list down;
                 // never so long that what the list held meanwhile is deemed told.
                 self.random = mix(self.random);
                 let wait = self.ask_wait / 2 + self.random % (self.ask_wait / 2).max(1);
-                self.due.insert((now + wait, Due::Ask));
+                self.due.insert((self.now + wait, Due::Ask));
                 let most = (self.settings.rules.must_ask_in / 4).max(ASK_FIRST);
                 self.ask_wait = (self.ask_wait * 2).min(most);
             }
@@ -283,9 +290,10 @@
                         barred_until: 0,
                         bar: BAR_FIRST,
                         trial: false,
-                        heard: now,
+                        heard: self.now,
                         watched: false,
                         full_until: 0,
+                        window: WINDOW_MOST,
                         cold_sends: VecDeque::new(),
                     };
                     self.workers.insert(id, worker);
@@ -316,7 +324,7 @@
             }
         }
         self.epoch += 1;
-        self.release_all(now, actions);
+        self.release_all();
     }
 
     fn forget_copies(&mut self, id: WorkerId) {
@@ -334,22 +342,22 @@
 
     // ---- the ordinary path ----
 
-    fn request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
+    fn request(&mut self, request: Request) {
         if self.calls.contains_key(&request.id) || request.class.0 >= self.settings.classes.len() {
             return;
         }
         if self.settings.loading.ration_window > 0 {
-            self.taken.push_back(now);
+            self.taken.push_back(self.now);
         }
-        let over = self.over_quota(now, request.tenant);
+        let over = self.over_quota(request.tenant);
         let function = self.functions.entry(request.function).or_default();
         function.lanes = request.lanes.max(1);
-        function.last = now;
+        function.last = self.now;
         if let Some(told) = request.load_time {
             function.load_time = Some(told as f64);
         }
-        function.arrivals.push_back(now);
-        while function.arrivals.front().is_some_and(|&t| t + COUNT_SPAN < now) {
+        function.arrivals.push_back(self.now);
+        while function.arrivals.front().is_some_and(|&t| t + COUNT_SPAN < self.now) {
             function.arrivals.pop_front();
         }
         let mut priority = function.arrivals.len() as f64 * function.mean();
@@ -358,11 +366,11 @@
             priority = (priority + 1.0) / self.settings.over_quota_worth.max(0.01);
         }
         self.sequence += 1;
-        let answer_by = now + request.left.saturating_sub(ANSWER_STEPS * self.settings.step);
+        let answer_by = self.now + request.left.saturating_sub(ANSWER_STEPS * self.settings.step);
         let call = Call {
             class: request.class.0,
             function: request.function,
-            arrived: now,
+            arrived: self.now,
             answer_by,
             priority: (priority as u64, self.sequence),
             attempts: 0,
@@ -374,29 +382,29 @@
         };
         self.calls.insert(request.id, call);
         self.due.insert((answer_by, Due::Answer(request.id)));
-        self.place(now, request.id, actions);
+        self.place(request.id);
     }
 
     /// Counts a tenant's calls in the last second against this controller's part of its quota.
-    fn over_quota(&mut self, now: Micros, tenant: Option<TenantId>) -> bool {
+    fn over_quota(&mut self, tenant: Option<TenantId>) -> bool {
         let Some(id) = tenant else { return false };
         let Some(quota) = self.settings.tenants.get(id.0).and_then(|t| t.quota_per_s) else { return false };
         let taken = self.tenant_taken.entry(id).or_default();
-        taken.push_back(now);
-        while taken.front().is_some_and(|&t| t + 1_000_000 < now) {
+        taken.push_back(self.now);
+        while taken.front().is_some_and(|&t| t + 1_000_000 < self.now) {
             taken.pop_front();
         }
         taken.len() as f64 > (quota / f64::from(self.settings.controllers)).max(1.0)
     }
 
-    fn place(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
-        match self.pick(now, id) {
-            Some(worker) => self.send(now, id, worker, actions),
-            None => self.hold(now, id),
+    fn place(&mut self, id: RequestId) {
+        match self.pick(id) {
+            Some(worker) => self.send(id, worker),
+            None => self.hold(id),
         }
     }
 
-    fn hold(&mut self, now: Micros, id: RequestId) {
+    fn hold(&mut self, id: RequestId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         if !call.held {
             call.held = true;
@@ -407,7 +415,7 @@
         }
         if !self.ticking {
             self.ticking = true;
-            self.due.insert((now + self.tick(), Due::Tick));
+            self.due.insert((self.now + self.tick(), Due::Tick));
         }
     }
 
@@ -427,22 +435,22 @@
     }
 
     /// The worker for a call: last warm, else the first along the shared order that may take it.
-    fn pick(&mut self, now: Micros, id: RequestId) -> Option<WorkerId> {
+    fn pick(&mut self, id: RequestId) -> Option<WorkerId> {
         let call = self.calls.get(&id)?;
         self.order(call.function);
         let call = &self.calls[&id];
         let function = self.functions.get(&call.function)?;
         let keep = self.settings.loading.keep_alive;
         if let Some((worker, at)) = function.last_warm
-            && at + keep > now
+            && at + keep > self.now
             && call.avoid != Some(worker)
-            && self.may_take(now, worker, call, function, false)
+            && self.may_take(worker, call, function, false)
         {
             return Some(worker);
         }
         let mut second = None;
         for &worker in &function.order {
-            if self.may_take(now, worker, call, function, false) {
+            if self.may_take(worker, call, function, false) {
                 if call.avoid != Some(worker) {
                     return Some(worker);
                 }
@@ -459,7 +467,7 @@
         }
         let mut best: Option<(f64, WorkerId)> = None;
         for &worker in &function.order {
-            if self.may_take(now, worker, call, function, true) {
+            if self.may_take(worker, call, function, true) {
                 let failing = self.workers[&worker].failing;
                 if best.is_none_or(|(f, _)| failing < f) {
                     best = Some((failing, worker));
@@ -494,47 +502,50 @@
 
     // ---- may this worker take this request now? ----
 
-    fn may_take(&self, now: Micros, id: WorkerId, call: &Call, function: &Function, desperate: bool) -> bool {
+    fn may_take(&self, id: WorkerId, call: &Call, function: &Function, desperate: bool) -> bool {
         let Some(worker) = self.workers.get(&id) else { return false };
         // Drains: nothing new from the moment it is told.
         if worker.entry.state != WorkerState::On {
             return false;
         }
         // Keyed and unsafe calls that may have run stay where a repeat is dropped.
-        if !self.effect_permits(now, call, worker) {
+        if !self.effect_permits(call, worker) {
             return false;
         }
         let unsafe_call = self.settings.classes[call.class].effect == Effect::Unsafe;
         // Health: a barred worker takes one trial at a time once its bar is over, none of them unsafe.
-        if worker.barred && !desperate && (now < worker.barred_until || worker.trial || unsafe_call) {
+        if worker.barred && !desperate && (self.now < worker.barred_until || worker.trial || unsafe_call) {
             return false;
         }
-        if now < worker.full_until {
+        if self.now < worker.full_until {
             return false;
         }
-        let warm = self.warm_at(now, function, id);
+        let warm = self.warm_at(function, id);
         let there = function.out.get(&id).copied().unwrap_or(0);
         // The design's bound. Calls that wait for a load use no core: they count for their own function only.
-        if (warm && worker.busy >= function.lanes) || there >= function.lanes {
+        // One call starts a load; the others wait here, not in the worker's slots.
+        let most = if warm { function.lanes } else { 1 };
+        if there >= most || (warm && worker.busy >= function.lanes) || f64::from(worker.out) >= worker.window
+        {
             return false;
         }
-        if function.shun.get(&id).is_some_and(|&until| now < until) {
+        if function.shun.get(&id).is_some_and(|&until| self.now < until) {
             return false;
         }
-        if !warm && !self.may_load(now, id, worker, function, call) {
+        if !warm && !self.may_load(id, worker, function, call) {
             return false;
         }
-        self.cold_room(now, worker, call.class)
+        self.cold_room(worker, call.class)
     }
 
-    fn effect_permits(&self, now: Micros, call: &Call, worker: &Worker) -> bool {
+    fn effect_permits(&self, call: &Call, worker: &Worker) -> bool {
         let Some((first, since)) = call.ran else { return true };
         match self.settings.classes[call.class].effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed { group, window } => {
                 // The last step may be over before the send counts.
-                if now + self.settings.step >= since + window {
+                if self.now + self.settings.step >= since + window {
                     return false;
                 }
                 let Some(there) = self.workers.get(&first) else { return group == Group::All };
@@ -547,8 +558,8 @@
         }
     }
 
-    fn warm_at(&self, now: Micros, function: &Function, worker: WorkerId) -> bool {
-        function.warm.get(&worker).is_some_and(|&at| at + self.settings.loading.keep_alive > now)
+    fn warm_at(&self, function: &Function, worker: WorkerId) -> bool {
+        function.warm.get(&worker).is_some_and(|&at| at + self.settings.loading.keep_alive > self.now)
     }
 
     fn load_span(&self, function: &Function) -> f64 {
@@ -557,20 +568,21 @@
 
     /// May a copy be begun (or waited for) there? Waiting for a warm copy is weighed against a load, one
     /// load for a function at a time, few at a worker.
-    fn may_load(&self, now: Micros, id: WorkerId, worker: &Worker, function: &Function, call: &Call) -> bool {
+    fn may_load(&self, id: WorkerId, worker: &Worker, function: &Function, call: &Call) -> bool {
         let miss = self.settings.loading.when_absent == WhenAbsent::Miss;
         if function.loading.contains_key(&id) {
             return !miss;
         }
         let span = self.load_span(function);
         let stuck = (span * STUCK_LOADS) as Micros;
-        if function.loading.values().any(|&since| now < since + stuck) || worker.loads >= LOADS_AT_WORKER {
+        if function.loading.values().any(|&since| self.now < since + stuck) || worker.loads >= LOADS_AT_WORKER
+        {
             return false;
         }
         let mut copies = 0;
         for &w in function.warm.keys() {
             let sound = self.workers.get(&w).is_some_and(|x| x.entry.state == WorkerState::On && !x.barred);
-            if sound && self.warm_at(now, function, w) {
+            if sound && self.warm_at(function, w) {
                 copies += 1;
             }
         }
@@ -578,21 +590,21 @@
             return true;
         }
         let ahead = f64::from(function.held + 1) * function.mean() / f64::from(copies * function.lanes);
-        let waited = now.saturating_sub(call.arrived) as f64;
+        let waited = self.now.saturating_sub(call.arrived) as f64;
         ahead.max(waited) > span * SPILL_SHARE
     }
 
     /// Rule on cold workers: what all controllers may send within a fall span, over their number.
     /// Also guards against a burst right after a start, and against our own restart: what an earlier life
     /// sent in the last fall span is not known, so nothing goes to a cold worker until that span is over.
-    fn cold_room(&self, now: Micros, worker: &Worker, class: usize) -> bool {
+    fn cold_room(&self, worker: &Worker, class: usize) -> bool {
         let rules = &self.settings.rules;
         let Some(born) = worker.born else { return true };
-        let age = now.saturating_sub(born);
+        let age = self.now.saturating_sub(born);
         if age >= rules.cold || rules.cold == 0 {
             return true;
         }
-        if self.started.is_some_and(|s| now < s + rules.fall && s > born) {
+        if self.started.is_some_and(|s| self.now < s + rules.fall && s > born) {
             return false;
         }
         let share = rules.start_capacity + (1.0 - rules.start_capacity) * age as f64 / rules.cold as f64;
@@ -607,7 +619,7 @@
             }
         }
         let sent: f64 =
-            worker.cold_sends.iter().filter(|(t, _)| (*t + span as Micros) > now).map(|(_, w)| w).sum();
+            worker.cold_sends.iter().filter(|(t, _)| (*t + span as Micros) > self.now).map(|(_, w)| w).sum();
         sent + work <= rate * span * 1.000_001
     }
 
@@ -618,7 +630,7 @@
 
     // ---- sending ----
 
-    fn send(&mut self, now: Micros, id: RequestId, to: WorkerId, actions: &mut Vec<Action>) {
+    fn send(&mut self, id: RequestId, to: WorkerId) {
         self.unhold(id);
         let Some(call) = self.calls.get_mut(&id) else { return };
         let number = call.attempts;
@@ -628,18 +640,18 @@
         let work = self.work(class);
         let Some(function) = self.functions.get_mut(&fid) else { return };
         let keep = self.settings.loading.keep_alive;
-        let warm = function.warm.get(&to).is_some_and(|&at| at + keep > now);
+        let warm = function.warm.get(&to).is_some_and(|&at| at + keep > self.now);
         *function.out.entry(to).or_insert(0) += 1;
         let Some(worker) = self.workers.get_mut(&to) else { return };
         if !warm
             && self.settings.loading.when_absent == WhenAbsent::Load
             && !function.loading.contains_key(&to)
         {
-            function.loading.insert(to, now);
+            function.loading.insert(to, self.now);
             worker.loads += 1;
         }
         if worker.out == 0 {
-            worker.heard = now;
+            worker.heard = self.now;
         }
         worker.out += 1;
         if warm {
@@ -647,8 +659,8 @@
         }
         let trial = worker.barred;
         worker.trial |= trial;
-        if worker.born.is_some_and(|b| now < b + self.settings.rules.cold) {
-            worker.cold_sends.push_back((now, work));
+        if worker.born.is_some_and(|b| self.now < b + self.settings.rules.cold) {
+            worker.cold_sends.push_back((self.now, work));
             if worker.cold_sends.len() > 4 * SCAN {
                 worker.cold_sends.pop_front();
             }
@@ -657,14 +669,14 @@
         }
         self.flights.insert(
             (id, number),
-            Flight { worker: to, function: fid, class, sent: now, loading: !warm, trial },
+            Flight { worker: to, function: fid, class, sent: self.now, loading: !warm, trial },
         );
-        self.watch(now, to);
-        actions.push(Action::Send { request: id, worker: to, timeout: None });
+        self.watch(to);
+        self.out.push(Action::Send { request: id, worker: to, timeout: None });
     }
 
     /// Sets a check for the silence of a worker that owes answers, if none is set.
-    fn watch(&mut self, now: Micros, id: WorkerId) {
+    fn watch(&mut self, id: WorkerId) {
         let Some(worker) = self.workers.get(&id) else { return };
         if worker.watched {
             return;
@@ -672,7 +684,7 @@
         let owed = self.flights.values().filter(|f| f.worker == id);
         let next = owed.map(|f| f.sent.max(worker.heard) + self.silence(f.function, f.loading)).min();
         if let Some(at) = next {
-            self.due.insert((at.max(now + self.tick()), Due::Silence(id)));
+            self.due.insert((at.max(self.now + self.tick()), Due::Silence(id)));
             self.workers.get_mut(&id).expect("just seen").watched = true;
         }
     }
@@ -687,22 +699,19 @@
 
     // ---- what comes back ----
 
-    #[allow(clippy::too_many_arguments)]
     fn attempt_ended(
         &mut self,
-        now: Micros,
         id: RequestId,
         number: u32,
         outcome: Outcome,
         finished: bool,
         elapsed: Micros,
         note: Option<LoadNote>,
-        actions: &mut Vec<Action>,
     ) {
         let Some(flight) = self.flights.remove(&(id, number)) else { return };
         let at = flight.worker;
         self.take_back(&flight);
-        self.judge(now, &flight, outcome, elapsed, actions);
+        self.judge(&flight, outcome, elapsed);
         let mut order = false;
         if let Some(function) = self.functions.get_mut(&flight.function) {
             match outcome {
@@ -727,8 +736,11 @@
                             *work = Some(work.map_or(elapsed as f64, |m| m + (elapsed as f64 - m) * 0.05));
                         }
                     }
-                    function.warm.insert(at, now);
-                    function.last_warm = Some((at, now));
+                    function.warm.insert(at, self.now);
+                    function.last_warm = Some((at, self.now));
+                    if let Some(worker) = self.workers.get_mut(&at) {
+                        worker.window = (worker.window + 1.0 / worker.window).min(WINDOW_MOST);
+                    }
                     self.load_over(flight.function, at);
                 }
                 Outcome::Miss => {
@@ -743,7 +755,11 @@
                 Outcome::Full => {
                     let wait = (function.mean() * FULL_LATENCIES) as Micros;
                     if let Some(worker) = self.workers.get_mut(&at) {
-                        worker.full_until = now + wait.max(self.settings.step);
+                        if self.now >= worker.full_until {
+                            worker.window =
+                                (f64::from(worker.out + 1).min(worker.window) * WINDOW_CUT).max(1.0);
+                        }
+                        worker.full_until = self.now + wait.max(self.settings.step);
                     }
                     self.load_over(flight.function, at);
                 }
@@ -751,7 +767,7 @@
             }
         }
         if order {
-            self.order_copy(now, flight.function, at, actions);
+            self.order_copy(flight.function, at);
         }
         if finished {
             self.finish(id);
@@ -767,31 +783,31 @@
             if outcome != Outcome::Miss {
                 call.avoid = Some(at);
             }
-            self.again(now, id, outcome, actions);
+            self.again(id, outcome);
         }
-        self.release(now, at, actions);
+        self.release(at);
     }
 
     /// Another attempt if the effect and the count permit, else the final answer.
-    fn again(&mut self, now: Micros, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
+    fn again(&mut self, id: RequestId, outcome: Outcome) {
         let Some(call) = self.calls.get(&id) else { return };
         let spent = call.attempts >= self.settings.limits.max_attempts || outcome == Outcome::Moot;
         let window_over = match self.settings.classes[call.class].effect {
             Effect::Safe => false,
             Effect::Unsafe => call.ran.is_some(),
             Effect::Keyed { window, .. } => {
-                call.ran.is_some_and(|(_, since)| now + self.settings.step >= since + window)
+                call.ran.is_some_and(|(_, since)| self.now + self.settings.step >= since + window)
             }
         };
-        if spent || window_over || now >= call.answer_by {
-            self.answer(id, actions);
+        if spent || window_over || self.now >= call.answer_by {
+            self.answer(id);
         } else {
-            self.place(now, id, actions);
+            self.place(id);
         }
     }
 
     /// The final answer by us: refused where a further try is harmless, else failed.
-    fn answer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn answer(&mut self, id: RequestId) {
         let Some(call) = self.calls.get(&id) else { return };
         let clean = call.out.is_none() && call.ran.is_none();
         let refuse = clean
@@ -802,12 +818,12 @@
             };
         let out = call.out;
         if refuse {
-            actions.push(Action::Refuse { request: id, retry_after: None });
+            self.out.push(Action::Refuse { request: id, retry_after: None });
         } else {
-            actions.push(Action::Fail { request: id });
+            self.out.push(Action::Fail { request: id });
         }
         if let Some(attempt) = out.filter(|_| self.settings.limits.cancel) {
-            actions.push(Action::Cancel { request: id, attempt });
+            self.out.push(Action::Cancel { request: id, attempt });
         }
         self.finish(id);
     }
@@ -819,10 +835,10 @@
         }
     }
 
-    fn client_gone(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn client_gone(&mut self, id: RequestId) {
         if let Some(call) = self.calls.get(&id) {
             if let Some(attempt) = call.out.filter(|_| self.settings.limits.cancel && !call.streaming) {
-                actions.push(Action::Cancel { request: id, attempt });
+                self.out.push(Action::Cancel { request: id, attempt });
             }
             self.finish(id);
         }
@@ -865,20 +881,13 @@
     }
 
     /// The one health estimate: a share of recent outcomes that failed, whatever the way.
-    fn judge(
-        &mut self,
-        now: Micros,
-        flight: &Flight,
-        outcome: Outcome,
-        elapsed: Micros,
-        actions: &mut Vec<Action>,
-    ) {
+    fn judge(&mut self, flight: &Flight, outcome: Outcome, elapsed: Micros) {
         let Some(worker) = self.workers.get_mut(&flight.worker) else { return };
         let failed = match outcome {
             Outcome::Ok => false,
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => true,
             Outcome::Miss | Outcome::Full => {
-                worker.heard = now;
+                worker.heard = self.now;
                 return;
             }
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => return,
@@ -886,94 +895,84 @@
         let refused = outcome == Outcome::ConnectFailed && elapsed < self.settings.limits.connect_timeout / 2;
         if refused || outcome == Outcome::Reset {
             // Its process died: when it answers again it has started anew, whatever the list says so far.
-            worker.born = Some(now);
+            worker.born = Some(self.now);
             self.forget_copies(flight.worker);
         }
-        self.count(now, flight.worker, failed, flight.trial, actions);
+        self.count(flight.worker, failed, flight.trial);
     }
 
-    fn count(&mut self, now: Micros, id: WorkerId, failed: bool, trial: bool, actions: &mut Vec<Action>) {
+    fn count(&mut self, id: WorkerId, failed: bool, trial: bool) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let target = if failed { 1.0 } else { 0.0 };
         if !failed {
-            worker.heard = now;
+            worker.heard = self.now;
         }
         worker.failing += (target - worker.failing) * FAIL_WEIGHT;
         if worker.barred && !failed {
             worker.barred = false;
             worker.bar = BAR_FIRST;
             worker.failing = worker.failing.min(FAIL_BAR / 2.0);
-            actions.push(Action::Log(format!("worker {} serves again", id.0)));
+            self.out.push(Action::Log(format!("worker {} serves again", id.0)));
         } else if failed && worker.barred && trial {
             worker.bar = (worker.bar * 2).min(BAR_LONGEST);
-            worker.barred_until = now + worker.bar;
+            worker.barred_until = self.now + worker.bar;
         } else if failed && !worker.barred && worker.failing >= FAIL_BAR {
             worker.barred = true;
-            worker.barred_until = now + worker.bar;
-            actions.push(Action::Log(format!("worker {} barred: it fails", id.0)));
+            worker.barred_until = self.now + worker.bar;
+            self.out.push(Action::Log(format!("worker {} barred: it fails", id.0)));
         }
     }
 
-    fn probed(&mut self, now: Micros, id: WorkerId, outcome: Outcome) {
+    fn probed(&mut self, id: WorkerId, outcome: Outcome) {
         if let Some(worker) = self.workers.get_mut(&id)
             && outcome == Outcome::Ok
         {
-            worker.heard = now;
+            worker.heard = self.now;
         }
     }
 
     // ---- loads ----
 
     /// After a miss one copy is ordered there, within the ration.
-    fn order_copy(&mut self, now: Micros, id: FunctionId, at: WorkerId, actions: &mut Vec<Action>) {
+    fn order_copy(&mut self, id: FunctionId, at: WorkerId) {
         let on = self.workers.get(&at).is_some_and(|w| w.entry.state == WorkerState::On);
         let Some(function) = self.functions.get_mut(&id) else { return };
         if !on || !self.settings.loading.orders || function.loading.contains_key(&at) {
             return;
         }
-        if !self.ration(now) {
+        if !self.ration() {
             let span = self.load_span(&self.functions[&id]) * SHUN_LOADS;
-            self.functions.get_mut(&id).expect("just seen").shun.insert(at, now + span as Micros);
+            self.functions.get_mut(&id).expect("just seen").shun.insert(at, self.now + span as Micros);
             return;
         }
         let function = self.functions.get_mut(&id).expect("just seen");
-        function.loading.insert(at, now);
+        function.loading.insert(at, self.now);
         self.workers.get_mut(&at).expect("just seen").loads += 1;
-        actions.push(Action::Load { worker: at, function: id, count: 1 });
+        self.out.push(Action::Load { worker: at, function: id, count: 1 });
     }
 
-    fn ration(&mut self, now: Micros) -> bool {
+    fn ration(&mut self) -> bool {
         let loading = &self.settings.loading;
         if loading.ration_window == 0 {
             return true;
         }
         // Orders count a step longer and requests a step shorter than told: edges fall our way.
         let step = self.settings.step;
-        while self.orders.front().is_some_and(|&t| t + loading.ration_window + step < now) {
+        while self.orders.front().is_some_and(|&t| t + loading.ration_window + step < self.now) {
             self.orders.pop_front();
         }
-        while self.taken.front().is_some_and(|&t| t + loading.ration_window < now + step) {
+        while self.taken.front().is_some_and(|&t| t + loading.ration_window < self.now + step) {
             self.taken.pop_front();
         }
         let most = loading.ration_floor + loading.ration_share * self.taken.len() as f64;
         if (self.orders.len() + 1) as f64 > most {
             return false;
         }
-        self.orders.push_back(now);
+        self.orders.push_back(self.now);
         true
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn loaded(
-        &mut self,
-        now: Micros,
-        at: WorkerId,
-        id: FunctionId,
-        outcome: Outcome,
-        copies: u32,
-        elapsed: Micros,
-        actions: &mut Vec<Action>,
-    ) {
+    fn loaded(&mut self, at: WorkerId, id: FunctionId, outcome: Outcome, copies: u32, elapsed: Micros) {
         if !self.functions.get(&id).is_some_and(|f| f.loading.contains_key(&at)) {
             return;
         }
@@ -982,36 +981,36 @@
         let shun = self.load_span(&self.functions[&id]) * SHUN_LOADS;
         let function = self.functions.get_mut(&id).expect("just seen");
         if outcome == Outcome::Ok || copies > 0 {
-            function.warm.insert(at, now);
-            if function.last_warm.is_none_or(|(_, t)| t + self.settings.loading.keep_alive <= now) {
-                function.last_warm = Some((at, now));
+            function.warm.insert(at, self.now);
+            if function.last_warm.is_none_or(|(_, t)| t + self.settings.loading.keep_alive <= self.now) {
+                function.last_warm = Some((at, self.now));
             }
             function.load_time = Some(function.load_time.map_or(span, |t| t + (span - t) * FAIL_WEIGHT));
             self.load_mean = Some(self.load_mean.map_or(span, |t| t + (span - t) * FAIL_WEIGHT));
         } else {
-            function.shun.insert(at, now + shun as Micros);
+            function.shun.insert(at, self.now + shun as Micros);
         }
-        self.release_all(now, actions);
+        self.release_all();
     }
 
     // ---- releasing what is held ----
 
     /// An answer from a worker: the lowest held priority that has room there goes, while there is room.
-    fn release(&mut self, now: Micros, at: WorkerId, actions: &mut Vec<Action>) {
+    fn release(&mut self, at: WorkerId) {
         let waiting: Vec<RequestId> = self.held.values().take(SCAN).copied().collect();
         for id in waiting {
             let Some(call) = self.calls.get(&id) else { continue };
             let Some(function) = self.functions.get(&call.function) else { continue };
-            if call.avoid != Some(at) && self.may_take(now, at, call, function, false) {
+            if call.avoid != Some(at) && self.may_take(at, call, function, false) {
                 // The call keeps to its own order: the worker with room need not be its first.
-                if let Some(worker) = self.pick(now, id) {
-                    self.send(now, id, worker, actions);
+                if let Some(worker) = self.pick(id) {
+                    self.send(id, worker);
                 }
             }
         }
     }
 
-    fn release_all(&mut self, now: Micros, actions: &mut Vec<Action>) {
+    fn release_all(&mut self) {
         let waiting: Vec<RequestId> = self.held.values().take(SCAN).copied().collect();
         let mut without = BTreeSet::new();
         for id in waiting {
@@ -1020,8 +1019,8 @@
             if without.contains(&key) {
                 continue;
             }
-            match self.pick(now, id) {
-                Some(worker) => self.send(now, id, worker, actions),
+            match self.pick(id) {
+                Some(worker) => self.send(id, worker),
                 None => {
                     without.insert(key);
                 }
@@ -1031,78 +1030,80 @@
 
     // ---- time ----
 
-    fn run_due(&mut self, now: Micros, actions: &mut Vec<Action>) {
+    fn run_due(&mut self) {
         while let Some(&(at, due)) = self.due.first() {
-            if at > now {
+            if at > self.now {
                 break;
             }
             self.due.pop_first();
             match due {
-                Due::Answer(id) => self.answer(id, actions),
-                Due::Silence(id) => self.silent(now, id, actions),
-                Due::Ask => actions.push(Action::Watch),
+                Due::Answer(id) => self.answer(id),
+                Due::Silence(id) => self.silent(id),
+                Due::Ask => self.out.push(Action::Watch),
                 Due::Tick => {
                     self.ticking = false;
-                    self.release_all(now, actions);
+                    self.release_all();
                     if !self.held.is_empty() && !self.ticking {
                         self.ticking = true;
-                        self.due.insert((now + self.tick(), Due::Tick));
+                        self.due.insert((self.now + self.tick(), Due::Tick));
                     }
                 }
             }
         }
-        if now > self.swept + COUNT_SPAN {
-            self.swept = now;
+        if self.now > self.swept + COUNT_SPAN {
+            self.swept = self.now;
             let old = FORGET_SPANS * COUNT_SPAN.max(self.settings.loading.keep_alive);
             self.functions.retain(|_, f| {
-                f.shun.retain(|_, until| *until > now);
-                f.last + old > now || f.held > 0 || !f.out.is_empty() || !f.loading.is_empty()
+                f.shun.retain(|_, until| *until > self.now);
+                f.last + old > self.now || f.held > 0 || !f.out.is_empty() || !f.loading.is_empty()
             });
         }
     }
 
     /// A worker that owes answers and has sent nothing for long is barred; safe calls there are withdrawn and
     /// go elsewhere. Answers to silence of the machine, of the link, and of a process that hangs.
-    fn silent(&mut self, now: Micros, id: WorkerId, actions: &mut Vec<Action>) {
+    fn silent(&mut self, id: WorkerId) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.watched = false;
         let (heard, fresh) = (worker.heard, !worker.barred);
         let owed: Vec<(RequestId, u32)> = self
             .flights
             .iter()
-            .filter(|(_, f)| f.worker == id && now >= f.sent.max(heard) + self.silence(f.function, f.loading))
+            .filter(|(_, f)| {
+                f.worker == id && self.now >= f.sent.max(heard) + self.silence(f.function, f.loading)
+            })
             .map(|(key, _)| *key)
             .collect();
         if owed.is_empty() {
-            self.watch(now, id);
+            self.watch(id);
             return;
         }
         let worker = self.workers.get_mut(&id).expect("just seen");
         worker.failing = worker.failing.max(FAIL_BAR);
         if fresh {
             worker.barred = true;
-            worker.barred_until = now + worker.bar;
-            actions.push(Action::Log(format!("worker {} barred: it is silent", id.0)));
+            worker.barred_until = self.now + worker.bar;
+            self.out.push(Action::Log(format!("worker {} barred: it is silent", id.0)));
         }
         for (request, attempt) in owed {
             let Some(call) = self.calls.get(&request) else { continue };
             let safe = self.settings.classes[call.class].effect == Effect::Safe;
             let room = call.attempts < self.settings.limits.max_attempts;
             if safe && room && call.out == Some(attempt) && !call.streaming && self.settings.limits.cancel {
-                actions.push(Action::Cancel { request, attempt });
+                self.out.push(Action::Cancel { request, attempt });
             }
         }
     }
 
-    fn arm(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        if self.armed.is_some_and(|t| t <= now) {
+    fn arm(&mut self) {
+        if self.armed.is_some_and(|t| t <= self.now) {
             self.armed = None;
         }
         if let Some(&(at, _)) = self.due.first()
             && self.armed.is_none_or(|t| at < t)
         {
             self.armed = Some(at);
-            actions.push(Action::SetTimer { after: at.saturating_sub(now), tag: TAG });
+            self.out.push(Action::SetTimer { after: at.saturating_sub(self.now), tag: TAG });
         }
     }
 }
