--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,9 +21,11 @@
 const TICK_LEAST: Micros = 20_000;
 /// A load's time before any was told or seen: that of a middling program.
 const LOAD_GUESS: f64 = 1_000_000.0;
-/// A second copy is begun when the wait for a warm one would take this share of a load: sooner, copies
-/// spread over the fleet and push each other out; later, callers wait longer than the load would take.
-const SPILL_SHARE: f64 = 0.5;
+/// A further copy is begun when our own traffic fills this share of the lanes of those that stand: copies
+/// beyond that push others out of memory, and a fleet that loads what it just unloaded serves nobody.
+const SPILL_FILL: f64 = 0.7;
+/// For that, a latency counts up to this many times the work seen at idle workers: the rest is queueing.
+const LATENCY_MOST: f64 = 2.0;
 /// A load that has taken this many times what it should is taken for stuck: another may begin elsewhere.
 const STUCK_LOADS: f64 = 3.0;
 /// Loads of ours waited for at one worker at once: workers run few at a time.
@@ -132,6 +134,14 @@
     trial: bool,
 }
 
+/// What is eased when no worker may take a call: nothing, the bound at workers with a warm copy, or the bars.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Ease {
+    None,
+    Crowd,
+    Suspects,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Answer(RequestId),
@@ -444,21 +454,23 @@
         if let Some((worker, at)) = function.last_warm
             && at + keep > self.now
             && call.avoid != Some(worker)
-            && self.may_take(worker, call, function, false)
+            && self.may_take(worker, call, function, Ease::None)
         {
             return Some(worker);
         }
         let mut second = None;
         for &worker in &function.order {
-            if self.may_take(worker, call, function, false) {
+            if self.may_take(worker, call, function, Ease::None) {
                 if call.avoid != Some(worker) {
                     return Some(worker);
                 }
                 second = Some(worker);
             }
         }
-        if second.is_some() {
-            return second;
+        // Other functions' calls may fill the bound at every warm copy: its own lanes then decide.
+        let crowd = || function.order.iter().find(|w| self.may_take(**w, call, function, Ease::Crowd));
+        if let Some(worker) = second.or_else(|| crowd().copied()) {
+            return Some(worker);
         }
         // Never all barred: with every worker suspect, the least bad takes it.
         let barred = |w: &Worker| w.entry.state == WorkerState::On && !w.barred;
@@ -467,7 +479,7 @@
         }
         let mut best: Option<(f64, WorkerId)> = None;
         for &worker in &function.order {
-            if self.may_take(worker, call, function, true) {
+            if self.may_take(worker, call, function, Ease::Suspects) {
                 let failing = self.workers[&worker].failing;
                 if best.is_none_or(|(f, _)| failing < f) {
                     best = Some((failing, worker));
@@ -502,7 +514,7 @@
 
     // ---- may this worker take this request now? ----
 
-    fn may_take(&self, id: WorkerId, call: &Call, function: &Function, desperate: bool) -> bool {
+    fn may_take(&self, id: WorkerId, call: &Call, function: &Function, ease: Ease) -> bool {
         let Some(worker) = self.workers.get(&id) else { return false };
         // Drains: nothing new from the moment it is told.
         if worker.entry.state != WorkerState::On {
@@ -514,7 +526,10 @@
         }
         let unsafe_call = self.settings.classes[call.class].effect == Effect::Unsafe;
         // Health: a barred worker takes one trial at a time once its bar is over, none of them unsafe.
-        if worker.barred && !desperate && (self.now < worker.barred_until || worker.trial || unsafe_call) {
+        if worker.barred
+            && ease != Ease::Suspects
+            && (self.now < worker.barred_until || worker.trial || unsafe_call)
+        {
             return false;
         }
         if self.now < worker.full_until {
@@ -532,7 +547,7 @@
         if function.shun.get(&id).is_some_and(|&until| self.now < until) {
             return false;
         }
-        if !warm && !self.may_load(id, worker, function, call) {
+        if !warm && (ease == Ease::Crowd || !self.may_load(id, worker, function, call)) {
             return false;
         }
         self.cold_room(worker, call.class)
@@ -581,7 +596,10 @@
         }
         let mut copies = 0;
         for &w in function.warm.keys() {
-            let sound = self.workers.get(&w).is_some_and(|x| x.entry.state == WorkerState::On && !x.barred);
+            let sound = self
+                .workers
+                .get(&w)
+                .is_some_and(|x| x.entry.state == WorkerState::On && !x.barred && !self.cold(x));
             if sound && self.warm_at(function, w) {
                 copies += 1;
             }
@@ -589,9 +607,10 @@
         if copies == 0 {
             return true;
         }
-        let ahead = f64::from(function.held + 1) * function.mean() / f64::from(copies * function.lanes);
-        let waited = self.now.saturating_sub(call.arrived) as f64;
-        ahead.max(waited) > span * SPILL_SHARE
+        // The calls in work at once that our own traffic asks for; a swollen latency is no demand.
+        let rate = function.arrivals.len() as f64 / COUNT_SPAN as f64;
+        let each = function.mean().min(self.work(call.class) * LATENCY_MOST);
+        rate * each > f64::from(copies * function.lanes) * SPILL_FILL
     }
 
     /// Rule on cold workers: what all controllers may send within a fall span, over their number.
@@ -623,6 +642,10 @@
         sent + work <= rate * span * 1.000_001
     }
 
+    fn cold(&self, worker: &Worker) -> bool {
+        worker.born.is_some_and(|born| self.now < born + self.settings.rules.cold)
+    }
+
     /// Core time of a call of this class, as far as seen.
     fn work(&self, class: usize) -> f64 {
         self.class_work[class].unwrap_or(self.settings.classes[class].aim as f64 / 4.0)
@@ -1001,7 +1024,7 @@
         for id in waiting {
             let Some(call) = self.calls.get(&id) else { continue };
             let Some(function) = self.functions.get(&call.function) else { continue };
-            if call.avoid != Some(at) && self.may_take(at, call, function, false) {
+            if call.avoid != Some(at) && self.may_take(at, call, function, Ease::Crowd) {
                 // The call keeps to its own order: the worker with room need not be its first.
                 if let Some(worker) = self.pick(id) {
                     self.send(id, worker);
