--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,7 @@
 const SAMPLES: usize = 10;
 const COUNT_SPAN: Micros = 10_000_000;
 /// Held requests looked at for one answer: bounds the work per event.
-const SCAN: usize = 64;
+const SCAN: usize = 512;
 /// How often held requests are looked at without an answer: room also comes back with time. In steps, but
 /// no oftener than this span, which is far under any aim that a load would fit in.
 const TICK_STEPS: Micros = 4;
@@ -38,8 +38,8 @@
 const BAR_FIRST: Micros = 500_000;
 const BAR_LONGEST: Micros = 4_000_000;
 /// A worker that owes answers and has sent none for this many mean latencies of what it owes is silent.
+/// The least is the aim of the class: a slow answer is no silence.
 const SILENT_LATENCIES: f64 = 6.0;
-const SILENT_LEAST: f64 = 300_000.0;
 /// Part of the cold allowance that is used: what is in flight between controllers is not seen.
 const COLD_MARGIN: f64 = 0.7;
 /// After a "full", a worker is left alone for this many of the function's mean latencies.
@@ -74,6 +74,7 @@
     /// When it last answered anything, and whether a check for its silence is set.
     heard: Micros,
     watched: bool,
+    probed: Option<Micros>,
     full_until: Micros,
     /// What we may have out there at once: shrinks when it turns calls away, grows as it serves.
     window: f64,
@@ -302,6 +303,7 @@
                         trial: false,
                         heard: self.now,
                         watched: false,
+                        probed: None,
                         full_until: 0,
                         window: WINDOW_MOST,
                         cold_sends: VecDeque::new(),
@@ -705,19 +707,20 @@
             return;
         }
         let owed = self.flights.values().filter(|f| f.worker == id);
-        let next = owed.map(|f| f.sent.max(worker.heard) + self.silence(f.function, f.loading)).min();
+        let next = owed.map(|f| f.sent.max(worker.heard) + self.silence(f)).min();
         if let Some(at) = next {
-            self.due.insert((at.max(self.now + self.tick()), Due::Silence(id)));
+            let bar = if worker.barred { worker.barred_until } else { 0 };
+            self.due.insert((at.max(bar).max(self.now + self.tick()), Due::Silence(id)));
             self.workers.get_mut(&id).expect("just seen").watched = true;
         }
     }
 
-    /// How long a worker may owe an answer to a call of this function before its silence tells.
-    fn silence(&self, id: FunctionId, loading: bool) -> Micros {
-        let Some(function) = self.functions.get(&id) else { return SILENT_LEAST as Micros };
-        let mean = if function.latencies.is_empty() { SILENT_LEAST } else { function.mean() };
-        let load = if loading { self.load_span(function) * STUCK_LOADS } else { 0.0 };
-        ((mean * SILENT_LATENCIES).max(SILENT_LEAST) + load) as Micros
+    /// How long a worker may owe an answer before its silence tells.
+    fn silence(&self, flight: &Flight) -> Micros {
+        let Some(function) = self.functions.get(&flight.function) else { return Micros::MAX / 4 };
+        let load = if flight.loading { self.load_span(function) * STUCK_LOADS } else { 0.0 };
+        let least = self.settings.classes[flight.class].aim as f64;
+        ((function.mean() * SILENT_LATENCIES).max(least) + load) as Micros
     }
 
     // ---- what comes back ----
@@ -947,10 +950,13 @@
     }
 
     fn probed(&mut self, id: WorkerId, outcome: Outcome) {
-        if let Some(worker) = self.workers.get_mut(&id)
-            && outcome == Outcome::Ok
-        {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let since = worker.probed.take();
+        if outcome == Outcome::Ok {
             worker.heard = self.now;
+            self.watch(id);
+        } else if since.is_some_and(|t| worker.heard <= t) {
+            self.bar_silent(id);
         }
     }
 
@@ -1088,26 +1094,35 @@
     fn silent(&mut self, id: WorkerId) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.watched = false;
-        let (heard, fresh) = (worker.heard, !worker.barred);
-        let owed: Vec<(RequestId, u32)> = self
-            .flights
-            .iter()
-            .filter(|(_, f)| {
-                f.worker == id && self.now >= f.sent.max(heard) + self.silence(f.function, f.loading)
-            })
-            .map(|(key, _)| *key)
-            .collect();
-        if owed.is_empty() {
+        let on = worker.entry.state == WorkerState::On;
+        let worker = &self.workers[&id];
+        if !self.flights.values().any(|f| self.overdue(id, worker, f)) {
             self.watch(id);
-            return;
+        } else if self.settings.limits.probes && on && worker.probed.is_none() {
+            // A probe tells a machine that is silent from one that is slow.
+            self.workers.get_mut(&id).expect("just seen").probed = Some(self.now);
+            self.out.push(Action::Probe { worker: id });
+        } else if worker.probed.is_none() {
+            self.bar_silent(id);
         }
+    }
+
+    fn overdue(&self, id: WorkerId, worker: &Worker, flight: &Flight) -> bool {
+        flight.worker == id && self.now >= flight.sent.max(worker.heard) + self.silence(flight)
+    }
+
+    fn bar_silent(&mut self, id: WorkerId) {
+        let Some(worker) = self.workers.get(&id) else { return };
+        let owed = self.flights.iter().filter(|(_, f)| self.overdue(id, worker, f)).map(|(key, _)| *key);
+        let owed: Vec<(RequestId, u32)> = owed.collect();
         let worker = self.workers.get_mut(&id).expect("just seen");
         worker.failing = worker.failing.max(FAIL_BAR);
-        if fresh {
+        if !worker.barred {
             worker.barred = true;
-            worker.barred_until = self.now + worker.bar;
             self.out.push(Action::Log(format!("worker {} barred: it is silent", id.0)));
         }
+        worker.barred_until = self.now + worker.bar;
+        worker.bar = (worker.bar * 2).min(BAR_LONGEST);
         for (request, attempt) in owed {
             let Some(call) = self.calls.get(&request) else { continue };
             let safe = self.settings.classes[call.class].effect == Effect::Safe;
@@ -1116,6 +1131,7 @@
                 self.out.push(Action::Cancel { request, attempt });
             }
         }
+        self.watch(id);
     }
 
     fn arm(&mut self) {
