A further copy also when our held calls would wait half a load

Cause: a hot function's calls queued at its only copy. Harm: in overload every function waits, and copies spread.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,6 +24,8 @@
 /// A further copy is begun when our own traffic fills this share of the lanes of those that stand: copies
 /// beyond that push others out of memory, and a fleet that loads what it just unloaded serves nobody.
 const SPILL_FILL: f64 = 0.7;
+/// Or when our calls held for it would wait this share of a load.
+const SPILL_WAIT: f64 = 0.5;
 /// For that, a latency counts up to this many times the work seen at idle workers: the rest is queueing.
 const LATENCY_MOST: f64 = 2.0;
 /// A load that has taken this many times what it should is taken for stuck: another may begin elsewhere.
@@ -612,7 +614,9 @@
         // The calls in work at once that our own traffic asks for; a swollen latency is no demand.
         let rate = function.arrivals.len() as f64 / COUNT_SPAN as f64;
         let each = function.mean().min(self.work(call.class) * LATENCY_MOST);
-        rate * each > f64::from(copies * function.lanes) * SPILL_FILL
+        let lanes = f64::from(copies * function.lanes);
+        let wait = f64::from(function.held) * function.mean() / lanes;
+        rate * each > lanes * SPILL_FILL || wait > span * SPILL_WAIT
     }
 
     /// Rule on cold workers: what all controllers may send within a fall span, over their number.
