--- a/src/choice.rs
+++ b/src/choice.rs
@@ -112,12 +112,15 @@
     }
 }
 
+type Priority = (bool, u64, u64);
+
 struct Call {
     class: usize,
     function: FunctionId,
     arrived: Micros,
     answer_by: Micros,
-    priority: (u64, u64),
+    /// Late (past hope of its aim), count x mean, order of arrival.
+    priority: Priority,
     attempts: u32,
     out: Option<u32>,
     held: bool,
@@ -148,6 +151,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Answer(RequestId),
+    Late(RequestId),
     Silence(WorkerId),
     Tick,
     Ask,
@@ -165,7 +169,7 @@
     epoch: u64,
     functions: BTreeMap<FunctionId, Function>,
     calls: BTreeMap<RequestId, Call>,
-    held: BTreeMap<(u64, u64), RequestId>,
+    held: BTreeMap<Priority, RequestId>,
     flights: BTreeMap<(RequestId, u32), Flight>,
     due: BTreeSet<(Micros, Due)>,
     armed: Option<Micros>,
@@ -386,7 +390,7 @@
             function: request.function,
             arrived: self.now,
             answer_by,
-            priority: (priority as u64, self.sequence),
+            priority: (false, priority as u64, self.sequence),
             attempts: 0,
             out: None,
             held: false,
@@ -421,6 +425,12 @@
     fn hold(&mut self, id: RequestId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         if !call.held {
+            let mean = self.functions.get(&call.function).map_or(0.0, Function::mean) as Micros;
+            let hope = call.arrived + self.settings.classes[call.class].aim.saturating_sub(mean);
+            call.priority.0 = self.now >= hope;
+            if !call.priority.0 {
+                self.due.insert((hope, Due::Late(id)));
+            }
             call.held = true;
             self.held.insert(call.priority, id);
             if let Some(function) = self.functions.get_mut(&call.function) {
@@ -433,6 +443,15 @@
         }
     }
 
+    /// A held call that can't meet its aim any more waits behind those that can: in overload, room spent on
+    /// late answers makes the next ones late too.
+    fn late(&mut self, id: RequestId) {
+        if self.calls.get(&id).is_some_and(|call| call.held) {
+            self.unhold(id);
+            self.hold(id);
+        }
+    }
+
     fn unhold(&mut self, id: RequestId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         if call.held {
@@ -1071,6 +1090,7 @@
             self.due.pop_first();
             match due {
                 Due::Answer(id) => self.answer(id),
+                Due::Late(id) => self.late(id),
                 Due::Silence(id) => self.silent(id),
                 Due::Ask => self.out.push(Action::Watch),
                 Due::Tick => {
