Tried: late held calls no reason for a further copy

Conclusion: in overload copies hurt, after a burst they are wanted; lateness does not tell the two apart.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -97,6 +97,7 @@
     shun: BTreeMap<WorkerId, Micros>,
     out: BTreeMap<WorkerId, u32>,
     held: u32,
+    hopeful: u32,
     last: Micros,
     order: Vec<WorkerId>,
     epoch: u64,
@@ -435,6 +436,7 @@
             self.held.insert(call.priority, id);
             if let Some(function) = self.functions.get_mut(&call.function) {
                 function.held += 1;
+                function.hopeful += u32::from(!call.priority.0);
             }
         }
         if !self.ticking {
@@ -459,6 +461,7 @@
             self.held.remove(&call.priority);
             if let Some(function) = self.functions.get_mut(&call.function) {
                 function.held = function.held.saturating_sub(1);
+                function.hopeful = function.hopeful.saturating_sub(u32::from(!call.priority.0));
             }
         }
     }
@@ -634,7 +637,7 @@
         let rate = function.arrivals.len() as f64 / COUNT_SPAN as f64;
         let each = function.mean().min(self.work(call.class) * LATENCY_MOST);
         let lanes = f64::from(copies * function.lanes);
-        let wait = f64::from(function.held) * function.mean() / lanes;
+        let wait = f64::from(function.hopeful) * function.mean() / lanes;
         rate * each > lanes * SPILL_FILL || wait > span * SPILL_WAIT
     }
 
