--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,6 +26,8 @@
 const SPILL_FILL: f64 = 0.7;
 /// Or when our calls held for it would wait this share of a load.
 const SPILL_WAIT: f64 = 0.5;
+/// ... and they are this share of all we hold.
+const SPILL_QUEUE: f64 = 0.1;
 /// For that, a latency counts up to this many times the work seen at idle workers: the rest is queueing.
 const LATENCY_MOST: f64 = 2.0;
 /// A load that has taken this many times what it should is taken for stuck: another may begin elsewhere.
@@ -97,7 +99,6 @@
     shun: BTreeMap<WorkerId, Micros>,
     out: BTreeMap<WorkerId, u32>,
     held: u32,
-    hopeful: u32,
     last: Micros,
     order: Vec<WorkerId>,
     epoch: u64,
@@ -436,7 +437,6 @@
             self.held.insert(call.priority, id);
             if let Some(function) = self.functions.get_mut(&call.function) {
                 function.held += 1;
-                function.hopeful += u32::from(!call.priority.0);
             }
         }
         if !self.ticking {
@@ -461,7 +461,6 @@
             self.held.remove(&call.priority);
             if let Some(function) = self.functions.get_mut(&call.function) {
                 function.held = function.held.saturating_sub(1);
-                function.hopeful = function.hopeful.saturating_sub(u32::from(!call.priority.0));
             }
         }
     }
@@ -637,8 +636,10 @@
         let rate = function.arrivals.len() as f64 / COUNT_SPAN as f64;
         let each = function.mean().min(self.work(call.class) * LATENCY_MOST);
         let lanes = f64::from(copies * function.lanes);
-        let wait = f64::from(function.hopeful) * function.mean() / lanes;
-        rate * each > lanes * SPILL_FILL || wait > span * SPILL_WAIT
+        let wait = f64::from(function.held) * function.mean() / lanes;
+        // A queue that all functions share is overload: copies would only push each other out.
+        let own = f64::from(function.held) > self.held.len() as f64 * SPILL_QUEUE;
+        rate * each > lanes * SPILL_FILL || (own && wait > span * SPILL_WAIT)
     }
 
     /// Rule on cold workers: what all controllers may send within a fall span, over their number.
@@ -960,10 +961,10 @@
             worker.heard = self.now;
         }
         worker.failing += (target - worker.failing) * FAIL_WEIGHT;
-        if worker.barred && !failed {
+        // A bar lifts well below where it falls: one good answer of a worker that fails half is no recovery.
+        if worker.barred && worker.failing < FAIL_BAR / 2.0 {
             worker.barred = false;
             worker.bar = BAR_FIRST;
-            worker.failing = worker.failing.min(FAIL_BAR / 2.0);
             self.out.push(Action::Log(format!("worker {} serves again", id.0)));
         } else if failed && worker.barred && trial {
             worker.bar = (worker.bar * 2).min(BAR_LONGEST);
