--- a/src/interface.rs
+++ b/src/interface.rs
@@ -8,7 +8,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);
     };
 }
@@ -93,18 +93,20 @@
 }
 
 /// How the worker list is learnt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
     /// Changes come unasked.
+    #[default]
     Push,
     /// Changes come only after [`Action::Watch`] or [`Action::Fetch`].
     Ask,
 }
 
 /// How workers report their load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Reports {
     /// Never.
+    #[default]
     None,
     /// With probe results only.
     Probe,
@@ -113,9 +115,10 @@
 }
 
 /// What weights in the worker list mean.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Weights {
     /// All are one.
+    #[default]
     None,
     /// The registered size.
     Nominal,
@@ -126,16 +129,17 @@
 }
 
 /// What a worker does with a call of a function it has no copy of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WhenAbsent {
     /// Loads it while the call waits there.
+    #[default]
     Load,
     /// Answers [`Outcome::Miss`]; only [`Action::Load`] brings the function.
     Miss,
 }
 
 /// How loading works here.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Loading {
     /// What a call of an absent function meets.
     pub when_absent: WhenAbsent,
@@ -160,7 +164,7 @@
 }
 
 /// What the site permits.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Limits {
     /// Attempts per request.
     pub max_attempts: u32,
@@ -177,7 +181,7 @@
 }
 
 /// Figures of the rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rules {
     /// A final answer is in time until this long after the client's deadline.
     pub answer_grace: Micros,
@@ -196,7 +200,7 @@
 }
 
 /// What a controller is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// This controller's number, from 0.
     pub me: u32,
@@ -253,18 +257,19 @@
 impl std::error::Error for SettingsError {}
 
 /// State of a worker in the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WorkerState {
     /// Runs.
     On,
     /// Finishes its work; nothing new may be sent.
     Draining,
     /// Is gone.
+    #[default]
     Gone,
 }
 
 /// A line of the worker list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct WorkerEntry {
     /// The worker.
     pub worker: WorkerId,
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,197 @@
+//! What a controller remembers, as plain types. Nothing here decides anything: see `choice.rs`.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::*;
+
+#[derive(Default)]
+pub(crate) struct Worker {
+    pub(crate) entry: WorkerEntry,
+    /// Attempts out: all, and those on copies thought warm (the bound of the design counts these).
+    pub(crate) out: u32,
+    pub(crate) busy: u32,
+    pub(crate) loads: usize,
+    /// Failing share, whether a bar stands, till when and how long the next one lasts, trial under way.
+    pub(crate) failing: f64,
+    pub(crate) barred: bool,
+    pub(crate) barred_until: Micros,
+    pub(crate) bar: Micros,
+    pub(crate) trial: bool,
+    /// When it last answered anything, and whether a check for its silence is set.
+    pub(crate) heard: Micros,
+    pub(crate) watched: Option<Micros>,
+    pub(crate) probed: Option<Micros>,
+    pub(crate) full_until: Micros,
+    /// What we may have out there at once: shrinks when it turns calls away, grows as it serves.
+    pub(crate) window: f64,
+    /// When it came up, as far as known; what we sent while cold: when and how much work.
+    pub(crate) born: Option<Micros>,
+    pub(crate) cold_sends: VecDeque<(Micros, f64)>,
+}
+
+#[derive(Default)]
+pub(crate) struct Function {
+    pub(crate) latencies: VecDeque<f64>,
+    pub(crate) arrivals: VecDeque<Micros>,
+    pub(crate) lanes: u32,
+    pub(crate) load_time: Option<f64>,
+    pub(crate) warm: BTreeMap<WorkerId, Micros>,
+    pub(crate) loading: BTreeMap<WorkerId, Micros>,
+    pub(crate) shun: BTreeMap<WorkerId, Micros>,
+    pub(crate) out: BTreeMap<WorkerId, u32>,
+    pub(crate) held: u32,
+    pub(crate) last: Micros,
+    pub(crate) order: Vec<WorkerId>,
+    pub(crate) epoch: u64,
+}
+
+pub(crate) type Priority = (bool, u64, u64);
+
+pub(crate) struct Call {
+    pub(crate) class: usize,
+    pub(crate) function: FunctionId,
+    pub(crate) arrived: Micros,
+    pub(crate) answer_by: Micros,
+    /// Late (past hope of its aim), count x mean, order of arrival.
+    pub(crate) priority: Priority,
+    pub(crate) attempts: u32,
+    pub(crate) out: Option<u32>,
+    pub(crate) held: bool,
+    /// The first attempt that may have run: where and when.
+    pub(crate) ran: Option<(WorkerId, Micros)>,
+    /// Where the last attempt failed: tried again only when nothing else will do.
+    pub(crate) avoid: Option<WorkerId>,
+    pub(crate) streaming: bool,
+}
+
+pub(crate) struct Flight {
+    pub(crate) worker: WorkerId,
+    pub(crate) function: FunctionId,
+    pub(crate) class: usize,
+    pub(crate) sent: Micros,
+    pub(crate) loading: bool,
+    pub(crate) trial: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Due {
+    Answer(RequestId),
+    Late(RequestId),
+    Silence(WorkerId),
+    Tick,
+    Ask,
+}
+
+pub(crate) fn mix(mut x: u64) -> u64 {
+    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+pub(crate) fn blend(mean: &mut Option<f64>, seen: f64, weight: f64) {
+    *mean = Some(mean.map_or(seen, |m| m + (seen - m) * weight));
+}
+
+/// One controller's decisions.
+#[derive(Default)]
+pub struct Controller {
+    pub(crate) settings: Settings,
+    pub(crate) random: u64,
+    /// The time of the event in hand, and what has been decided on it so far.
+    pub(crate) now: Micros,
+    pub(crate) out: Vec<Action>,
+    pub(crate) started: Option<Micros>,
+    pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    pub(crate) epoch: u64,
+    pub(crate) functions: BTreeMap<FunctionId, Function>,
+    pub(crate) calls: BTreeMap<RequestId, Call>,
+    pub(crate) held: BTreeMap<Priority, RequestId>,
+    pub(crate) flights: BTreeMap<(RequestId, u32), Flight>,
+    pub(crate) due: BTreeSet<(Micros, Due)>,
+    pub(crate) armed: Option<Micros>,
+    pub(crate) ticking: bool,
+    pub(crate) sequence: u64,
+    /// Mean latency per class at workers where we had nothing else out: near the work itself.
+    pub(crate) class_work: Vec<Option<f64>>,
+    pub(crate) load_mean: Option<f64>,
+    pub(crate) orders: VecDeque<Micros>,
+    pub(crate) taken: VecDeque<Micros>,
+    pub(crate) tenant_taken: BTreeMap<TenantId, VecDeque<Micros>>,
+    pub(crate) ask_wait: Micros,
+    pub(crate) swept: Micros,
+}
+
+/// Book-keeping that keeps the counts in step; no choice is made here.
+impl Controller {
+    pub(crate) fn forget_copies(&mut self, id: WorkerId) {
+        for function in self.functions.values_mut() {
+            function.warm.remove(&id);
+            function.loading.remove(&id);
+        }
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.loads = 0;
+        }
+    }
+
+    pub(crate) fn take_back(&mut self, flight: &Flight) {
+        if let Some(worker) = self.workers.get_mut(&flight.worker) {
+            worker.out = worker.out.saturating_sub(1);
+            if !flight.loading {
+                worker.busy = worker.busy.saturating_sub(1);
+            }
+            if flight.trial {
+                worker.trial = false;
+            }
+        }
+        if let Some(function) = self.functions.get_mut(&flight.function)
+            && let Some(out) = function.out.get_mut(&flight.worker)
+        {
+            *out = out.saturating_sub(1);
+            if *out == 0 {
+                function.out.remove(&flight.worker);
+            }
+        }
+    }
+
+    pub(crate) fn load_over(&mut self, function: FunctionId, worker: WorkerId) {
+        if self.functions.get_mut(&function).is_some_and(|f| f.loading.remove(&worker).is_some())
+            && let Some(w) = self.workers.get_mut(&worker)
+        {
+            w.loads = w.loads.saturating_sub(1);
+        }
+    }
+
+    pub(crate) fn unhold(&mut self, id: RequestId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if call.held {
+            call.held = false;
+            self.held.remove(&call.priority);
+            if let Some(function) = self.functions.get_mut(&call.function) {
+                function.held = function.held.saturating_sub(1);
+            }
+        }
+    }
+
+    pub(crate) fn finish(&mut self, id: RequestId) {
+        self.unhold(id);
+        if let Some(call) = self.calls.remove(&id) {
+            self.due.remove(&(call.answer_by, Due::Answer(id)));
+        }
+    }
+
+    pub(crate) fn arm(&mut self) {
+        if self.armed.is_some_and(|t| t <= self.now) {
+            self.armed = None;
+        }
+        if let Some(&(at, _)) = self.due.first()
+            && self.armed.is_none_or(|t| at < t)
+        {
+            self.armed = Some(at);
+            self.out.push(Action::SetTimer { after: at.saturating_sub(self.now), tag: TAG });
+        }
+    }
+}
+
+/// The module sets its timers under one tag.
+const TAG: u64 = 1;
