--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,9 +48,6 @@
 /// A worker that owes answers and has sent none for this many mean latencies of what it owes is silent.
 /// The least is the aim of the class: a slow answer is no silence.
 const SILENT_LATENCIES: f64 = 6.0;
-/// With every warm copy at the bound, it is widened this many times: past that, waiting here in order of
-/// priority beats waiting in the worker's queue.
-const CROWD_LANES: u32 = 2;
 /// Part of the cold allowance that is used: what is in flight between controllers is not seen.
 const COLD_MARGIN: f64 = 0.7;
 /// After a "full", a worker is left alone for this many of the function's mean latencies.
@@ -78,14 +75,6 @@
     }
 }
 
-/// What is eased when no worker may take a call: nothing, the bound at workers with a warm copy, or the bars.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Ease {
-    None,
-    Crowd,
-    Suspects,
-}
-
 impl Controller {
     /// A controller that has seen nothing yet. `seed` is its only source of chance.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -284,25 +273,18 @@
         self.order(self.calls.get(&id)?.function);
         let call = &self.calls[&id];
         let function = self.functions.get(&call.function)?;
-        let first = |ease: Ease, avoid: bool| {
-            let kept = function.warm.iter().filter(|(w, _)| self.warm_at(function, **w));
-            let last = kept.max_by_key(|(w, at)| (**at, **w)).map(|(w, _)| w);
-            let mut all = last.into_iter().chain(&function.order);
-            let may = |w: &&WorkerId| {
-                (avoid || call.avoid != Some(**w)) && self.may_take(**w, call, function, ease)
-            };
-            all.find(may).copied()
-        };
-        // Other functions' calls may fill the bound at every warm copy: its own lanes then decide. Last, the
-        // worker that just failed this call.
-        let found = first(Ease::None, false)
-            .or_else(|| first(Ease::Crowd, false))
-            .or_else(|| first(Ease::None, true));
+        let kept = function.warm.iter().filter(|(w, _)| self.warm_at(function, **w));
+        let last = kept.max_by_key(|(w, at)| (**at, **w)).map(|(w, _)| *w);
+        let mut order = last.into_iter().chain(function.order.iter().copied());
+        let may = |w: WorkerId| self.may_take(w, call, function, false);
+        // Last comes the worker that just failed this call.
+        let other = order.find(|w| call.avoid != Some(*w) && may(*w));
+        let found = other.or_else(|| call.avoid.filter(|w| may(*w)));
         if found.is_some() || self.workers.values().any(|w| w.entry.state == WorkerState::On && !w.barred) {
             return found;
         }
         // Never all barred: with every worker suspect, the least bad takes it.
-        let may = |w: &&WorkerId| self.may_take(**w, call, function, Ease::Suspects);
+        let may = |w: &&WorkerId| self.may_take(**w, call, function, true);
         let failing = |w: &WorkerId| self.workers.get(w).map_or(1.0, |x| x.failing);
         function.order.iter().filter(may).min_by(|a, b| failing(a).total_cmp(&failing(b))).copied()
     }
@@ -332,7 +314,7 @@
 
     // ---- may this worker take this request now? ----
 
-    fn may_take(&self, id: WorkerId, call: &Call, function: &Function, ease: Ease) -> bool {
+    fn may_take(&self, id: WorkerId, call: &Call, function: &Function, desperate: bool) -> bool {
         let Some(worker) = self.workers.get(&id) else { return false };
         let warm = self.warm_at(function, id);
         let there = function.out.get(&id).copied().unwrap_or(0);
@@ -341,18 +323,17 @@
         let barred = worker.barred && (self.now < worker.barred_until || worker.trial || unsafe_call);
         // The design's bound. Calls that wait for a load use no core: they count for their own function only.
         // One call starts a load; the others wait here, not in the worker's slots.
-        let lanes = if ease == Ease::None { function.lanes } else { function.lanes * CROWD_LANES };
-        let bound = warm && worker.busy >= lanes;
+        let bound = warm && worker.busy >= function.lanes;
         let full = self.now < worker.full_until || f64::from(worker.out) >= worker.window;
         // Drains: nothing new from the moment it is told.
         worker.entry.state == WorkerState::On
             && self.effect_permits(call, worker)
-            && (!barred || ease == Ease::Suspects)
+            && (!barred || desperate)
             && !full
             && !bound
             && there < if warm { function.lanes } else { 1 }
             && function.shun.get(&id).is_none_or(|&until| self.now >= until)
-            && (warm || (ease != Ease::Crowd && self.may_load(id, worker, function, call)))
+            && (warm || self.may_load(id, worker, function, call))
             && self.cold_room(worker, call.class)
     }
 
@@ -441,8 +422,12 @@
         let span = (rules.fall as f64).max(work / rate);
         let turn = span * f64::from(self.settings.me) / f64::from(self.settings.controllers);
         let early = worker.cold_sends.is_empty() && span > rules.fall as f64 && (age as f64) < turn;
-        let sent: f64 =
-            worker.cold_sends.iter().filter(|(t, _)| (*t + span as Micros) > self.now).map(|(_, w)| w).sum();
+        let sent: f64 = worker
+            .cold_sends
+            .iter()
+            .filter(|(t, _)| *t >= born && (*t + span as Micros) > self.now)
+            .map(|(_, w)| w)
+            .sum();
         !just_started && !early && sent + work <= rate * span * 1.000_001
     }
 
@@ -774,7 +759,7 @@
                 continue;
             }
             let Some(function) = self.functions.get(&call.function) else { continue };
-            let room = at.is_none_or(|w| self.may_take(w, call, function, Ease::Crowd));
+            let room = at.is_none_or(|w| self.may_take(w, call, function, false));
             match if room { self.pick(id) } else { None } {
                 Some(worker) => self.send(id, worker),
                 None => _ = without.insert(key),
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -77,12 +77,9 @@
     }
     stand.ask(3, 0, 8, 1);
     assert!(sends(&stand.ask(4, 0, 8, 1)).is_empty());
-    assert!(sends(&stand.ask(5, 0, 9, 1)).len() <= 1);
-    // Whatever was eased for the light function, once one lane is free the light one is not behind.
-    let mut order: Vec<u64> =
-        sends(&stand.end(3, 0, 1, Outcome::Ok, Some(LoadNote::Warm))).iter().map(|s| s.0).collect();
-    order.retain(|id| *id == 4 || *id == 5);
-    assert_eq!(order.first().copied().unwrap_or(4), if order.contains(&5) { 5 } else { 4 });
+    assert!(sends(&stand.ask(5, 0, 9, 1)).is_empty());
+    let freed = sends(&stand.end(3, 0, 1, Outcome::Ok, Some(LoadNote::Warm)));
+    assert_eq!(freed, vec![(5, 1)], "the light function's call overtakes");
 }
 
 #[test]
@@ -94,11 +91,10 @@
     stand.ended(1, 0, 1, Outcome::Ok, Some(LoadNote::Began), 3 * S);
     stand.warm(2, 9, 1);
     stand.ask(3, 0, 9, 1);
-    stand.ask(4, 0, 8, 1);
-    assert!(sends(&stand.ask(5, 0, 9, 1)).is_empty());
-    assert!(sends(&stand.ask(6, 0, 8, 1)).is_empty());
-    let first = sends(&stand.end(4, 0, 1, Outcome::Ok, Some(LoadNote::Warm)));
-    assert_eq!(first.first().map(|s| s.0), Some(6));
+    assert!(sends(&stand.ask(4, 0, 9, 1)).is_empty());
+    assert!(sends(&stand.ask(5, 0, 8, 1)).is_empty());
+    let first = sends(&stand.end(3, 0, 1, Outcome::Ok, Some(LoadNote::Warm)));
+    assert_eq!(first, vec![(5, 1)]);
 }
 
 fn missing() -> Settings {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -115,6 +115,7 @@
         stand.ask(id, SAFE, 9, 8);
         stand.end(id, 0, 1, Outcome::Ok, Some(LoadNote::Warm));
     }
+    stand.pass(2 * MS);
     let born = Some(stand.now);
     stand.change(1, WorkerState::On, born);
     let mut count = 0;
