--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,10 +1,11 @@
-//! Every decision of the controller, and every tuned value. Its types are in `src/interface.rs`.
+//! Every decision of the controller, and every tuned value. Its types are in
+//! `src/interface.rs`; what is remembered is laid out in `src/state.rs`, which decides nothing.
 //!
 //! The ordinary path is the design page's: a call goes to the worker last found warm for its function while
 //! our requests there are under the function's lanes, else to the next worker under that bound along the
 //! function's hash order, which all controllers share, else it is held at priority count x mean latency,
 //! fixed at arrival; each answer releases the lowest held that has room. All else is a guard: on whether a
-//! worker may take a request now (`may_take`), or at a request's end (`attempt_ended`, `out_of_time`).
+//! worker may take a request now (`may_take`), or at a request's end (`attempt_ended`, `answer`).
 
 use std::collections::BTreeSet;
 
@@ -749,7 +750,8 @@
 
     // ---- releasing what is held ----
 
-    /// An answer from a worker, or a change anywhere: the lowest held priorities that have room go, each in its own order.
+    /// An answer from a worker, or a change anywhere: the lowest held priorities that have room go, each
+    /// along its own order.
     fn release(&mut self, at: Option<WorkerId>) {
         let mut without = BTreeSet::new();
         for id in self.held.values().take(SCAN).copied().collect::<Vec<_>>() {
