--- a/src/choice.rs
+++ b/src/choice.rs
@@ -535,6 +535,8 @@
                     self.order_copy(flight.function, at);
                 }
             }
+            // No room for a copy says nothing of the cores: that function goes elsewhere for a while.
+            Outcome::Full if flight.loading => self.shun(flight.function, at),
             Outcome::Full => {
                 let mean = self.functions.get(&flight.function).map_or(0.0, Function::mean);
                 if let Some(worker) = self.workers.get_mut(&at) {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -203,3 +203,14 @@
         .collect();
     assert!(order.contains(&20) && order.contains(&21), "{order:?}");
 }
+
+#[test]
+fn no_room_for_a_copy_does_not_narrow_the_worker_for_others() {
+    let mut stand = Stand::new(settings(), 1);
+    stand.warm(1, 8, 4);
+    stand.ask(2, 0, 9, 4);
+    stand.end(2, 0, 1, Outcome::Full, None);
+    for id in 10..14 {
+        assert_eq!(sent(&stand.ask(id, 0, 8, 4)), Some(1), "call {id}");
+    }
+}
