Slow answers cut a worker's window

Also answers slow machines and noisy neighbours. Harm: a class of very uneven work is cut by its own long calls.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,6 +57,8 @@
 /// a width that binds nothing. All controllers that meet a full worker shrink, so their sum follows its room.
 const WINDOW_CUT: f64 = 0.7;
 const WINDOW_MOST: f64 = 64.0;
+/// An answer this many times slower than the class's work is slow by its queue, not by its own size.
+const SLOW_WORKS: f64 = 4.0;
 /// A worker where a load failed or found no room is left alone by that function for this share of a load.
 const SHUN_LOADS: f64 = 0.5;
 /// Time kept for the way of an answer, in steps, before the client's deadline.
@@ -581,8 +583,16 @@
                 blend(&mut self.class_work[flight.class], elapsed, WORK_WEIGHT);
             }
         }
+        // An answer far slower than the class's work was queueing: the worker is crowded, by whomever. One cut
+        // for all that was out when the last one was made.
+        let slow = !loaded && elapsed > self.work(flight.class) * SLOW_WORKS;
         if let Some(worker) = self.workers.get_mut(&at) {
-            worker.window = (worker.window + 1.0 / worker.window).min(WINDOW_MOST);
+            if !slow {
+                worker.window = (worker.window + 1.0 / worker.window).min(WINDOW_MOST);
+            } else if flight.sent >= worker.cut {
+                worker.window = (f64::from(worker.out + 1).min(worker.window) * WINDOW_CUT).max(1.0);
+                worker.cut = self.now;
+            }
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,6 +24,8 @@
     pub(crate) full_until: Micros,
     /// What we may have out there at once: shrinks when it turns calls away, grows as it serves.
     pub(crate) window: f64,
+    /// When slow answers last shrank it.
+    pub(crate) cut: Micros,
     /// When it came up, as far as known; what we sent while cold: when and how much work.
     pub(crate) born: Option<Micros>,
     pub(crate) cold_sends: VecDeque<(Micros, f64)>,
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -214,3 +214,17 @@
         assert_eq!(sent(&stand.ask(id, 0, 8, 4)), Some(1), "call {id}");
     }
 }
+
+#[test]
+fn slow_answers_narrow_a_worker_that_others_crowd() {
+    let mut stand = Stand::new(settings(), 1);
+    for id in 1..9 {
+        stand.warm(id, 9, 8);
+    }
+    for id in 10..14 {
+        assert_eq!(sent(&stand.ask(id, 0, 9, 8)), Some(1));
+    }
+    // 50 ms of work came back after a second: of the four that were out, the window keeps fewer than three.
+    stand.ended(10, 0, 1, Outcome::Ok, Some(LoadNote::Warm), S);
+    assert_eq!(sent(&stand.ask(20, 0, 9, 8)), None);
+}
