Lanes of crowded workers count by their window when a further copy is weighed

Cause: functions whose home is crowded waited there, as its lanes still counted in full. Harm: in overload, windows narrow and copies spread.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -384,23 +384,20 @@
         {
             return false;
         }
-        let mut copies = 0;
-        for &w in function.warm.keys() {
-            let sound = self
-                .workers
-                .get(&w)
-                .is_some_and(|x| x.entry.state == WorkerState::On && !x.barred && !self.cold(x));
+        let mut lanes = 0.0;
+        for (w, x) in function.warm.keys().filter_map(|w| Some((*w, self.workers.get(w)?))) {
+            let sound = x.entry.state == WorkerState::On && !x.barred && !self.cold(x);
             if sound && self.warm_at(function, w) {
-                copies += 1;
+                // A crowded worker's lanes count as far as its window lets us use them.
+                lanes += x.window.min(f64::from(function.lanes));
             }
         }
-        if copies == 0 {
+        if lanes == 0.0 {
             return true;
         }
         // The calls in work at once that our own traffic asks for; a swollen latency is no demand.
         let rate = function.arrivals.len() as f64 / COUNT_SPAN as f64;
         let each = function.mean().min(self.work(call.class) * LATENCY_MOST);
-        let lanes = f64::from(copies * function.lanes);
         let wait = f64::from(function.held) * function.mean() / lanes;
         // A queue that all functions share is overload: copies would only push each other out.
         let own = f64::from(function.held) > self.held.len() as f64 * SPILL_QUEUE;
