--- a/src/choice.rs
+++ b/src/choice.rs
@@ -580,7 +580,7 @@
                 blend(&mut self.class_work[flight.class], elapsed, WORK_WEIGHT);
             }
         }
-        // An answer far slower than the class's work was queueing: the worker is crowded, by whomever. One cut
+        // An answer far slower than the class's work was queueing: the worker is crowded by somebody. One cut
         // for all that was out when the last one was made.
         let slow = !loaded && elapsed > self.work(flight.class) * SLOW_WORKS;
         if let Some(worker) = self.workers.get_mut(&at) {
