--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -221,3 +221,31 @@
     let actions = stand.pass(6 * S);
     assert!(!refused(&actions, 1) && !failed(&actions, 1) && !cancels(&actions, 1));
 }
+
+#[test]
+fn a_keyed_call_of_a_cell_stays_in_its_cell() {
+    let mut settings = settings();
+    settings.classes[KEYED].effect = Effect::Keyed { group: Group::Cell, window: 2 * S };
+    let mut stand = Stand::new(settings, 8);
+    let at = sent(&stand.ask(1, KEYED, 9, 2)).unwrap();
+    let again = sent(&stand.end(1, 0, at, Outcome::Reset, None)).expect("its cell has another worker");
+    assert_eq!(again % 4, at % 4, "workers of one cell have numbers alike modulo four");
+}
+
+#[test]
+fn an_unsafe_call_that_missed_is_sent_again_once_its_copy_stands() {
+    let mut settings = settings();
+    settings.loading.when_absent = WhenAbsent::Miss;
+    let mut stand = Stand::new(settings, 2);
+    let at = sent(&stand.ask(1, UNSAFE, 9, 2)).unwrap();
+    let after = stand.end(1, 0, at, Outcome::Miss, None);
+    assert!(loads(&after) == 1 && !failed(&after, 1) && !refused(&after, 1));
+    let stands = Event::Loaded {
+        worker: WorkerId(at),
+        function: FunctionId(9),
+        outcome: Outcome::Ok,
+        copies: 1,
+        elapsed: S,
+    };
+    assert_eq!(sends(&stand.feed(stands)), vec![(1, at)]);
+}
