Strain: what answers tell of other controllers counts in the bound

Cause: hundreds of controllers each keep a call or two at the first worker of a hot function's order, and none sees the sum. Calls of the function held there (crowd) over its lanes, or a slow latency over its aim, age by one an aim; from 1 the next standing copy is used, and where all answers tell of strain a further copy is ordered at the next worker of the shared order. Also answers slow machines and noisy neighbours. Harm: idle copies cost more where memory is priced.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -59,6 +59,15 @@
 const WINDOW_MOST: f64 = 64.0;
 /// An answer this many times slower than the class's work is slow by its queue, not by its own size.
 const SLOW_WORKS: f64 = 4.0;
+/// Strain is what an answer tells of others at its worker: calls of the function held there over its lanes,
+/// or its latency over this share of its aim. From 1 the worker is at its bound for us, from the most even
+/// the least strained is left alone; one aim takes one off, as others see it too and go elsewhere.
+const STRAIN_AIM: f64 = 0.6;
+const STRAIN_MOST: f64 = 2.5;
+/// Weight of one answer in a function's strain over all its workers, and the strain from which a further
+/// copy is ordered at the next worker of the shared order: the same one at every controller.
+const STRAIN_WEIGHT: f64 = 0.2;
+const STRAIN_SPREAD: f64 = 0.7;
 /// A worker where a load failed or found no room is left alone by that function for this share of a load.
 const SHUN_LOADS: f64 = 0.5;
 /// Time kept for the way of an answer, in steps, before the client's deadline.
@@ -106,8 +115,8 @@
         match event {
             Event::Workers { form, entries } => self.workers_told(form, entries),
             Event::Request(request) => self.request(request),
-            Event::Outcome { request, attempt, outcome, finished, elapsed, note, .. } => {
-                self.attempt_ended(request, attempt, outcome, finished, elapsed, note);
+            Event::Outcome { request, attempt, outcome, finished, elapsed, note, crowd, .. } => {
+                self.attempt_ended(request, attempt, outcome, finished, elapsed, note, crowd);
             }
             Event::Started { request, .. } => self.stream_started(request),
             Event::Loaded { worker, function, outcome, copies, elapsed } => {
@@ -276,13 +285,20 @@
         self.order(self.calls.get(&id)?.function);
         let call = &self.calls[&id];
         let function = self.functions.get(&call.function)?;
-        let kept = function.warm.iter().filter(|(w, _)| self.warm_at(function, **w));
-        let last = kept.max_by_key(|(w, at)| (**at, **w)).map(|(w, _)| *w);
-        let mut order = last.into_iter().chain(function.order.iter().copied());
+        let warm = |w: &WorkerId| self.warm_at(function, *w);
+        let last =
+            function.warm.iter().filter(|(w, _)| warm(w)).max_by_key(|(w, at)| (**at, **w)).map(|(w, _)| *w);
+        let strain = |w: WorkerId| self.strain(function, w, call.class);
         let may = |w: WorkerId| self.may_take(w, call, function, false);
+        // Warm workers first, by the order; where all are strained, the least strained; then absent ones.
+        let along = || last.into_iter().chain(function.order.iter().copied());
+        let stand = || along().filter(|w| warm(w) && may(*w) && call.avoid != Some(*w));
+        let eased = stand().find(|w| strain(*w) < 1.0);
+        let least = || stand().map(|w| (strain(w), w)).min_by(|a, b| a.0.total_cmp(&b.0));
+        let found = eased.or_else(|| least().filter(|(s, _)| *s < STRAIN_MOST).map(|(_, w)| w));
         // Last comes the worker that just failed this call.
-        let other = order.find(|w| call.avoid != Some(*w) && may(*w));
-        let found = other.or_else(|| call.avoid.filter(|w| may(*w)));
+        let absent = || along().find(|w| call.avoid != Some(*w) && !warm(w) && may(*w));
+        let found = found.or_else(absent).or_else(|| call.avoid.filter(|w| may(*w)));
         if found.is_some() || self.workers.values().any(|w| w.entry.state == WorkerState::On && !w.barred) {
             return found;
         }
@@ -517,6 +533,7 @@
         finished: bool,
         elapsed: Micros,
         note: Option<LoadNote>,
+        crowd: Option<u32>,
     ) {
         let Some(flight) = self.flights.remove(&(id, number)) else { return };
         let at = flight.worker;
@@ -524,7 +541,7 @@
         self.judge(&flight, outcome, elapsed);
         self.load_over(flight.function, at);
         match outcome {
-            Outcome::Ok => self.served(&flight, elapsed as f64, note),
+            Outcome::Ok => self.served(&flight, elapsed as f64, note, crowd),
             Outcome::Miss => {
                 // The copy has gone, or its load failed: nothing brings it back by itself.
                 if let Some(function) = self.functions.get_mut(&flight.function) {
@@ -563,11 +580,22 @@
         self.release(Some(at));
     }
 
-    fn served(&mut self, flight: &Flight, elapsed: f64, note: Option<LoadNote>) {
+    fn served(&mut self, flight: &Flight, elapsed: f64, note: Option<LoadNote>, crowd: Option<u32>) {
         let at = flight.worker;
         let Some(function) = self.functions.get_mut(&flight.function) else { return };
         function.warm.insert(at, self.now);
         let loaded = matches!(note, Some(LoadNote::Began | LoadNote::Waited));
+        let strain = if loaded {
+            0.0
+        } else {
+            elapsed / (self.settings.classes[flight.class].aim as f64 * STRAIN_AIM)
+        };
+        let ours = function.out.get(&at).copied().unwrap_or(0);
+        let held = f64::from(crowd.unwrap_or(0).max(ours)) / f64::from(function.lanes.max(1));
+        function.told.insert(at, (held, self.now));
+        if !loaded {
+            blend(&mut function.strain, held.max(strain), STRAIN_WEIGHT);
+        }
         if note == Some(LoadNote::Began) {
             let span = (elapsed - function.mean()).max(0.0);
             self.learn_load(flight.function, span);
@@ -584,6 +612,7 @@
         // for all that was out when the last one was made.
         let slow = !loaded && elapsed > self.work(flight.class) * SLOW_WORKS;
         if let Some(worker) = self.workers.get_mut(&at) {
+            worker.strained = (strain, self.now);
             if !slow {
                 worker.window = (worker.window + 1.0 / worker.window).min(WINDOW_MOST);
             } else if flight.sent >= worker.cut {
@@ -591,6 +620,37 @@
                 worker.cut = self.now;
             }
         }
+        self.spread(flight.function, flight.class);
+    }
+
+    /// Where the answers of all its workers tell of strain, a further copy of the function is ordered at the
+    /// next worker of the shared order; one that stands there already is found by the same order.
+    fn spread(&mut self, id: FunctionId, class: usize) {
+        let Some(function) = self.functions.get(&id) else { return };
+        if function.strain.is_none_or(|s| s < STRAIN_SPREAD) || !function.loading.is_empty() {
+            return;
+        }
+        self.order(id);
+        let Some(function) = self.functions.get(&id) else { return };
+        let known =
+            |w: &WorkerId| self.warm_at(function, *w) || function.shun.get(w).is_some_and(|&t| t > self.now);
+        let fit = |w: &&WorkerId| {
+            let sound = |x: &Worker| !x.barred && !self.cold(x) && self.strain(function, **w, class) < 1.0;
+            !known(w) && self.workers.get(w).is_some_and(sound)
+        };
+        let next = function.order.iter().find(fit).copied();
+        if let Some(at) = next {
+            self.functions.get_mut(&id).expect("just seen").strain = None;
+            self.order_copy(id, at);
+        }
+    }
+
+    /// How far others' calls fill a worker for this function, as lately told.
+    fn strain(&self, function: &Function, id: WorkerId, class: usize) -> f64 {
+        let aim = self.settings.classes[class].aim.max(1) as f64;
+        let aged = |(s, at): (f64, Micros)| s - self.now.saturating_sub(at) as f64 / aim;
+        let there = function.told.get(&id).map_or(0.0, |told| aged(*told));
+        self.workers.get(&id).map_or(0.0, |w| aged(w.strained)).max(there)
     }
 
     fn learn_load(&mut self, id: FunctionId, span: f64) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,8 @@
     pub(crate) window: f64,
     /// When slow answers last shrank it.
     pub(crate) cut: Micros,
+    /// Strain told by its last answer, and when.
+    pub(crate) strained: (f64, Micros),
     /// When it came up, as far as known; what we sent while cold: when and how much work.
     pub(crate) born: Option<Micros>,
     pub(crate) cold_sends: VecDeque<(Micros, f64)>,
@@ -41,6 +43,9 @@
     pub(crate) loading: BTreeMap<WorkerId, Micros>,
     pub(crate) shun: BTreeMap<WorkerId, Micros>,
     pub(crate) out: BTreeMap<WorkerId, u32>,
+    /// Calls of it over its lanes, as last told by each worker and when; the mean strain over all of them.
+    pub(crate) told: BTreeMap<WorkerId, (f64, Micros)>,
+    pub(crate) strain: Option<f64>,
     pub(crate) held: u32,
     pub(crate) last: Micros,
     pub(crate) order: Vec<WorkerId>,
