--- a/src/choice.rs
+++ b/src/choice.rs
@@ -64,6 +64,8 @@
 /// the least strained is left alone; one aim takes one off, as others see it too and go elsewhere.
 const STRAIN_AIM: f64 = 0.6;
 const STRAIN_MOST: f64 = 2.5;
+/// Strain of a worker that turned a call away: its queue is longer than any answer in time would wait in.
+const STRAIN_FULL: f64 = 3.0;
 /// Weight of one answer in a function's strain over all its workers, and the strain from which a further
 /// copy is ordered at the next worker of the shared order: the same one at every controller.
 const STRAIN_WEIGHT: f64 = 0.2;
@@ -559,6 +561,7 @@
                     if self.now >= worker.full_until {
                         worker.window = (f64::from(worker.out + 1).min(worker.window) * WINDOW_CUT).max(1.0);
                     }
+                    worker.strained = (STRAIN_FULL, self.now);
                     worker.full_until =
                         self.now + ((mean * FULL_LATENCIES) as Micros).max(self.settings.step);
                 }
