--- a/src/choice.rs
+++ b/src/choice.rs
@@ -167,7 +167,7 @@
             if anew {
                 // A restart: it is empty and cold, and past failures say nothing of it.
                 worker.born = worker.entry.born;
-                (worker.failing, worker.barred, worker.bar) = (0.0, false, BAR_FIRST);
+                (worker.failing, worker.barred, worker.bar, worker.down) = (0.0, false, BAR_FIRST, false);
                 if known {
                     self.forget_copies(id);
                 }
@@ -341,7 +341,7 @@
         let there = function.out.get(&id).copied().unwrap_or(0);
         // Health: a barred worker takes one trial at a time once its bar is over, none of them unsafe.
         let unsafe_call = self.settings.classes[call.class].effect == Effect::Unsafe;
-        let barred = worker.barred && (self.now < worker.barred_until || worker.trial || unsafe_call);
+        let barred = worker.barred && (self.now < worker.barred_until || worker.down || worker.trial || unsafe_call);
         // The design's bound. Calls that wait for a load use no core: they count for their own function only.
         // One call starts a load; the others wait here, not in the worker's slots.
         let bound = warm && worker.busy >= function.lanes;
@@ -718,6 +718,7 @@
                     // Its process died: when it answers again it has started anew, whatever the list says.
                     worker.born = Some(self.now);
                     self.forget_copies(flight.worker);
+                    self.bar(flight.worker, "it is down", true);
                 }
                 self.count(flight.worker, true, flight.trial);
             }
@@ -734,19 +735,27 @@
         if worker.barred && worker.failing < FAIL_BAR / 2.0 {
             (worker.barred, worker.bar) = (false, BAR_FIRST);
             self.out.push(Action::Log(format!("worker {} serves again", id.0)));
-        } else if failed && if worker.barred { trial } else { worker.failing >= FAIL_BAR } {
-            self.bar(id, "it fails");
+        } else if failed && !worker.down && if worker.barred { trial } else { worker.failing >= FAIL_BAR } {
+            self.bar(id, "it fails", false);
         }
     }
 
-    fn bar(&mut self, id: WorkerId, why: &str) {
+    /// A worker that is down is tried by probes: hundreds of controllers trying it by calls would push it
+    /// over in the moment in which it comes back, cold and untold by any list.
+    fn bar(&mut self, id: WorkerId, why: &str, down: bool) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
         if !worker.barred {
             self.out.push(Action::Log(format!("worker {} barred: {why}", id.0)));
         }
         worker.barred = true;
+        worker.down |= down && self.settings.limits.probes;
         worker.barred_until = self.now + worker.bar;
         worker.bar = (worker.bar * 2).min(BAR_LONGEST);
+        if worker.down {
+            let set = worker.watched.replace(worker.barred_until);
+            self.due.remove(&(set.unwrap_or(0), Due::Silence(id)));
+            self.due.insert((worker.barred_until, Due::Silence(id)));
+        }
     }
 
     fn probed(&mut self, id: WorkerId, outcome: Outcome) {
@@ -754,8 +763,14 @@
         let since = worker.probed.take();
         if outcome == Outcome::Ok {
             worker.heard = self.now;
+            if worker.down {
+                (worker.failing, worker.barred, worker.bar, worker.down) = (0.0, false, BAR_FIRST, false);
+                if worker.born != worker.entry.born {
+                    worker.born = Some(self.now);
+                }
+            }
             self.watch(id);
-        } else if since.is_some_and(|t| worker.heard <= t) {
+        } else if worker.down || since.is_some_and(|t| worker.heard <= t) {
             self.bar_silent(id);
         }
     }
@@ -881,7 +896,7 @@
         worker.watched = None;
         let on = worker.entry.state == WorkerState::On;
         let worker = &self.workers[&id];
-        if !self.flights.values().any(|f| self.overdue(id, worker, f)) {
+        if !worker.down && !self.flights.values().any(|f| self.overdue(id, worker, f)) {
             self.watch(id);
         } else if self.settings.limits.probes && on && worker.probed.is_none() {
             // A probe tells a machine that is silent from one that is slow.
@@ -909,7 +924,7 @@
         }
         let worker = self.workers.get_mut(&id).expect("just seen");
         worker.failing = worker.failing.max(FAIL_BAR);
-        self.bar(id, "it is silent");
+        self.bar(id, "it is silent", true);
         self.watch(id);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,8 @@
     pub(crate) failing: f64,
     pub(crate) barred: bool,
     pub(crate) barred_until: Micros,
+    /// Its process died or is silent: probes tell when it is back.
+    pub(crate) down: bool,
     pub(crate) bar: Micros,
     pub(crate) trial: bool,
     /// When it last answered anything, and whether a check for its silence is set.
