--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,10 +66,16 @@
 const STRAIN_MOST: f64 = 2.5;
 /// Strain of a worker that turned a call away: its queue is longer than any answer in time would wait in.
 const STRAIN_FULL: f64 = 3.0;
-/// Weight of one answer in a function's strain over all its workers, and the strain from which a further
-/// copy is ordered at the next worker of the shared order: the same one at every controller.
-const STRAIN_WEIGHT: f64 = 0.2;
-const STRAIN_SPREAD: f64 = 0.7;
+/// A worker of which nothing was heard for this many aims is probed before a call goes there, for at most so
+/// many workers a call: most controllers call a worker too seldom to know what the others keep there. A probe
+/// that has not come back in this share of an aim tells of a crowd, too.
+const NEWS_AIMS: f64 = 1.0;
+const NEWS_PROBES: u32 = 2;
+const NEWS_WAIT: f64 = 0.1;
+/// Cores in use below this share leave room, whatever a worker holds; calls in hand from this many on tell
+/// what each adds to an answer's time.
+const UTIL_ROOM: f64 = 0.85;
+const PACE_LEAST: f64 = 3.0;
 /// A worker where a load failed or found no room is left alone by that function for this share of a load.
 const SHUN_LOADS: f64 = 0.5;
 /// Time kept for the way of an answer, in steps, before the client's deadline.
@@ -117,14 +123,18 @@
         match event {
             Event::Workers { form, entries } => self.workers_told(form, entries),
             Event::Request(request) => self.request(request),
-            Event::Outcome { request, attempt, outcome, finished, elapsed, note, crowd, .. } => {
+            Event::Outcome { request, attempt, outcome, finished, elapsed, note, crowd, report, .. } => {
+                let key = (request, attempt);
+                if let (Some(at), Some(report)) = (self.flights.get(&key).map(|f| f.worker), report) {
+                    self.news(at, report);
+                }
                 self.attempt_ended(request, attempt, outcome, finished, elapsed, note, crowd);
             }
             Event::Started { request, .. } => self.stream_started(request),
             Event::Loaded { worker, function, outcome, copies, elapsed } => {
                 self.loaded(worker, function, outcome, copies, elapsed);
             }
-            Event::Probed { worker, outcome, .. } => self.probed(worker, outcome),
+            Event::Probed { worker, outcome, report } => self.probed(worker, outcome, report),
             Event::Timer { .. } | Event::Message { .. } => {}
             Event::ClientGone { request } => self.client_gone(request),
         }
@@ -222,6 +232,7 @@
             held: false,
             ran: None,
             avoid: None,
+            probes: 0,
             streaming: false,
         };
         self.calls.insert(request.id, call);
@@ -242,9 +253,39 @@
     }
 
     fn place(&mut self, id: RequestId) {
+        if let Some((function, class)) = self.calls.get(&id).map(|call| (call.function, call.class)) {
+            self.spread(function, class);
+        }
         match self.pick(id) {
-            Some(worker) => self.send(id, worker),
-            None => self.hold(id),
+            Some(worker) if self.known(id, worker) => self.send(id, worker),
+            _ => self.hold(id),
+        }
+    }
+
+    /// Is enough heard of this worker to send the call? If not, it is probed first.
+    fn known(&mut self, id: RequestId, at: WorkerId) -> bool {
+        let (Some(call), Some(worker)) = (self.calls.get_mut(&id), self.workers.get_mut(&at)) else {
+            return true;
+        };
+        let aim = self.settings.classes[call.class].aim as f64;
+        let heard = worker.told.map_or(0, |t| t.1).max(worker.strained.1);
+        let asks = self.settings.limits.probes && self.settings.reports != Reports::None;
+        if !asks || worker.barred || (self.now - heard) as f64 <= aim * NEWS_AIMS {
+            return true;
+        }
+        if worker.probed.is_none() && call.probes < NEWS_PROBES {
+            call.probes += 1;
+            worker.probed = Some(self.now);
+            self.out.push(Action::Probe { worker: at });
+        }
+        worker.probed.is_none_or(|since| (self.now - since) as f64 > aim * NEWS_WAIT)
+    }
+
+    fn news(&mut self, at: WorkerId, report: Report) {
+        let sane = |x: Option<f64>| x.filter(|x| x.is_finite() && *x >= 0.0);
+        let report = Report { inflight: sane(report.inflight), util: sane(report.util), ..report };
+        if let Some(worker) = self.workers.get_mut(&at) {
+            worker.told = Some((report, self.now));
         }
     }
 
@@ -295,11 +336,20 @@
         // Warm workers first, by the order; where all are strained, the least strained; then absent ones.
         let along = || last.into_iter().chain(function.order.iter().copied());
         let stand = || along().filter(|w| warm(w) && may(*w) && call.avoid != Some(*w));
+        // A copy just ordered may turn out to stand already: that is told at once.
+        let aim = self.settings.classes[call.class].aim as f64;
+        let wait = (aim * NEWS_WAIT) as Micros;
+        let asked = function.loading.values().any(|&t| self.now < t + wait);
         let eased = stand().find(|w| strain(*w) < 1.0);
         let least = || stand().map(|w| (strain(w), w)).min_by(|a, b| a.0.total_cmp(&b.0));
-        let found = eased.or_else(|| least().filter(|(s, _)| *s < STRAIN_MOST).map(|(_, w)| w));
+        let found = eased.or_else(|| least().filter(|(s, _)| *s < STRAIN_MOST && !asked).map(|(_, w)| w));
         // Last comes the worker that just failed this call.
-        let absent = || along().find(|w| call.avoid != Some(*w) && !warm(w) && may(*w));
+        let fits = |w: &WorkerId| call.avoid != Some(*w) && !warm(w) && strain(*w) < STRAIN_MOST && may(*w);
+        let absent = || {
+            let worth = self.load_span(function) * SPILL_WAIT / (aim * STRAIN_AIM);
+            let first = along().find(|w| strain(*w) < worth && fits(w));
+            first.or_else(|| along().find(|w| fits(w)))
+        };
         let found = found.or_else(absent).or_else(|| call.avoid.filter(|w| may(*w)));
         if found.is_some() || self.workers.values().any(|w| w.entry.state == WorkerState::On && !w.barred) {
             return found;
@@ -341,7 +391,8 @@
         let there = function.out.get(&id).copied().unwrap_or(0);
         // Health: a barred worker takes one trial at a time once its bar is over, none of them unsafe.
         let unsafe_call = self.settings.classes[call.class].effect == Effect::Unsafe;
-        let barred = worker.barred && (self.now < worker.barred_until || worker.down || worker.trial || unsafe_call);
+        let barred =
+            worker.barred && (self.now < worker.barred_until || worker.down || worker.trial || unsafe_call);
         // The design's bound. Calls that wait for a load use no core: they count for their own function only.
         // One call starts a load; the others wait here, not in the worker's slots.
         let bound = warm && worker.busy >= function.lanes;
@@ -596,9 +647,6 @@
         let ours = function.out.get(&at).copied().unwrap_or(0);
         let held = f64::from(crowd.unwrap_or(0).max(ours)) / f64::from(function.lanes.max(1));
         function.told.insert(at, (held, self.now));
-        if !loaded {
-            blend(&mut function.strain, held.max(strain), STRAIN_WEIGHT);
-        }
         if note == Some(LoadNote::Began) {
             let span = (elapsed - function.mean()).max(0.0);
             self.learn_load(flight.function, span);
@@ -613,8 +661,14 @@
         }
         // An answer far slower than the class's work was queueing: the worker is crowded by somebody. One cut
         // for all that was out when the last one was made.
+        let least = self.settings.classes[flight.class].aim / 4;
         let slow = !loaded && elapsed > self.work(flight.class) * SLOW_WORKS;
         if let Some(worker) = self.workers.get_mut(&at) {
+            let before = worker.told.filter(|t| t.1 <= flight.sent && t.1 + least >= flight.sent);
+            if let Some(n) = before.and_then(|t| t.0.inflight).filter(|n| *n >= PACE_LEAST && !loaded) {
+                self.paces.resize(self.settings.classes.len(), None);
+                blend(&mut self.paces[flight.class], elapsed / (n + 1.0), WORK_WEIGHT);
+            }
             worker.strained = (strain, self.now);
             if !slow {
                 worker.window = (worker.window + 1.0 / worker.window).min(WINDOW_MOST);
@@ -623,37 +677,50 @@
                 worker.cut = self.now;
             }
         }
-        self.spread(flight.function, flight.class);
     }
 
-    /// Where the answers of all its workers tell of strain, a further copy of the function is ordered at the
-    /// next worker of the shared order; one that stands there already is found by the same order.
+    /// Where all workers known to hold the function are strained, a copy is ordered at the next of the shared
+    /// order, the same at every controller; one that stands there already is found by the same order.
     fn spread(&mut self, id: FunctionId, class: usize) {
-        let Some(function) = self.functions.get(&id) else { return };
-        if function.strain.is_none_or(|s| s < STRAIN_SPREAD) || !function.loading.is_empty() {
-            return;
-        }
         self.order(id);
         let Some(function) = self.functions.get(&id) else { return };
-        let known =
-            |w: &WorkerId| self.warm_at(function, *w) || function.shun.get(w).is_some_and(|&t| t > self.now);
-        let fit = |w: &&WorkerId| {
-            let sound = |x: &Worker| !x.barred && !self.cold(x) && self.strain(function, **w, class) < 1.0;
-            !known(w) && self.workers.get(w).is_some_and(sound)
+        let stands = |w: &WorkerId| self.warm_at(function, *w);
+        let eased = |w: &&WorkerId| {
+            let sound = |x: &Worker| x.entry.state == WorkerState::On && !x.barred && !self.cold(x);
+            self.workers.get(w).is_some_and(sound) && self.strain(function, **w, class) < 1.0
         };
-        let next = function.order.iter().find(fit).copied();
+        let mut standing = function.warm.keys().filter(|w| stands(w)).peekable();
+        if !function.loading.is_empty() || standing.peek().is_none() || standing.any(|w| eased(&w)) {
+            return;
+        }
+        let shunned = |w: &WorkerId| function.shun.get(w).is_some_and(|&t| t > self.now);
+        let next = function.order.iter().find(|w| !stands(w) && !shunned(w) && eased(w)).copied();
         if let Some(at) = next {
-            self.functions.get_mut(&id).expect("just seen").strain = None;
             self.order_copy(id, at);
         }
     }
 
+    /// What each call in hand at a worker adds to an answer's time: at first, that of a worker of two cores.
+    fn pace(&self, class: usize) -> f64 {
+        self.paces.get(class).copied().flatten().unwrap_or(self.work(class) / 2.0)
+    }
+
     /// How far others' calls fill a worker for this function, as lately told.
     fn strain(&self, function: &Function, id: WorkerId, class: usize) -> f64 {
         let aim = self.settings.classes[class].aim.max(1) as f64;
         let aged = |(s, at): (f64, Micros)| s - self.now.saturating_sub(at) as f64 / aim;
         let there = function.told.get(&id).map_or(0.0, |told| aged(*told));
-        self.workers.get(&id).map_or(0.0, |w| aged(w.strained)).max(there)
+        let Some(worker) = self.workers.get(&id) else { return there };
+        if worker.probed.is_some_and(|since| self.now.saturating_sub(since) as f64 > aim * NEWS_WAIT) {
+            return STRAIN_FULL;
+        }
+        // What a report says: cores with room, or what all that is in hand would add to an answer's time.
+        let told = worker.told.map_or(0.0, |(report, at)| {
+            let util = report.util.unwrap_or(1.0);
+            let held = report.inflight.map_or(util, |n| (n + 1.0) * self.pace(class) / (aim * STRAIN_AIM));
+            aged((if util < UTIL_ROOM { util } else { held }, at))
+        });
+        aged(worker.strained).max(there).max(told)
     }
 
     fn learn_load(&mut self, id: FunctionId, span: f64) {
@@ -758,7 +825,10 @@
         }
     }
 
-    fn probed(&mut self, id: WorkerId, outcome: Outcome) {
+    fn probed(&mut self, id: WorkerId, outcome: Outcome, report: Option<Report>) {
+        if let Some(report) = report {
+            self.news(id, report);
+        }
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let since = worker.probed.take();
         if outcome == Outcome::Ok {
@@ -770,9 +840,18 @@
                 }
             }
             self.watch(id);
-        } else if worker.down || since.is_some_and(|t| worker.heard <= t) {
-            self.bar_silent(id);
+        } else {
+            let dead = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset) || worker.down;
+            // A probe that waits in a queue and times out tells of a crowd; silence is told by what is owed.
+            worker.strained = (STRAIN_FULL, self.now);
+            let worker = &self.workers[&id];
+            let owed = since.is_some_and(|t| worker.heard <= t)
+                && self.flights.values().any(|f| self.overdue(id, worker, f));
+            if dead || owed {
+                self.bar_silent(id);
+            }
         }
+        self.release(None);
     }
 
     // ---- loads ----
@@ -850,6 +929,7 @@
             let Some(function) = self.functions.get(&call.function) else { continue };
             let room = at.is_none_or(|w| self.may_take(w, call, function, false));
             match if room { self.pick(id) } else { None } {
+                Some(worker) if !self.known(id, worker) => {}
                 Some(worker) => self.send(id, worker),
                 None => _ = without.insert(key),
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,8 @@
     pub(crate) cut: Micros,
     /// Strain told by its last answer, and when.
     pub(crate) strained: (f64, Micros),
+    /// Its last report, and when it came.
+    pub(crate) told: Option<(Report, Micros)>,
     /// When it came up, as far as known; what we sent while cold: when and how much work.
     pub(crate) born: Option<Micros>,
     pub(crate) cold_sends: VecDeque<(Micros, f64)>,
@@ -45,9 +47,8 @@
     pub(crate) loading: BTreeMap<WorkerId, Micros>,
     pub(crate) shun: BTreeMap<WorkerId, Micros>,
     pub(crate) out: BTreeMap<WorkerId, u32>,
-    /// Calls of it over its lanes, as last told by each worker and when; the mean strain over all of them.
+    /// Calls of it over its lanes, as last told by each worker and when.
     pub(crate) told: BTreeMap<WorkerId, (f64, Micros)>,
-    pub(crate) strain: Option<f64>,
     pub(crate) held: u32,
     pub(crate) last: Micros,
     pub(crate) order: Vec<WorkerId>,
@@ -70,6 +71,8 @@
     pub(crate) ran: Option<(WorkerId, Micros)>,
     /// Where the last attempt failed: tried again only when nothing else will do.
     pub(crate) avoid: Option<WorkerId>,
+    /// Workers probed for it.
+    pub(crate) probes: u32,
     pub(crate) streaming: bool,
 }
 
@@ -124,6 +127,8 @@
     /// Mean latency per class at workers where we had nothing else out: near the work itself.
     pub(crate) class_work: Vec<Option<f64>>,
     pub(crate) load_mean: Option<f64>,
+    /// Per class: time of an answer over the calls that its worker held.
+    pub(crate) paces: Vec<Option<f64>>,
     pub(crate) orders: VecDeque<Micros>,
     pub(crate) taken: VecDeque<Micros>,
     pub(crate) tenant_taken: BTreeMap<TenantId, VecDeque<Micros>>,
