Absent workers are taken by strain, two along the order

Cause: most controllers know no copy of most functions and sent all such calls to the first worker of the order, however full.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,6 +72,9 @@
 const NEWS_AIMS: f64 = 1.0;
 const NEWS_PROBES: u32 = 2;
 const NEWS_WAIT: f64 = 0.1;
+/// Where no copy is known, a call looks no further along the order than this for a worker without strain:
+/// one copy more of every function fits in memory, a copy everywhere does not.
+const ABSENT: usize = 2;
 /// Cores in use below this share leave room, whatever a worker holds; calls in hand from this many on tell
 /// what each adds to an answer's time.
 const UTIL_ROOM: f64 = 0.85;
@@ -346,8 +349,7 @@
         // Last comes the worker that just failed this call.
         let fits = |w: &WorkerId| call.avoid != Some(*w) && !warm(w) && strain(*w) < STRAIN_MOST && may(*w);
         let absent = || {
-            let worth = self.load_span(function) * SPILL_WAIT / (aim * STRAIN_AIM);
-            let first = along().find(|w| strain(*w) < worth && fits(w));
+            let first = along().filter(|w| fits(w)).take(ABSENT).find(|w| strain(*w) < 1.0);
             first.or_else(|| along().find(|w| fits(w)))
         };
         let found = found.or_else(absent).or_else(|| call.avoid.filter(|w| may(*w)));
