--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,72 +17,47 @@
 const COUNT_SPAN: Micros = 10_000_000;
 /// Held requests looked at for one answer: bounds the work per event.
 const SCAN: usize = 512;
-/// How often held requests are looked at without an answer: room also comes back with time. In steps, but
-/// no oftener than this span, which is far under any aim that a load would fit in.
+/// How often held requests are looked at without an answer, in steps and at the least: room comes with time.
 const TICK_STEPS: Micros = 4;
 const TICK_LEAST: Micros = 20_000;
 /// A load's time before any was told or seen: that of a middling program.
 const LOAD_GUESS: f64 = 1_000_000.0;
-/// A further copy is begun when our own traffic fills this share of the lanes of those that stand: copies
-/// beyond that push others out of memory, and a fleet that loads what it just unloaded serves nobody.
-const SPILL_FILL: f64 = 0.7;
-/// Or when our calls held for it would wait this share of a load.
-const SPILL_WAIT: f64 = 0.5;
-/// ... and they are this share of all we hold.
-const SPILL_QUEUE: f64 = 0.1;
-/// For that, a latency counts up to this many times the work seen at idle workers: the rest is queueing.
-const LATENCY_MOST: f64 = 2.0;
 /// A load that has taken this many times what it should is taken for stuck: another may begin elsewhere.
 const STUCK_LOADS: f64 = 3.0;
 /// Loads of ours waited for at one worker at once: workers run few at a time.
 const LOADS_AT_WORKER: usize = 2;
-/// Weight of one outcome in a worker's failing share, and the share from which it is barred: two failures
-/// in a row bar it, one amid successes does not.
+/// Weight of one outcome in a worker's failing share, and the share that bars it: two failures in a row.
 const FAIL_WEIGHT: f64 = 0.3;
 const FAIL_BAR: f64 = 0.5;
-/// Weights of one load in a load's usual time and of one answer in a class's work: a few, and some dozens.
+/// Weights of one load in a load's usual time, and of one answer in a class's work.
 const LOAD_WEIGHT: f64 = 0.3;
 const WORK_WEIGHT: f64 = 0.05;
 /// First span of a bar, doubled at each failed trial up to the longest: a process restarts in seconds.
 const BAR_FIRST: Micros = 500_000;
 const BAR_LONGEST: Micros = 4_000_000;
-/// A worker that owes answers and has sent none for this many mean latencies of what it owes is silent.
-/// The least is the aim of the class: a slow answer is no silence.
+/// A worker that owes answers for this many mean latencies, and an aim at the least, is silent.
 const SILENT_LATENCIES: f64 = 6.0;
 /// Part of the cold allowance that is used: what is in flight between controllers is not seen.
 const COLD_MARGIN: f64 = 0.7;
-/// After a "full", a worker is left alone for this many of the function's mean latencies.
-const FULL_LATENCIES: f64 = 1.0;
-/// After a "full" we have at most this share of what was out there; each call served widens it again, up to
-/// a width that binds nothing. All controllers that meet a full worker shrink, so their sum follows its room.
-const WINDOW_CUT: f64 = 0.7;
-const WINDOW_MOST: f64 = 64.0;
-/// An answer this many times slower than the class's work is slow by its queue, not by its own size.
-const SLOW_WORKS: f64 = 4.0;
-/// Strain is what an answer tells of others at its worker: calls of the function held there over its lanes,
-/// or its latency over this share of its aim. From 1 the worker is at its bound for us, from the most even
-/// the least strained is left alone; one aim takes one off, as others see it too and go elsewhere.
+/// Strain is what answers tell of others at a worker: calls of the function over its lanes, or latency over
+/// this share of its aim. From 1 it is at its bound for us, from the most it is left alone, as after a full;
+/// one aim takes one off, as others see it too.
 const STRAIN_AIM: f64 = 0.6;
 const STRAIN_MOST: f64 = 2.5;
-/// Strain of a worker that turned a call away: its queue is longer than any answer in time would wait in.
 const STRAIN_FULL: f64 = 3.0;
-/// A worker of which nothing was heard for this many aims is probed before a call goes there, for at most so
-/// many workers a call: most controllers call a worker too seldom to know what the others keep there. A probe
-/// that has not come back in this share of an aim tells of a crowd, too.
+/// A worker not heard of for so many aims is probed before a call goes there, for so many workers a call:
+/// most controllers call it too seldom to know of a crowd. A probe late by this share tells of one.
 const NEWS_AIMS: f64 = 1.0;
 const NEWS_PROBES: u32 = 2;
 const NEWS_WAIT: f64 = 0.1;
-/// Where no copy is known, a call looks no further along the order than this for a worker without strain:
-/// one copy more of every function fits in memory, a copy everywhere does not.
+/// Where no copy is known, a call looks only so far for ease: memory holds no copy of all everywhere.
 const ABSENT: usize = 2;
-/// Cores in use below this share leave room, whatever a worker holds; calls in hand from this many on tell
-/// what each adds to an answer's time.
+/// Cores in use below this share leave room, whatever a worker holds; else what it holds counts over this
+/// many cores: their number is not told, and the work as learnt holds some of others' queueing.
 const UTIL_ROOM: f64 = 0.85;
-const PACE_LEAST: f64 = 3.0;
+const CORES: f64 = 8.0;
 /// A worker where a load failed or found no room is left alone by that function for this share of a load.
 const SHUN_LOADS: f64 = 0.5;
-/// Time kept for the way of an answer, in steps, before the client's deadline.
-const ANSWER_STEPS: Micros = 1;
 /// Waits before asking a list that failed again: the first, doubled up to a share of `must_ask_in`.
 const ASK_FIRST: Micros = 200_000;
 /// Functions without calls for this many keep-alives or counting spans are forgotten.
@@ -90,11 +65,7 @@
 
 impl Function {
     fn mean(&self) -> f64 {
-        if self.latencies.is_empty() {
-            0.0
-        } else {
-            self.latencies.iter().sum::<f64>() / self.latencies.len() as f64
-        }
+        self.latencies.iter().sum::<f64>() / self.latencies.len().max(1) as f64
     }
 }
 
@@ -131,7 +102,7 @@
                 if let (Some(at), Some(report)) = (self.flights.get(&key).map(|f| f.worker), report) {
                     self.news(at, report);
                 }
-                self.attempt_ended(request, attempt, outcome, finished, elapsed, note, crowd);
+                self.attempt_ended(key, outcome, finished, elapsed, (note, crowd));
             }
             Event::Started { request, .. } => self.stream_started(request),
             Event::Loaded { worker, function, outcome, copies, elapsed } => {
@@ -146,8 +117,6 @@
         actions.append(&mut self.out);
     }
 
-    // ---- the list of workers ----
-
     fn workers_told(&mut self, form: ListForm, entries: Vec<WorkerEntry>) {
         if form == ListForm::Failed {
             if self.settings.discovery == Discovery::Ask {
@@ -171,8 +140,7 @@
         }
         for entry in entries {
             let id = entry.worker;
-            let fresh =
-                || Worker { bar: BAR_FIRST, window: WINDOW_MOST, heard: self.now, ..Worker::default() };
+            let fresh = || Worker { bar: BAR_FIRST, heard: self.now, ..Worker::default() };
             let known = self.workers.contains_key(&id);
             let worker = self.workers.entry(id).or_insert_with(fresh);
             let anew = entry.born.is_some() && entry.born != worker.entry.born;
@@ -223,20 +191,14 @@
             priority = (priority + 1.0) / self.settings.over_quota_worth.max(0.01);
         }
         self.sequence += 1;
-        let answer_by = self.now + request.left.saturating_sub(ANSWER_STEPS * self.settings.step);
+        let answer_by = self.now + request.left.saturating_sub(self.settings.step);
         let call = Call {
             class: request.class.0,
             function: request.function,
             arrived: self.now,
             answer_by,
             priority: (false, priority as u64, self.sequence),
-            attempts: 0,
-            out: None,
-            held: false,
-            ran: None,
-            avoid: None,
-            probes: 0,
-            streaming: false,
+            ..Call::default()
         };
         self.calls.insert(request.id, call);
         self.due.insert((answer_by, Due::Answer(request.id)));
@@ -267,9 +229,8 @@
 
     /// Is enough heard of this worker to send the call? If not, it is probed first.
     fn known(&mut self, id: RequestId, at: WorkerId) -> bool {
-        let (Some(call), Some(worker)) = (self.calls.get_mut(&id), self.workers.get_mut(&at)) else {
-            return true;
-        };
+        let Some(call) = self.calls.get_mut(&id) else { return true };
+        let Some(worker) = self.workers.get_mut(&at) else { return true };
         let aim = self.settings.classes[call.class].aim as f64;
         let heard = worker.told.map_or(0, |t| t.1).max(worker.strained.1);
         let asks = self.settings.limits.probes && self.settings.reports != Reports::None;
@@ -284,14 +245,6 @@
         worker.probed.is_none_or(|since| (self.now - since) as f64 > aim * NEWS_WAIT)
     }
 
-    fn news(&mut self, at: WorkerId, report: Report) {
-        let sane = |x: Option<f64>| x.filter(|x| x.is_finite() && *x >= 0.0);
-        let report = Report { inflight: sane(report.inflight), util: sane(report.util), ..report };
-        if let Some(worker) = self.workers.get_mut(&at) {
-            worker.told = Some((report, self.now));
-        }
-    }
-
     fn hold(&mut self, id: RequestId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         if !call.held {
@@ -307,10 +260,7 @@
                 function.held += 1;
             }
         }
-        if !self.ticking {
-            self.ticking = true;
-            self.due.insert((self.now + self.tick(), Due::Tick));
-        }
+        self.tick_on();
     }
 
     /// A held call that can't meet its aim any more waits behind those that can: in overload, room spent on
@@ -322,6 +272,13 @@
         }
     }
 
+    fn tick_on(&mut self) {
+        if !self.held.is_empty() && !self.ticking {
+            self.ticking = true;
+            self.due.insert((self.now + self.tick(), Due::Tick));
+        }
+    }
+
     fn tick(&self) -> Micros {
         (self.settings.step * TICK_STEPS).max(TICK_LEAST)
     }
@@ -352,7 +309,8 @@
             let first = along().filter(|w| fits(w)).take(ABSENT).find(|w| strain(*w) < 1.0);
             first.or_else(|| along().find(|w| fits(w)))
         };
-        let found = found.or_else(absent).or_else(|| call.avoid.filter(|w| may(*w)));
+        let found =
+            found.or_else(absent).or_else(|| call.avoid.filter(|w| strain(*w) < STRAIN_MOST && may(*w)));
         if found.is_some() || self.workers.values().any(|w| w.entry.state == WorkerState::On && !w.barred) {
             return found;
         }
@@ -385,8 +343,6 @@
         function.epoch = self.epoch;
     }
 
-    // ---- may this worker take this request now? ----
-
     fn may_take(&self, id: WorkerId, call: &Call, function: &Function, desperate: bool) -> bool {
         let Some(worker) = self.workers.get(&id) else { return false };
         let warm = self.warm_at(function, id);
@@ -398,16 +354,14 @@
         // The design's bound. Calls that wait for a load use no core: they count for their own function only.
         // One call starts a load; the others wait here, not in the worker's slots.
         let bound = warm && worker.busy >= function.lanes;
-        let full = self.now < worker.full_until || f64::from(worker.out) >= worker.window;
         // Drains: nothing new from the moment it is told.
         worker.entry.state == WorkerState::On
             && self.effect_permits(call, worker)
             && (!barred || desperate)
-            && !full
             && !bound
             && there < if warm { function.lanes } else { 1 }
             && function.shun.get(&id).is_none_or(|&until| self.now >= until)
-            && (warm || self.may_load(id, worker, function, call))
+            && (warm || self.may_load(id, worker, function))
             && self.cold_room(worker, call.class)
     }
 
@@ -438,41 +392,27 @@
         function.warm.get(&worker).is_some_and(|&at| at + self.settings.loading.keep_alive > self.now)
     }
 
+    fn sound(&self, id: WorkerId) -> bool {
+        let sound = |w: &Worker| w.entry.state == WorkerState::On && !w.barred && !self.cold(w);
+        self.workers.get(&id).is_some_and(sound)
+    }
+
     fn load_span(&self, function: &Function) -> f64 {
         function.load_time.or(self.load_mean).unwrap_or(LOAD_GUESS)
     }
 
     /// May a copy be begun (or waited for) there? Waiting for a warm copy is weighed against a load, one
     /// load for a function at a time, few at a worker.
-    fn may_load(&self, id: WorkerId, worker: &Worker, function: &Function, call: &Call) -> bool {
-        let miss = self.settings.loading.when_absent == WhenAbsent::Miss;
+    fn may_load(&self, id: WorkerId, worker: &Worker, function: &Function) -> bool {
         if function.loading.contains_key(&id) {
-            return !miss;
+            return self.settings.loading.when_absent == WhenAbsent::Load;
         }
-        let span = self.load_span(function);
-        let stuck = (span * STUCK_LOADS) as Micros;
+        let stuck = (self.load_span(function) * STUCK_LOADS) as Micros;
         if function.loading.values().any(|&since| self.now < since + stuck) || worker.loads >= LOADS_AT_WORKER
         {
             return false;
         }
-        let mut lanes = 0.0;
-        for (w, x) in function.warm.keys().filter_map(|w| Some((*w, self.workers.get(w)?))) {
-            let sound = x.entry.state == WorkerState::On && !x.barred && !self.cold(x);
-            if sound && self.warm_at(function, w) {
-                // A crowded worker's lanes count as far as its window lets us use them.
-                lanes += x.window.min(f64::from(function.lanes));
-            }
-        }
-        if lanes == 0.0 {
-            return true;
-        }
-        // The calls in work at once that our own traffic asks for; a swollen latency is no demand.
-        let rate = function.arrivals.len() as f64 / COUNT_SPAN as f64;
-        let each = function.mean().min(self.work(call.class) * LATENCY_MOST);
-        let wait = f64::from(function.held) * function.mean() / lanes;
-        // A queue that all functions share is overload: copies would only push each other out.
-        let own = f64::from(function.held) > self.held.len() as f64 * SPILL_QUEUE;
-        rate * each > lanes * SPILL_FILL || (own && wait > span * SPILL_WAIT)
+        !function.warm.keys().any(|w| self.warm_at(function, *w) && self.sound(*w))
     }
 
     /// Rule on cold workers: what all controllers may send within a fall span, over their number.
@@ -511,8 +451,6 @@
         self.class_work[class].unwrap_or(self.settings.classes[class].aim as f64 / 4.0)
     }
 
-    // ---- sending ----
-
     fn send(&mut self, id: RequestId, to: WorkerId) {
         self.unhold(id);
         let Some(call) = self.calls.get_mut(&id) else { return };
@@ -522,8 +460,7 @@
         let (class, fid) = (call.class, call.function);
         let work = self.work(class);
         let Some(function) = self.functions.get_mut(&fid) else { return };
-        let keep = self.settings.loading.keep_alive;
-        let warm = function.warm.get(&to).is_some_and(|&at| at + keep > self.now);
+        let warm = function.warm.get(&to).is_some_and(|&at| at + self.settings.loading.keep_alive > self.now);
         *function.out.entry(to).or_insert(0) += 1;
         let Some(worker) = self.workers.get_mut(&to) else { return };
         if !warm
@@ -578,19 +515,16 @@
         ((function.mean() * SILENT_LATENCIES).max(least) + load) as Micros
     }
 
-    // ---- what comes back ----
-
     fn attempt_ended(
         &mut self,
-        id: RequestId,
-        number: u32,
+        key: (RequestId, u32),
         outcome: Outcome,
         finished: bool,
         elapsed: Micros,
-        note: Option<LoadNote>,
-        crowd: Option<u32>,
+        (note, crowd): (Option<LoadNote>, Option<u32>),
     ) {
-        let Some(flight) = self.flights.remove(&(id, number)) else { return };
+        let Some(flight) = self.flights.remove(&key) else { return };
+        let (id, number) = key;
         let at = flight.worker;
         self.take_back(&flight);
         self.judge(&flight, outcome, elapsed);
@@ -608,17 +542,7 @@
             }
             // No room for a copy says nothing of the cores: that function goes elsewhere for a while.
             Outcome::Full if flight.loading => self.shun(flight.function, at),
-            Outcome::Full => {
-                let mean = self.functions.get(&flight.function).map_or(0.0, Function::mean);
-                if let Some(worker) = self.workers.get_mut(&at) {
-                    if self.now >= worker.full_until {
-                        worker.window = (f64::from(worker.out + 1).min(worker.window) * WINDOW_CUT).max(1.0);
-                    }
-                    worker.strained = (STRAIN_FULL, self.now);
-                    worker.full_until =
-                        self.now + ((mean * FULL_LATENCIES) as Micros).max(self.settings.step);
-                }
-            }
+            Outcome::Full => self.strained(at, STRAIN_FULL),
             _ => {}
         }
         if finished {
@@ -641,11 +565,7 @@
         let Some(function) = self.functions.get_mut(&flight.function) else { return };
         function.warm.insert(at, self.now);
         let loaded = matches!(note, Some(LoadNote::Began | LoadNote::Waited));
-        let strain = if loaded {
-            0.0
-        } else {
-            elapsed / (self.settings.classes[flight.class].aim as f64 * STRAIN_AIM)
-        };
+        let aim = self.settings.classes[flight.class].aim.max(1) as f64;
         let ours = function.out.get(&at).copied().unwrap_or(0);
         let held = f64::from(crowd.unwrap_or(0).max(ours)) / f64::from(function.lanes.max(1));
         function.told.insert(at, (held, self.now));
@@ -661,24 +581,7 @@
                 blend(&mut self.class_work[flight.class], elapsed, WORK_WEIGHT);
             }
         }
-        // An answer far slower than the class's work was queueing: the worker is crowded by somebody. One cut
-        // for all that was out when the last one was made.
-        let least = self.settings.classes[flight.class].aim / 4;
-        let slow = !loaded && elapsed > self.work(flight.class) * SLOW_WORKS;
-        if let Some(worker) = self.workers.get_mut(&at) {
-            let before = worker.told.filter(|t| t.1 <= flight.sent && t.1 + least >= flight.sent);
-            if let Some(n) = before.and_then(|t| t.0.inflight).filter(|n| *n >= PACE_LEAST && !loaded) {
-                self.paces.resize(self.settings.classes.len(), None);
-                blend(&mut self.paces[flight.class], elapsed / (n + 1.0), WORK_WEIGHT);
-            }
-            worker.strained = (strain, self.now);
-            if !slow {
-                worker.window = (worker.window + 1.0 / worker.window).min(WINDOW_MOST);
-            } else if flight.sent >= worker.cut {
-                worker.window = (f64::from(worker.out + 1).min(worker.window) * WINDOW_CUT).max(1.0);
-                worker.cut = self.now;
-            }
-        }
+        self.strained(at, if loaded { 0.0 } else { elapsed / (aim * STRAIN_AIM) });
     }
 
     /// Where all workers known to hold the function are strained, a copy is ordered at the next of the shared
@@ -687,10 +590,7 @@
         self.order(id);
         let Some(function) = self.functions.get(&id) else { return };
         let stands = |w: &WorkerId| self.warm_at(function, *w);
-        let eased = |w: &&WorkerId| {
-            let sound = |x: &Worker| x.entry.state == WorkerState::On && !x.barred && !self.cold(x);
-            self.workers.get(w).is_some_and(sound) && self.strain(function, **w, class) < 1.0
-        };
+        let eased = |w: &&WorkerId| self.sound(**w) && self.strain(function, **w, class) < 1.0;
         let mut standing = function.warm.keys().filter(|w| stands(w)).peekable();
         if !function.loading.is_empty() || standing.peek().is_none() || standing.any(|w| eased(&w)) {
             return;
@@ -702,11 +602,6 @@
         }
     }
 
-    /// What each call in hand at a worker adds to an answer's time: at first, that of a worker of two cores.
-    fn pace(&self, class: usize) -> f64 {
-        self.paces.get(class).copied().flatten().unwrap_or(self.work(class) / 2.0)
-    }
-
     /// How far others' calls fill a worker for this function, as lately told.
     fn strain(&self, function: &Function, id: WorkerId, class: usize) -> f64 {
         let aim = self.settings.classes[class].aim.max(1) as f64;
@@ -719,7 +614,8 @@
         // What a report says: cores with room, or what all that is in hand would add to an answer's time.
         let told = worker.told.map_or(0.0, |(report, at)| {
             let util = report.util.unwrap_or(1.0);
-            let held = report.inflight.map_or(util, |n| (n + 1.0) * self.pace(class) / (aim * STRAIN_AIM));
+            let held =
+                report.inflight.map_or(util, |n| (n + 1.0) * self.work(class) / CORES / (aim * STRAIN_AIM));
             aged((if util < UTIL_ROOM { util } else { held }, at))
         });
         aged(worker.strained).max(there).max(told)
@@ -845,7 +741,7 @@
         } else {
             let dead = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset) || worker.down;
             // A probe that waits in a queue and times out tells of a crowd; silence is told by what is owed.
-            worker.strained = (STRAIN_FULL, self.now);
+            self.strained(id, STRAIN_FULL);
             let worker = &self.workers[&id];
             let owed = since.is_some_and(|t| worker.heard <= t)
                 && self.flights.values().any(|f| self.overdue(id, worker, f));
@@ -856,8 +752,6 @@
         self.release(None);
     }
 
-    // ---- loads ----
-
     /// After a miss one copy is ordered there, within the ration.
     fn order_copy(&mut self, id: FunctionId, at: WorkerId) {
         let on = self.workers.get(&at).is_some_and(|w| w.entry.state == WorkerState::On);
@@ -903,7 +797,10 @@
         self.load_over(id, at);
         if outcome == Outcome::Ok || copies > 0 {
             self.functions.get_mut(&id).expect("just seen").warm.insert(at, self.now);
-            self.learn_load(id, elapsed as f64);
+            if elapsed > TICK_LEAST {
+                // One answered at once found a copy that stood: no load.
+                self.learn_load(id, elapsed as f64);
+            }
         } else {
             self.shun(id, at);
         }
@@ -916,8 +813,6 @@
         self.functions.get_mut(&id).expect("just seen").shun.insert(at, until);
     }
 
-    // ---- releasing what is held ----
-
     /// An answer from a worker, or a change anywhere: the lowest held priorities that have room go, each
     /// along its own order.
     fn release(&mut self, at: Option<WorkerId>) {
@@ -938,8 +833,6 @@
         }
     }
 
-    // ---- time ----
-
     fn run_due(&mut self) {
         while let Some(&(at, due)) = self.due.first() {
             if at > self.now {
@@ -954,10 +847,7 @@
                 Due::Tick => {
                     self.ticking = false;
                     self.release(None);
-                    if !self.held.is_empty() && !self.ticking {
-                        self.ticking = true;
-                        self.due.insert((self.now + self.tick(), Due::Tick));
-                    }
+                    self.tick_on();
                 }
             }
         }
@@ -966,6 +856,7 @@
             let old = FORGET_SPANS * COUNT_SPAN.max(self.settings.loading.keep_alive);
             self.functions.retain(|_, f| {
                 f.shun.retain(|_, until| *until > self.now);
+                f.told.retain(|_, told| told.1 + COUNT_SPAN > self.now);
                 f.last + old > self.now || f.held > 0 || !f.out.is_empty() || !f.loading.is_empty()
             });
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,11 +23,6 @@
     pub(crate) heard: Micros,
     pub(crate) watched: Option<Micros>,
     pub(crate) probed: Option<Micros>,
-    pub(crate) full_until: Micros,
-    /// What we may have out there at once: shrinks when it turns calls away, grows as it serves.
-    pub(crate) window: f64,
-    /// When slow answers last shrank it.
-    pub(crate) cut: Micros,
     /// Strain told by its last answer, and when.
     pub(crate) strained: (f64, Micros),
     /// Its last report, and when it came.
@@ -57,6 +52,7 @@
 
 pub(crate) type Priority = (bool, u64, u64);
 
+#[derive(Default)]
 pub(crate) struct Call {
     pub(crate) class: usize,
     pub(crate) function: FunctionId,
@@ -127,8 +123,6 @@
     /// Mean latency per class at workers where we had nothing else out: near the work itself.
     pub(crate) class_work: Vec<Option<f64>>,
     pub(crate) load_mean: Option<f64>,
-    /// Per class: time of an answer over the calls that its worker held.
-    pub(crate) paces: Vec<Option<f64>>,
     pub(crate) orders: VecDeque<Micros>,
     pub(crate) taken: VecDeque<Micros>,
     pub(crate) tenant_taken: BTreeMap<TenantId, VecDeque<Micros>>,
@@ -148,6 +142,21 @@
         }
     }
 
+    /// Keeps a worker's report; what is no number counts as not told.
+    pub(crate) fn news(&mut self, at: WorkerId, report: Report) {
+        let sane = |x: Option<f64>| x.filter(|x| x.is_finite() && *x >= 0.0);
+        let report = Report { inflight: sane(report.inflight), util: sane(report.util), ..report };
+        if let Some(worker) = self.workers.get_mut(&at) {
+            worker.told = Some((report, self.now));
+        }
+    }
+
+    pub(crate) fn strained(&mut self, at: WorkerId, strain: f64) {
+        if let Some(worker) = self.workers.get_mut(&at) {
+            worker.strained = (strain, self.now);
+        }
+    }
+
     pub(crate) fn take_back(&mut self, flight: &Flight) {
         if let Some(worker) = self.workers.get_mut(&flight.worker) {
             worker.out = worker.out.saturating_sub(1);
