--- a/src/choice.rs
+++ b/src/choice.rs
@@ -227,14 +227,15 @@
         }
     }
 
-    /// Is enough heard of this worker to send the call? If not, it is probed first.
     fn known(&mut self, id: RequestId, at: WorkerId) -> bool {
         let Some(call) = self.calls.get_mut(&id) else { return true };
         let Some(worker) = self.workers.get_mut(&at) else { return true };
         let aim = self.settings.classes[call.class].aim as f64;
         let heard = worker.told.map_or(0, |t| t.1).max(worker.strained.1);
         let asks = self.settings.limits.probes && self.settings.reports != Reports::None;
-        if !asks || worker.barred || (self.now - heard) as f64 <= aim * NEWS_AIMS {
+        // Calls in hand tell little where neither cores nor their use is told: it is not asked again.
+        let blind = worker.told.is_some_and(|(report, _)| report.util.is_none());
+        if !asks || blind || worker.barred || (self.now - heard) as f64 <= aim * NEWS_AIMS {
             return true;
         }
         if worker.probed.is_none() && call.probes < NEWS_PROBES {
@@ -296,7 +297,6 @@
         // Warm workers first, by the order; where all are strained, the least strained; then absent ones.
         let along = || last.into_iter().chain(function.order.iter().copied());
         let stand = || along().filter(|w| warm(w) && may(*w) && call.avoid != Some(*w));
-        // A copy just ordered may turn out to stand already: that is told at once.
         let aim = self.settings.classes[call.class].aim as f64;
         let wait = (aim * NEWS_WAIT) as Micros;
         let asked = function.loading.values().any(|&t| self.now < t + wait);
