--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,7 +60,6 @@
 const SHUN_LOADS: f64 = 0.5;
 /// Waits before asking a list that failed again: the first, doubled up to a share of `must_ask_in`.
 const ASK_FIRST: Micros = 200_000;
-/// Functions without calls for this many keep-alives or counting spans are forgotten.
 const FORGET_SPANS: Micros = 3;
 
 impl Function {
@@ -233,7 +232,6 @@
         let aim = self.settings.classes[call.class].aim as f64;
         let heard = worker.told.map_or(0, |t| t.1).max(worker.strained.1);
         let asks = self.settings.limits.probes && self.settings.reports != Reports::None;
-        // Calls in hand tell little where neither cores nor their use is told: it is not asked again.
         let blind = worker.told.is_some_and(|(report, _)| report.util.is_none());
         if !asks || blind || worker.barred || (self.now - heard) as f64 <= aim * NEWS_AIMS {
             return true;
@@ -305,12 +303,16 @@
         let found = eased.or_else(|| least().filter(|(s, _)| *s < STRAIN_MOST && !asked).map(|(_, w)| w));
         // Last comes the worker that just failed this call.
         let fits = |w: &WorkerId| call.avoid != Some(*w) && !warm(w) && strain(*w) < STRAIN_MOST && may(*w);
+        // Asked once for all workers: a sound copy stands, so that none may be begun.
+        let began = self.settings.loading.when_absent == WhenAbsent::Load && !function.loading.is_empty();
+        let closed = !began && function.warm.keys().any(|w| warm(w) && self.sound(*w));
         let absent = || {
             let first = along().filter(|w| fits(w)).take(ABSENT).find(|w| strain(*w) < 1.0);
             first.or_else(|| along().find(|w| fits(w)))
         };
-        let found =
-            found.or_else(absent).or_else(|| call.avoid.filter(|w| strain(*w) < STRAIN_MOST && may(*w)));
+        let found = found
+            .or_else(|| if closed { None } else { absent() })
+            .or_else(|| call.avoid.filter(|w| strain(*w) < STRAIN_MOST && may(*w)));
         if found.is_some() || self.workers.values().any(|w| w.entry.state == WorkerState::On && !w.barred) {
             return found;
         }
@@ -602,7 +604,6 @@
         }
     }
 
-    /// How far others' calls fill a worker for this function, as lately told.
     fn strain(&self, function: &Function, id: WorkerId, class: usize) -> f64 {
         let aim = self.settings.classes[class].aim.max(1) as f64;
         let aged = |(s, at): (f64, Micros)| s - self.now.saturating_sub(at) as f64 / aim;
@@ -611,7 +612,6 @@
         if worker.probed.is_some_and(|since| self.now.saturating_sub(since) as f64 > aim * NEWS_WAIT) {
             return STRAIN_FULL;
         }
-        // What a report says: cores with room, or what all that is in hand would add to an answer's time.
         let told = worker.told.map_or(0.0, |(report, at)| {
             let util = report.util.unwrap_or(1.0);
             let held =
