Published messages and a mio reactor with hand-polled HTTP/2

The program needs the Open Inference Protocol on sockets without an async runtime. proto compiles the published messages with protox and reads heads without touching tensors; net owns connections and streams under one mio poll, with h2 polled by hand.

--- /dev/null
+++ b/crates/net/src/io.rs
@@ -0,0 +1,154 @@
+//! A mio TCP socket with the I/O traits that `h2` wants, and the handles by which the hub and the faults of a
+//! stand-in reach it while `h2` owns it.
+
+use std::cell::Cell;
+use std::io::{self, Read, Write};
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use mio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// What the hub and the owner of a connection share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) socket: TcpStream,
+    // mio is edge-triggered: each flag is set by an event and cleared by WouldBlock.
+    pub(crate) readable: Cell<bool>,
+    pub(crate) writable: Cell<bool>,
+    /// Bytes handed to the kernel. Zero since a request was queued proves that nothing of it was written.
+    pub(crate) written: Cell<u64>,
+    pub(crate) read: Cell<u64>,
+    /// Neither reads nor writes: a cut link or a silent machine, for stand-ins.
+    pub(crate) frozen: Cell<bool>,
+    /// Breaks the connection once so many bytes have been written: half-written frames, for stand-ins.
+    pub(crate) cut_at: Cell<Option<u64>>,
+}
+
+/// The socket as `h2` holds it.
+#[derive(Debug)]
+pub(crate) struct Io(pub(crate) Rc<Shared>);
+
+impl Io {
+    pub(crate) fn new(socket: TcpStream) -> (Self, Rc<Shared>) {
+        let shared = Rc::new(Shared {
+            socket,
+            readable: Cell::new(true),
+            writable: Cell::new(true),
+            written: Cell::new(0),
+            read: Cell::new(0),
+            frozen: Cell::new(false),
+            cut_at: Cell::new(None),
+        });
+        (Self(Rc::clone(&shared)), shared)
+    }
+}
+
+impl AsyncRead for Io {
+    fn poll_read(self: Pin<&mut Self>, _: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let shared = &self.0;
+        if !shared.readable.get() || shared.frozen.get() {
+            return Poll::Pending;
+        }
+        loop {
+            return match (&shared.socket).read(buf.initialize_unfilled()) {
+                Ok(n) => {
+                    buf.advance(n);
+                    shared.read.set(shared.read.get() + n as u64);
+                    Poll::Ready(Ok(()))
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    shared.readable.set(false);
+                    Poll::Pending
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) => Poll::Ready(Err(e)),
+            };
+        }
+    }
+}
+
+impl Io {
+    fn write(&self, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let shared = &self.0;
+        if !shared.writable.get() || shared.frozen.get() {
+            return Poll::Pending;
+        }
+        let mut bytes = bytes;
+        if let Some(at) = shared.cut_at.get() {
+            let left = at.saturating_sub(shared.written.get());
+            if left == 0 {
+                let _ = shared.socket.shutdown(Shutdown::Both);
+                return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+            }
+            let most = usize::try_from(left).unwrap_or(usize::MAX).min(bytes.len());
+            bytes = &bytes[..most];
+        }
+        loop {
+            return match (&shared.socket).write(bytes) {
+                Ok(n) => {
+                    shared.written.set(shared.written.get() + n as u64);
+                    Poll::Ready(Ok(n))
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    shared.writable.set(false);
+                    Poll::Pending
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) => Poll::Ready(Err(e)),
+            };
+        }
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.write(bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let shared = &self.0;
+        if shared.cut_at.get().is_some() {
+            let first = parts.iter().find(|p| !p.is_empty()).map_or(&[][..], |p| p);
+            return self.write(first);
+        }
+        if !shared.writable.get() || shared.frozen.get() {
+            return Poll::Pending;
+        }
+        loop {
+            return match (&shared.socket).write_vectored(parts) {
+                Ok(n) => {
+                    shared.written.set(shared.written.get() + n as u64);
+                    Poll::Ready(Ok(n))
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    shared.writable.set(false);
+                    Poll::Pending
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) => Poll::Ready(Err(e)),
+            };
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.0.socket.shutdown(Shutdown::Write) {
+            Err(e) if e.kind() != io::ErrorKind::NotConnected => Poll::Ready(Err(e)),
+            _ => Poll::Ready(Ok(())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,24 @@
+//! The reactor: one mio poll, HTTP/2 connections polled by hand, gRPC message framing, timers of connections.
+//!
+//! May know: sockets, HTTP/2 (RFC 9113), the gRPC wire ("gRPC over HTTP2"). Must not know: calls, models,
+//! workers, decisions.
+//!
+//! There is no async runtime. The `h2` crate gives the HTTP/2 state machine; each connection and each stream
+//! has a [`std::task::Waker`] that puts its key on a queue, and [`Hub::turn`] polls what stands there. What
+//! happened comes out as [`NetEvent`]s.
+//!
+//! * [`hub`]: connections and streams. [`io`]: a mio socket as `AsyncRead`/`AsyncWrite`.
+//! * [`framing`]: length-prefixed messages. [`grpc`]: status, time-outs, percent and base64 headers.
+//! * [`limits`]: every bound, and its counter.
+
+#![forbid(unsafe_code)]
+
+pub mod framing;
+pub mod grpc;
+pub mod hub;
+pub mod io;
+pub mod limits;
+mod wake;
+
+pub use hub::{Closing, ConnKey, Hub, ListenerKey, NetEvent, StreamError, StreamKey};
+pub use limits::{NetCounters, NetLimits};
--- /dev/null
+++ b/crates/net/tests/hub.rs
@@ -0,0 +1,303 @@
+//! Two ends in one hub over loopback: what each fact of the wire becomes. No test sleeps; each waits for its
+//! event with a generous limit.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use nettleferry_net::grpc::{Code, Status};
+use nettleferry_net::*;
+
+struct Pair {
+    hub: Hub,
+    conn: ConnKey,
+    server: ConnKey,
+    listener: ListenerKey,
+    events: Vec<NetEvent>,
+}
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+impl Pair {
+    fn new(limits: NetLimits) -> Self {
+        let mut hub = Hub::new(limits).expect("a hub");
+        let (listener, address) = hub.listen("127.0.0.1:0".parse().expect("sound")).expect("a port");
+        let conn = hub.connect(address).expect("begun");
+        let mut pair = Self { hub, conn, server: conn, listener, events: Vec::new() };
+        let server = pair.wait(|e| match e {
+            NetEvent::Accepted { conn, .. } => Some(*conn),
+            _ => None,
+        });
+        pair.server = server;
+        pair
+    }
+
+    /// Turns until an event answers; that event is taken out, others stay.
+    fn wait<T>(&mut self, mut pick: impl FnMut(&NetEvent) -> Option<T>) -> T {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some((at, found)) =
+                self.events.iter().enumerate().find_map(|(i, e)| pick(e).map(|v| (i, v)))
+            {
+                self.events.remove(at);
+                return found;
+            }
+            assert!(Instant::now() < until, "nothing answered; seen: {:?}", self.events);
+            self.hub.turn(Some(Duration::from_millis(50)), &mut self.events).expect("polls");
+        }
+    }
+
+    fn open(&mut self) -> StreamKey {
+        let request =
+            Request::post("http://worker/inference.GRPCInferenceService/ModelInfer").body(()).expect("sound");
+        self.hub.open(self.conn, request).expect("stands")
+    }
+
+    fn request(&mut self) -> StreamKey {
+        self.wait(|e| match e {
+            NetEvent::Request { stream, .. } => Some(*stream),
+            _ => None,
+        })
+    }
+
+    fn message(&mut self, of: StreamKey) -> Bytes {
+        self.wait(|e| match e {
+            NetEvent::Message { stream, payload } if *stream == of => Some(payload.clone()),
+            _ => None,
+        })
+    }
+
+    fn failure(&mut self, of: StreamKey) -> StreamError {
+        self.wait(|e| match e {
+            NetEvent::Failed { stream, why } if *stream == of => Some(why.clone()),
+            _ => None,
+        })
+    }
+
+    fn trailers(&mut self, of: StreamKey) -> HeaderMap {
+        self.wait(|e| match e {
+            NetEvent::Trailers { stream, trailers } if *stream == of => Some(trailers.clone()),
+            _ => None,
+        })
+    }
+}
+
+#[test]
+fn a_call_goes_there_and_back_with_its_status() {
+    let mut pair = Pair::new(NetLimits::default());
+    let ours = pair.open();
+    pair.hub.send(ours, Bytes::from_static(b"tensors"));
+    pair.hub.finish(ours, None);
+    let theirs = pair.request();
+    assert_eq!(pair.message(theirs), Bytes::from_static(b"tensors"));
+    pair.wait(|e| matches!(e, NetEvent::HalfClosed { stream } if *stream == theirs).then_some(()));
+    pair.hub.respond(theirs, Response::new(()));
+    pair.hub.send(theirs, Bytes::from(vec![7; 3 << 20]));
+    pair.hub.finish(theirs, Some(Status::new(Code::Ok, "").trailers()));
+    assert_eq!(pair.message(ours).len(), 3 << 20);
+    assert_eq!(Status::read(&pair.trailers(ours)).expect("told").code, Code::Ok);
+    pair.wait(|e| matches!(e, NetEvent::Sent { stream } if *stream == theirs).then_some(()));
+    assert_eq!(pair.hub.open_streams(), 0);
+}
+
+#[test]
+fn a_refused_port_is_no_connection() {
+    let mut hub = Hub::new(NetLimits::default()).expect("a hub");
+    // A port that was ours a moment ago and is closed now.
+    let address = {
+        let gone = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        gone.local_addr().expect("bound")
+    };
+    let conn = hub.connect(address).expect("begun");
+    let stream = hub.open(conn, Request::post("http://w/x").body(()).expect("sound")).expect("waits");
+    let (mut events, until) = (Vec::new(), Instant::now() + PATIENCE);
+    while Instant::now() < until {
+        hub.turn(Some(Duration::from_millis(50)), &mut events).expect("polls");
+        let told = events.iter().find_map(|e| match e {
+            NetEvent::Failed { stream: s, why } if *s == stream => Some(why.clone()),
+            _ => None,
+        });
+        if let Some(why) = told {
+            assert_eq!(why, StreamError::NotConnected);
+            return;
+        }
+    }
+    panic!("no end came");
+}
+
+#[test]
+fn refused_reset_and_broken_are_told_apart() {
+    let mut pair = Pair::new(NetLimits::default());
+    let (a, b, c) = (pair.open(), pair.open(), pair.open());
+    let (sa, sb, _sc) = (pair.request(), pair.request(), pair.request());
+    pair.hub.reset(sa, h2::Reason::REFUSED_STREAM);
+    assert_eq!(pair.failure(a), StreamError::Refused);
+    pair.hub.reset(sb, h2::Reason::INTERNAL_ERROR);
+    assert!(matches!(pair.failure(b), StreamError::Reset(_)));
+    pair.hub.close(pair.server);
+    assert_eq!(pair.failure(c), StreamError::Broken);
+}
+
+#[test]
+fn a_goaway_proves_only_for_streams_above_its_last_id() {
+    let mut pair = Pair::new(NetLimits::default());
+    let seen = pair.open();
+    pair.request();
+    // The server's side is not read again before it leaves: the second stream is on its way unseen.
+    pair.hub.freeze(pair.server, true);
+    let unseen = pair.open();
+    pair.hub.turn(Some(Duration::ZERO), &mut pair.events).expect("polls");
+    pair.hub.turn(Some(Duration::ZERO), &mut pair.events).expect("polls");
+    pair.hub.go_away_abruptly(pair.server, h2::Reason::NO_ERROR);
+    pair.hub.freeze(pair.server, false);
+    assert_eq!(pair.failure(unseen), StreamError::GoneAway);
+    assert!(!pair.hub.can_open(pair.conn));
+    let why = pair.failure(seen);
+    assert!(
+        !matches!(why, StreamError::GoneAway | StreamError::NotWritten | StreamError::Refused),
+        "{why:?}"
+    );
+}
+
+#[test]
+fn what_was_never_written_is_known_and_what_may_have_been_is_not() {
+    let mut pair = Pair::new(NetLimits::default());
+    pair.wait(|e| matches!(e, NetEvent::Connected { .. }).then_some(()));
+    while pair.hub.turn(Some(Duration::ZERO), &mut pair.events).is_ok() && !pair.hub.can_open(pair.conn) {}
+    pair.hub.freeze(pair.conn, true);
+    let unwritten = pair.open();
+    pair.hub.turn(Some(Duration::ZERO), &mut pair.events).expect("polls");
+    pair.hub.close(pair.conn);
+    assert_eq!(pair.failure(unwritten), StreamError::NotWritten);
+}
+
+#[test]
+fn a_break_inside_a_frame_is_a_break() {
+    let mut pair = Pair::new(NetLimits::default());
+    let ours = pair.open();
+    let theirs = pair.request();
+    pair.hub.respond(theirs, Response::new(()));
+    pair.wait(|e| matches!(e, NetEvent::Head { .. }).then_some(()));
+    pair.hub.cut_after(pair.server, 40);
+    pair.hub.send(theirs, Bytes::from(vec![1; 1000]));
+    assert_eq!(pair.failure(ours), StreamError::Broken);
+}
+
+#[test]
+fn a_paused_reader_stops_the_writer_and_others_go_on() {
+    let limits = NetLimits { stream_window: 64 << 10, send_queue_bytes: 32 << 10, ..NetLimits::default() };
+    let mut pair = Pair::new(limits);
+    let (slow, quick) = (pair.open(), pair.open());
+    let (to_slow, to_quick) = (pair.request(), pair.request());
+    pair.hub.pause(slow);
+    pair.hub.respond(to_slow, Response::new(()));
+    pair.hub.respond(to_quick, Response::new(()));
+    for _ in 0..64 {
+        pair.hub.send(to_slow, Bytes::from(vec![0; 16 << 10]));
+    }
+    assert!(pair.hub.is_full(to_slow));
+    pair.hub.send(to_quick, Bytes::from_static(b"quick"));
+    assert_eq!(pair.message(quick), Bytes::from_static(b"quick"));
+    // The window is all that left.
+    assert!(pair.hub.queued(to_slow) > 900 << 10, "{}", pair.hub.queued(to_slow));
+    pair.hub.resume(slow);
+    for _ in 0..64 {
+        assert_eq!(pair.message(slow).len(), 16 << 10);
+    }
+    pair.wait(|e| matches!(e, NetEvent::Drained { stream } if *stream == to_slow).then_some(()));
+}
+
+#[test]
+fn a_message_over_the_limit_leaves_the_stream_answerable() {
+    let mut pair = Pair::new(NetLimits { message_bytes: 1000, ..NetLimits::default() });
+    let ours = pair.open();
+    pair.hub.send(ours, Bytes::from(vec![0; 1001]));
+    let theirs = pair.request();
+    let error = pair.wait(|e| match e {
+        NetEvent::Malformed { stream, error } if *stream == theirs => Some(error.clone()),
+        _ => None,
+    });
+    assert_eq!(error, framing::FrameError::TooLarge { got: 1001, most: 1000 });
+    let status = Status::new(Code::ResourceExhausted, error.to_string());
+    let mut head = Response::new(());
+    *head.headers_mut() = status.trailers();
+    pair.hub.respond_only(theirs, head);
+    assert_eq!(Status::read(&pair.trailers(ours)).expect("told"), status);
+    assert_eq!(pair.hub.counters().bad_messages, 1);
+}
+
+#[test]
+fn a_clients_cancel_is_seen_after_it_sent_everything() {
+    let mut pair = Pair::new(NetLimits::default());
+    let ours = pair.open();
+    pair.hub.send(ours, Bytes::from_static(b"x"));
+    pair.hub.finish(ours, None);
+    let theirs = pair.request();
+    pair.message(theirs);
+    pair.hub.reset(ours, h2::Reason::CANCEL);
+    assert!(matches!(pair.failure(theirs), StreamError::Reset(_)));
+}
+
+#[test]
+fn streams_opened_and_reset_at_once_end_that_connection_alone() {
+    let mut pair = Pair::new(NetLimits { reset_streams: 20, ..NetLimits::default() });
+    let other = pair.hub.connect(pair.hub.peer(pair.conn).expect("stands")).expect("begun");
+    // All are opened and reset before the server looks.
+    pair.wait(|e| matches!(e, NetEvent::Connected { conn } if *conn == other).then_some(()));
+    for _ in 0..60 {
+        let key = pair.open();
+        pair.hub.freeze(pair.server, true);
+        pair.hub.turn(Some(Duration::ZERO), &mut pair.events).expect("polls");
+        pair.hub.reset(key, h2::Reason::CANCEL);
+    }
+    pair.hub.turn(Some(Duration::ZERO), &mut pair.events).expect("polls");
+    pair.hub.freeze(pair.server, false);
+    let server = pair.server;
+    let why = pair.wait(|e| match e {
+        NetEvent::Closed { conn, why } if *conn == server => Some(*why),
+        _ => None,
+    });
+    assert_eq!(why, Closing::Protocol);
+    let kept = pair.hub.open(other, Request::post("http://w/x").body(()).expect("sound")).expect("stands");
+    let theirs = pair.wait(|e| match e {
+        NetEvent::Request { stream, conn, .. } if *conn != server => Some(*stream),
+        _ => None,
+    });
+    pair.hub.respond_only(theirs, Response::new(()));
+    pair.trailers(kept);
+}
+
+#[test]
+fn a_connection_that_never_speaks_is_closed() {
+    let limits = NetLimits { handshake_timeout: Duration::from_millis(30), ..NetLimits::default() };
+    let mut hub = Hub::new(limits).expect("a hub");
+    let (_, address) = hub.listen("127.0.0.1:0".parse().expect("sound")).expect("a port");
+    let mute = std::net::TcpStream::connect(address).expect("connects");
+    let (mut events, until) = (Vec::new(), Instant::now() + PATIENCE);
+    while hub.counters().handshake_timeouts == 0 {
+        assert!(Instant::now() < until);
+        hub.turn(Some(Duration::from_millis(50)), &mut events).expect("polls");
+    }
+    assert_eq!(hub.open_connections(), 0);
+    drop(mute);
+}
+
+#[test]
+fn an_idle_hub_does_not_wake() {
+    let mut pair = Pair::new(NetLimits::default());
+    pair.wait(|e| matches!(e, NetEvent::Connected { .. }).then_some(()));
+    // Settings and acknowledgements go to and fro until nothing is left to say.
+    let mut last = pair.hub.counters().wakeups;
+    let began = Instant::now();
+    loop {
+        let before = Instant::now();
+        pair.hub.turn(Some(Duration::from_millis(400)), &mut pair.events).expect("polls");
+        last += 1;
+        if before.elapsed() >= Duration::from_millis(400) {
+            break;
+        }
+        assert!(began.elapsed() < PATIENCE, "woken {last} times for nothing");
+    }
+    assert_eq!(pair.hub.counters().wakeups, last);
+    assert_eq!(pair.hub.accepted_at(pair.listener).len(), 1);
+}
--- /dev/null
+++ b/crates/proto/build.rs
@@ -0,0 +1,12 @@
+//! Compiles the project's .proto files with protox: no protoc is needed.
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let files = ["proto/inference.proto", "proto/orca.proto", "proto/rpc.proto"];
+    for file in files {
+        println!("cargo::rerun-if-changed={file}");
+    }
+    let set = protox::compile(files, ["proto"])?;
+    // Ordered maps, so that equal messages have equal bytes.
+    prost_build::Config::new().btree_map(["."]).bytes(["."]).compile_fds(set)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/proto/src/lib.rs
@@ -0,0 +1,95 @@
+//! The published messages that nettleferry speaks, and the two readings of them that touch no tensor.
+//!
+//! May know: field names and numbers as published. Must not know: what a call, a worker or a decision is.
+//!
+//! * [`inference`]: the Open Inference Protocol v2 over gRPC with its model repository extension.
+//! * [`orca`]: `xds.data.orca.v3.OrcaLoadReport`, sent in the trailer [`orca::TRAILER`].
+//! * [`rpc`]: `google.rpc.Status` and `RetryInfo`, sent in `grpc-status-details-bin`.
+//! * [`peek`]: reads the head of an inference request and of a stream response without decoding tensors.
+
+#![forbid(unsafe_code)]
+
+pub mod peek;
+
+/// `inference.GRPCInferenceService`.
+pub mod inference {
+    include!(concat!(env!("OUT_DIR"), "/inference.rs"));
+
+    /// The service's path prefix: `/inference.GRPCInferenceService/Method`.
+    pub const SERVICE: &str = "/inference.GRPCInferenceService/";
+    /// Name of the boolean parameter that marks the last response of a call on a stream.
+    pub const FINAL: &str = "triton_final_response";
+    /// Parameter of `RepositoryModelLoad` that tells how many copies are wanted (int64; 0 only asks).
+    pub const COPIES: &str = "copies";
+
+    impl From<bool> for InferParameter {
+        fn from(value: bool) -> Self {
+            Self { parameter_choice: Some(infer_parameter::ParameterChoice::BoolParam(value)) }
+        }
+    }
+
+    impl From<i64> for InferParameter {
+        fn from(value: i64) -> Self {
+            Self { parameter_choice: Some(infer_parameter::ParameterChoice::Int64Param(value)) }
+        }
+    }
+
+    impl InferParameter {
+        /// The value, where it is a whole number.
+        pub fn int64(&self) -> Option<i64> {
+            match self.parameter_choice {
+                Some(infer_parameter::ParameterChoice::Int64Param(n)) => Some(n),
+                _ => None,
+            }
+        }
+        /// The value, where it is a truth value.
+        pub fn truth(&self) -> Option<bool> {
+            match self.parameter_choice {
+                Some(infer_parameter::ParameterChoice::BoolParam(b)) => Some(b),
+                _ => None,
+            }
+        }
+    }
+}
+
+/// ORCA load reports.
+pub mod orca {
+    include!(concat!(env!("OUT_DIR"), "/xds.data.orca.v3.rs"));
+
+    /// The trailer that carries a report, base64 (gRFC A51).
+    pub const TRAILER: &str = "endpoint-load-metrics-bin";
+    /// Named metric: 1 a copy stood loaded, 2 this call began a load, 3 it waited for one, 4 the load failed.
+    pub const NOTE: &str = "nettleferry.copy_note";
+    /// Named metric: calls of the same model the worker held when this one came.
+    pub const CROWD: &str = "nettleferry.same_model_calls";
+    /// Named metric: copies that stand loaded, in the answer to a load order.
+    pub const STANDING: &str = "nettleferry.copies";
+    /// Named metric: calls in work.
+    pub const INFLIGHT: &str = "nettleferry.inflight";
+    /// Named metric: calls waiting.
+    pub const QUEUE: &str = "nettleferry.queue";
+    /// Named metric: loads under way or waiting.
+    pub const LOADS: &str = "nettleferry.loads";
+}
+
+/// google.rpc error details.
+pub mod rpc {
+    include!(concat!(env!("OUT_DIR"), "/google.rpc.rs"));
+
+    use prost::Message;
+
+    /// Type URL of [`RetryInfo`] in a `google.protobuf.Any`.
+    pub const RETRY_INFO: &str = "type.googleapis.com/google.rpc.RetryInfo";
+
+    /// A status whose one detail says when to try again.
+    pub fn status_with_retry(code: i32, message: &str, after: std::time::Duration) -> Vec<u8> {
+        let retry = RetryInfo {
+            retry_delay: Some(prost_types::Duration {
+                seconds: i64::try_from(after.as_secs()).unwrap_or(i64::MAX),
+                nanos: after.subsec_nanos() as i32,
+            }),
+        };
+        let any = prost_types::Any { type_url: RETRY_INFO.to_owned(), value: retry.encode_to_vec() };
+        Status { code, message: message.to_owned(), details: vec![any] }.encode_to_vec()
+    }
+}
