--- /dev/null
+++ b/crates/engine/src/names.rs
@@ -0,0 +1,192 @@
+//! Models, workers, zones and kinds as the module's numbers, and back.
+//!
+//! Models and workers are numbered by a hash of their names (XXH3, 64 bits): the module's order of workers for
+//! a function is then the same at every controller, although they share nothing. Two names of one hash are
+//! told apart by the next free number, at the price of another order for the later one.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use nettleferry::{CellId, FunctionId, KindId, WorkerEntry, WorkerId, ZoneId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::types::Member;
+
+/// A model as clients name it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Model {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its version; empty: the worker's choice.
+    pub version: Arc<str>,
+}
+
+impl Model {
+    fn hash(&self) -> u64 {
+        let mut text = Vec::with_capacity(self.name.len() + 1 + self.version.len());
+        text.extend_from_slice(self.name.as_bytes());
+        // No name holds a zero byte and a version after it.
+        text.push(0);
+        text.extend_from_slice(self.version.as_bytes());
+        xxh3_64(&text)
+    }
+}
+
+struct Known {
+    id: FunctionId,
+    open: u32,
+    used: u64,
+}
+
+/// The book of names.
+#[derive(Default)]
+pub struct Names {
+    models: HashMap<Model, Known>,
+    by_id: BTreeMap<FunctionId, Model>,
+    /// Models without open calls, longest unused first.
+    unused: BTreeSet<(u64, FunctionId)>,
+    clock: u64,
+    workers: BTreeMap<WorkerId, Arc<str>>,
+    worker_ids: HashMap<Arc<str>, WorkerId>,
+    zones: BTreeMap<String, u32>,
+    kinds: BTreeMap<String, u32>,
+    cells: BTreeMap<String, u32>,
+    /// Models forgotten because [`crate::EngineLimits::models`] were remembered.
+    pub forgotten: u64,
+}
+
+fn number(map: &mut BTreeMap<String, u32>, name: &str) -> u32 {
+    if let Some(&known) = map.get(name) {
+        return known;
+    }
+    let next = map.len() as u32;
+    map.insert(name.to_owned(), next);
+    next
+}
+
+impl Names {
+    /// The number of a model that a call was opened for. `None`: `most` models have open calls.
+    pub fn open(&mut self, model: Model, most: usize) -> Option<FunctionId> {
+        self.clock += 1;
+        if let Some(known) = self.models.get_mut(&model) {
+            if known.open == 0 {
+                self.unused.remove(&(known.used, known.id));
+            }
+            known.open += 1;
+            return Some(known.id);
+        }
+        while self.models.len() >= most {
+            let (_, oldest) = self.unused.pop_first()?;
+            if let Some(gone) = self.by_id.remove(&oldest) {
+                self.models.remove(&gone);
+                self.forgotten += 1;
+            }
+        }
+        let mut id = FunctionId(model.hash());
+        while self.by_id.contains_key(&id) {
+            id.0 = id.0.wrapping_add(1);
+        }
+        self.by_id.insert(id, model.clone());
+        self.models.insert(model, Known { id, open: 1, used: 0 });
+        Some(id)
+    }
+
+    /// A call of the model has ended.
+    pub fn close(&mut self, id: FunctionId) {
+        self.clock += 1;
+        let Some(known) = self.by_id.get(&id).and_then(|model| self.models.get_mut(model)) else { return };
+        known.open = known.open.saturating_sub(1);
+        if known.open == 0 {
+            known.used = self.clock;
+            self.unused.insert((known.used, id));
+        }
+    }
+
+    /// The model of a number.
+    pub fn model(&self, id: FunctionId) -> Option<&Model> {
+        self.by_id.get(&id)
+    }
+
+    /// Models remembered.
+    pub fn models(&self) -> usize {
+        self.models.len()
+    }
+
+    /// The number of a worker.
+    pub fn worker(&mut self, name: &str) -> WorkerId {
+        if let Some(&known) = self.worker_ids.get(name) {
+            return known;
+        }
+        let mut id = WorkerId(xxh3_64(name.as_bytes()));
+        while self.workers.contains_key(&id) {
+            id.0 = id.0.wrapping_add(1);
+        }
+        let name: Arc<str> = name.into();
+        self.workers.insert(id, Arc::clone(&name));
+        self.worker_ids.insert(name, id);
+        id
+    }
+
+    /// A worker's name; one never listed has none.
+    pub fn worker_name(&self, id: WorkerId) -> Arc<str> {
+        self.workers.get(&id).cloned().unwrap_or_else(|| "unlisted".into())
+    }
+
+    /// Forgets the names of workers that `keep` does not want, so that a fleet that is replaced day by day
+    /// does not fill the book.
+    pub fn retain_workers(&mut self, mut keep: impl FnMut(WorkerId) -> bool) {
+        self.workers.retain(|id, _| keep(*id));
+        let workers = &self.workers;
+        self.worker_ids.retain(|_, id| workers.contains_key(id));
+    }
+
+    /// A line of the list in numbers.
+    pub fn entry(&mut self, member: &Member) -> WorkerEntry {
+        WorkerEntry {
+            worker: self.worker(&member.name),
+            zone: self.zone(&member.zone),
+            kind: KindId(number(&mut self.kinds, &member.kind)),
+            weight: member.weight,
+            cell: CellId(u64::from(number(&mut self.cells, &member.cell))),
+            state: member.state,
+            born: member.born,
+        }
+    }
+
+    /// The number of a zone.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        ZoneId(number(&mut self.zones, name))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn model(name: &str) -> Model {
+        Model { name: name.into(), version: "".into() }
+    }
+
+    #[test]
+    fn two_controllers_number_alike() {
+        let (mut one, mut two) = (Names::default(), Names::default());
+        two.open(model("other"), 9);
+        two.worker("w0");
+        assert_eq!(one.open(model("echo"), 9), two.open(model("echo"), 9));
+        assert_eq!(one.worker("w1"), two.worker("w1"));
+        let released = Model { name: "echo".into(), version: "2".into() };
+        assert_ne!(one.open(released, 9), one.open(model("echo"), 9));
+    }
+
+    #[test]
+    fn the_longest_unused_is_forgotten_and_one_in_use_never() {
+        let mut names = Names::default();
+        let a = names.open(model("a"), 2).expect("room");
+        let b = names.open(model("b"), 2).expect("room");
+        assert_eq!(names.open(model("c"), 2), None, "both are in use");
+        names.close(b);
+        assert!(names.open(model("c"), 2).is_some());
+        assert_eq!((names.model(b), names.forgotten), (None, 1));
+        assert!(names.model(a).is_some());
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/ledger.rs
@@ -0,0 +1,491 @@
+//! The engine with a made-up clock: what each client gets, and that it gets it once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use nettleferry::{
+    Class, ClassId, Effect, Group, Limits, ListForm, Loading, Micros, Report, Reports, Rules, Settings,
+};
+use nettleferry::{WhenAbsent, WorkerState};
+use nettleferry_engine::*;
+use proptest::prelude::*;
+
+const MS: Micros = 1_000;
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        aim: 600 * MS,
+        deadline: 4_000 * MS,
+        effect,
+        worth: 1.0,
+        late_share: 0.3,
+        stream: false,
+    };
+    let mut settings = Settings {
+        controllers: 1,
+        classes: vec![
+            class(Effect::Safe),
+            class(Effect::Unsafe),
+            class(Effect::Keyed { group: Group::Zone, window: 1_000 * MS }),
+        ],
+        reports: Reports::Answers,
+        step: MS,
+        ..Settings::default()
+    };
+    settings.limits = Limits {
+        max_attempts: 3,
+        probes: true,
+        cancel: true,
+        connect_timeout: 250 * MS,
+        ..Limits::default()
+    };
+    settings.loading = Loading {
+        keep_alive: 8_000 * MS,
+        orders: true,
+        order_timeout: 10_000 * MS,
+        notes: true,
+        ..Loading::default()
+    };
+    settings.rules = Rules {
+        start_capacity: 0.2,
+        cold: 1_000 * MS,
+        overload_factor: 2.0,
+        fall: 500 * MS,
+        ..Rules::default()
+    };
+    settings
+}
+
+fn member(name: &str, state: WorkerState) -> Member {
+    Member {
+        name: name.into(),
+        zone: if name.ends_with('1') { "a" } else { "b" }.into(),
+        kind: "std".into(),
+        weight: 1.0,
+        cell: "c".into(),
+        state,
+        born: None,
+    }
+}
+
+/// The engine, its clock and what it has commanded.
+struct Bench {
+    engine: Engine,
+    now: Micros,
+    out: Vec<Command>,
+}
+
+impl Bench {
+    fn new(workers: &[&str], limits: EngineLimits) -> Self {
+        let engine = Engine::new(settings(), Some("a"), limits, 7).expect("sound settings");
+        let mut bench = Self { engine, now: 1_000_000 * MS, out: Vec::new() };
+        let members = workers.iter().map(|w| member(w, WorkerState::On)).collect();
+        bench.tell(Event::Workers { form: ListForm::Complete, members });
+        bench
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Command> {
+        self.engine.handle(self.now, event, &mut self.out);
+        self.answered()
+    }
+
+    /// What was commanded, with each probe answered at once by a worker at ease.
+    fn answered(&mut self) -> Vec<Command> {
+        let mut all: Vec<Command> = Vec::new();
+        loop {
+            let mut probes = Vec::new();
+            for command in std::mem::take(&mut self.out) {
+                match command {
+                    Command::Probe { errand, .. } => probes.push(errand),
+                    other => all.push(other),
+                }
+            }
+            if probes.is_empty() {
+                return all;
+            }
+            for errand in probes {
+                let report = Some(Report { util: Some(0.1), inflight: Some(0.0), ..Report::default() });
+                let told = Event::Probed { errand, how: Ended::Served, report };
+                self.engine.handle(self.now, told, &mut self.out);
+            }
+        }
+    }
+
+    fn open(&mut self, class: usize, streamed: bool) -> (CallId, Vec<Command>) {
+        let open = Open {
+            front: 77,
+            class: ClassId(class),
+            tenant: None,
+            model: "echo".into(),
+            version: "".into(),
+            left: 4_000 * MS,
+            work_hint: None,
+            lanes: 2,
+            load_time: None,
+            repeat: false,
+            streamed,
+            body: Bytes::from_static(b"request"),
+        };
+        let call = self.engine.open(self.now, open, &mut self.out);
+        (call, self.answered())
+    }
+
+    /// Lets time pass, timer by timer.
+    fn pass(&mut self, span: Micros) -> Vec<Command> {
+        let until = self.now + span;
+        let mut all = Vec::new();
+        while let Some(at) = self.engine.next_timer().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            all.extend(self.tell(Event::Tick));
+        }
+        self.now = until;
+        all.extend(self.tell(Event::Tick));
+        all
+    }
+}
+
+fn started(commands: &[Command]) -> Option<AttemptId> {
+    commands.iter().find_map(|c| match c {
+        Command::Start { attempt, .. } => Some(*attempt),
+        _ => None,
+    })
+}
+
+fn end(commands: &[Command]) -> Option<End> {
+    commands.iter().find_map(|c| match c {
+        Command::End { end, .. } => Some(end.clone()),
+        _ => None,
+    })
+}
+
+fn ended(attempt: AttemptId, how: Ended) -> Event {
+    Event::Ended { attempt, how, news: News::default() }
+}
+
+fn part(attempt: AttemptId, last: bool) -> Event {
+    Event::Part { attempt, payload: Bytes::from_static(b"part"), last }
+}
+
+#[test]
+fn an_answer_is_held_until_its_status_is_certain() {
+    let mut bench = Bench::new(&["w1", "w2"], EngineLimits::default());
+    let (_, first) = bench.open(0, false);
+    let attempt = started(&first).expect("a worker is free");
+    assert_eq!(bench.tell(part(attempt, false)), vec![], "OK may still not come");
+    let done = bench.tell(ended(attempt, Ended::Served));
+    assert_eq!(end(&done), Some(End::Served { last: Some(Bytes::from_static(b"part")) }));
+    assert_eq!(bench.tell(ended(attempt, Ended::Broken)), vec![], "nothing follows");
+}
+
+#[test]
+fn an_answer_without_a_message_is_no_answer() {
+    let mut bench = Bench::new(&["w1"], EngineLimits::default());
+    let (_, first) = bench.open(1, false);
+    let done = bench.tell(ended(started(&first).expect("sent"), Ended::Served));
+    assert!(matches!(end(&done), Some(End::Failed { cause: Cause::Internal, .. })), "{done:?}");
+}
+
+#[test]
+fn a_stream_that_breaks_after_its_third_part_has_one_end_and_no_second_attempt() {
+    let mut bench = Bench::new(&["w1", "w2"], EngineLimits::default());
+    let (_, first) = bench.open(0, true);
+    let attempt = started(&first).expect("sent");
+    for _ in 0..3 {
+        assert!(matches!(bench.tell(part(attempt, false))[..], [Command::Part { front: 77, .. }]));
+    }
+    let broken = bench.tell(ended(attempt, Ended::Broken));
+    assert!(matches!(end(&broken), Some(End::Failed { cause: Cause::Aborted, .. })), "{broken:?}");
+    assert_eq!(started(&broken), None);
+    assert!(
+        bench.pass(10_000 * MS).iter().all(|c| !matches!(c, Command::Start { .. } | Command::End { .. }))
+    );
+}
+
+#[test]
+fn a_stream_that_breaks_before_its_first_part_is_tried_again() {
+    let mut bench = Bench::new(&["w1", "w2"], EngineLimits::default());
+    let (_, first) = bench.open(0, true);
+    let one = started(&first).expect("sent");
+    let again = bench.tell(ended(one, Ended::Broken));
+    let two = started(&again).expect("safe calls may be repeated");
+    assert_eq!((one.call, one.number + 1), (two.call, two.number));
+    // The only part is the last one: it is held, so that a break before the end leaves the retry open.
+    assert_eq!(bench.tell(part(two, true)), vec![]);
+    let served = bench.tell(ended(two, Ended::Served));
+    assert!(matches!(end(&served), Some(End::Served { last: Some(_) })));
+}
+
+#[test]
+fn an_unsafe_call_is_repeated_only_after_proof() {
+    for (how, again) in [
+        (Ended::NotWritten, true),
+        (Ended::RefusedStream, true),
+        (Ended::GoneAway, true),
+        (Ended::MarkedFull, true),
+        (Ended::Broken, false),
+        (Ended::Reset, false),
+        (Ended::Status { message: "UNAVAILABLE".into() }, false),
+        (Ended::TimedOut, false),
+    ] {
+        let mut bench = Bench::new(&["w1", "w2"], EngineLimits::default());
+        let (_, first) = bench.open(1, false);
+        let then = bench.tell(ended(started(&first).expect("sent"), how.clone()));
+        assert_eq!(started(&then).is_some(), again, "{how:?}");
+        assert_eq!(matches!(end(&then), Some(End::Failed { .. })), !again, "{how:?}");
+    }
+}
+
+#[test]
+fn silence_ends_before_the_deadline_and_the_late_answer_is_dropped() {
+    let mut bench = Bench::new(&["w1"], EngineLimits::default());
+    let (_, first) = bench.open(1, false);
+    let attempt = started(&first).expect("sent");
+    let began = bench.now;
+    let mut seen = Vec::new();
+    while end(&seen).is_none() {
+        let at = bench.engine.next_timer().expect("a timer stands while a call is open");
+        bench.now = bench.now.max(at);
+        seen.extend(bench.tell(Event::Tick));
+    }
+    assert!(bench.now < began + 4_000 * MS);
+    assert!(matches!(end(&seen), Some(End::Failed { cause: Cause::Deadline, .. })));
+    assert!(seen.contains(&Command::Withdraw { attempt }));
+    assert_eq!(bench.tell(ended(attempt, Ended::Served)), vec![], "deadline and answer in one moment");
+    assert_eq!(bench.engine.counters().backstop, 0, "the module was in time");
+}
+
+#[test]
+fn a_started_stream_ends_at_its_deadline() {
+    let mut bench = Bench::new(&["w1"], EngineLimits::default());
+    let (_, first) = bench.open(0, true);
+    let attempt = started(&first).expect("sent");
+    bench.tell(part(attempt, false));
+    let late = bench.pass(4_000 * MS);
+    assert!(matches!(end(&late), Some(End::Failed { cause: Cause::Deadline, .. })), "{late:?}");
+    assert!(late.contains(&Command::Withdraw { attempt }));
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along() {
+    let mut bench = Bench::new(&["w1"], EngineLimits::default());
+    let (call, first) = bench.open(0, true);
+    let attempt = started(&first).expect("sent");
+    bench.tell(part(attempt, false));
+    let gone = bench.tell(Event::ClientGone { call });
+    assert_eq!(gone, vec![Command::Withdraw { attempt }]);
+    assert_eq!(bench.tell(part(attempt, false)), vec![]);
+    assert_eq!(bench.tell(ended(attempt, Ended::Served)), vec![], "both closed in one moment");
+    assert_eq!(bench.engine.open_calls(), 0);
+}
+
+#[test]
+fn a_slow_client_pauses_its_attempt_alone() {
+    let mut bench = Bench::new(&["w1", "w2"], EngineLimits::default());
+    let (call, first) = bench.open(0, true);
+    bench.open(0, true);
+    let attempt = started(&first).expect("sent");
+    assert_eq!(bench.tell(Event::ClientSlow { call }), vec![Command::Pause { attempt }]);
+    assert_eq!(bench.tell(Event::ClientSlow { call }), vec![]);
+    assert_eq!(bench.tell(Event::ClientReady { call }), vec![Command::Resume { attempt }]);
+}
+
+#[test]
+fn too_many_open_calls_and_an_empty_list_are_refusals_never_silence() {
+    let mut bench = Bench::new(&["w1"], EngineLimits { open_calls: 1, ..EngineLimits::default() });
+    bench.open(0, false);
+    let (_, over) = bench.open(0, false);
+    assert!(matches!(end(&over), Some(End::Refused { why: Refusal::TooManyOpen, .. })));
+    let mut bench = Bench::new(&[], EngineLimits::default());
+    bench.open(1, false);
+    let later = bench.pass(4_000 * MS);
+    assert!(matches!(end(&later), Some(End::Refused { why: Refusal::NoWorker, .. })), "{later:?}");
+}
+
+#[test]
+fn a_call_without_time_left_runs_nowhere() {
+    let mut bench =
+        Bench::new(&["w1"], EngineLimits { answer_margin: 5_000 * MS, ..EngineLimits::default() });
+    let (_, out) = bench.open(1, false);
+    assert!(
+        matches!(out[..], [Command::End { end: End::Failed { cause: Cause::Deadline, .. }, .. }]),
+        "{out:?}"
+    );
+}
+
+#[test]
+fn a_miss_orders_a_copy_and_the_order_ends_once() {
+    let mut settings = settings();
+    settings.loading.when_absent = WhenAbsent::Miss;
+    let mut engine = Engine::new(settings, None, EngineLimits::default(), 7).expect("sound");
+    let mut out = Vec::new();
+    engine.handle(
+        0,
+        Event::Workers { form: ListForm::Complete, members: vec![member("w1", WorkerState::On)] },
+        &mut out,
+    );
+    let mut bench = Bench { engine, now: MS, out: Vec::new() };
+    let (_, first) = bench.open(0, false);
+    let missed = bench.tell(ended(started(&first).expect("sent"), Ended::MarkedMiss));
+    let errand = missed.iter().find_map(|c| match c {
+        Command::Load { errand, model, copies: 1, .. } if &**model == "echo" => Some(*errand),
+        _ => None,
+    });
+    let errand = errand.expect("one copy is ordered");
+    bench.now += 700 * MS;
+    let sent = bench.tell(Event::Loaded { errand, how: Ended::Served, copies: 1 });
+    assert!(started(&sent).is_some());
+    assert_eq!(bench.tell(Event::Loaded { errand, how: Ended::Served, copies: 1 }), vec![]);
+}
+
+#[test]
+fn nothing_goes_to_a_worker_told_draining() {
+    let mut bench = Bench::new(&["w1", "w2"], EngineLimits::default());
+    let members = vec![member("w1", WorkerState::Draining), member("w2", WorkerState::On)];
+    bench.tell(Event::Workers { form: ListForm::Complete, members });
+    let two = bench.engine.worker_id("w2");
+    for _ in 0..20 {
+        for command in bench.open(0, false).1 {
+            if let Command::Start { worker, .. } = command {
+                assert_eq!(worker, two);
+            }
+        }
+    }
+}
+
+/// One step of a random day: what a link or a client may do next.
+#[derive(Clone, Debug)]
+enum Step {
+    Open(usize, bool),
+    Part(usize, bool),
+    End(usize, u8),
+    Gone(usize),
+    List(u8),
+    Pass(u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3usize, any::<bool>()).prop_map(|(c, s)| Step::Open(c, s)),
+        3 => (any::<usize>(), any::<bool>()).prop_map(|(a, l)| Step::Part(a, l)),
+        5 => (any::<usize>(), 0..9u8).prop_map(|(a, h)| Step::End(a, h)),
+        1 => any::<usize>().prop_map(Step::Gone),
+        1 => (0..4u8).prop_map(Step::List),
+        3 => (0..900_000u32).prop_map(Step::Pass),
+    ]
+}
+
+/// What an auditor at the engine's edge knows: nothing but events and commands.
+#[derive(Default)]
+struct Audit {
+    open: BTreeMap<CallId, (usize, Micros)>,
+    ended: BTreeSet<CallId>,
+    out: BTreeMap<AttemptId, bool>,
+    may_have_run: BTreeSet<CallId>,
+}
+
+impl Audit {
+    fn see(&mut self, now: Micros, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Start { attempt, .. } => {
+                    let (class, due) = self.open[&attempt.call];
+                    assert!(now <= due, "sent after the deadline");
+                    assert!(self.out.keys().all(|a| a.call != attempt.call), "attempts overlap");
+                    assert!(class != 1 || !self.may_have_run.contains(&attempt.call), "an effect twice");
+                    self.out.insert(*attempt, false);
+                }
+                Command::Withdraw { attempt } => {
+                    self.out.remove(attempt);
+                    self.may_have_run.insert(attempt.call);
+                }
+                Command::Part { call, .. } => assert!(self.open.contains_key(call), "a part after the end"),
+                Command::End { call, end, .. } => {
+                    let (class, due) = self.open.remove(call).expect("one end a call");
+                    assert!(now <= due, "answered {} us late", now - due);
+                    assert!(self.ended.insert(*call));
+                    let ran = self.may_have_run.contains(call) || self.out.keys().any(|a| a.call == *call);
+                    assert!(
+                        class == 0 || !matches!(end, End::Refused { .. }) || !ran,
+                        "refused what may have run"
+                    );
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+    #[test]
+    fn whatever_comes_each_call_has_one_end_in_time(steps in prop::collection::vec(step(), 1..80)) {
+        let mut bench = Bench::new(&["w1", "w2", "w3"], EngineLimits::default());
+        let mut audit = Audit::default();
+        for step in steps {
+            let out: Vec<AttemptId> = audit.out.keys().copied().collect();
+            match step {
+                Step::Open(class, streamed) => {
+                    // The call's number is known before its first command is looked at.
+                    let (call, commands) = bench.open(class, streamed);
+                    audit.open.insert(call, (class, bench.now + 4_000 * MS));
+                    audit.see(bench.now, &commands);
+                }
+                Step::Part(at, last) if !out.is_empty() => {
+                    let attempt = out[at % out.len()];
+                    let commands = bench.tell(part(attempt, last));
+                    audit.see(bench.now, &commands);
+                }
+                Step::End(at, how) if !out.is_empty() => {
+                    let attempt = out[at % out.len()];
+                    let how = match how {
+                        0..3 => Ended::Served,
+                        3 => Ended::Broken,
+                        4 => Ended::MarkedFull,
+                        5 => Ended::MarkedMiss,
+                        6 => Ended::NotConnected,
+                        7 => Ended::Rejected("shape".into()),
+                        _ => Ended::Status { message: "INTERNAL".into() },
+                    };
+                    audit.out.remove(&attempt);
+                    if !how.never_ran() {
+                        audit.may_have_run.insert(attempt.call);
+                    }
+                    let commands = bench.tell(ended(attempt, how));
+                    audit.see(bench.now, &commands);
+                }
+                Step::Gone(at) if !audit.open.is_empty() => {
+                    let call = *audit.open.keys().nth(at % audit.open.len()).expect("there");
+                    audit.open.remove(&call);
+                    let commands = bench.tell(Event::ClientGone { call });
+                    audit.see(bench.now, &commands);
+                    prop_assert!(audit.out.keys().all(|a| a.call != call), "withdrawn with its client");
+                }
+                Step::List(keep) => {
+                    let members = (1..=keep).map(|n| member(&format!("w{n}"), WorkerState::On)).collect();
+                    let commands = bench.tell(Event::Workers { form: ListForm::Complete, members });
+                    audit.see(bench.now, &commands);
+                }
+                Step::Pass(span) => {
+                    let until = bench.now + Micros::from(span);
+                    while let Some(at) = bench.engine.next_timer().filter(|at| *at <= until) {
+                        bench.now = bench.now.max(at);
+                        let commands = bench.tell(Event::Tick);
+                        audit.see(bench.now, &commands);
+                    }
+                    bench.now = until;
+                }
+                _ => {}
+            }
+        }
+        for _ in 0..10_000 {
+            let Some(at) = bench.engine.next_timer() else { break };
+            if audit.open.is_empty() { break }
+            bench.now = bench.now.max(at);
+            let commands = bench.tell(Event::Tick);
+            audit.see(bench.now, &commands);
+        }
+        prop_assert!(audit.open.is_empty(), "calls without an end: {:?}", audit.open);
+        prop_assert_eq!(bench.engine.open_calls(), 0);
+        prop_assert_eq!(bench.engine.counters().backstop, 0);
+    }
+}
