Settings and worker lists as S-expressions, all errors of a file at once

Operators tell the module's settings and the edge's bounds in one file. Each error names file, line, column, the offending text and the fix; unknown keys get a suggestion; spans and sizes carry units. The annotated example is tested against the reader.

--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,539 @@
+//! A controller's settings file. `examples/nettleferry.sexp` shows every key with its meaning and default.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use nettleferry::{
+    Class, ClassId, Discovery, Effect, Group, Limits, Loading, Micros, Reports, Rules, Settings, Tenant,
+    TenantId, Weights, WhenAbsent,
+};
+
+use crate::form::{Bytes, Errors, Form, Source, TimeSpan, nearest};
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where the gRPC front listens.
+    pub grpc: SocketAddr,
+    /// This controller's zone.
+    pub zone: Option<String>,
+    /// Seed of the module's chance; `None`: from the system at start.
+    pub seed: Option<u64>,
+    /// The worker list's file.
+    pub workers: PathBuf,
+    /// How often the file is looked at.
+    pub workers_check: Micros,
+    /// Where the last list is kept for the next start; `None`: it is not.
+    pub workers_kept: Option<PathBuf>,
+    /// For the decision module. The zone is filled in by the engine.
+    pub settings: Settings,
+    /// Names of the classes, by [`ClassId`].
+    pub classes: Vec<String>,
+    /// Tenants by name.
+    pub tenants: HashMap<String, TenantId>,
+    /// The models.
+    pub models: Models,
+    /// Bounds at the edge.
+    pub edge: Edge,
+}
+
+/// Bounds and spans at the edge; each is told in the settings' page.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Edge {
+    /// Calls open at once.
+    pub open_calls: usize,
+    /// Models remembered by name.
+    pub models: usize,
+    /// An answer is given this long before the client's deadline.
+    pub answer_margin: Micros,
+    /// A probe without an answer ends.
+    pub probe_timeout: Micros,
+    /// Advice in a refusal where the module gives none.
+    pub pushback: Micros,
+    /// Bytes of one message.
+    pub message_bytes: usize,
+    /// Bytes of a header list.
+    pub header_bytes: u32,
+    /// Client connections.
+    pub connections: usize,
+    /// Streams on one client connection.
+    pub streams_per_connection: u32,
+    /// Open calls on one ModelStreamInfer stream.
+    pub calls_per_stream: usize,
+    /// Connections to one worker.
+    pub worker_connections: usize,
+    /// Streams on one connection to a worker.
+    pub worker_streams: usize,
+    /// Bytes queued for one client's stream before its worker is made to wait.
+    pub send_queue: usize,
+    /// Receive window of a stream.
+    pub stream_window: u32,
+    /// Streams reset before they were looked at, on one connection.
+    pub reset_streams: usize,
+    /// A connection without calls is closed.
+    pub idle: Micros,
+    /// An accepted connection must speak HTTP/2 within this span.
+    pub handshake_timeout: Micros,
+    /// At SIGTERM, open calls have this long.
+    pub drain: Micros,
+}
+
+/// A tensor, for ModelMetadata.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tensor {
+    /// Its name.
+    pub name: String,
+    /// Its datatype, as the protocol writes it.
+    pub datatype: String,
+    /// Its shape; -1 is any size.
+    pub shape: Vec<i64>,
+}
+
+/// A model, or all whose names begin alike.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// Its class.
+    pub class: ClassId,
+    /// Calls that one copy runs at once.
+    pub lanes: u32,
+    /// Memory of a copy, bytes.
+    pub memory: Option<u64>,
+    /// Usual time of a load.
+    pub load_time: Option<Micros>,
+    /// Usual work of a call.
+    pub work: Option<Micros>,
+    /// Versions served; empty: any.
+    pub versions: Vec<String>,
+    /// Its platform, for ModelMetadata.
+    pub platform: String,
+    /// Its inputs.
+    pub inputs: Vec<Tensor>,
+    /// Its outputs.
+    pub outputs: Vec<Tensor>,
+}
+
+/// Models by name or by the longest beginning of it.
+#[derive(Clone, Debug, Default)]
+pub struct Models {
+    exact: HashMap<String, Model>,
+    prefixes: HashMap<String, Model>,
+    longest: usize,
+}
+
+impl Models {
+    /// What the settings say of a model; `None`: nothing matches.
+    pub fn find(&self, name: &str) -> Option<&Model> {
+        if let Some(model) = self.exact.get(name) {
+            return Some(model);
+        }
+        // Longest first, and no longer than the longest that is told: the work is bounded by the settings.
+        let most = name.len().min(self.longest);
+        (0..=most).rev().filter_map(|n| name.get(..n)).find_map(|prefix| self.prefixes.get(prefix))
+    }
+}
+
+/// Most classes, models and tenants of a file.
+pub const MOST_CLASSES: usize = 256;
+/// See [`MOST_CLASSES`].
+pub const MOST_MODELS: usize = 100_000;
+/// See [`MOST_CLASSES`].
+pub const MOST_TENANTS: usize = 10_000;
+
+/// Reads a settings file.
+pub fn read(file: &str, text: &str) -> Result<Config, Errors> {
+    let (source, mut top) = Source::open(file, text);
+    let mut listen = top.need("listen");
+    let grpc = listen.as_mut().and_then(|f| f.must("grpc"));
+    listen.map(Form::end);
+    let (me, controllers, zone, seed) = controller(&mut top);
+    let (workers, workers_check, workers_kept) = list(&mut top);
+    let (classes, mut names) = classes(&mut top);
+    let (tenants, tenant_names) = tenants(&mut top);
+    let over_quota_worth = top.or("over-quota-worth", 1.0);
+    let models = models(&mut top, &mut names);
+    let discovery =
+        top.word_or("discovery", &[("push", Discovery::Push), ("ask", Discovery::Ask)], Discovery::Push);
+    let reports = [("none", Reports::None), ("probe", Reports::Probe), ("answers", Reports::Answers)];
+    let reports = top.word_or("reports", &reports, Reports::Answers);
+    let weights = [
+        ("none", Weights::None),
+        ("nominal", Weights::Nominal),
+        ("rough", Weights::Rough),
+        ("live", Weights::Live),
+    ];
+    let weights = top.word_or("weights", &weights, Weights::None);
+    let loading = loading(&mut top);
+    let rules = rules(&mut top);
+    let step = top.span_or("step", 1_000);
+    let (limits, edge) = limits(&mut top);
+    top.end();
+    let settings = Settings {
+        me,
+        controllers,
+        zone: None,
+        classes,
+        tenants,
+        over_quota_worth,
+        discovery,
+        reports,
+        weights,
+        loading,
+        limits,
+        rules,
+        step,
+    };
+    let value = grpc.zip(workers).map(|(grpc, workers)| Config {
+        grpc,
+        zone,
+        seed,
+        workers,
+        workers_check,
+        workers_kept,
+        settings,
+        classes: names.clone(),
+        tenants: tenant_names,
+        models,
+        edge,
+    });
+    source.finish(value)
+}
+
+fn controller(top: &mut Form) -> (u32, u32, Option<String>, Option<u64>) {
+    let mut form = top.group("controller");
+    let (me, of) = (form.or("number", 0), form.or("of", 1u32));
+    if of == 0 {
+        form.fault("(of 0): there is at least this controller");
+    } else if me >= of {
+        form.fault(format!("(number {me}): numbers go from 0 to {}", of - 1));
+    }
+    let (zone, seed) = (form.get("zone"), form.get("seed"));
+    form.end();
+    (me, of, zone, seed)
+}
+
+fn list(top: &mut Form) -> (Option<PathBuf>, Micros, Option<PathBuf>) {
+    let Some(mut form) = top.need("workers") else { return (None, 0, None) };
+    let file: Option<String> = form.must("file");
+    let check = form.span_or("check-every", 200_000);
+    if check < 1_000 {
+        form.fault("(check-every ...): 1ms at the least");
+    }
+    let kept: Option<String> = form.get("kept");
+    form.end();
+    (file.map(PathBuf::from), check.max(1_000), kept.map(PathBuf::from))
+}
+
+fn classes(top: &mut Form) -> (Vec<Class>, Vec<String>) {
+    let (mut classes, mut names) = (Vec::new(), Vec::<String>::new());
+    for mut form in top.all("class") {
+        let name: String = form.want("its name").unwrap_or_default();
+        if names.contains(&name) {
+            form.fault(format!("class {name} stands twice: names are unique"));
+        }
+        let aim = form.must::<TimeSpan>("aim").map_or(1, |s| s.0);
+        let deadline = form.must::<TimeSpan>("deadline").map_or(aim, |s| s.0);
+        if deadline < aim || aim == 0 {
+            form.fault(format!("class {name}: the aim is above zero and not longer than the deadline"));
+        }
+        let late_share = form.or("late-share", 0.0);
+        if late_share > 1.0 {
+            form.fault(format!("class {name}: (late-share ...) is a share, from 0 to 1"));
+        }
+        classes.push(Class {
+            aim,
+            deadline,
+            effect: effect(&mut form).unwrap_or(Effect::Unsafe),
+            worth: form.or("worth", 1.0),
+            late_share,
+            stream: form.or("stream", false),
+        });
+        names.push(name);
+        form.end();
+    }
+    if classes.is_empty() {
+        top.fault("the settings name no (class ...): write at least one, with effect, aim and deadline");
+    } else if classes.len() > MOST_CLASSES {
+        top.fault(format!("{} classes; at most {MOST_CLASSES} are taken", classes.len()));
+    }
+    (classes, names)
+}
+
+fn effect(form: &mut Form) -> Option<Effect> {
+    let mut form = form.need("effect")?;
+    let word = form.word("effect", &[("safe", 0), ("keyed", 1), ("unsafe", 2)])?;
+    let effect = match word {
+        0 => Effect::Safe,
+        1 => {
+            let group = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+            let group = form.word("the group that drops repeats", &group);
+            let window: Option<TimeSpan> = form.want("the window in which repeats are dropped");
+            Effect::Keyed { group: group?, window: window?.0 }
+        }
+        _ => Effect::Unsafe,
+    };
+    form.end();
+    Some(effect)
+}
+
+fn tenants(top: &mut Form) -> (Vec<Tenant>, HashMap<String, TenantId>) {
+    let (mut tenants, mut names) = (Vec::new(), HashMap::new());
+    for mut form in top.all("tenant") {
+        let name: String = form.want("its name").unwrap_or_default();
+        if names.insert(name.clone(), TenantId(tenants.len())).is_some() {
+            form.fault(format!("tenant {name} stands twice: names are unique"));
+        }
+        tenants.push(Tenant { quota_per_s: form.get("quota-per-second") });
+        form.end();
+    }
+    if tenants.len() > MOST_TENANTS {
+        top.fault(format!("{} tenants; at most {MOST_TENANTS} are taken", tenants.len()));
+    }
+    (tenants, names)
+}
+
+fn models(top: &mut Form, classes: &mut [String]) -> Models {
+    let mut models = Models::default();
+    let mut count = 0;
+    for mut form in top.all("model") {
+        count += 1;
+        let name: String = form.want("its name, or the beginning of names and a *").unwrap_or_default();
+        let class: Option<String> = form.must("class");
+        let found = class.as_ref().and_then(|class| classes.iter().position(|c| c == class));
+        if let (Some(class), None) = (&class, found) {
+            let hint = nearest(class, classes.iter().map(String::as_str));
+            form.fault(format!("model {name}: there is no class {class}{hint}"));
+        }
+        let mut versions = Vec::new();
+        if let Some(mut list) = form.sub("versions") {
+            while let Some(version) = list.next() {
+                versions.push(version);
+            }
+            list.end();
+        }
+        let model = Model {
+            class: ClassId(found.unwrap_or(0)),
+            lanes: form.or("lanes", 1u32).max(1),
+            memory: form.get::<Bytes>("memory").map(|b| b.0),
+            load_time: form.get::<TimeSpan>("load-time").map(|s| s.0),
+            work: form.get::<TimeSpan>("work").map(|s| s.0),
+            versions,
+            platform: form.or("platform", "nettleferry".to_owned()),
+            inputs: tensors(&mut form, "input"),
+            outputs: tensors(&mut form, "output"),
+        };
+        let old = match name.strip_suffix('*') {
+            Some(prefix) => {
+                models.longest = models.longest.max(prefix.len());
+                models.prefixes.insert(prefix.to_owned(), model)
+            }
+            None => models.exact.insert(name.clone(), model),
+        };
+        if old.is_some() {
+            form.fault(format!("model {name} stands twice: keep one"));
+        }
+        form.end();
+    }
+    if count == 0 {
+        top.fault("the settings name no (model ...): every call would be NOT_FOUND; write (model \"*\" (class ...))");
+    } else if count > MOST_MODELS {
+        top.fault(format!("{count} models; at most {MOST_MODELS} are taken"));
+    }
+    models
+}
+
+fn tensors(form: &mut Form, key: &'static str) -> Vec<Tensor> {
+    let mut all = Vec::new();
+    for mut tensor in form.all(key) {
+        let name = tensor.want("its name");
+        let datatype = tensor.want("its datatype, such as FP32");
+        let mut shape = Vec::new();
+        while let Some(size) = tensor.next() {
+            shape.push(size);
+        }
+        tensor.end();
+        if let (Some(name), Some(datatype)) = (name, datatype) {
+            all.push(Tensor { name, datatype, shape });
+        }
+    }
+    all
+}
+
+fn loading(top: &mut Form) -> Loading {
+    let mut form = top.group("loading");
+    let absent = [("load", WhenAbsent::Load), ("miss", WhenAbsent::Miss)];
+    let when_absent = form.word_or("when-absent", &absent, WhenAbsent::Load);
+    let (mut window, mut floor, mut share) = (0, 0.0, 0.0);
+    if let Some(mut ration) = form.sub("ration") {
+        window = ration.must::<TimeSpan>("window").map_or(0, |s| s.0);
+        floor = ration.or("floor", 0.0);
+        share = ration.or("share", 0.0);
+        ration.end();
+    }
+    let loading = Loading {
+        when_absent,
+        keep_alive: form.span_or("keep-alive", 8_000_000),
+        orders: form.or("orders", true),
+        order_timeout: form.span_or("order-timeout", 10_000_000),
+        notes: form.or("notes", true),
+        crowd: form.or("crowd", true),
+        ration_window: window,
+        ration_floor: floor,
+        ration_share: share,
+        memory_price: form.or("memory-price", 0.0),
+    };
+    if loading.when_absent == WhenAbsent::Miss && !loading.orders {
+        form.fault("(when-absent miss) with (orders no): no model would ever be loaded");
+    }
+    form.end();
+    loading
+}
+
+fn rules(top: &mut Form) -> Rules {
+    let mut form = top.group("rules");
+    let rules = Rules {
+        // Answers are due before the deadline: see (limits (answer-margin ...)).
+        answer_grace: 0,
+        drain_grace: form.span_or("drain-grace", 500_000),
+        must_ask_in: form.span_or("must-ask-in", 10_000_000),
+        start_capacity: form.or("start-capacity", 1.0),
+        cold: form.span_or("cold", 0),
+        overload_factor: form.or("overload-factor", 1.0),
+        fall: form.span_or("fall", 0),
+    };
+    if rules.start_capacity <= 0.0 || rules.start_capacity > 1.0 {
+        form.fault("(start-capacity ...): a share above 0, at most 1");
+    }
+    form.end();
+    rules
+}
+
+fn limits(top: &mut Form) -> (Limits, Edge) {
+    let mut form = top.group("limits");
+    let mut whole = |key, default: u64, least: u64| {
+        let n = form.or(key, default);
+        if n < least {
+            form.fault(format!("({key} {n}): {least} at the least"));
+        }
+        usize::try_from(n.max(least)).unwrap_or(usize::MAX)
+    };
+    let (attempts, open_calls, models) =
+        (whole("attempts", 3, 1), whole("open-calls", 20_000, 1), whole("models-remembered", 65_536, 1));
+    let (connections, streams) = (whole("connections", 4096, 1), whole("streams-per-connection", 16_384, 1));
+    let (calls, reset) = (whole("calls-per-stream", 1024, 1), whole("reset-streams", 64, 1));
+    let (worker_connections, worker_streams) =
+        (whole("worker-connections", 4, 1), whole("worker-streams", 1000, 1));
+    let mut size = |key, default: u64, least: u64, most: u64| {
+        let n = form.or(key, Bytes(default)).0;
+        if n < least || n > most {
+            form.fault(format!("({key} ...): from {least}B to {most}B"));
+        }
+        n.clamp(least, most)
+    };
+    let message = size("message-size", 64 << 20, 1 << 10, 2 << 30);
+    let header = size("header-size", 16 << 10, 4 << 10, 1 << 20);
+    let queue = size("send-queue", 256 << 10, 16 << 10, 64 << 20);
+    let window = size("stream-window", 1 << 20, 64 << 10, 64 << 20);
+    let limits = Limits {
+        max_attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
+        parallel: false,
+        probes: form.or("probes", true),
+        cancel: true,
+        retry_after: form.get::<TimeSpan>("retry-after").map(|s| s.0),
+        connect_timeout: form.span_or("connect-timeout", 250_000),
+    };
+    let edge = Edge {
+        open_calls,
+        models,
+        answer_margin: form.span_or("answer-margin", 10_000),
+        probe_timeout: form.span_or("probe-timeout", 1_000_000),
+        pushback: form.span_or("pushback", 100_000),
+        message_bytes: message as usize,
+        header_bytes: header as u32,
+        connections,
+        streams_per_connection: u32::try_from(streams).unwrap_or(u32::MAX),
+        calls_per_stream: calls,
+        worker_connections,
+        worker_streams,
+        send_queue: queue as usize,
+        stream_window: window as u32,
+        reset_streams: reset,
+        idle: form.span_or("idle", 30_000_000),
+        handshake_timeout: form.span_or("handshake-timeout", 5_000_000),
+        drain: form.span_or("drain", 30_000_000),
+    };
+    form.end();
+    (limits, edge)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SMALL: &str = "(listen (grpc \"127.0.0.1:0\")) (workers (file \"w.sexp\"))
+        (class c (effect safe) (aim 600ms) (deadline 4s))";
+
+    fn errors(text: &str) -> String {
+        read("n.sexp", text).map(|_| ()).expect_err("wrong").to_string()
+    }
+
+    #[test]
+    fn the_example_is_sound_and_tells_every_setting() {
+        let text = include_str!("../../../examples/nettleferry.sexp");
+        let config = read("examples/nettleferry.sexp", text).unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!(config.classes, ["quick", "keyed", "once"]);
+        assert_eq!(
+            config.settings.classes[1].effect,
+            Effect::Keyed { group: Group::Zone, window: 5_000_000 }
+        );
+        assert_eq!(config.settings.loading.ration_window, 10_000_000);
+        assert_eq!(config.models.find("climb-windhoek").expect("by prefix").lanes, 4);
+    }
+
+    #[test]
+    fn the_longest_beginning_wins() {
+        let text = format!(
+            "{SMALL} (model \"*\" (class c)) (model \"echo-*\" (class c) (lanes 2))
+             (model \"echo-big-*\" (class c) (lanes 3)) (model echo-big-1 (class c) (lanes 4))"
+        );
+        let models = read("n", &text).expect("sound").models;
+        let lanes = |name| models.find(name).expect("all match").lanes;
+        assert_eq!(
+            ["echo-big-1", "echo-big-2", "echo-c", "echo-", "echo", "zebra"].map(lanes),
+            [4, 3, 2, 2, 1, 1]
+        );
+    }
+
+    #[test]
+    fn what_is_missing_is_told_with_the_fix() {
+        let told = errors("");
+        for part in ["lacks (listen ...)", "lacks (workers ...)", "no (class ...)", "no (model ...)"] {
+            assert!(told.contains(part), "{part} in {told}");
+        }
+    }
+
+    #[test]
+    fn a_class_that_is_not_there_gets_a_suggestion() {
+        let told = errors(&format!(
+            "{SMALL} (class credit (effect unsafe) (aim 1s) (deadline 2s)) (model m (class credti))"
+        ));
+        assert!(told.contains("there is no class credti: did you mean credit?"), "{told}");
+    }
+
+    #[test]
+    fn what_can_never_work_is_refused() {
+        let told = errors(&format!(
+            "{SMALL} (model m (class c)) (class d (effect (keyed zone)) (aim 5s) (deadline 4s))
+             (loading (when-absent miss) (orders no)) (controller (number 3) (of 3)) (limits (attempts 0) (idle 30))"
+        ));
+        for part in [
+            "the aim is above zero and not longer",
+            "no model would ever be loaded",
+            "numbers go from 0 to 2",
+            "(attempts 0): 1 at the least",
+            "(idle ...): write a span with its unit",
+        ] {
+            assert!(told.contains(part), "{part} in {told}");
+        }
+    }
+}
