--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -250,7 +250,7 @@
     }
 
     /// The next part that is no list, where there is one.
-    pub fn next<T: Value>(&mut self) -> Option<T> {
+    pub fn take<T: Value>(&mut self) -> Option<T> {
         let at = self.items.iter().position(|item| matches!(item, Some(Node::Atom { .. })))?;
         let node = self.items[at].take()?;
         self.value(&node)
@@ -262,7 +262,7 @@
             self.fault(format!("({} ...) lacks {what}: write {}", self.name, T::WANTED));
             return None;
         }
-        self.next()
+        self.take()
     }
 
     /// The next part as one of several words.
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -145,7 +145,9 @@
     let (source, mut top) = Source::open(file, text);
     let mut listen = top.need("listen");
     let grpc = listen.as_mut().and_then(|f| f.must("grpc"));
-    listen.map(Form::end);
+    if let Some(form) = listen {
+        form.end();
+    }
     let (me, controllers, zone, seed) = controller(&mut top);
     let (workers, workers_check, workers_kept) = list(&mut top);
     let (classes, mut names) = classes(&mut top);
@@ -306,7 +308,7 @@
         }
         let mut versions = Vec::new();
         if let Some(mut list) = form.sub("versions") {
-            while let Some(version) = list.next() {
+            while let Some(version) = list.take() {
                 versions.push(version);
             }
             list.end();
@@ -348,7 +350,7 @@
         let name = tensor.want("its name");
         let datatype = tensor.want("its datatype, such as FP32");
         let mut shape = Vec::new();
-        while let Some(size) = tensor.next() {
+        while let Some(size) = tensor.take() {
             shape.push(size);
         }
         tensor.end();
--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -64,7 +64,7 @@
     }
 
     /// The next whole message. A length over the limit is an error as soon as the prefix is there.
-    pub fn next(&mut self) -> Result<Option<Bytes>, FrameError> {
+    pub fn next_message(&mut self) -> Result<Option<Bytes>, FrameError> {
         if self.buffer.len() < PREFIX {
             return Ok(None);
         }
@@ -143,7 +143,7 @@
             let mut got = Vec::new();
             for part in framed(&messages).chunks(cut) {
                 decoder.push(Bytes::copy_from_slice(part));
-                while let Some(message) = decoder.next().expect("sound") {
+                while let Some(message) = decoder.next_message().expect("sound") {
                     got.push(message.to_vec());
                 }
             }
@@ -155,7 +155,7 @@
         fn noise_never_panics(noise in prop::collection::vec(any::<u8>(), 0..300)) {
             let mut decoder = Decoder::new(64, true);
             decoder.push(noise.into());
-            while let Ok(Some(_)) = decoder.next() {}
+            while let Ok(Some(_)) = decoder.next_message() {}
         }
     }
 
@@ -163,7 +163,7 @@
     fn a_gigabyte_is_refused_by_its_prefix_alone() {
         let mut decoder = Decoder::new(1 << 20, false);
         decoder.push(Bytes::from_static(&[0, 0x40, 0, 0, 0]));
-        assert_eq!(decoder.next(), Err(FrameError::TooLarge { got: 1 << 30, most: 1 << 20 }));
+        assert_eq!(decoder.next_message(), Err(FrameError::TooLarge { got: 1 << 30, most: 1 << 20 }));
     }
 
     #[test]
@@ -179,19 +179,19 @@
         };
         let mut decoder = Decoder::new(4096, true);
         decoder.push(pack(b"tensor"));
-        assert_eq!(decoder.next(), Ok(Some(Bytes::from_static(b"tensor"))));
+        assert_eq!(decoder.next_message(), Ok(Some(Bytes::from_static(b"tensor"))));
         decoder.push(pack(&vec![0; 1 << 20]));
-        assert_eq!(decoder.next(), Err(FrameError::TooLarge { got: 4097, most: 4096 }));
+        assert_eq!(decoder.next_message(), Err(FrameError::TooLarge { got: 4097, most: 4096 }));
         let mut strict = Decoder::new(4096, false);
         strict.push(pack(b"x"));
-        assert_eq!(strict.next(), Err(FrameError::NoEncoding));
+        assert_eq!(strict.next_message(), Err(FrameError::NoEncoding));
     }
 
     #[test]
     fn a_stream_that_ends_inside_a_message_says_so() {
         let mut decoder = Decoder::new(100, false);
         decoder.push(Bytes::from_static(&[0, 0, 0, 0, 9, 1, 2]));
-        assert_eq!(decoder.next(), Ok(None));
+        assert_eq!(decoder.next_message(), Ok(None));
         assert_eq!(decoder.end(), Err(FrameError::CutShort(7)));
     }
 }
--- a/crates/net/src/hub/mod.rs
+++ b/crates/net/src/hub/mod.rs
@@ -285,6 +285,11 @@
         self.conns.len()
     }
 
+    /// Accepted connections that stand.
+    pub fn accepted_connections(&self) -> usize {
+        self.conns.iter().filter(|(_, c)| c.listener.is_some()).count()
+    }
+
     /// Streams that have not ended.
     pub fn open_streams(&self) -> usize {
         self.streams.len()
--- a/crates/net/src/hub/stream.rs
+++ b/crates/net/src/hub/stream.rs
@@ -238,7 +238,7 @@
     ) -> Option<bool> {
         let mut budget = FAIR;
         while self.recv.is_some() && !self.paused {
-            match self.decoder.next() {
+            match self.decoder.next_message() {
                 Ok(Some(payload)) => {
                     out.push(NetEvent::Message { stream: self.key, payload });
                     budget -= 1;
--- a/crates/net/src/wake.rs
+++ b/crates/net/src/wake.rs
@@ -11,9 +11,15 @@
 }
 
 #[derive(Default)]
-pub(crate) struct DueQueue {
+struct Queues {
     // Streams are polled before connections, so that what they queue leaves in one write.
-    queues: Mutex<(Vec<Arc<Slot>>, Vec<Arc<Slot>>)>,
+    streams: Vec<Arc<Slot>>,
+    conns: Vec<Arc<Slot>>,
+}
+
+#[derive(Default)]
+pub(crate) struct DueQueue {
+    queues: Mutex<Queues>,
 }
 
 struct Slot {
@@ -31,15 +37,15 @@
         if !self.queued.swap(true, Ordering::AcqRel) {
             let mut queues = self.queue.lock();
             match self.due {
-                Due::Stream(_) => queues.0.push(Arc::clone(self)),
-                Due::Conn(_) => queues.1.push(Arc::clone(self)),
+                Due::Stream(_) => queues.streams.push(Arc::clone(self)),
+                Due::Conn(_) => queues.conns.push(Arc::clone(self)),
             }
         }
     }
 }
 
 impl DueQueue {
-    fn lock(&self) -> MutexGuard<'_, (Vec<Arc<Slot>>, Vec<Arc<Slot>>)> {
+    fn lock(&self) -> MutexGuard<'_, Queues> {
         // Nothing that holds the lock can leave the vectors half changed.
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -52,7 +58,7 @@
     pub(crate) fn take(&self, into: &mut Vec<Due>) {
         let taken = {
             let mut queues = self.lock();
-            let part = if queues.0.is_empty() { &mut queues.1 } else { &mut queues.0 };
+            let part = if queues.streams.is_empty() { &mut queues.conns } else { &mut queues.streams };
             std::mem::take(part)
         };
         for slot in taken {
@@ -63,6 +69,6 @@
 
     pub(crate) fn is_empty(&self) -> bool {
         let queues = self.lock();
-        queues.0.is_empty() && queues.1.is_empty()
+        queues.streams.is_empty() && queues.conns.is_empty()
     }
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -72,6 +72,28 @@
     pub const LOADS: &str = "nettleferry.loads";
 }
 
+/// Marks of ours in headers and trailers.
+pub mod marks {
+    /// Trailer of a worker that proves that the call never ran: [`FULL`], [`MISS`] or [`LOAD_FAILED`].
+    pub const NEVER_RAN: &str = "nettleferry-never-ran";
+    /// Turned away unseen.
+    pub const FULL: &str = "full";
+    /// The model is not loaded and no load is under way.
+    pub const MISS: &str = "miss";
+    /// The load that the call waited for failed.
+    pub const LOAD_FAILED: &str = "load-failed";
+    /// Header to workers: the controller's number.
+    pub const CONTROLLER: &str = "nettleferry-controller";
+    /// Header to workers: the number of the attempt, from 0.
+    pub const ATTEMPT: &str = "nettleferry-attempt";
+    /// Header of clients: the tenant.
+    pub const TENANT: &str = "nettleferry-tenant";
+    /// Header of clients: a stream's first failing call ends it with its status.
+    pub const GRPC_ERROR: &str = "triton_grpc_error";
+    /// Parameter of load orders: memory of a copy, bytes (int64).
+    pub const MEMORY: &str = "memory_bytes";
+}
+
 /// google.rpc error details.
 pub mod rpc {
     include!(concat!(env!("OUT_DIR"), "/google.rpc.rs"));
--- /dev/null
+++ b/crates/standin/src/models.rs
@@ -0,0 +1,230 @@
+//! What the stand-in's models answer. `echo` and `echo-*` give the tensors back; `climb` and `climb-*` give
+//! the rises and falls of a height profile, segment by segment.
+
+use bytes::Bytes;
+use nettleferry_proto::inference::model_infer_response::InferOutputTensor;
+use nettleferry_proto::inference::{
+    FINAL, InferParameter, InferTensorContents, ModelInferRequest, ModelInferResponse,
+};
+
+/// A request that the model can't work on: the caller's mistake.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadInput {
+    /// No such model here.
+    #[error("there is no model {0}: the names are echo, echo-*, climb and climb-*")]
+    NoModel(String),
+    /// `climb` lacks its input.
+    #[error("climb wants the input HEIGHT, FP32, one dimension, at least two values")]
+    NoHeight,
+    /// The shape and the content differ.
+    #[error("HEIGHT has {got} values, but its shape says {told}")]
+    Length {
+        /// Values given.
+        got: usize,
+        /// Values told.
+        told: i64,
+    },
+    /// `segments` is out of range.
+    #[error("segments is a whole number from 1 to the number of steps, {most}; given: {got}")]
+    Segments {
+        /// Given.
+        got: i64,
+        /// Steps.
+        most: usize,
+    },
+}
+
+/// An answer in parts; a call that is not streamed gets them as one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The tensors as they came.
+    Echo(Box<ModelInferResponse>),
+    /// Rise and fall of each segment.
+    Climb {
+        /// The model's name.
+        model: String,
+        /// The call's id.
+        id: String,
+        /// Rise and fall.
+        segments: Vec<(f32, f32)>,
+    },
+}
+
+/// Works an answer out.
+pub fn answer(request: &ModelInferRequest) -> Result<Answer, BadInput> {
+    let name = request.model_name.as_str();
+    if name == "echo" || name.starts_with("echo-") {
+        Ok(Answer::Echo(Box::new(echo(request))))
+    } else if name == "climb" || name.starts_with("climb-") {
+        climb(request)
+    } else {
+        Err(BadInput::NoModel(name.to_owned()))
+    }
+}
+
+/// Is there a model of this name?
+pub fn exists(name: &str) -> bool {
+    ["echo", "climb"]
+        .iter()
+        .any(|m| name.strip_prefix(m).is_some_and(|rest| rest.is_empty() || rest.starts_with('-')))
+}
+
+fn echo(request: &ModelInferRequest) -> ModelInferResponse {
+    let outputs = request.inputs.iter().map(|input| InferOutputTensor {
+        name: input.name.clone(),
+        datatype: input.datatype.clone(),
+        shape: input.shape.clone(),
+        parameters: input.parameters.clone(),
+        contents: input.contents.clone(),
+    });
+    ModelInferResponse {
+        model_name: request.model_name.clone(),
+        model_version: request.model_version.clone(),
+        id: request.id.clone(),
+        parameters: Default::default(),
+        outputs: outputs.collect(),
+        raw_output_contents: request.raw_input_contents.clone(),
+    }
+}
+
+fn climb(request: &ModelInferRequest) -> Result<Answer, BadInput> {
+    let at =
+        request.inputs.iter().position(|i| i.name == "HEIGHT" && i.datatype == "FP32" && i.shape.len() == 1);
+    let at = at.ok_or(BadInput::NoHeight)?;
+    let input = &request.inputs[at];
+    let heights: Vec<f32> = match request.raw_input_contents.get(at) {
+        Some(raw) => raw.chunks_exact(4).map(|b| f32::from_le_bytes([b[0], b[1], b[2], b[3]])).collect(),
+        None => input.contents.as_ref().map(|c| c.fp32_contents.clone()).unwrap_or_default(),
+    };
+    if heights.len() as i64 != input.shape[0] {
+        return Err(BadInput::Length { got: heights.len(), told: input.shape[0] });
+    }
+    let steps = heights.len().checked_sub(1).filter(|n| *n > 0).ok_or(BadInput::NoHeight)?;
+    let wanted = request.parameters.get("segments").map_or(Some(1), InferParameter::int64).unwrap_or(0);
+    let segments = usize::try_from(wanted).ok().filter(|n| (1..=steps).contains(n));
+    let segments = segments.ok_or(BadInput::Segments { got: wanted, most: steps })?;
+    let (each, longer) = (steps / segments, steps % segments);
+    let mut from = 0;
+    let sums = (0..segments).map(|n| {
+        let length = each + usize::from(n < longer);
+        let part = &heights[from..=from + length];
+        from += length;
+        part.windows(2).fold((0.0f32, 0.0f32), |(up, down), pair| {
+            let rise = pair[1] - pair[0];
+            if rise > 0.0 { (up + rise, down) } else { (up, down - rise) }
+        })
+    });
+    Ok(Answer::Climb { model: request.model_name.clone(), id: request.id.clone(), segments: sums.collect() })
+}
+
+impl Answer {
+    /// In how many parts it is streamed.
+    pub fn parts(&self) -> usize {
+        match self {
+            Self::Echo(_) => 1,
+            Self::Climb { segments, .. } => segments.len(),
+        }
+    }
+
+    /// One part; the last has the final mark.
+    pub fn part(&self, n: usize) -> ModelInferResponse {
+        let mut response = match self {
+            Self::Echo(whole) => (**whole).clone(),
+            Self::Climb { model, id, segments } => {
+                let pair = segments.get(n..=n).unwrap_or_default();
+                climbed(model, id, pair)
+            }
+        };
+        response.parameters.insert(FINAL.to_owned(), (n + 1 == self.parts()).into());
+        response
+    }
+
+    /// The whole as one.
+    pub fn whole(&self) -> ModelInferResponse {
+        match self {
+            Self::Echo(whole) => (**whole).clone(),
+            Self::Climb { model, id, segments } => climbed(model, id, segments),
+        }
+    }
+}
+
+fn climbed(model: &str, id: &str, segments: &[(f32, f32)]) -> ModelInferResponse {
+    let tensor = |name: &str, values: Vec<f32>| InferOutputTensor {
+        name: name.to_owned(),
+        datatype: "FP32".to_owned(),
+        shape: vec![values.len() as i64],
+        parameters: Default::default(),
+        contents: Some(InferTensorContents { fp32_contents: values, ..Default::default() }),
+    };
+    ModelInferResponse {
+        model_name: model.to_owned(),
+        model_version: String::new(),
+        id: id.to_owned(),
+        parameters: Default::default(),
+        outputs: vec![
+            tensor("ASCENT", segments.iter().map(|s| s.0).collect()),
+            tensor("DESCENT", segments.iter().map(|s| s.1).collect()),
+        ],
+        raw_output_contents: Vec::new(),
+    }
+}
+
+/// A `climb` request, for clients and tests.
+pub fn climb_request(model: &str, id: &str, heights: &[f32], segments: i64) -> ModelInferRequest {
+    use nettleferry_proto::inference::model_infer_request::InferInputTensor;
+    ModelInferRequest {
+        model_name: model.to_owned(),
+        id: id.to_owned(),
+        parameters: [("segments".to_owned(), segments.into())].into(),
+        inputs: vec![InferInputTensor {
+            name: "HEIGHT".to_owned(),
+            datatype: "FP32".to_owned(),
+            shape: vec![heights.len() as i64],
+            ..Default::default()
+        }],
+        raw_input_contents: vec![Bytes::from(
+            heights.iter().flat_map(|h| h.to_le_bytes()).collect::<Vec<u8>>(),
+        )],
+        ..Default::default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn longer_segments_come_first_and_sums_are_per_segment() {
+        let heights = [0.0, 1.0, 3.0, 2.0, 2.5, 0.5, 1.0, 9.0];
+        let answer = answer(&climb_request("climb-x", "7", &heights, 3)).expect("sound");
+        // 7 steps: 3, 2, 2.
+        let Answer::Climb { segments, .. } = &answer else { panic!("climb") };
+        assert_eq!(segments, &[(3.0, 1.0), (0.5, 2.0), (8.5, 0.0)]);
+        assert_eq!(answer.part(0).parameters[FINAL].truth(), Some(false));
+        assert_eq!(answer.part(2).parameters[FINAL].truth(), Some(true));
+        assert_eq!(answer.whole().outputs[0].shape, [3]);
+    }
+
+    #[test]
+    fn typed_and_raw_heights_are_alike() {
+        let mut typed = climb_request("climb", "", &[1.0, 2.0], 1);
+        let raw = answer(&typed);
+        typed.raw_input_contents.clear();
+        typed.inputs[0].contents =
+            Some(InferTensorContents { fp32_contents: vec![1.0, 2.0], ..Default::default() });
+        assert_eq!(answer(&typed), raw);
+    }
+
+    #[test]
+    fn mistakes_are_told() {
+        let of = |heights: &[f32], n| answer(&climb_request("climb", "", heights, n)).expect_err("wrong");
+        assert_eq!(of(&[1.0, 2.0], 2), BadInput::Segments { got: 2, most: 1 });
+        assert_eq!(of(&[1.0, 2.0], 0), BadInput::Segments { got: 0, most: 1 });
+        assert_eq!(of(&[1.0], 1), BadInput::NoHeight);
+        let mut short = climb_request("climb", "", &[1.0, 2.0], 1);
+        short.inputs[0].shape = vec![i64::MAX];
+        assert_eq!(answer(&short), Err(BadInput::Length { got: 2, told: i64::MAX }));
+        assert!(matches!(answer(&ModelInferRequest::default()), Err(BadInput::NoModel(_))));
+        assert!(exists("echo-a") && !exists("echoes"));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/spec.rs
@@ -0,0 +1,174 @@
+//! A stand-in worker's description. As text:
+//!
+//! ```text
+//! (listen "127.0.0.1:9001")
+//! (cores 2) (memory 8GiB) (queue 64) (loads-at-once 4) (keep-alive 8s)
+//! (when-absent load) (own-copies yes)
+//! (cold 5s (start-capacity 0.2) (overload-factor 2) (fall 1s))
+//! (model echo-* (lanes 2) (memory 1GiB) (load-time 300ms) (fetch-share 0.6) (work 20ms))
+//! ```
+
+use std::net::SocketAddr;
+
+use nettleferry_config::form::{Bytes, Errors, Form, Source, TimeSpan};
+
+use crate::store::Micros;
+
+/// What a worker is.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Its cores.
+    pub cores: f64,
+    /// Bytes of memory for copies.
+    pub memory: u64,
+    /// Calls that may wait.
+    pub queue: usize,
+    /// Loads at once.
+    pub loads_at_once: usize,
+    /// An idle copy is unloaded after this span.
+    pub keep_alive: Micros,
+    /// A call of an absent model begins a load; else it is a miss.
+    pub load_when_absent: bool,
+    /// It starts a further copy by itself when all lanes of a model are taken.
+    pub own_copies: bool,
+    /// It is warm after this span.
+    pub cold: Micros,
+    /// Share of its capacity at its start.
+    pub start_capacity: f64,
+    /// Sent more than this multiple of its capacity ...
+    pub overload_factor: f64,
+    /// ... over this span while cold, it falls over and stays down.
+    pub fall: Micros,
+    /// Models by the beginning of their names; the longest wins.
+    pub models: Vec<ModelSpec>,
+}
+
+/// What a model needs there.
+#[derive(Clone, Debug)]
+pub struct ModelSpec {
+    /// The beginning of its name.
+    pub prefix: String,
+    /// Calls that one copy runs at once.
+    pub lanes: u32,
+    /// Bytes of a copy.
+    pub memory: u64,
+    /// A load alone.
+    pub load_time: Micros,
+    /// Share of it that is the fetch from the store.
+    pub fetch_share: f64,
+    /// Work of a call on a core.
+    pub work: Micros,
+}
+
+impl Default for Spec {
+    fn default() -> Self {
+        Self {
+            cores: 4.0,
+            memory: 8 << 30,
+            queue: 256,
+            loads_at_once: 4,
+            keep_alive: 8_000_000,
+            load_when_absent: true,
+            own_copies: true,
+            cold: 0,
+            start_capacity: 1.0,
+            overload_factor: 2.0,
+            fall: 1_000_000,
+            models: vec![ModelSpec::any()],
+        }
+    }
+}
+
+impl ModelSpec {
+    /// Any model.
+    pub fn any() -> Self {
+        Self {
+            prefix: String::new(),
+            lanes: 2,
+            memory: 512 << 20,
+            load_time: 200_000,
+            fetch_share: 0.6,
+            work: 5_000,
+        }
+    }
+}
+
+impl Spec {
+    /// What it says of a model.
+    pub fn model(&self, name: &str) -> ModelSpec {
+        let best = self.models.iter().filter(|m| name.starts_with(&m.prefix)).max_by_key(|m| m.prefix.len());
+        best.cloned().unwrap_or_else(ModelSpec::any)
+    }
+
+    /// Reads the keys of a worker from a form; keys it lacks keep their defaults.
+    pub fn read(form: &mut Form) -> Self {
+        let base = Self::default();
+        let mut spec = Self {
+            cores: form.or("cores", base.cores).max(0.01),
+            memory: form.or("memory", Bytes(base.memory)).0,
+            queue: form.or("queue", base.queue as u64) as usize,
+            loads_at_once: (form.or("loads-at-once", base.loads_at_once as u64) as usize).max(1),
+            keep_alive: form.span_or("keep-alive", base.keep_alive),
+            load_when_absent: form.word_or("when-absent", &[("load", true), ("miss", false)], true),
+            own_copies: form.or("own-copies", true),
+            ..base
+        };
+        if let Some(mut cold) = form.sub("cold") {
+            spec.cold = cold.want::<TimeSpan>("how long it is cold").map_or(0, |s| s.0);
+            spec.start_capacity = cold.or("start-capacity", 0.2).clamp(0.01, 1.0);
+            spec.overload_factor = cold.or("overload-factor", 2.0);
+            spec.fall = cold.span_or("fall", spec.fall);
+            cold.end();
+        }
+        let models = form.all("model");
+        if !models.is_empty() {
+            spec.models = models.into_iter().map(model).collect();
+        }
+        spec
+    }
+}
+
+fn model(mut form: Form) -> ModelSpec {
+    let base = ModelSpec::any();
+    let name: String = form.want("the beginning of its names and a *").unwrap_or_default();
+    let fetch_share = form.or("fetch-share", base.fetch_share);
+    if fetch_share > 1.0 {
+        form.fault("(fetch-share ...) is a share, from 0 to 1");
+    }
+    let spec = ModelSpec {
+        prefix: name.trim_end_matches('*').to_owned(),
+        lanes: form.or("lanes", base.lanes).max(1),
+        memory: form.or("memory", Bytes(base.memory)).0,
+        load_time: form.span_or("load-time", base.load_time),
+        fetch_share: fetch_share.min(1.0),
+        work: form.span_or("work", base.work),
+    };
+    form.end();
+    spec
+}
+
+/// Reads a file for one worker: where it listens, and what it is.
+pub fn read_file(file: &str, text: &str) -> Result<(SocketAddr, Spec), Errors> {
+    let (source, mut top) = Source::open(file, text);
+    let listen = top.must("listen");
+    let spec = Spec::read(&mut top);
+    top.end();
+    source.finish(listen.map(|listen| (listen, spec)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_file_is_read_with_its_units() {
+        let text = "(listen \"127.0.0.1:0\") (cores 2) (cold 5s (start-capacity 0.3)) (model echo-* (lanes 3) (work 20ms))";
+        let (_, spec) = read_file("w.sexp", text).expect("sound");
+        assert_eq!(
+            (spec.cold, spec.model("echo-1").lanes, spec.model("echo-1").work),
+            (5_000_000, 3, 20_000)
+        );
+        assert_eq!(spec.model("climb").lanes, ModelSpec::any().lanes);
+        assert!(read_file("w.sexp", "(listen 9001)").is_err());
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,67 @@
+//! The model store that all workers share: it slows when crowded and refuses past a limit.
+
+/// Microseconds.
+pub type Micros = u64;
+
+/// A store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Fetches that run at full speed; beyond them each is slowed in proportion.
+    pub at_speed: u32,
+    /// Fetches at once; one more is refused.
+    pub most: u32,
+    /// All fetches take this many times as long: a slow store.
+    pub slowness: f64,
+    running: u32,
+    /// Fetches refused.
+    pub refused: u64,
+    /// Fetches begun.
+    pub begun: u64,
+}
+
+impl Store {
+    /// A store that is not slow.
+    pub fn new(at_speed: u32, most: u32) -> Self {
+        Self { at_speed: at_speed.max(1), most: most.max(1), slowness: 1.0, running: 0, refused: 0, begun: 0 }
+    }
+
+    /// Begins a fetch that would take `alone` by itself: how long it takes now. `None`: refused.
+    pub fn begin(&mut self, alone: Micros) -> Option<Micros> {
+        if self.running >= self.most {
+            self.refused += 1;
+            return None;
+        }
+        self.running += 1;
+        self.begun += 1;
+        let crowd = (f64::from(self.running) / f64::from(self.at_speed)).max(1.0);
+        Some((alone as f64 * crowd * self.slowness) as Micros)
+    }
+
+    /// A fetch has ended, or its worker died.
+    pub fn end(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self::new(8, 32)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_crowd_slows_it_and_a_limit_refuses() {
+        let mut store = Store::new(2, 3);
+        assert_eq!((store.begin(100), store.begin(100)), (Some(100), Some(100)));
+        assert_eq!(store.begin(100), Some(150));
+        assert_eq!(store.begin(100), None);
+        store.end();
+        store.slowness = 4.0;
+        assert_eq!(store.begin(100), Some(600));
+        assert_eq!((store.begun, store.refused), (4, 1));
+    }
+}
