The running controller: gRPC front, worker links, list file; serve, demo, call, load, worker

The decision module becomes a program. One thread polls clients and workers; the engine stands between and each end of an attempt becomes an Outcome in one table.

--- /dev/null
+++ b/crates/gateway/src/commands/mod.rs
@@ -0,0 +1,118 @@
+//! The command line. Exit codes: 0 done; 1 a rule broke (`day`) or the call was not served (`call`); 2 the
+//! command line is wrong; 3 a file can't be read or is not sound; 4 the system refused something (an address,
+//! a thread, a process); 130 stopped at once by a second signal or with calls still open.
+
+mod call;
+mod demo;
+mod load;
+mod serve;
+mod worker;
+
+use std::path::{Path, PathBuf};
+
+use clap::{Parser, Subcommand};
+
+use crate::controller::ControllerError;
+use crate::logs::Logs;
+
+/// A gateway that sends inference calls to workers which load models on demand.
+#[derive(Parser)]
+#[command(
+    name = "nettleferry",
+    version,
+    propagate_version = true,
+    after_help = "Exit codes: 0 done; 1 a rule broke (day) or the call was not served (call); 2 wrong command line; 3 a \
+                  file can't be read or is not sound; 4 the system refused something; 130 stopped at once with calls open."
+)]
+pub struct Arguments {
+    #[command(flatten)]
+    pub logs: Logs,
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Start a controller with six stand-in workers, to try it
+    Demo(demo::Demo),
+    /// Run a controller
+    Serve(serve::Serve),
+    /// Check a settings file and say all that is wrong with it
+    Check(serve::Check),
+    /// Make one inference call
+    Call(call::Call),
+    /// Measure: closed-loop load, through a gateway and straight to a worker side by side
+    Load(load::Load),
+    /// Run one stand-in worker
+    Worker(worker::WorkerCommand),
+}
+
+/// Why a command ended without success.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// A file can't be read.
+    #[error("can't read {}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A file is not sound.
+    #[error("{0}")]
+    Unsound(nettleferry_config::Errors),
+    /// The controller failed.
+    #[error("{0}")]
+    Controller(#[from] ControllerError),
+    /// The system refused something.
+    #[error("{what}: {source}")]
+    System {
+        /// What was tried.
+        what: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Words that clap can't judge.
+    #[error("{0}")]
+    Usage(String),
+}
+
+impl CommandError {
+    /// The exit code.
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::Usage(_) => 2,
+            Self::Read { .. } | Self::Unsound(_) => 3,
+            Self::Controller(ControllerError::Settings(_)) => 3,
+            Self::Controller(_) | Self::System { .. } => 4,
+        }
+    }
+
+    fn system(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> Self {
+        let what = what.into();
+        move |source| Self::System { what, source }
+    }
+}
+
+/// Runs a command and gives its exit code.
+pub fn run(command: Command) -> Result<u8, CommandError> {
+    match command {
+        Command::Demo(demo) => demo.run(),
+        Command::Serve(serve) => serve.run(),
+        Command::Check(check) => check.run(),
+        Command::Call(call) => call.run(),
+        Command::Load(load) => load.run(),
+        Command::Worker(worker) => worker.run(),
+    }
+}
+
+fn read(path: &Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(path).map_err(|source| CommandError::Read { path: path.to_owned(), source })
+}
+
+/// Prints a line that others wait for: written out at once.
+fn announce(line: &str) -> Result<(), CommandError> {
+    use std::io::Write;
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{line}").and_then(|()| out.flush()).map_err(CommandError::system("standard output"))
+}
--- /dev/null
+++ b/crates/gateway/src/commands/serve.rs
@@ -0,0 +1,65 @@
+//! `serve` and `check`.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use clap::Args;
+use nettleferry_config::{Config, settings};
+
+use super::{CommandError, announce, read};
+use crate::controller::{Controller, Stopped};
+
+/// Run a controller.
+#[derive(Args)]
+pub struct Serve {
+    /// Settings file; examples/nettleferry.sexp shows every key
+    file: PathBuf,
+    /// Listen here instead of where the settings say
+    #[arg(long, value_name = "ADDR:PORT")]
+    listen: Option<SocketAddr>,
+}
+
+/// Check a settings file and say all that is wrong with it.
+#[derive(Args)]
+pub struct Check {
+    /// Settings file
+    file: PathBuf,
+}
+
+/// Reads settings; files they name are beside them.
+pub fn settings(path: &Path) -> Result<Config, CommandError> {
+    let text = read(path)?;
+    let mut config = settings::read(&path.display().to_string(), &text).map_err(CommandError::Unsound)?;
+    let beside = path.parent().unwrap_or(Path::new(""));
+    config.workers = beside.join(&config.workers);
+    config.workers_kept = config.workers_kept.map(|kept| beside.join(kept));
+    Ok(config)
+}
+
+impl Serve {
+    pub fn run(self) -> Result<u8, CommandError> {
+        let mut config = settings(&self.file)?;
+        if let Some(listen) = self.listen {
+            config.grpc = listen;
+        }
+        run(config)
+    }
+}
+
+/// Runs a controller until a signal stops it.
+pub fn run(config: Config) -> Result<u8, CommandError> {
+    let mut controller = Controller::new(config, true)?;
+    announce(&format!("listening grpc {}", controller.local()))?;
+    Ok(match controller.run()? {
+        Stopped::Clean => 0,
+        Stopped::AtOnce => 130,
+    })
+}
+
+impl Check {
+    pub fn run(self) -> Result<u8, CommandError> {
+        let config = settings(&self.file)?;
+        announce(&format!("{}: sound; {} classes", self.file.display(), config.classes.len()))?;
+        Ok(0)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/controller.rs
@@ -0,0 +1,325 @@
+//! The running controller: one thread, one reactor; events in at the edge, the engine in the middle, commands
+//! out at the edge. Nothing is decided here.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mio::Interest;
+use nettleferry::{Micros, WorkerState};
+use nettleferry_config::{Config, Worker};
+use nettleferry_engine::{Command, Engine, EngineLimits, Event};
+use nettleferry_net::{Hub, NetEvent, NetLimits};
+use signal_hook_mio::v1_0::Signals;
+use tracing::{debug, info, warn};
+
+use crate::clock::Clock;
+use crate::front::{Around, Front};
+use crate::links::{LinkLimits, Links};
+use crate::list::{ListFile, News, members};
+
+/// Why a controller could not start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum ControllerError {
+    /// The module does not take the settings.
+    #[error("the settings can't work: {0}")]
+    Settings(#[from] nettleferry::SettingsError),
+    /// The front's address can't be had.
+    #[error("can't listen on {address}: {source}; is another process there?")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The reactor failed.
+    #[error("the reactor failed: {0}")]
+    Io(#[from] io::Error),
+}
+
+/// How a controller ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// All open calls had their answers.
+    Clean,
+    /// A second signal, or the drain's time ran out with calls open.
+    AtOnce,
+}
+
+/// A controller.
+pub struct Controller {
+    config: Arc<Config>,
+    clock: Clock,
+    hub: Hub,
+    engine: Engine,
+    front: Front,
+    links: Links,
+    list: ListFile,
+    signals: Option<Signals>,
+    commands: Vec<Command>,
+    local: SocketAddr,
+    /// Set at the first signal: when open calls must have ended.
+    draining: Option<Micros>,
+}
+
+const SIGNALS: usize = 0;
+/// A drain whose calls have all ended waits so long for clients to read and close.
+const LAST_WORDS: Micros = 500_000;
+
+impl Controller {
+    /// Listens, with the last list restored. `signals`: SIGTERM and SIGINT drain it.
+    pub fn new(config: Config, signals: bool) -> Result<Self, ControllerError> {
+        let edge = &config.edge;
+        let mut hub = Hub::new(NetLimits {
+            connections: edge.connections,
+            streams_per_connection: edge.streams_per_connection,
+            message_bytes: edge.message_bytes,
+            header_bytes: edge.header_bytes,
+            stream_window: edge.stream_window,
+            send_queue_bytes: edge.send_queue,
+            reset_streams: edge.reset_streams,
+            connect_timeout: Duration::from_micros(config.settings.limits.connect_timeout),
+            handshake_timeout: Duration::from_micros(edge.handshake_timeout),
+            idle: Duration::from_micros(edge.idle),
+            ..NetLimits::default()
+        })?;
+        let limits = EngineLimits {
+            open_calls: edge.open_calls,
+            models: edge.models,
+            answer_margin: edge.answer_margin,
+            probe_timeout: edge.probe_timeout,
+        };
+        let seed = config.seed.unwrap_or_else(rand::random);
+        let engine = Engine::new(config.settings.clone(), config.zone.as_deref(), limits, seed)?;
+        let (_, local) = hub
+            .listen(config.grpc)
+            .map_err(|source| ControllerError::Listen { address: config.grpc, source })?;
+        let signals = if signals { Some(watch_signals(&hub)?) } else { None };
+        let links = LinkLimits { connections: edge.worker_connections, streams: edge.worker_streams };
+        let list = ListFile::new(config.workers.clone(), config.workers_kept.clone(), config.workers_check);
+        let config = Arc::new(config);
+        let mut controller = Self {
+            clock: Clock::start(),
+            hub,
+            engine,
+            front: Front::new(Arc::clone(&config)),
+            links: Links::new(links, config.settings.me),
+            list,
+            signals,
+            commands: Vec::new(),
+            local,
+            draining: None,
+            config,
+        };
+        if let Some(news) = controller.list.restored() {
+            controller.listed(news);
+        }
+        Ok(controller)
+    }
+
+    /// Where the front listens.
+    pub fn local(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Runs until told to stop.
+    pub fn run(&mut self) -> Result<Stopped, ControllerError> {
+        let mut events = Vec::new();
+        loop {
+            self.tick();
+            if let Some(stopped) = self.stopped() {
+                self.farewell();
+                return Ok(stopped);
+            }
+            let wait = Duration::from_micros(self.next().saturating_sub(self.clock.now()));
+            self.hub.turn(Some(wait), &mut events)?;
+            for event in events.drain(..) {
+                if matches!(event, NetEvent::Source(SIGNALS)) {
+                    if self.signalled() {
+                        return Ok(Stopped::AtOnce);
+                    }
+                } else {
+                    self.event(event);
+                }
+            }
+        }
+    }
+
+    fn next(&self) -> Micros {
+        let engine = self.engine.next_timer().unwrap_or(Micros::MAX);
+        let drain = self.draining.map_or(Micros::MAX, |until| until.min(self.clock.now() + 20_000));
+        engine.min(self.list.due()).min(drain)
+    }
+
+    /// What is due: engine timers, the list.
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if let Some(news) = self.list.look(now) {
+            self.listed(news);
+        }
+        if self.engine.next_timer().is_some_and(|at| at <= now) {
+            self.engine.handle(now, Event::Tick, &mut self.commands);
+            self.carry_out();
+        }
+    }
+
+    fn event(&mut self, event: NetEvent) {
+        match event {
+            NetEvent::Closed { conn, .. } => self.links.closed(conn),
+            NetEvent::Head { stream, .. }
+            | NetEvent::Message { stream, .. }
+            | NetEvent::Trailers { stream, .. }
+            | NetEvent::Failed { stream, .. }
+                if self.links.owns(stream) =>
+            {
+                if let Some(told) = self.links.event(&mut self.hub, event) {
+                    self.tell(told);
+                }
+            }
+            event => self.at_front(|front, around| front.event(around, event)),
+        }
+        self.carry_out();
+    }
+
+    fn at_front<T>(&mut self, work: impl FnOnce(&mut Front, &mut Around) -> T) -> T {
+        let now = self.clock.now();
+        let mut around =
+            Around { hub: &mut self.hub, engine: &mut self.engine, commands: &mut self.commands, now };
+        work(&mut self.front, &mut around)
+    }
+
+    fn tell(&mut self, told: Event) {
+        if let Event::Ended { attempt, how, .. } = &told
+            && *how != nettleferry_engine::Ended::Served
+            && let Some((worker, model)) = self.engine.describe(*attempt)
+        {
+            debug!(call = attempt.call.0, attempt = attempt.number, %worker, model = %model.name, how = %how.words(), "attempt ended");
+        }
+        self.engine.handle(self.clock.now(), told, &mut self.commands);
+    }
+
+    /// Carries out what the engine commands, until nothing is left.
+    fn carry_out(&mut self) {
+        while !self.commands.is_empty() {
+            for command in std::mem::take(&mut self.commands) {
+                let told = self.act(command);
+                if let Some(told) = told {
+                    self.tell(told);
+                }
+            }
+        }
+    }
+
+    /// Carries out one command. `Some`: it ended at once.
+    fn act(&mut self, command: Command) -> Option<Event> {
+        let hub = &mut self.hub;
+        match command {
+            Command::Start { attempt, worker, streamed, left, body } => {
+                debug!(call = attempt.call.0, attempt = attempt.number, worker = %self.engine.names().worker_name(worker), "attempt");
+                return self.links.start(hub, attempt, worker, streamed, left, body);
+            }
+            Command::Withdraw { attempt } => self.links.withdraw(hub, attempt),
+            Command::Pause { attempt } => self.links.flow(hub, attempt, true),
+            Command::Resume { attempt } => self.links.flow(hub, attempt, false),
+            Command::Part { front, payload, .. } => self.at_front(|f, around| f.part(around, front, payload)),
+            Command::End { call, front, end } => {
+                debug!(call = call.0, ?end, "final answer");
+                self.at_front(|f, around| f.end(around, call, front, end));
+            }
+            Command::Load { errand, worker, model, version, copies } => {
+                debug!(worker = %self.engine.names().worker_name(worker), %model, copies, "load ordered");
+                let memory = self.config.models.find(&model).and_then(|m| m.memory);
+                return self.links.load(hub, errand, worker, (&model, &version, memory), copies);
+            }
+            Command::Unload { worker, model, .. } => self.links.unload(hub, worker, &model),
+            Command::Probe { errand, worker } => return self.links.probe(hub, errand, worker),
+            Command::Forget { errand } => self.links.forget(hub, errand),
+            Command::WatchList | Command::FetchList => self.list.ask(),
+            Command::Log(line) => warn!("{line}"),
+        }
+        None
+    }
+
+    fn listed(&mut self, news: News) {
+        let now = self.clock.now();
+        if news.form == nettleferry::ListForm::Failed {
+            self.engine.handle(
+                now,
+                Event::Workers { form: news.form, members: Vec::new() },
+                &mut self.commands,
+            );
+            return self.carry_out();
+        }
+        let addresses: HashMap<_, _> = news
+            .workers
+            .iter()
+            .filter(|w| w.state != WorkerState::Gone)
+            .map(|w: &Worker| (self.engine.worker_id(&w.name), w.address))
+            .collect();
+        self.links.listed(&addresses);
+        self.front.ready = news.workers.iter().any(|w| w.state == WorkerState::On);
+        let told = Event::Workers { form: news.form, members: members(&news.workers) };
+        self.engine.handle(now, told, &mut self.commands);
+        self.carry_out();
+    }
+
+    // ---- the end ----
+
+    /// A signal came. True: it is not the first, stop at once.
+    fn signalled(&mut self) -> bool {
+        let came = self.signals.as_mut().map_or(0, |s| s.pending().count());
+        for _ in 0..came {
+            if self.draining.is_some() {
+                warn!("second signal: stopped at once");
+                return true;
+            }
+            info!(open_calls = self.engine.open_calls(), "signal: no new calls; open ones get their answers");
+            self.draining = Some(self.clock.now() + self.config.edge.drain);
+            self.hub.stop_listening();
+            self.hub.go_away();
+            self.at_front(|front, around| front.drain(around));
+            self.carry_out();
+        }
+        false
+    }
+
+    fn stopped(&mut self) -> Option<Stopped> {
+        let until = self.draining?;
+        let now = self.clock.now();
+        if self.engine.open_calls() == 0 {
+            if self.hub.accepted_connections() == 0 {
+                return Some(Stopped::Clean);
+            }
+            // All answers are given; clients have a moment to read them and to close.
+            self.draining = Some(until.min(now + LAST_WORDS));
+            return (now >= until).then_some(Stopped::Clean);
+        }
+        (now >= until).then(|| {
+            warn!(open_calls = self.engine.open_calls(), "the drain's time ran out");
+            Stopped::AtOnce
+        })
+    }
+
+    fn farewell(&self) {
+        let (engine, net, front) = (self.engine.counters(), self.hub.counters(), self.front.counters());
+        info!(
+            ?engine,
+            ?net,
+            ?front,
+            no_room = self.links.no_room,
+            lists_refused = self.list.refused,
+            "stopped"
+        );
+    }
+}
+
+fn watch_signals(hub: &Hub) -> io::Result<Signals> {
+    // The numbers are POSIX's; a crate for two constants would be more than they need.
+    const SIGINT: i32 = 2;
+    const SIGTERM: i32 = 15;
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    hub.registry().register(&mut signals, hub.source_token(SIGNALS), Interest::READABLE)?;
+    Ok(signals)
+}
--- /dev/null
+++ b/crates/gateway/src/front/ends.rs
@@ -0,0 +1,148 @@
+//! A call's one final answer in gRPC's words.
+//!
+//! Served: OK. Refused: UNAVAILABLE with `grpc-retry-pushback-ms` (gRFC A6) and `RetryInfo`: another try is
+//! harmless. Failed: ABORTED, INTERNAL or DEADLINE_EXCEEDED with pushback -1 ("do not retry"), since nothing
+//! is promised; never UNAVAILABLE.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue};
+use nettleferry_engine::{Cause, End, Refusal};
+use nettleferry_net::grpc::{Code, Status, write_binary};
+use nettleferry_proto::inference::{FINAL, InferParameter, ModelInferResponse, ModelStreamInferResponse};
+use nettleferry_proto::rpc::status_with_retry;
+use prost::Message;
+
+/// `grpc-retry-pushback-ms`.
+pub const PUSHBACK: &str = "grpc-retry-pushback-ms";
+
+/// An end that is no success, in gRPC's words.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Code and message.
+    pub status: Status,
+    /// Milliseconds to stay away; negative: do not retry; `None`: nothing is said.
+    pub pushback_ms: Option<i64>,
+}
+
+impl Failure {
+    /// A failure of the call itself: nothing is said of retries.
+    pub fn of(code: Code, message: impl Into<String>) -> Self {
+        Self { status: Status::new(code, message), pushback_ms: None }
+    }
+
+    /// Harmless to try again after a while.
+    pub fn refused(message: impl Into<String>, after: Duration) -> Self {
+        let ms = i64::try_from(after.as_millis()).unwrap_or(i64::MAX);
+        Self { status: Status::new(Code::Unavailable, message), pushback_ms: Some(ms) }
+    }
+
+    /// As trailers.
+    pub fn trailers(&self) -> HeaderMap {
+        let mut map = self.status.trailers();
+        if let Some(ms) = self.pushback_ms {
+            map.insert(PUSHBACK, HeaderValue::from(ms));
+            if let Ok(ms) = u64::try_from(ms) {
+                let after = Duration::from_millis(ms);
+                let details = status_with_retry(self.status.code as i32, &self.status.message, after);
+                if let Some(value) = write_binary(&details) {
+                    map.insert("grpc-status-details-bin", value);
+                }
+            }
+        }
+        map
+    }
+
+    /// As one message of a stream: `error_message`, and the call's `id`.
+    pub fn message(&self, id: &str) -> Bytes {
+        let mut response = ModelInferResponse { id: id.to_owned(), ..Default::default() };
+        let text = |s: &str| InferParameter {
+            parameter_choice: Some(
+                nettleferry_proto::inference::infer_parameter::ParameterChoice::StringParam(s.to_owned()),
+            ),
+        };
+        response.parameters.insert(FINAL.to_owned(), true.into());
+        response.parameters.insert("grpc_status".to_owned(), text(self.status.code.name()));
+        if let Some(ms) = self.pushback_ms {
+            response.parameters.insert("grpc_retry_pushback_ms".to_owned(), ms.into());
+        }
+        let error_message = format!("{}: {}", self.status.code.name(), self.status.message);
+        ModelStreamInferResponse { error_message, infer_response: Some(response) }.encode_to_vec().into()
+    }
+}
+
+/// The failure of an end; `None`: it is a success.
+pub fn failure(end: &End, pushback: Duration) -> Option<Failure> {
+    Some(match end {
+        End::Served { .. } => return None,
+        End::Rejected { message } => Failure::of(Code::InvalidArgument, message.clone()),
+        End::Refused { why, retry_after } => {
+            let message = match why {
+                Refusal::TooManyOpen => "too many open calls at this controller; it was not run",
+                Refusal::NoWorker => "no worker is in service; it was not run or may be repeated",
+                Refusal::NoRoom => "no worker had room in time; it was not run or may be repeated",
+            };
+            Failure::refused(message, retry_after.map_or(pushback, Duration::from_micros))
+        }
+        End::Failed { cause, message } => {
+            let code = match cause {
+                Cause::Aborted => Code::Aborted,
+                Cause::Internal => Code::Internal,
+                Cause::Deadline => Code::DeadlineExceeded,
+            };
+            Failure { status: Status::new(code, message.clone()), pushback_ms: Some(-1) }
+        }
+    })
+}
+
+/// The last message of a stream whose worker sent none that was marked.
+pub fn empty_final(id: &str, model: &str) -> Bytes {
+    let mut response =
+        ModelInferResponse { id: id.to_owned(), model_name: model.to_owned(), ..Default::default() };
+    response.parameters.insert(FINAL.to_owned(), true.into());
+    ModelStreamInferResponse { error_message: String::new(), infer_response: Some(response) }
+        .encode_to_vec()
+        .into()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use nettleferry_net::grpc::read_binary;
+    use nettleferry_proto::rpc;
+
+    #[test]
+    fn refusals_say_when_and_failures_say_never() {
+        let refused = End::Refused { why: Refusal::NoRoom, retry_after: None };
+        let map = failure(&refused, Duration::from_millis(70)).expect("no success").trailers();
+        assert_eq!((map["grpc-status"].as_bytes(), map[PUSHBACK].as_bytes()), (&b"14"[..], &b"70"[..]));
+        let details = read_binary(&map["grpc-status-details-bin"]).expect("base64");
+        let status = rpc::Status::decode(&details[..]).expect("google.rpc.Status");
+        assert_eq!(status.details[0].type_url, rpc::RETRY_INFO);
+        let retry = rpc::RetryInfo::decode(&status.details[0].value[..]).expect("RetryInfo");
+        assert_eq!(retry.retry_delay.expect("told").nanos, 70_000_000);
+
+        for cause in [Cause::Aborted, Cause::Internal, Cause::Deadline] {
+            let failed = End::Failed { cause, message: "it broke: \u{e4} 100%".to_owned() };
+            let map = failure(&failed, Duration::ZERO).expect("no success").trailers();
+            assert_ne!(map["grpc-status"], "14");
+            assert_eq!(map[PUSHBACK], "-1");
+            assert_eq!(map["grpc-message"], "it broke: %C3%A4 100%25");
+            assert!(!map.contains_key("grpc-status-details-bin"));
+        }
+        assert_eq!(failure(&End::Served { last: None }, Duration::ZERO), None);
+    }
+
+    #[test]
+    fn a_streams_failure_names_its_call() {
+        let message = Failure::refused("full", Duration::from_millis(5)).message("r-7");
+        let read = ModelStreamInferResponse::decode(message).expect("sound");
+        assert_eq!(read.error_message, "UNAVAILABLE: full");
+        let response = read.infer_response.expect("there");
+        assert_eq!(
+            (response.id.as_str(), response.parameters["grpc_retry_pushback_ms"].int64()),
+            ("r-7", Some(5))
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/links/wire.rs
@@ -0,0 +1,157 @@
+//! What a worker's answer means on the wire: trailers and stream errors to the engine's facts, reports to the
+//! module's numbers. One place, table-tested.
+
+use http::{HeaderMap, StatusCode};
+use nettleferry::{LoadNote, Report};
+use nettleferry_engine::{Ended, News};
+use nettleferry_net::StreamError;
+use nettleferry_net::grpc::{Code, Status, read_binary};
+use nettleferry_proto::{marks, orca};
+use prost::Message;
+
+/// How an answer with trailers ended.
+pub fn by_trailers(http: StatusCode, trailers: &HeaderMap) -> Ended {
+    if http != StatusCode::OK {
+        return Ended::Status { message: format!("HTTP {}", http.as_u16()) };
+    }
+    let mark = trailers.get(marks::NEVER_RAN).and_then(|v| v.to_str().ok());
+    match (Status::read(trailers), mark) {
+        (Some(Status { code: Code::Ok, .. }), _) => Ended::Served,
+        // The worker's own word: nothing else about a failing status proves anything.
+        (Some(_), Some(marks::FULL)) => Ended::MarkedFull,
+        (Some(_), Some(marks::MISS)) => Ended::MarkedMiss,
+        (Some(_), Some(marks::LOAD_FAILED)) => Ended::MarkedLoadFailed,
+        (Some(Status { code: Code::InvalidArgument, message }), _) => Ended::Rejected(message),
+        (Some(Status { code, message }), _) => {
+            Ended::Status { message: format!("{}: {message}", code.name()) }
+        }
+        (None, _) => Ended::Status { message: "the worker's answer ended without a status".to_owned() },
+    }
+}
+
+/// How a stream that failed ended.
+pub fn by_error(error: &StreamError) -> Ended {
+    match error {
+        StreamError::NotConnected => Ended::NotConnected,
+        StreamError::NotWritten => Ended::NotWritten,
+        StreamError::Refused => Ended::RefusedStream,
+        StreamError::GoneAway => Ended::GoneAway,
+        StreamError::Reset(_) | StreamError::Protocol(_) => Ended::Reset,
+        StreamError::Broken => Ended::Broken,
+        StreamError::Message(error) => Ended::Status { message: format!("the worker's answer: {error}") },
+    }
+}
+
+/// The load report and named metrics of trailers.
+pub fn report(trailers: &HeaderMap) -> Option<orca::OrcaLoadReport> {
+    let bytes = read_binary(trailers.get(orca::TRAILER)?)?;
+    orca::OrcaLoadReport::decode(&bytes[..]).ok()
+}
+
+/// The module's report. What is not told stays untold; what is no number is not told.
+pub fn load(report: &orca::OrcaLoadReport) -> Report {
+    let named = |name: &str| report.named_metrics.get(name).copied().filter(|x| x.is_finite() && *x >= 0.0);
+    let share = |x: f64| (x.is_finite() && x >= 0.0).then_some(x);
+    Report {
+        inflight: named(orca::INFLIGHT),
+        queue: named(orca::QUEUE),
+        util: share(report.cpu_utilization),
+        memory_held: share(report.mem_utilization),
+        loads: named(orca::LOADS),
+    }
+}
+
+/// What an answer tells of copies and load.
+pub fn news(trailers: &HeaderMap) -> News {
+    let Some(report) = report(trailers) else { return News::default() };
+    let named = |name: &str| report.named_metrics.get(name).copied();
+    let note = named(orca::NOTE).and_then(|n| match n as i64 {
+        1 => Some(LoadNote::Warm),
+        2 => Some(LoadNote::Began),
+        3 => Some(LoadNote::Waited),
+        4 => Some(LoadNote::Failed),
+        _ => None,
+    });
+    News { note, crowd: named(orca::CROWD).map(|n| n.clamp(0.0, 1e6) as u32), report: Some(load(&report)) }
+}
+
+/// Copies that stand, by the answer to an order.
+pub fn copies(trailers: &HeaderMap) -> u32 {
+    report(trailers)
+        .and_then(|r| r.named_metrics.get(orca::STANDING).copied())
+        .map_or(0, |n| n.clamp(0.0, 1e6) as u32)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use http::HeaderValue;
+    use nettleferry_net::framing::FrameError;
+    use nettleferry_net::grpc::write_binary;
+
+    fn trailers(code: Code, mark: Option<&'static str>) -> HeaderMap {
+        let mut map = Status::new(code, "words").trailers();
+        if let Some(mark) = mark {
+            map.insert(marks::NEVER_RAN, HeaderValue::from_static(mark));
+        }
+        map
+    }
+
+    #[test]
+    fn only_a_mark_proves_that_a_status_never_ran() {
+        let status = |text: &str| Ended::Status { message: text.to_owned() };
+        let table = [
+            (trailers(Code::Ok, None), Ended::Served),
+            (trailers(Code::Unavailable, None), status("UNAVAILABLE: words")),
+            (trailers(Code::Unavailable, Some("full")), Ended::MarkedFull),
+            (trailers(Code::Unavailable, Some("miss")), Ended::MarkedMiss),
+            (trailers(Code::Unavailable, Some("load-failed")), Ended::MarkedLoadFailed),
+            (trailers(Code::Unavailable, Some("perhaps")), status("UNAVAILABLE: words")),
+            (trailers(Code::ResourceExhausted, None), status("RESOURCE_EXHAUSTED: words")),
+            (trailers(Code::InvalidArgument, None), Ended::Rejected("words".to_owned())),
+            (HeaderMap::new(), status("the worker's answer ended without a status")),
+        ];
+        for (map, ended) in table {
+            assert_eq!(by_trailers(StatusCode::OK, &map), ended);
+            assert_eq!(
+                ended.never_ran(),
+                matches!(ended, Ended::MarkedFull | Ended::MarkedMiss | Ended::MarkedLoadFailed)
+            );
+        }
+        assert_eq!(by_trailers(StatusCode::BAD_GATEWAY, &trailers(Code::Ok, None)), status("HTTP 502"));
+    }
+
+    #[test]
+    fn stream_errors_prove_what_the_wire_proves() {
+        let table = [
+            (StreamError::NotConnected, true),
+            (StreamError::NotWritten, true),
+            (StreamError::Refused, true),
+            (StreamError::GoneAway, true),
+            (StreamError::Reset("CANCEL".to_owned()), false),
+            (StreamError::Broken, false),
+            (StreamError::Protocol("x".to_owned()), false),
+            (StreamError::Message(FrameError::BadGzip), false),
+        ];
+        for (error, proof) in table {
+            assert_eq!(by_error(&error).never_ran(), proof, "{error:?}");
+        }
+    }
+
+    #[test]
+    fn reports_are_read_and_damaged_ones_are_not() {
+        let mut report =
+            orca::OrcaLoadReport { cpu_utilization: 0.5, mem_utilization: f64::NAN, ..Default::default() };
+        report.named_metrics.insert(orca::NOTE.to_owned(), 2.0);
+        report.named_metrics.insert(orca::CROWD.to_owned(), 5.0);
+        report.named_metrics.insert(orca::QUEUE.to_owned(), -1.0);
+        let mut map = HeaderMap::new();
+        map.insert(orca::TRAILER, write_binary(&report.encode_to_vec()).expect("ascii"));
+        let news = news(&map);
+        assert_eq!((news.note, news.crowd), (Some(LoadNote::Began), Some(5)));
+        let load = news.report.expect("told");
+        assert_eq!((load.util, load.memory_held, load.queue), (Some(0.5), None, None));
+        map.insert(orca::TRAILER, HeaderValue::from_static("!!"));
+        assert_eq!(super::news(&map), News::default());
+    }
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,1 +1,33 @@
-fn main() {}
+//! The nettleferry program: a gateway that sends inference calls to workers which load models on demand.
+//!
+//! May know: everything below it. Must not know: decisions; they are the module's, and come through the
+//! engine.
+//!
+//! * [`controller`]: the loop. [`front`]: towards clients. [`links`]: towards workers. [`list`]: who they are.
+//! * [`commands`]: one file a subcommand. [`logs`], [`clock`].
+
+#![forbid(unsafe_code)]
+
+mod clock;
+mod commands;
+mod controller;
+mod front;
+mod links;
+mod list;
+mod logs;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    let arguments = commands::Arguments::parse();
+    logs::start(&arguments.logs);
+    match commands::run(arguments.command) {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("nettleferry: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
--- a/crates/standin/src/models.rs
+++ b/crates/standin/src/models.rs
@@ -47,6 +47,8 @@
         id: String,
         /// Rise and fall.
         segments: Vec<(f32, f32)>,
+        /// As raw bytes, as the request's tensors came; else typed.
+        raw: bool,
     },
 }
 
@@ -114,7 +116,12 @@
             if rise > 0.0 { (up + rise, down) } else { (up, down - rise) }
         })
     });
-    Ok(Answer::Climb { model: request.model_name.clone(), id: request.id.clone(), segments: sums.collect() })
+    Ok(Answer::Climb {
+        model: request.model_name.clone(),
+        id: request.id.clone(),
+        segments: sums.collect(),
+        raw: !request.raw_input_contents.is_empty(),
+    })
 }
 
 impl Answer {
@@ -130,9 +137,9 @@
     pub fn part(&self, n: usize) -> ModelInferResponse {
         let mut response = match self {
             Self::Echo(whole) => (**whole).clone(),
-            Self::Climb { model, id, segments } => {
+            Self::Climb { model, id, segments, raw } => {
                 let pair = segments.get(n..=n).unwrap_or_default();
-                climbed(model, id, pair)
+                climbed(model, id, pair, *raw)
             }
         };
         response.parameters.insert(FINAL.to_owned(), (n + 1 == self.parts()).into());
@@ -143,30 +150,33 @@
     pub fn whole(&self) -> ModelInferResponse {
         match self {
             Self::Echo(whole) => (**whole).clone(),
-            Self::Climb { model, id, segments } => climbed(model, id, segments),
+            Self::Climb { model, id, segments, raw } => climbed(model, id, segments, *raw),
         }
     }
 }
 
-fn climbed(model: &str, id: &str, segments: &[(f32, f32)]) -> ModelInferResponse {
-    let tensor = |name: &str, values: Vec<f32>| InferOutputTensor {
-        name: name.to_owned(),
-        datatype: "FP32".to_owned(),
-        shape: vec![values.len() as i64],
-        parameters: Default::default(),
-        contents: Some(InferTensorContents { fp32_contents: values, ..Default::default() }),
-    };
-    ModelInferResponse {
-        model_name: model.to_owned(),
-        model_version: String::new(),
-        id: id.to_owned(),
-        parameters: Default::default(),
-        outputs: vec![
-            tensor("ASCENT", segments.iter().map(|s| s.0).collect()),
-            tensor("DESCENT", segments.iter().map(|s| s.1).collect()),
-        ],
-        raw_output_contents: Vec::new(),
+fn climbed(model: &str, id: &str, segments: &[(f32, f32)], raw: bool) -> ModelInferResponse {
+    let mut response =
+        ModelInferResponse { model_name: model.to_owned(), id: id.to_owned(), ..Default::default() };
+    let rises = segments.iter().map(|s| s.0).collect();
+    let falls = segments.iter().map(|s| s.1).collect();
+    for (name, values) in [("ASCENT", rises), ("DESCENT", falls)] {
+        let values: Vec<f32> = values;
+        let mut tensor = InferOutputTensor {
+            name: name.to_owned(),
+            datatype: "FP32".to_owned(),
+            shape: vec![values.len() as i64],
+            ..Default::default()
+        };
+        if raw {
+            let bytes: Vec<u8> = values.iter().flat_map(|v| v.to_le_bytes()).collect();
+            response.raw_output_contents.push(bytes.into());
+        } else {
+            tensor.contents = Some(InferTensorContents { fp32_contents: values, ..Default::default() });
+        }
+        response.outputs.push(tensor);
     }
+    response
 }
 
 /// A `climb` request, for clients and tests.
@@ -206,13 +216,16 @@
     }
 
     #[test]
-    fn typed_and_raw_heights_are_alike() {
+    fn heights_are_read_typed_or_raw_and_answered_alike() {
         let mut typed = climb_request("climb", "", &[1.0, 2.0], 1);
-        let raw = answer(&typed);
+        let raw = answer(&typed).expect("sound").whole();
         typed.raw_input_contents.clear();
         typed.inputs[0].contents =
             Some(InferTensorContents { fp32_contents: vec![1.0, 2.0], ..Default::default() });
-        assert_eq!(answer(&typed), raw);
+        let typed = answer(&typed).expect("sound").whole();
+        assert_eq!(raw.raw_output_contents[0], Bytes::from_static(&[0, 0, 128, 63]));
+        assert_eq!(typed.outputs[0].contents.as_ref().map(|c| c.fp32_contents[0]), Some(1.0));
+        assert!(typed.raw_output_contents.is_empty());
     }
 
     #[test]
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -22,7 +22,7 @@
 use crate::models::{self, Answer};
 use crate::spec::Spec;
 use crate::store::{Micros, Store};
-use crate::worker::{Away, CallNo, Done, Load, Worker};
+use crate::worker::{Asked, Away, CallNo, Done, Load, Worker};
 
 /// What a worker is told to suffer.
 #[derive(Clone, Debug, PartialEq)]
@@ -457,11 +457,9 @@
                     HeaderMap::new(),
                 );
             }
-            NetEvent::Failed { stream, .. } => {
-                if self.rpcs.remove(&stream).is_some() {
-                    self.see(Seen::Gone { stream: stream.number() });
-                    self.withdraw(stream);
-                }
+            NetEvent::Failed { stream, .. } if self.rpcs.remove(&stream).is_some() => {
+                self.see(Seen::Gone { stream: stream.number() });
+                self.withdraw(stream);
             }
             NetEvent::Sent { stream } => {
                 self.rpcs.remove(&stream);
@@ -577,7 +575,8 @@
         let (now, store) = (self.now(), Arc::clone(&self.options.store));
         let Some(worker) = &mut self.worker else { return };
         let mut done = Vec::new();
-        worker.call(now, no, &model, work, steps, &mut lock(&store), &mut done);
+        let asked = Asked { no, model: &model, work, steps };
+        worker.call(now, asked, &mut lock(&store), &mut done);
         self.done(done);
     }
 
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -61,6 +61,19 @@
     pub loads: usize,
 }
 
+/// A call that comes: `steps` parts, of `work` in all.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// Its number.
+    pub no: CallNo,
+    /// Its model.
+    pub model: &'a str,
+    /// Core time of all parts.
+    pub work: Micros,
+    /// Parts.
+    pub steps: u32,
+}
+
 struct Running {
     model: String,
     step: u32,
@@ -204,17 +217,9 @@
         }
     }
 
-    /// A call comes. `steps` parts of `work` in all.
-    pub fn call(
-        &mut self,
-        now: Micros,
-        no: CallNo,
-        model: &str,
-        work: Micros,
-        steps: u32,
-        store: &mut Store,
-        out: &mut Vec<Done>,
-    ) {
+    /// A call comes.
+    pub fn call(&mut self, now: Micros, asked: Asked, store: &mut Store, out: &mut Vec<Done>) {
+        let Asked { no, model, work, steps } = asked;
         self.pass(now, store, out);
         self.pressed(work as f64);
         if self.down {
@@ -488,8 +493,11 @@
             let quiet = self.copies.get(&model).is_none_or(|c| c.loading.is_empty() && c.wanted == 0);
             let gone = self.copies.get(&model).is_none_or(|c| c.standing == 0);
             // The last copy may have been unloaded while its calls waited: it is brought back.
-            if quiet && (gone || self.spec.own_copies) && !self.want(&model, 1) && gone {
-                self.load_failed(&model);
+            if quiet && (gone || self.spec.own_copies) {
+                let room = self.want(&model, 1);
+                if gone && !room {
+                    self.load_failed(&model);
+                }
             }
         }
         self.begin_loads(store);
@@ -529,7 +537,8 @@
         }
         fn call(&mut self, at: Micros, no: CallNo, model: &str) {
             let mut out = Vec::new();
-            self.worker.call(at, no, model, 10 * MS, 1, &mut self.store, &mut out);
+            let asked = Asked { no, model, work: 10 * MS, steps: 1 };
+            self.worker.call(at, asked, &mut self.store, &mut out);
             self.seen.extend(out.into_iter().map(|d| (at, d)));
         }
         fn run(&mut self, until: Micros) {
