--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -228,6 +228,18 @@
         self.span
     }
 
+    /// Its text between the parentheses, after its first word: for settings that are handed on.
+    pub fn text(&self) -> &str {
+        let whole = self.source.inner.text.get(self.span.from..self.span.to).unwrap_or("");
+        let inner = whole.strip_prefix('(').and_then(|t| t.strip_suffix(')')).unwrap_or(whole);
+        inner.trim_start().strip_prefix(self.name.as_str()).unwrap_or(inner)
+    }
+
+    /// Lets go of all that is left, without errors: its text was handed on.
+    pub fn hand_on(mut self) {
+        self.items.clear();
+    }
+
     /// Notes that the whole form is wrong.
     pub fn fault(&self, what: impl Into<String>) {
         self.source.fault(self.span, what);
--- /dev/null
+++ b/crates/day/src/script.rs
@@ -0,0 +1,375 @@
+//! A day file: workers, controllers, traffic, and troubles on a timeline. See `days/` for one of each kind.
+
+use nettleferry::Micros;
+use nettleferry_config::form::{Errors, Form, Source, TimeSpan};
+use nettleferry_standin::Spec;
+
+/// A scripted day.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// Its name.
+    pub name: String,
+    /// How long traffic runs.
+    pub length: Micros,
+    /// For all chance of the day.
+    pub seed: u64,
+    /// How many controllers, and their zones in turn.
+    pub controllers: (usize, Vec<String>),
+    /// How many workers, and their zones in turn.
+    pub workers: (usize, Vec<String>),
+    /// What each worker is.
+    pub spec: Spec,
+    /// Workers start cold.
+    pub cold: bool,
+    /// The shared store: fetches at full speed, and at most.
+    pub store: (u32, u32),
+    /// A change reaches the list after this span.
+    pub list_lag: Micros,
+    /// Settings of the controllers, but for what the day fills in.
+    pub settings: String,
+    /// Traffic.
+    pub traffic: Vec<Traffic>,
+    /// Troubles, by time.
+    pub troubles: Vec<(Micros, Trouble)>,
+}
+
+/// A stream of calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Traffic {
+    /// Its models are NAME-0, NAME-1, ...
+    pub name: String,
+    /// How many models.
+    pub models: u32,
+    /// Calls a second, over all controllers.
+    pub rate: f64,
+    /// By ModelStreamInfer.
+    pub streamed: bool,
+    /// All calls of a controller share one stream.
+    pub shared: bool,
+    /// Segments of a climb.
+    pub segments: i64,
+    /// Bytes of an echo.
+    pub bytes: usize,
+    /// `grpc-timeout`; none: the class's deadline.
+    pub deadline: Option<Micros>,
+    /// Share of calls that the client cancels on the way.
+    pub cancel: f64,
+    /// Share of streams that are read slowly.
+    pub slow: f64,
+}
+
+/// A trouble.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trouble {
+    /// What it is.
+    pub kind: Kind,
+    /// Workers it is for; empty: all.
+    pub workers: Vec<String>,
+    /// Controllers it is for; empty: all.
+    pub controllers: Vec<usize>,
+    /// How long it lasts.
+    pub span: Micros,
+}
+
+/// Kinds of trouble.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Kind {
+    /// Workers die and come back cold.
+    Crash,
+    /// Workers read and answer nothing, then die and come back cold.
+    Silence,
+    /// Workers run a share of their calls and fail them at once.
+    FastErrors(f64),
+    /// Load reports are this old.
+    LateReports(Micros),
+    /// A zone is cut off from the others.
+    Cut(String),
+    /// Every worker in turn drains, dies, and is replaced by a cold one; the step between two.
+    Roll(Micros),
+    /// The list is not written.
+    StaleList,
+    /// Controllers are killed and come back with their kept list.
+    Kill,
+    /// Controllers are told to end (SIGTERM) and come back.
+    Stop,
+    /// Controllers stand still.
+    Stall,
+    /// The store is slower by this factor.
+    SlowStore(f64),
+    /// Models that begin so are released anew: all copies go void.
+    Release(String),
+    /// Calls for models that are wanted once, so many a second.
+    OneOff(f64),
+    /// Calls of models that begin so are never answered.
+    Hang(String),
+    /// New connections say nothing for so long.
+    SlowHandshakes(Micros),
+    /// Workers refuse every stream.
+    Refuse,
+    /// Workers send GOAWAY in the middle.
+    GoAway,
+    /// Workers break a connection after so many messages.
+    CutAfter(u32),
+    /// Workers break off inside a frame.
+    HalfFrame,
+}
+
+/// Longest day.
+pub const MOST_LENGTH: Micros = 600_000_000;
+/// Most workers and controllers of a day.
+pub const MOST_WORKERS: u64 = 64;
+/// See [`MOST_WORKERS`].
+pub const MOST_CONTROLLERS: u64 = 16;
+/// Most calls a second of one stream of traffic.
+pub const MOST_RATE: f64 = 5_000.0;
+
+/// Reads a day file.
+pub fn read(file: &str, text: &str) -> Result<Script, Errors> {
+    let (source, mut top) = Source::open(file, text);
+    let head = top.need("day").map(|mut form| {
+        let name = form.or_name();
+        let length = form.must::<TimeSpan>("length").map_or(1, |s| s.0);
+        if length == 0 || length > MOST_LENGTH {
+            form.fault(format!("(length ...): more than 0, at most {}s", MOST_LENGTH / 1_000_000));
+        }
+        let seed = form.or("seed", 1u64);
+        form.end();
+        (name, length.clamp(1, MOST_LENGTH), seed)
+    });
+    let controllers = many(&mut top, "controllers", MOST_CONTROLLERS, |_| ());
+    let workers =
+        many(&mut top, "workers", MOST_WORKERS, |form| (Spec::read(form), form.or("start-cold", false)));
+    let mut store = top.group("store");
+    let at_speed = store.or("at-speed", 8u32);
+    let most = store.or("most", 32u32);
+    store.end();
+    let list_lag = top.span_or("list-lag", 200_000);
+    let settings = top.need("settings").map(|form| {
+        let text = form.text().to_owned();
+        form.hand_on();
+        text
+    });
+    let traffic: Vec<Traffic> = top.all("traffic").into_iter().map(traffic).collect();
+    if traffic.is_empty() {
+        top.fault("the day has no (traffic ...)");
+    }
+    let mut troubles = Vec::new();
+    for mut at in top.all("at") {
+        let when = at.want::<TimeSpan>("when it begins").map_or(0, |s| s.0);
+        for form in at.rest() {
+            let count = workers.as_ref().map_or(0, |w| w.0);
+            if let Some(found) = trouble(form, count, controllers.as_ref().map_or(0, |c| c.0)) {
+                troubles.push((when, found));
+            }
+        }
+        at.end();
+    }
+    troubles.sort_by_key(|t| t.0);
+    top.end();
+    let value = (|| {
+        let (name, length, seed) = head?;
+        let (count, zones, (spec, cold)) = workers?;
+        let (controllers, controller_zones, ()) = controllers?;
+        Some(Script {
+            name,
+            length,
+            seed,
+            controllers: (controllers, controller_zones),
+            workers: (count, zones),
+            spec,
+            cold,
+            store: (at_speed, most),
+            list_lag,
+            settings: settings?,
+            traffic,
+            troubles,
+        })
+    })();
+    source.finish(value)
+}
+
+trait OrName {
+    fn or_name(&mut self) -> String;
+}
+
+impl OrName for Form {
+    fn or_name(&mut self) -> String {
+        self.want::<String>("its name").unwrap_or_default()
+    }
+}
+
+fn many<T>(
+    top: &mut Form,
+    key: &'static str,
+    most: u64,
+    read: impl FnOnce(&mut Form) -> T,
+) -> Option<(usize, Vec<String>, T)> {
+    let mut form = top.need(key)?;
+    let count = form.want::<u64>("how many")?;
+    if count == 0 || count > most {
+        form.fault(format!("({key} {count}): from 1 to {most}"));
+    }
+    let zones = words(&mut form, "zones");
+    let zones = if zones.is_empty() { vec!["a".to_owned()] } else { zones };
+    let rest = read(&mut form);
+    form.end();
+    Some((count.clamp(1, most) as usize, zones, rest))
+}
+
+fn words(form: &mut Form, key: &'static str) -> Vec<String> {
+    let Some(mut list) = form.sub(key) else { return Vec::new() };
+    let mut all = Vec::new();
+    while let Some(word) = list.take() {
+        all.push(word);
+    }
+    list.end();
+    all
+}
+
+fn share(form: &mut Form, key: &'static str) -> f64 {
+    let share = form.or(key, 0.0);
+    if share > 1.0 {
+        form.fault(format!("({key} ...) is a share, from 0 to 1"));
+    }
+    share.min(1.0)
+}
+
+fn traffic(mut form: Form) -> Traffic {
+    let name = form.or_name();
+    if !nettleferry_standin::models::exists(&name) {
+        form.fault(format!("traffic {name}: the stand-ins' models are echo, echo-*, climb and climb-*"));
+    }
+    let rate = form.must("rate").unwrap_or(1.0);
+    if rate > MOST_RATE {
+        form.fault(format!("(rate {rate}): at most {MOST_RATE}"));
+    }
+    let traffic = Traffic {
+        name,
+        models: form.or("models", 1u32).max(1),
+        rate: rate.min(MOST_RATE),
+        streamed: form.or("streamed", false),
+        shared: form.or("shared", false),
+        segments: form.or("segments", 1i64).clamp(1, 1000),
+        bytes: form.or("bytes", 64u64).min(16 << 20) as usize,
+        deadline: form.get::<TimeSpan>("deadline").map(|s| s.0),
+        cancel: share(&mut form, "cancel"),
+        slow: share(&mut form, "slow"),
+    };
+    if traffic.shared && !traffic.streamed {
+        form.fault("(shared yes) goes with (streamed yes)");
+    }
+    form.end();
+    traffic
+}
+
+fn trouble(mut form: Form, workers: usize, controllers: usize) -> Option<Trouble> {
+    let span = |form: &mut Form, key| form.must::<TimeSpan>(key).map(|s| s.0);
+    let kind = match form.name() {
+        "crash" => Kind::Crash,
+        "silence" => Kind::Silence,
+        "fast-errors" => Kind::FastErrors(form.must::<f64>("share")?.min(1.0)),
+        "late-reports" => Kind::LateReports(span(&mut form, "late")?),
+        "cut" => Kind::Cut(form.must("zone")?),
+        "roll" => Kind::Roll(span(&mut form, "each")?),
+        "stale-list" => Kind::StaleList,
+        "kill" => Kind::Kill,
+        "stop" => Kind::Stop,
+        "stall" => Kind::Stall,
+        "slow-store" => Kind::SlowStore(form.must::<f64>("factor")?.max(0.01)),
+        "release" => Kind::Release(form.must("models")?),
+        "one-off" => Kind::OneOff(form.must::<f64>("rate")?.min(MOST_RATE)),
+        "hang" => Kind::Hang(form.must("models")?),
+        "slow-handshakes" => Kind::SlowHandshakes(span(&mut form, "delay")?),
+        "refuse" => Kind::Refuse,
+        "goaway" => Kind::GoAway,
+        "cut-after" => Kind::CutAfter(form.must("messages")?),
+        "half-frame" => Kind::HalfFrame,
+        other => {
+            let known = [
+                "crash",
+                "silence",
+                "fast-errors",
+                "late-reports",
+                "cut",
+                "roll",
+                "stale-list",
+                "kill",
+                "stop",
+                "stall",
+                "slow-store",
+                "release",
+                "one-off",
+                "hang",
+                "slow-handshakes",
+                "refuse",
+                "goaway",
+                "cut-after",
+                "half-frame",
+            ];
+            let hint = nettleferry_config::form::nearest(other, known.into_iter());
+            form.fault(format!("there is no trouble {other}{hint}"));
+            return None;
+        }
+    };
+    let lasts = !matches!(
+        kind,
+        Kind::Release(_) | Kind::GoAway | Kind::CutAfter(_) | Kind::HalfFrame | Kind::Roll(_)
+    );
+    let length = if lasts { span(&mut form, "for")? } else { 0 };
+    let names = words(&mut form, "workers");
+    for name in &names {
+        let known = name.strip_prefix('w').and_then(|n| n.parse::<usize>().ok());
+        if !known.is_some_and(|n| (1..=workers).contains(&n)) {
+            form.fault(format!("there is no worker {name}: they are w1 to w{workers}"));
+        }
+    }
+    let mut numbers = Vec::new();
+    for word in words(&mut form, "controllers") {
+        match word.parse::<usize>().ok().filter(|n| *n < controllers) {
+            Some(n) => numbers.push(n),
+            None => {
+                form.fault(format!("there is no controller {word}: they are 0 to {}", controllers.max(1) - 1))
+            }
+        }
+    }
+    form.end();
+    Some(Trouble { kind, workers: names, controllers: numbers, span: length })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const DAY: &str = "(day x (length 5s)) (controllers 2) (workers 3 (zones a b) (cores 2))
+        (settings (class c (effect safe) (aim 1s) (deadline 2s)) ; kept as text
+                  (model * (class c)))
+        (traffic echo (rate 10))";
+
+    #[test]
+    fn a_day_is_read_and_its_settings_are_kept_as_text() {
+        let text = format!(
+            "{DAY} (at 2s (crash (workers w1 w3) (for 1s)) (stall (for 1s))) (at 1s (roll (each 500ms)))"
+        );
+        let day = read("d.sexp", &text).unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!((day.workers.0, day.workers.1.len(), day.spec.cores), (3, 2, 2.0));
+        assert!(day.settings.contains("(model * (class c))"));
+        assert_eq!(day.troubles[0].1.kind, Kind::Roll(500_000));
+        assert_eq!(day.troubles[1].1.workers, ["w1", "w3"]);
+    }
+
+    #[test]
+    fn what_is_not_there_is_told() {
+        let text = format!(
+            "{DAY} (at 1s (crash (workers w9) (for 1s)) (cut (zone a)) (crush (for 1s))) (traffic zebra (rate 1))"
+        );
+        let errors = read("d.sexp", &text).expect_err("wrong").to_string();
+        for part in [
+            "there is no worker w9: they are w1 to w3",
+            "cut lacks (for ...)",
+            "there is no trouble crush: did you mean crash?",
+            "traffic zebra",
+        ] {
+            assert!(errors.contains(part), "{part} in {errors}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/day/tests/audit.rs
@@ -0,0 +1,252 @@
+//! The audit on doctored records: a sound day has no finding, and each way to break a rule has its own.
+
+use nettleferry::{Effect, Group, WorkerState};
+use nettleferry_day::audit::{Breach, Slack, audit};
+use nettleferry_day::evidence::*;
+use nettleferry_standin::{Record, Seen};
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+
+/// A day of one controller and two workers in two zones, with nothing in it.
+fn empty() -> Evidence {
+    let place = |zone: &str, cell: &str| Place { zone: zone.into(), cell: cell.into() };
+    Evidence {
+        lives: vec![Life { controller: 0, zone: "a".into(), from: 0, ending: None, to: None }],
+        figures: Figures {
+            drain_grace: 500 * MS,
+            list_check: 50 * MS,
+            ration_window: 2 * S,
+            ration_floor: 1.0,
+            ration_share: 0.5,
+        },
+        places: [("w1".to_owned(), place("a", "c1")), ("w2".to_owned(), place("b", "c2"))].into(),
+        until: 60 * S,
+        ..Evidence::default()
+    }
+}
+
+fn client(e: &mut Evidence, at: u64, id: &str, what: ClientSaw) {
+    e.clients.push(ClientRecord { at, id: id.into(), what });
+}
+
+fn worker(e: &mut Evidence, at: u64, name: &str, seen: Seen) {
+    e.workers.push(Record { at, worker: name.into(), seen });
+}
+
+fn sent(e: &mut Evidence, at: u64, id: &str, effect: Effect) {
+    let what = ClientSaw::Sent {
+        controller: 0,
+        model: "echo".into(),
+        deadline: at + 3 * S,
+        effect,
+        class: "c".into(),
+        aim: S,
+        slow: false,
+    };
+    client(e, at, id, what);
+}
+
+fn came(e: &mut Evidence, at: u64, name: &str, stream: u64, id: &str) {
+    let seen = Seen::Call { stream, id: id.into(), model: "echo".into(), controller: "0".into(), work: 1000 };
+    worker(e, at, name, seen);
+}
+
+fn answered(e: &mut Evidence, at: u64, name: &str, stream: u64, never_ran: bool) {
+    worker(e, at, name, Seen::Answered { stream, served: !never_ran, never_ran });
+}
+
+/// A call of that effect that ran at w1 and was served.
+fn served(effect: Effect) -> Evidence {
+    let mut e = empty();
+    sent(&mut e, S, "x", effect);
+    came(&mut e, S + 10 * MS, "w1", 1, "x");
+    worker(&mut e, S + 11 * MS, "w1", Seen::Runs { stream: 1 });
+    client(&mut e, S + 19 * MS, "x", ClientSaw::Part);
+    answered(&mut e, S + 20 * MS, "w1", 1, false);
+    client(&mut e, S + 21 * MS, "x", ClientSaw::Final(Final::Served));
+    e
+}
+
+fn findings(e: &Evidence) -> Vec<Breach> {
+    audit(e, Slack::default())
+}
+
+#[track_caller]
+fn breaks(e: &Evidence, rule: u8, words: &str) {
+    let found = findings(e);
+    assert!(found.iter().all(|b| b.rule == rule), "only rule {rule} is broken: {found:?}");
+    assert!(found.iter().any(|b| b.what.contains(words)), "{words:?} in {found:?}");
+}
+
+const KEYED: Effect = Effect::Keyed { group: Group::Zone, window: 2 * S };
+
+#[test]
+fn a_sound_day_has_no_finding() {
+    for effect in [Effect::Safe, Effect::Unsafe, KEYED] {
+        assert_eq!(findings(&served(effect)), vec![]);
+    }
+}
+
+#[test]
+fn rule_1_a_call_without_an_answer() {
+    let mut e = empty();
+    sent(&mut e, S, "x", Effect::Safe);
+    breaks(&e, 1, "no final answer");
+    client(&mut e, S + 5, "x", ClientSaw::Lost);
+    breaks(&e, 1, "its connection broke");
+    // What a killed controller held is its client's to retry; what one that ends had taken is owed.
+    e.lives[0].to = Some(2 * S);
+    assert_eq!(findings(&e), vec![]);
+    (e.lives[0].ending, e.lives[0].to) = (Some(2 * S), Some(2 * S + 1));
+    breaks(&e, 1, "no final answer");
+}
+
+#[test]
+fn rule_1_two_answers_a_late_one_and_a_part_after_it() {
+    let mut twice = served(Effect::Safe);
+    client(&mut twice, S + 30 * MS, "x", ClientSaw::Final(Final::Refused));
+    breaks(&twice, 1, "2 final answers");
+    let mut late = empty();
+    sent(&mut late, S, "x", Effect::Safe);
+    client(&mut late, 4 * S + 5 * MS, "x", ClientSaw::Final(Final::Failed));
+    breaks(&late, 1, "5 ms after its deadline");
+    late.stalls.push((0, During { from: 2 * S, to: 4 * S }));
+    assert_eq!(findings(&late), vec![], "it stood still");
+    let mut part = served(Effect::Safe);
+    client(&mut part, S + 40 * MS, "x", ClientSaw::Part);
+    breaks(&part, 1, "a part after the final answer");
+}
+
+#[test]
+fn rule_1_an_attempt_after_the_end() {
+    let mut e = served(Effect::Safe);
+    came(&mut e, 2 * S, "w2", 1, "x");
+    answered(&mut e, 2 * S + 1, "w2", 1, true);
+    breaks(&e, 1, "reached w2 after the call had ended");
+    let mut cancelled = empty();
+    sent(&mut cancelled, S, "x", Effect::Safe);
+    client(&mut cancelled, S + 1, "x", ClientSaw::Cancelled);
+    assert_eq!(findings(&cancelled), vec![]);
+    came(&mut cancelled, 2 * S, "w2", 1, "x");
+    answered(&mut cancelled, 2 * S + 1, "w2", 1, true);
+    breaks(&cancelled, 1, "reached w2 after the call had ended");
+}
+
+#[test]
+fn rule_2_an_unsafe_call_runs_twice() {
+    let mut e = served(Effect::Unsafe);
+    came(&mut e, S + 20 * MS, "w2", 1, "x");
+    answered(&mut e, S + 20 * MS, "w2", 1, true);
+    assert_eq!(findings(&e), vec![], "sent twice, ran once");
+    worker(&mut e, S + 20 * MS, "w2", Seen::Runs { stream: 1 });
+    // Records are judged by their times, whatever their order.
+    let at = e.workers.len() - 2;
+    e.workers.swap(at, at + 1);
+    breaks(&e, 2, "unsafe, and ran at w1 and at w2");
+}
+
+#[test]
+fn rule_2_a_refusal_of_what_ran() {
+    let refused = |effect| {
+        let mut e = served(effect);
+        e.clients.pop();
+        client(&mut e, S + 30 * MS, "x", ClientSaw::Final(Final::Refused));
+        e
+    };
+    breaks(&refused(Effect::Unsafe), 2, "refused, and ran at w1");
+    breaks(&refused(KEYED), 2, "refused, and ran at w1");
+    assert_eq!(findings(&refused(Effect::Safe)), vec![]);
+    assert_eq!(findings(&refused(Effect::Keyed { group: Group::All, window: S })), vec![]);
+}
+
+#[test]
+fn rule_2_a_keyed_call_leaves_its_group_or_its_window() {
+    let repeat = |worker: &str, at: u64, proof: bool| {
+        let mut e = empty();
+        sent(&mut e, S, "x", KEYED);
+        came(&mut e, S, "w1", 1, "x");
+        answered(&mut e, S + 1, "w1", 1, proof);
+        came(&mut e, at, worker, 2, "x");
+        answered(&mut e, at + 1, worker, 2, false);
+        client(&mut e, at + 2, "x", ClientSaw::Final(Final::Served));
+        e
+    };
+    assert_eq!(findings(&repeat("w1", 2 * S, false)), vec![]);
+    assert_eq!(findings(&repeat("w2", 2 * S, true)), vec![], "proven not run: anywhere");
+    breaks(&repeat("w2", 2 * S, false), 2, "outside the group");
+    breaks(&repeat("w1", 3 * S + 900 * MS, false), 2, "after its window");
+}
+
+#[test]
+fn rule_2_attempts_overlap() {
+    let mut e = empty();
+    sent(&mut e, S, "x", Effect::Safe);
+    came(&mut e, S, "w1", 1, "x");
+    came(&mut e, 2 * S, "w2", 1, "x");
+    answered(&mut e, 2 * S + 1, "w2", 1, false);
+    client(&mut e, 2 * S + 2, "x", ClientSaw::Final(Final::Served));
+    breaks(&e, 2, "began while one at w1 was open");
+    let mut left = e.clone();
+    worker(&mut left, 2 * S - 1, "w1", Seen::Gone { stream: 1 });
+    assert_eq!(findings(&left), vec![]);
+    let mut died = e.clone();
+    worker(&mut died, 2 * S - 1, "w1", Seen::Down);
+    assert_eq!(findings(&died), vec![]);
+    e.cuts.push(("w1".into(), "a".into(), During { from: S + 1, to: 5 * S }));
+    assert_eq!(findings(&e), vec![], "behind a cut link a worker can't see that it was left");
+}
+
+#[test]
+fn rule_3_something_new_after_the_drain_grace() {
+    let told = |at: u64| {
+        let mut e = served(Effect::Safe);
+        e.told.push(Told { at, worker: "w1".into(), state: WorkerState::Draining });
+        e
+    };
+    assert_eq!(findings(&told(S)), vec![], "within the grace");
+    breaks(&told(10 * MS), 3, "call x reached w1");
+    let mut back = told(10 * MS);
+    back.told.push(Told { at: 20 * MS, worker: "w1".into(), state: WorkerState::On });
+    assert_eq!(findings(&back), vec![], "it is on again");
+    let mut order = empty();
+    order.told.push(Told { at: S, worker: "w1".into(), state: WorkerState::Gone });
+    sent(&mut order, 3 * S, "y", Effect::Safe);
+    client(&mut order, 3 * S + 1, "y", ClientSaw::Final(Final::Refused));
+    let seen = Seen::Order { controller: "0".into(), model: "echo".into(), copies: 1 };
+    worker(&mut order, 3 * S, "w1", seen);
+    breaks(&order, 3, "an order to load echo reached w1");
+}
+
+#[test]
+fn rule_4_a_cold_worker_falls_over() {
+    let mut e = empty();
+    worker(&mut e, S, "w1", Seen::Up { cold: true });
+    assert_eq!(findings(&e), vec![]);
+    worker(&mut e, 2 * S, "w1", Seen::Fell);
+    breaks(&e, 4, "w1 was pushed over while cold");
+}
+
+#[test]
+fn rule_5_orders_beyond_the_ration() {
+    let orders = |times: &[u64], calls: u64| {
+        let mut e = empty();
+        for n in 0..calls {
+            sent(&mut e, S + n, &format!("c{n}"), Effect::Safe);
+            client(&mut e, S + n + 1, &format!("c{n}"), ClientSaw::Final(Final::Served));
+        }
+        for at in times {
+            let seen = Seen::Order { controller: "0".into(), model: "echo".into(), copies: 1 };
+            worker(&mut e, *at, "w1", seen);
+        }
+        e
+    };
+    // One is free, and one more for each two calls.
+    assert_eq!(findings(&orders(&[2 * S, 2 * S + 1], 2)), vec![]);
+    breaks(&orders(&[2 * S, 2 * S + 1, 2 * S + 2], 2), 5, "3 load orders in the window, 2.0 permitted");
+    assert_eq!(findings(&orders(&[2 * S, 5 * S, 8 * S], 0)), vec![], "a window each");
+    let mut lives = orders(&[2 * S, 2 * S + 10], 0);
+    lives.lives[0].to = Some(2 * S + 5);
+    lives.lives.push(Life { controller: 0, zone: "a".into(), from: 2 * S + 6, ending: None, to: None });
+    assert_eq!(findings(&lives), vec![], "a new life counts anew");
+}
--- /dev/null
+++ b/crates/gateway/src/commands/day.rs
@@ -0,0 +1,53 @@
+//! `day`: plays a scripted day and prints the audit of the five rules.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use nettleferry_day::audit::{Slack, audit};
+use nettleferry_day::{report, run, script};
+
+use super::{CommandError, announce, read};
+
+/// Play a scripted day against controller processes and audit the five rules.
+#[derive(Args)]
+pub struct Day {
+    /// Day file; days/ has one of each kind
+    file: PathBuf,
+    /// Keep the controllers' settings, lists and logs in this folder
+    #[arg(long, value_name = "DIR")]
+    keep: Option<PathBuf>,
+}
+
+/// Most findings printed.
+const MOST_SHOWN: usize = 40;
+
+impl Day {
+    pub fn run(self) -> Result<u8, CommandError> {
+        let text = read(&self.file)?;
+        let script = script::read(&self.file.display().to_string(), &text).map_err(CommandError::Unsound)?;
+        let program = std::env::current_exe().map_err(CommandError::system("can't find this program"))?;
+        let dir = self.keep.clone().unwrap_or_else(run::folder);
+        let played = run::play(&script, &program, &dir);
+        if self.keep.is_none() {
+            let _ = std::fs::remove_dir_all(&dir);
+        }
+        let played = played.map_err(|error| match error {
+            run::DayError::Settings(errors) => CommandError::Unsound(errors),
+            other => CommandError::Day(other),
+        })?;
+        announce(report::summary(&played.evidence).trim_end())?;
+        let found = audit(&played.evidence, Slack::default());
+        for breach in found.iter().take(MOST_SHOWN) {
+            announce(&breach.to_string())?;
+        }
+        if found.len() > MOST_SHOWN {
+            announce(&format!("and {} more", found.len() - MOST_SHOWN))?;
+        }
+        for odd in &played.odd_ends {
+            announce(odd)?;
+        }
+        let sound = found.is_empty() && played.odd_ends.is_empty();
+        announce(&format!("day {}: {}", script.name, if sound { "no rule broken" } else { "BROKEN" }))?;
+        Ok(u8::from(!sound))
+    }
+}
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -3,6 +3,7 @@
 //! a thread, a process); 130 stopped at once by a second signal or with calls still open.
 
 mod call;
+mod day;
 mod demo;
 mod load;
 mod serve;
@@ -43,6 +44,8 @@
     Call(call::Call),
     /// Measure: closed-loop load, through a gateway and straight to a worker side by side
     Load(load::Load),
+    /// Play a scripted day against controller processes and audit the five rules
+    Day(day::Day),
     /// Run one stand-in worker
     Worker(worker::WorkerCommand),
 }
@@ -64,6 +67,9 @@
     /// The controller failed.
     #[error("{0}")]
     Controller(#[from] ControllerError),
+    /// A day could not be played.
+    #[error("{0}")]
+    Day(nettleferry_day::run::DayError),
     /// The system refused something.
     #[error("{what}: {source}")]
     System {
@@ -84,7 +90,7 @@
             Self::Usage(_) => 2,
             Self::Read { .. } | Self::Unsound(_) => 3,
             Self::Controller(ControllerError::Settings(_)) => 3,
-            Self::Controller(_) | Self::System { .. } => 4,
+            Self::Controller(_) | Self::System { .. } | Self::Day(_) => 4,
         }
     }
 
@@ -102,6 +108,7 @@
         Command::Check(check) => check.run(),
         Command::Call(call) => call.run(),
         Command::Load(load) => load.run(),
+        Command::Day(day) => day.run(),
         Command::Worker(worker) => worker.run(),
     }
 }
--- a/crates/gateway/src/front/head.rs
+++ b/crates/gateway/src/front/head.rs
@@ -94,7 +94,7 @@
     fn timeouts_and_encodings_are_read_or_refused_with_the_fix() {
         let head = read(&parts(&[("grpc-timeout", "600m"), ("grpc-encoding", "gzip")]), 5).expect("sound");
         assert_eq!((head.due, head.gzip), (Some(600_005), true));
-        let error = |name, value| read(&parts(&[(name, value)]), 0).err().expect("refused").status;
+        let error = |name, value| read(&parts(&[(name, value)]), 0).expect_err("refused").status;
         assert_eq!(error("grpc-timeout", "soon").code, Code::InvalidArgument);
         assert_eq!(error("grpc-encoding", "snappy").code, Code::Unimplemented);
     }
