No worker in service: calls are refused at once, not held until their deadline

With an empty list, or a fleet that drains as a whole, held calls met silence until their deadline; operators want a prompt refusal. The module answers when no listed worker is on, and when a list takes the last one.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -162,6 +162,18 @@
         }
         self.epoch += 1;
         self.release(None);
+        if self.nobody() {
+            for id in self.held.values().copied().collect::<Vec<_>>() {
+                self.answer(id);
+            }
+        }
+    }
+
+    /// No worker is in service: waiting would be silence, so that calls are answered at once. Answers to an
+    /// empty list and to a fleet that drains as a whole. Harm: calls in the gap of a replacement that leaves
+    /// none in service for a moment are refused, though they might have waited.
+    fn nobody(&self) -> bool {
+        self.workers.values().all(|w| w.entry.state != WorkerState::On)
     }
 
     // ---- the ordinary path ----
@@ -217,6 +229,9 @@
     }
 
     fn place(&mut self, id: RequestId) {
+        if self.nobody() {
+            return self.answer(id);
+        }
         if let Some((function, class)) = self.calls.get(&id).map(|call| (call.function, call.class)) {
             self.spread(function, class);
         }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -308,3 +308,19 @@
     stand.ended(10, 0, 1, Outcome::Ok, Some(LoadNote::Warm), S);
     assert_eq!(sent(&stand.ask(20, 0, 9, 8)), None);
 }
+
+#[test]
+fn with_no_worker_in_service_calls_are_refused_at_once() {
+    let mut stand = Stand::new(settings(), 1);
+    let home = stand.warm(1, 9, 1);
+    assert!(sent(&stand.ask(2, 1, 9, 1)).is_some());
+    assert!(!refused(&stand.ask(3, 0, 9, 1), 3), "it waits for room");
+    let told = stand.change(home, WorkerState::Draining, None);
+    assert!(refused(&told, 3), "nothing new may go to the only worker");
+    assert!(refused(&stand.ask(4, 1, 9, 1), 4));
+    // The one that runs there is not touched.
+    assert!(!failed(&told, 2) && !refused(&told, 2));
+    stand.end(2, 0, home, Outcome::Ok, Some(LoadNote::Warm));
+    stand.change(home, WorkerState::On, None);
+    assert!(sent(&stand.ask(5, 0, 9, 1)).is_some());
+}
