A stream that has begun shows its copy; connections a worker has left do not count

Event::Started now counts the copy as warm. Links no longer count connections that got GOAWAY against worker-connections.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -217,7 +217,9 @@
         let hub = &mut self.hub;
         match command {
             Command::Start { attempt, worker, streamed, left, body } => {
-                debug!(call = attempt.call.0, attempt = attempt.number, worker = %self.engine.names().worker_name(worker), "attempt");
+                if let Some((worker, model)) = self.engine.describe(attempt) {
+                    debug!(call = attempt.call.0, attempt = attempt.number, %worker, model = %model.name, "attempt");
+                }
                 return self.links.start(hub, attempt, worker, streamed, left, body);
             }
             Command::Withdraw { attempt } => self.links.withdraw(hub, attempt),
--- a/crates/gateway/src/links/mod.rs
+++ b/crates/gateway/src/links/mod.rs
@@ -87,7 +87,8 @@
         if let Some(conn) = open.first() {
             return Ok(*conn);
         }
-        if link.conns.len() >= self.limits.connections {
+        // Connections that the worker has left do not count: their streams end, and they with them.
+        if link.conns.iter().filter(|c| !hub.is_leaving(**c)).count() >= self.limits.connections {
             self.no_room += 1;
             return Err(Ended::NoRoom);
         }
--- a/crates/net/src/hub/conn.rs
+++ b/crates/net/src/hub/conn.rs
@@ -50,7 +50,7 @@
     /// We sent GOAWAY.
     leaving: bool,
     /// The peer takes no new streams.
-    closed_to_new: bool,
+    pub(super) closed_to_new: bool,
 }
 
 impl Conn {
--- a/crates/net/src/hub/mod.rs
+++ b/crates/net/src/hub/mod.rs
@@ -339,6 +339,12 @@
         self.conns.get_mut(conn.index()).filter(|c| c.key == conn).is_some_and(Conn::can_open)
     }
 
+    /// Has the peer said that it takes no new streams there (GOAWAY), or is the connection gone? What runs on it
+    /// goes on.
+    pub fn is_leaving(&self, conn: ConnKey) -> bool {
+        self.conns.get(conn.index()).filter(|c| c.key == conn).is_none_or(|c| c.closed_to_new)
+    }
+
     /// Streams open on a connection.
     pub fn streams_on(&self, conn: ConnKey) -> usize {
         self.conns.get(conn.index()).filter(|c| c.key == conn).map_or(0, |c| c.streams.len())
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -52,30 +52,41 @@
         if !shared.readable.get() || shared.frozen.get() {
             return Poll::Pending;
         }
-        loop {
-            return match (&shared.socket).read(buf.initialize_unfilled()) {
-                Ok(n) => {
-                    buf.advance(n);
-                    shared.read.set(shared.read.get() + n as u64);
-                    Poll::Ready(Ok(()))
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    shared.readable.set(false);
-                    Poll::Pending
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(e) => Poll::Ready(Err(e)),
-            };
-        }
+        tried(&shared.readable, || (&shared.socket).read(buf.initialize_unfilled())).map_ok(|n| {
+            buf.advance(n);
+            shared.read.set(shared.read.get() + n as u64);
+        })
+    }
+}
+
+/// Tries a system call until it says something; WouldBlock clears its flag until the next event.
+fn tried(ready: &Cell<bool>, mut call: impl FnMut() -> io::Result<usize>) -> Poll<io::Result<usize>> {
+    loop {
+        return match call() {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                ready.set(false);
+                Poll::Pending
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+            done => Poll::Ready(done),
+        };
     }
 }
 
 impl Io {
-    fn write(&self, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn put(&self, call: impl FnMut() -> io::Result<usize>) -> Poll<io::Result<usize>> {
         let shared = &self.0;
         if !shared.writable.get() || shared.frozen.get() {
             return Poll::Pending;
         }
+        tried(&shared.writable, call).map_ok(|n| {
+            shared.written.set(shared.written.get() + n as u64);
+            n
+        })
+    }
+
+    fn write(&self, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let shared = &self.0;
         let mut bytes = bytes;
         if let Some(at) = shared.cut_at.get() {
             let left = at.saturating_sub(shared.written.get());
@@ -86,20 +97,7 @@
             let most = usize::try_from(left).unwrap_or(usize::MAX).min(bytes.len());
             bytes = &bytes[..most];
         }
-        loop {
-            return match (&shared.socket).write(bytes) {
-                Ok(n) => {
-                    shared.written.set(shared.written.get() + n as u64);
-                    Poll::Ready(Ok(n))
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    shared.writable.set(false);
-                    Poll::Pending
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(e) => Poll::Ready(Err(e)),
-            };
-        }
+        self.put(|| (&shared.socket).write(bytes))
     }
 }
 
@@ -118,23 +116,7 @@
             let first = parts.iter().find(|p| !p.is_empty()).map_or(&[][..], |p| p);
             return self.write(first);
         }
-        if !shared.writable.get() || shared.frozen.get() {
-            return Poll::Pending;
-        }
-        loop {
-            return match (&shared.socket).write_vectored(parts) {
-                Ok(n) => {
-                    shared.written.set(shared.written.get() + n as u64);
-                    Poll::Ready(Ok(n))
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    shared.writable.set(false);
-                    Poll::Pending
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(e) => Poll::Ready(Err(e)),
-            };
-        }
+        self.put(|| (&shared.socket).write_vectored(parts))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -586,7 +586,7 @@
         let ours = function.out.get(&at).copied().unwrap_or(0);
         let held = f64::from(crowd.unwrap_or(0).max(ours)) / f64::from(function.lanes.max(1));
         function.told.insert(at, (held, self.now));
-        if note == Some(LoadNote::Began) {
+        if note == Some(LoadNote::Began) && flight.loading {
             let span = (elapsed - function.mean()).max(0.0);
             self.learn_load(flight.function, span);
         } else if !loaded && (note.is_some() || !flight.loading) {
@@ -677,12 +677,28 @@
         }
     }
 
+    /// An answer that has begun belongs to the client, and shows that its copy stands: a long stream would
+    /// else pass for a load until its end, and hold back all others of its function. Harm: a load's time as
+    /// learnt here holds the work up to the first part.
     fn stream_started(&mut self, id: RequestId) {
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.streaming = true;
-            let by = call.answer_by;
-            self.due.remove(&(by, Due::Answer(id)));
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.streaming = true;
+        let (by, key) = (call.answer_by, call.out.map(|number| (id, number)));
+        self.due.remove(&(by, Due::Answer(id)));
+        let Some(flight) = key.and_then(|key| self.flights.get_mut(&key)).filter(|f| f.loading) else {
+            return;
+        };
+        flight.loading = false;
+        let (at, function, span) = (flight.worker, flight.function, (self.now - flight.sent) as f64);
+        if let Some(worker) = self.workers.get_mut(&at) {
+            worker.busy += 1;
+        }
+        self.load_over(function, at);
+        if let Some(function) = self.functions.get_mut(&function) {
+            function.warm.insert(at, self.now);
         }
+        self.learn_load(function, span);
+        self.release(Some(at));
     }
 
     /// The one health estimate: a share of recent outcomes that failed, whatever the way.
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -324,3 +324,20 @@
     stand.change(home, WorkerState::On, None);
     assert!(sent(&stand.ask(5, 0, 9, 1)).is_some());
 }
+
+#[test]
+fn a_stream_that_has_begun_shows_its_copy() {
+    let mut stand = Stand::new(settings(), 2);
+    let home = sent(&stand.ask(1, 0, 9, 2)).expect("a first call is sent");
+    assert!(sent(&stand.ask(2, 0, 9, 2)).is_none(), "the copy is still loading");
+    stand.now += 300 * MS;
+    let begun = stand.feed(Event::Started { request: RequestId(1), attempt: 0 });
+    assert_eq!(sends(&begun), [(2, home)], "the second lane is free while the first stream goes on");
+    assert!(sent(&stand.ask(3, 0, 9, 2)).is_none(), "both lanes are taken");
+    // Its end frees its lane, once.
+    stand.now += S;
+    let ended = stand.ended(1, 0, home, Outcome::Ok, Some(LoadNote::Began), 1_300 * MS);
+    assert_eq!(sends(&ended), [(3, home)]);
+    assert!(sent(&stand.ask(4, 0, 9, 2)).is_none(), "calls 2 and 3 fill both lanes");
+    assert_eq!(sends(&stand.end(2, 0, home, Outcome::Ok, Some(LoadNote::Warm))), [(4, home)]);
+}
