--- a/crates/gateway/benches/measure.rs
+++ b/crates/gateway/benches/measure.rs
@@ -30,7 +30,8 @@
         throughput();
     }
     if wanted("streams") {
-        streams();
+        streams(12, true);
+        streams(60, false);
     }
 }
 
@@ -241,8 +242,9 @@
     }
 }
 
-/// Thousands of streamed calls while a third of the workers die.
-fn streams() {
+/// Thousands of streamed calls while a third of the workers die. `known`: a first call of each model was
+/// served before; else their loads are part of it.
+fn streams(models: usize, known: bool) {
     const STREAMS: usize = 5_000;
     let spec = "(listen \"127.0.0.1:0\") (cores 100000) (queue 100000) (memory 64GiB) (keep-alive 60s) \
                 (model \"\" (lanes 100000) (work 8s) (load-time 10ms))";
@@ -254,15 +256,16 @@
         Client::new(8, NetLimits { connect_timeout: Duration::from_secs(10), ..NetLimits::default() })
             .expect("a hub");
     let mut heard = Vec::new();
-    // A first call of each model: a copy of each is known when the many come.
-    let models: Vec<String> = (0..12).map(|n| format!("climb-{n}")).collect();
-    let mut first = Caller::new(gateway.address);
-    let rpcs: Vec<u64> =
-        models.iter().map(|m| first.ask(ask("ModelStreamInfer", &climb(m, "first", 8)))).collect();
-    for rpc in rpcs {
-        first.status(rpc);
+    println!("streams: {models} models, {}", if known { "each served before" } else { "none called before" });
+    let models: Vec<String> = (0..models).map(|n| format!("climb-{n}")).collect();
+    if known {
+        let mut first = Caller::new(gateway.address);
+        let request = |m: &String| ask("ModelStreamInfer", &climb(m, "first", 8));
+        let rpcs: Vec<u64> = models.iter().map(|m| first.ask(request(m))).collect();
+        for rpc in rpcs {
+            first.status(rpc);
+        }
     }
-    drop(first);
     let before = gateway.resident();
     let begun = Instant::now();
     let deadline = Duration::from_secs(20);
