Figures counted in the engine's notes and served for scraping as OpenMetrics

The endpoint runs on a mio poll and thread of its own with httparse, and can hold up no call. The module gains an accessor of worker health.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -36,6 +36,17 @@
     pub models: Models,
     /// Bounds at the edge.
     pub edge: Edge,
+    /// Figures.
+    pub figures: Figures,
+}
+
+/// Where and how figures are given.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Figures {
+    /// Where they can be scraped; `None`: nowhere.
+    pub scrape: Option<SocketAddr>,
+    /// Series of calls at the most.
+    pub series: usize,
 }
 
 /// Bounds and spans at the edge; each is told in the settings' page.
@@ -93,6 +104,8 @@
 /// A model, or all whose names begin alike.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Model {
+    /// Its place among the settings' models, for figures.
+    pub group: u32,
     /// Its class.
     pub class: ClassId,
     /// Calls that one copy runs at once.
@@ -119,9 +132,15 @@
     exact: HashMap<String, Model>,
     prefixes: HashMap<String, Model>,
     longest: usize,
+    groups: Vec<String>,
 }
 
 impl Models {
+    /// Names of the models as the settings write them, by [`Model::group`].
+    pub fn groups(&self) -> &[String] {
+        &self.groups
+    }
+
     /// What the settings say of a model; `None`: nothing matches.
     pub fn find(&self, name: &str) -> Option<&Model> {
         if let Some(model) = self.exact.get(name) {
@@ -137,6 +156,8 @@
 pub const MOST_CLASSES: usize = 256;
 /// See [`MOST_CLASSES`].
 pub const MOST_MODELS: usize = 100_000;
+/// Most series of calls.
+pub const MOST_SERIES: u64 = 100_000;
 /// See [`MOST_CLASSES`].
 pub const MOST_TENANTS: usize = 10_000;
 
@@ -169,6 +190,7 @@
     let rules = rules(&mut top);
     let step = top.span_or("step", 1_000);
     let (limits, edge) = limits(&mut top);
+    let figures = figures(&mut top);
     top.end();
     let settings = Settings {
         me,
@@ -197,6 +219,7 @@
         tenants: tenant_names,
         models,
         edge,
+        figures,
     });
     source.finish(value)
 }
@@ -296,7 +319,7 @@
 
 fn models(top: &mut Form, classes: &mut [String]) -> Models {
     let mut models = Models::default();
-    let mut count = 0;
+    let mut count: u32 = 0;
     for mut form in top.all("model") {
         count += 1;
         let name: String = form.want("its name, or the beginning of names and a *").unwrap_or_default();
@@ -313,7 +336,9 @@
             }
             list.end();
         }
+        models.groups.push(name.clone());
         let model = Model {
+            group: count - 1,
             class: ClassId(found.unwrap_or(0)),
             lanes: form.or("lanes", 1u32).max(1),
             memory: form.get::<Bytes>("memory").map(|b| b.0),
@@ -338,7 +363,7 @@
     }
     if count == 0 {
         top.fault("the settings name no (model ...): every call would be NOT_FOUND; write (model \"*\" (class ...))");
-    } else if count > MOST_MODELS {
+    } else if count as usize > MOST_MODELS {
         top.fault(format!("{count} models; at most {MOST_MODELS} are taken"));
     }
     models
@@ -410,6 +435,17 @@
     rules
 }
 
+fn figures(top: &mut Form) -> Figures {
+    let mut form = top.group("figures");
+    let series = form.or("series", 5_000u64);
+    if series == 0 || series > MOST_SERIES {
+        form.fault(format!("(series {series}): from 1 to {MOST_SERIES}"));
+    }
+    let figures = Figures { scrape: form.get("scrape"), series: series.clamp(1, MOST_SERIES) as usize };
+    form.end();
+    figures
+}
+
 fn limits(top: &mut Form) -> (Limits, Edge) {
     let mut form = top.group("limits");
     let mut whole = |key, default: u64, least: u64| {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -60,6 +60,10 @@
 
 struct Call {
     front: u64,
+    class: nettleferry::ClassId,
+    tenant: Option<nettleferry::TenantId>,
+    group: u32,
+    came: Micros,
     function: FunctionId,
     streamed: bool,
     body: Bytes,
@@ -115,6 +119,7 @@
     next: u64,
     now: Micros,
     counters: EngineCounters,
+    notes: Option<Vec<Note>>,
 }
 
 impl Engine {
@@ -144,6 +149,7 @@
             next: 0,
             now: 0,
             counters: EngineCounters::default(),
+            notes: None,
         })
     }
 
@@ -152,6 +158,33 @@
         self.counters
     }
 
+    /// From now on what is worth counting is noted, for [`Engine::notes`].
+    pub fn take_notes(&mut self) {
+        self.notes = Some(Vec::with_capacity(1024));
+    }
+
+    /// What was noted since the last time. To be drained after each event: it is not bounded by itself.
+    pub fn notes(&mut self) -> std::vec::Drain<'_, Note> {
+        self.notes.get_or_insert_default().drain(..)
+    }
+
+    fn note(&mut self, note: Note) {
+        if let Some(notes) = &mut self.notes {
+            notes.push(note);
+        }
+    }
+
+    /// Open calls that no worker has.
+    pub fn held_calls(&self) -> usize {
+        // Attempts of a call never overlap: each stands for one call.
+        self.calls.len().saturating_sub(self.flights.len())
+    }
+
+    /// Health of the listed workers, as the module sees it.
+    pub fn health(&self) -> impl Iterator<Item = nettleferry::Health> + '_ {
+        self.module.health()
+    }
+
     /// Calls without a final answer.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
@@ -186,15 +219,22 @@
         self.counters.opened += 1;
         let front = open.front;
         let left = open.left.saturating_sub(self.limits.answer_margin);
+        let (class, tenant, group) = (open.class, open.tenant, open.group);
+        let note = |how| Note::Ended { class, tenant, group, how, took: 0 };
         if left == 0 {
+            self.note(note(EndKind::Failed));
             let message = "no time was left when the call came".to_owned();
             self.end_unheld(call, front, End::Failed { cause: Cause::Deadline, message });
         } else if self.calls.len() >= self.limits.open_calls {
+            self.note(note(EndKind::Refused));
             self.refuse_unheld(call, front);
         } else {
             let model = Model { name: open.model.clone(), version: open.version.clone() };
             match self.names.open(model, self.limits.models) {
-                None => self.refuse_unheld(call, front),
+                None => {
+                    self.note(note(EndKind::Refused));
+                    self.refuse_unheld(call, front);
+                }
                 Some(function) => self.take(call, function, left, open),
             }
         }
@@ -215,6 +255,10 @@
             call,
             Call {
                 front: open.front,
+                class: open.class,
+                tenant: open.tenant,
+                group: open.group,
+                came: self.now,
                 function,
                 streamed: open.streamed,
                 body: open.body,
@@ -247,7 +291,7 @@
                 if self.calls.contains_key(&call) {
                     self.counters.gone += 1;
                     self.queue.push_back(Told::ClientGone { request: RequestId(call.0) });
-                    self.close(call);
+                    self.close(call, EndKind::Gone);
                 }
             }
             Event::ClientSlow { call } => self.flow(call, true),
@@ -334,6 +378,7 @@
                     return;
                 };
                 self.counters.orders += 1;
+                self.note(Note::OrderSent);
                 let errand = self.begin_errand(worker, Some(function), self.order_timeout);
                 let Model { name, version } = model;
                 self.out.push(Command::Load { errand, worker, model: name, version, copies: count });
@@ -381,6 +426,8 @@
         self.flights.insert(attempt, Flight { worker, sent: self.now, times_out, kept: None });
         self.counters.attempts += 1;
         let (streamed, body, slow) = (call.streamed, call.body.clone(), call.slow);
+        let after = call.last.as_ref().map(Ended::outcome);
+        self.note(Note::Attempt { after });
         self.out.push(Command::Start { attempt, worker, streamed, left, body });
         if slow {
             self.out.push(Command::Pause { attempt });
@@ -415,6 +462,9 @@
 
     fn ended(&mut self, attempt: AttemptId, how: Ended, news: News) {
         let Some(flight) = self.flights.remove(&attempt) else { return };
+        if let Some(copy) = news.note {
+            self.note(Note::Copy(copy));
+        }
         if let Some(at) = flight.times_out {
             self.timers.remove(&(at, Timer::Attempt(attempt)));
         }
@@ -462,7 +512,7 @@
     fn end(&mut self, id: CallId, end: End) {
         let Some(call) = self.calls.get(&id) else { return };
         let front = call.front;
-        self.close(id);
+        self.close(id, kind(&end));
         self.end_unheld(id, front, end);
     }
 
@@ -477,8 +527,10 @@
     }
 
     /// Takes a call off the book; what is still out for it is withdrawn.
-    fn close(&mut self, id: CallId) {
+    fn close(&mut self, id: CallId, how: EndKind) {
         let Some(call) = self.calls.remove(&id) else { return };
+        let took = self.now.saturating_sub(call.came);
+        self.note(Note::Ended { class: call.class, tenant: call.tenant, group: call.group, how, took });
         self.timers.remove(&(call.due, Timer::Deadline(id)));
         self.names.close(call.function);
         let all = AttemptId { call: id, number: 0 }..=AttemptId { call: id, number: u32::MAX };
@@ -514,6 +566,10 @@
         self.timers.remove(&(errand.by, Timer::Errand(id)));
         let (worker, outcome) = (errand.worker, how.outcome());
         let elapsed = self.now.saturating_sub(errand.sent);
+        self.note(match errand.function {
+            Some(_) => Note::Order(outcome),
+            None => Note::Probe { answered: outcome == Outcome::Ok },
+        });
         self.queue.push_back(match errand.function {
             Some(function) => Told::Loaded { worker, function, outcome, copies, elapsed },
             None => Told::Probed { worker, outcome, report },
@@ -560,3 +616,12 @@
     };
     End::Failed { cause, message }
 }
+
+fn kind(end: &End) -> EndKind {
+    match end {
+        End::Served { .. } => EndKind::Served,
+        End::Rejected { .. } => EndKind::Rejected,
+        End::Refused { .. } => EndKind::Refused,
+        End::Failed { .. } => EndKind::Failed,
+    }
+}
--- a/crates/engine/src/types.rs
+++ b/crates/engine/src/types.rs
@@ -46,6 +46,8 @@
     pub load_time: Option<Micros>,
     /// The client marked it as a repeat.
     pub repeat: bool,
+    /// The front's group of models, handed back in [`Note::Ended`].
+    pub group: u32,
     /// The answer may come in parts, each delivered as it comes.
     pub streamed: bool,
     /// The request as it came; handed to links as it is.
@@ -288,3 +290,52 @@
     /// A line of the module for the log.
     Log(String),
 }
+
+/// Something worth counting, for whoever keeps figures: see [`crate::Engine::notes`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Note {
+    /// A call has ended.
+    Ended {
+        /// Its class.
+        class: ClassId,
+        /// Its tenant.
+        tenant: Option<TenantId>,
+        /// Its group of models.
+        group: u32,
+        /// How.
+        how: EndKind,
+        /// From its coming to its end.
+        took: Micros,
+    },
+    /// An attempt was begun.
+    Attempt {
+        /// How the one before it ended; `None`: it is the first.
+        after: Option<nettleferry::Outcome>,
+    },
+    /// An answer told of loaded copies.
+    Copy(LoadNote),
+    /// A load order was sent.
+    OrderSent,
+    /// A load order ended.
+    Order(nettleferry::Outcome),
+    /// A probe ended.
+    Probe {
+        /// The worker answered it.
+        answered: bool,
+    },
+}
+
+/// Kinds of [`End`], and a client that left first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndKind {
+    /// [`End::Served`].
+    Served,
+    /// [`End::Rejected`].
+    Rejected,
+    /// [`End::Refused`].
+    Refused,
+    /// [`End::Failed`].
+    Failed,
+    /// The client left.
+    Gone,
+}
--- a/crates/engine/tests/ledger.rs
+++ b/crates/engine/tests/ledger.rs
@@ -123,6 +123,7 @@
             lanes: 2,
             load_time: None,
             repeat: false,
+            group: 0,
             streamed,
             body: Bytes::from_static(b"request"),
         };
--- a/crates/gateway/benches/measure.rs
+++ b/crates/gateway/benches/measure.rs
@@ -97,6 +97,7 @@
             lanes: 64,
             load_time: None,
             repeat: false,
+            group: 0,
             streamed: false,
             body: Bytes::from_static(b"request"),
         };
--- a/crates/gateway/src/commands/serve.rs
+++ b/crates/gateway/src/commands/serve.rs
@@ -50,6 +50,9 @@
 pub fn run(config: Config) -> Result<u8, CommandError> {
     let mut controller = Controller::new(config, true)?;
     announce(&format!("listening grpc {}", controller.local()))?;
+    if let Some(scrape) = controller.scrape() {
+        announce(&format!("listening scrape {scrape}"))?;
+    }
     Ok(match controller.run()? {
         Stopped::Clean => 0,
         Stopped::AtOnce => 130,
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -19,6 +19,7 @@
 use crate::front::{Around, Front};
 use crate::links::{LinkLimits, Links};
 use crate::list::{ListFile, News, members};
+use crate::observe::{Observer, Scrape};
 
 /// Why a controller could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -58,6 +59,9 @@
     links: Links,
     list: ListFile,
     signals: Option<Signals>,
+    observer: Observer,
+    scrape: Option<Scrape>,
+    refresh_at: Micros,
     commands: Vec<Command>,
     local: SocketAddr,
     /// Set at the first signal: when open calls must have ended.
@@ -65,6 +69,8 @@
 }
 
 const SIGNALS: usize = 0;
+/// How often slower figures (workers, limits) are brought up to date, at the most.
+const REFRESH: Micros = 200_000;
 /// A drain whose calls have all ended waits so long for clients to read and close.
 const LAST_WORDS: Micros = 500_000;
 
@@ -92,13 +98,22 @@
             probe_timeout: edge.probe_timeout,
         };
         let seed = config.seed.unwrap_or_else(rand::random);
-        let engine = Engine::new(config.settings.clone(), config.zone.as_deref(), limits, seed)?;
+        let mut engine = Engine::new(config.settings.clone(), config.zone.as_deref(), limits, seed)?;
         let (_, local) = hub
             .listen(config.grpc)
             .map_err(|source| ControllerError::Listen { address: config.grpc, source })?;
         let signals = if signals { Some(watch_signals(&hub)?) } else { None };
         let links = LinkLimits { connections: edge.worker_connections, streams: edge.worker_streams };
         let list = ListFile::new(config.workers.clone(), config.workers_kept.clone(), config.workers_check);
+        let observer = Observer::new(&config);
+        let scrape = match config.figures.scrape {
+            Some(address) => Some(
+                Scrape::start(address, observer.figures())
+                    .map_err(|source| ControllerError::Listen { address, source })?,
+            ),
+            None => None,
+        };
+        engine.take_notes();
         let config = Arc::new(config);
         let mut controller = Self {
             clock: Clock::start(),
@@ -108,6 +123,9 @@
             links: Links::new(links, config.settings.me),
             list,
             signals,
+            observer,
+            scrape,
+            refresh_at: 0,
             commands: Vec::new(),
             local,
             draining: None,
@@ -124,6 +142,11 @@
         self.local
     }
 
+    /// Where the figures can be scraped.
+    pub fn scrape(&self) -> Option<SocketAddr> {
+        self.scrape.as_ref().map(|s| s.local)
+    }
+
     /// Runs until told to stop.
     pub fn run(&mut self) -> Result<Stopped, ControllerError> {
         let mut events = Vec::new();
@@ -144,6 +167,18 @@
                     self.event(event);
                 }
             }
+            self.observe();
+        }
+    }
+
+    /// Counts what was noted; slower figures now and then, as events come.
+    fn observe(&mut self) {
+        self.observer.count(&mut self.engine);
+        let now = self.clock.now();
+        if now >= self.refresh_at {
+            self.refresh_at = now + REFRESH;
+            let (net, front) = (self.hub.counters(), self.front.counters());
+            self.observer.refresh(&self.engine, &net, &front, self.links.no_room);
         }
     }
 
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -275,6 +275,7 @@
             lanes: model.lanes,
             load_time: model.load_time,
             repeat: rpc.repeat,
+            group: model.group,
             streamed: rpc.method == Method::Stream,
             body: payload,
         };
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,7 +4,7 @@
 //! engine.
 //!
 //! * [`controller`]: the loop. [`front`]: towards clients. [`links`]: towards workers. [`list`]: who they are.
-//! * [`commands`]: one file a subcommand. [`logs`], [`clock`].
+//! * [`commands`]: one file a subcommand. [`observe`]: figures. [`logs`], [`clock`].
 
 #![forbid(unsafe_code)]
 
@@ -15,6 +15,7 @@
 mod links;
 mod list;
 mod logs;
+mod observe;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/gateway/src/observe.rs
@@ -0,0 +1,192 @@
+//! Counts what the engine notes, and serves the figures for scraping in a thread that can't hold up calls.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use nettleferry::{LoadNote, Micros, Outcome, WorkerState};
+use nettleferry_config::Config;
+use nettleferry_engine::{EndKind, Engine, Note};
+use nettleferry_figures::{End, Figures, Slots};
+use nettleferry_net::NetCounters;
+use nettleferry_net::http1::{Http1, Http1Limits, Reply, Request, Stop};
+
+use crate::front::FrontCounters;
+
+/// Names of limits whose hits are counted, in the order in which [`Observer::limits`] gives them.
+const LIMITS: [&str; 11] = [
+    "open_calls",
+    "calls_per_stream",
+    "message_size",
+    "send_queue",
+    "connections",
+    "file_handles",
+    "handshake_timeout",
+    "idle",
+    "connect_timeout",
+    "protocol",
+    "worker_connections",
+];
+
+/// Counts.
+pub struct Observer {
+    figures: Arc<Figures>,
+    aims: Vec<Micros>,
+}
+
+impl Observer {
+    /// All series at zero.
+    pub fn new(config: &Config) -> Self {
+        let mut tenants: Vec<(&String, usize)> =
+            config.tenants.iter().map(|(name, id)| (name, id.0)).collect();
+        tenants.sort_by_key(|t| t.1);
+        let tenants: Vec<String> = tenants.into_iter().map(|t| t.0.clone()).collect();
+        let slots =
+            Slots::new(config.classes.clone(), &tenants, config.models.groups(), config.figures.series);
+        let figures = Arc::new(Figures::new(slots, &LIMITS));
+        Self { figures, aims: config.settings.classes.iter().map(|c| c.aim).collect() }
+    }
+
+    /// The figures, for whoever serves them.
+    pub fn figures(&self) -> Arc<Figures> {
+        Arc::clone(&self.figures)
+    }
+
+    /// Counts what was noted.
+    pub fn count(&self, engine: &mut Engine) {
+        for note in engine.notes() {
+            self.note(note);
+        }
+        self.figures.in_hand(engine.open_calls(), engine.held_calls());
+    }
+
+    fn note(&self, note: Note) {
+        match note {
+            Note::Ended { class, tenant, group, how, took } => {
+                let aim = self.aims.get(class.0).copied().unwrap_or(Micros::MAX);
+                let end = match how {
+                    EndKind::Served if took <= aim => End::InTime,
+                    EndKind::Served => End::Late,
+                    EndKind::Refused => End::Refused,
+                    EndKind::Failed => End::Failed,
+                    EndKind::Rejected => End::Rejected,
+                    EndKind::Gone => End::Cancelled,
+                };
+                self.figures.call(class.0, end, tenant.map(|t| t.0), group as usize, took as f64 / 1e6);
+            }
+            Note::Attempt { after } => self.figures.attempt(reason(after)),
+            Note::Copy(note) => self.figures.note(match note {
+                LoadNote::Warm => 0,
+                LoadNote::Began => 1,
+                LoadNote::Waited => 2,
+                LoadNote::Failed => 3,
+            }),
+            Note::OrderSent => self.figures.order_sent(),
+            Note::Order(outcome) => self.figures.order(match outcome {
+                Outcome::Ok => 0,
+                Outcome::Full => 1,
+                Outcome::Timeout => 3,
+                _ => 2,
+            }),
+            Note::Probe { answered } => self.figures.probe(answered),
+        }
+    }
+
+    /// Brings slower figures up to date: workers, limits.
+    pub fn refresh(&self, engine: &Engine, net: &NetCounters, front: &FrontCounters, no_room: u64) {
+        let mut workers = [0; 4];
+        for health in engine.health() {
+            let at = match (health.state, health.down, health.barred) {
+                (WorkerState::Draining, _, _) => 1,
+                (_, true, _) => 3,
+                (_, _, true) => 2,
+                _ => 0,
+            };
+            workers[at] += 1;
+        }
+        self.figures.workers(workers);
+        let counters = engine.counters();
+        self.figures.backstop(counters.backstop);
+        let hits = [
+            counters.over_open,
+            front.over_calls_per_stream,
+            net.bad_messages,
+            front.slow_clients,
+            net.over_connections,
+            net.over_handles,
+            net.handshake_timeouts,
+            net.idle_closed,
+            net.connect_failures,
+            net.protocol_errors,
+            no_room,
+        ];
+        for (at, total) in hits.into_iter().enumerate() {
+            self.figures.limit(at, total);
+        }
+    }
+}
+
+/// The place of a reason among [`nettleferry_figures::REASONS`].
+fn reason(after: Option<Outcome>) -> usize {
+    match after {
+        None | Some(Outcome::Ok) => 0,
+        Some(Outcome::Error) => 1,
+        Some(Outcome::Full) => 2,
+        Some(Outcome::Timeout) => 3,
+        Some(Outcome::ConnectFailed) => 4,
+        Some(Outcome::Reset) => 5,
+        Some(Outcome::Cancelled) => 6,
+        Some(Outcome::Moot) => 7,
+        Some(Outcome::Miss) => 8,
+    }
+}
+
+/// The scrape endpoint's thread; it ends when this is dropped.
+pub struct Scrape {
+    /// Where it listens.
+    pub local: SocketAddr,
+    stop: Stop,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Scrape {
+    /// Serves figures at `/metrics`.
+    pub fn start(address: SocketAddr, figures: Arc<Figures>) -> io::Result<Self> {
+        let mut server = Http1::bind(address, Http1Limits { body_bytes: 0, ..Http1Limits::default() })?;
+        let (local, stop) = (server.local()?, server.stop());
+        let thread = std::thread::Builder::new().name("scrape".to_owned()).spawn(move || {
+            if let Err(error) = server.run(|request| reply(request, &figures)) {
+                tracing::warn!(%error, "the scrape endpoint has ended");
+            }
+        })?;
+        Ok(Self { local, stop, thread: Some(thread) })
+    }
+}
+
+impl Drop for Scrape {
+    fn drop(&mut self) {
+        self.stop.stop();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Content type of the OpenMetrics text format, version 1.0.0.
+const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+fn reply(request: &Request<'_>, figures: &Figures) -> Reply {
+    let path = request.target.split('?').next().unwrap_or("");
+    if path != "/metrics" {
+        return Reply::text(404, "figures are at /metrics\n");
+    }
+    if request.method != "GET" {
+        let allow = vec![("Allow", "GET".to_owned())];
+        return Reply { headers: allow, ..Reply::text(405, "GET alone is answered here\n") };
+    }
+    match figures.text() {
+        Ok(text) => Reply { kind: OPENMETRICS, ..Reply::text(200, text) },
+        Err(_) => Reply::text(500, "the figures could not be written\n"),
+    }
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -62,6 +62,12 @@
         Self { child, lines, address, dir }
     }
 
+    /// Where figures can be scraped: its second line.
+    pub fn scrape(&self) -> SocketAddr {
+        let line = self.lines.recv_timeout(PATIENCE).expect("a second line");
+        line.strip_prefix("listening scrape ").expect("the second line").parse().expect("an address")
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
--- /dev/null
+++ b/crates/net/src/http1.rs
@@ -0,0 +1,363 @@
+//! A small HTTP/1.1 server (RFC 9110, RFC 9112) on a mio poll of its own, for side listeners: scraping and the
+//! like. It runs in a thread of its own and can hold up nothing else.
+//!
+//! Requests have a body by Content-Length or none; chunked bodies are answered 411. Connections are kept as
+//! the client wishes, requests on one connection are answered in order.
+
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use slab::Slab;
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Http1Limits {
+    /// Connections at once; one more is closed at once.
+    pub connections: usize,
+    /// Bytes of a request's line and headers; more is 431.
+    pub head_bytes: usize,
+    /// Bytes of a request's body; more is 413.
+    pub body_bytes: usize,
+    /// A connection that has not finished a request, or taken its answer, within this span is closed.
+    pub patience: Duration,
+}
+
+impl Default for Http1Limits {
+    fn default() -> Self {
+        Self { connections: 64, head_bytes: 8 << 10, body_bytes: 1 << 20, patience: Duration::from_secs(10) }
+    }
+}
+
+/// A request.
+#[derive(Debug)]
+pub struct Request<'a> {
+    /// `GET` and the like.
+    pub method: &'a str,
+    /// The target as sent: path and query.
+    pub target: &'a str,
+    /// Headers in order; names as sent.
+    pub headers: Vec<(&'a str, &'a [u8])>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl Request<'_> {
+    /// The first header of a name, whatever its case, where it is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.and_then(|(_, value)| std::str::from_utf8(value).ok())
+    }
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// Content-Type.
+    pub kind: &'static str,
+    /// Further headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// An answer in plain text.
+    pub fn text(status: u16, text: impl Into<String>) -> Self {
+        let body = text.into().into_bytes();
+        Self { status, kind: "text/plain; charset=utf-8", headers: Vec::new(), body }
+    }
+}
+
+/// Ends a server from another thread.
+#[derive(Clone)]
+pub struct Stop {
+    told: Arc<AtomicBool>,
+    waker: Arc<Waker>,
+}
+
+impl Stop {
+    /// Ends it.
+    pub fn stop(&self) {
+        self.told.store(true, Ordering::Release);
+        let _ = self.waker.wake();
+    }
+}
+
+struct Conn {
+    socket: TcpStream,
+    came: Vec<u8>,
+    out: Vec<u8>,
+    sent: usize,
+    last: bool,
+    until: Instant,
+}
+
+/// A server.
+pub struct Http1 {
+    poll: Poll,
+    listener: TcpListener,
+    conns: Slab<Conn>,
+    limits: Http1Limits,
+    stop: Stop,
+}
+
+const LISTEN: Token = Token(usize::MAX);
+const WAKE: Token = Token(usize::MAX - 1);
+const MOST_HEADERS: usize = 64;
+
+impl Http1 {
+    /// Listens.
+    pub fn bind(address: SocketAddr, limits: Http1Limits) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let mut listener = TcpListener::bind(address)?;
+        poll.registry().register(&mut listener, LISTEN, Interest::READABLE)?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKE)?);
+        let stop = Stop { told: Arc::default(), waker };
+        Ok(Self { poll, listener, conns: Slab::new(), limits, stop })
+    }
+
+    /// Where it listens.
+    pub fn local(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// The handle that ends it.
+    pub fn stop(&self) -> Stop {
+        self.stop.clone()
+    }
+
+    /// Serves until stopped.
+    pub fn run(&mut self, mut answer: impl FnMut(&Request<'_>) -> Reply) -> io::Result<()> {
+        let mut events = Events::with_capacity(128);
+        while !self.stop.told.load(Ordering::Acquire) {
+            let now = Instant::now();
+            let next = self.conns.iter().map(|(_, c)| c.until.saturating_duration_since(now)).min();
+            match self.poll.poll(&mut events, next) {
+                Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+                _ => {}
+            }
+            let due: Vec<Token> = events.iter().map(|e| e.token()).collect();
+            for token in due {
+                match token {
+                    LISTEN => self.accept(),
+                    WAKE => {}
+                    Token(at) => self.work(at, &mut answer),
+                }
+            }
+            let now = Instant::now();
+            self.conns.retain(|_, c| c.until > now);
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self) {
+        while let Ok((mut socket, _)) = self.listener.accept() {
+            if self.conns.len() >= self.limits.connections {
+                continue;
+            }
+            let entry = self.conns.vacant_entry();
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            if self.poll.registry().register(&mut socket, Token(entry.key()), interest).is_ok() {
+                let until = Instant::now() + self.limits.patience;
+                entry.insert(Conn { socket, came: Vec::new(), out: Vec::new(), sent: 0, last: false, until });
+            }
+        }
+    }
+
+    fn work(&mut self, at: usize, answer: &mut impl FnMut(&Request<'_>) -> Reply) {
+        let limits = self.limits;
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        if conn.turn(&limits, answer).is_err() {
+            self.conns.remove(at);
+        }
+    }
+}
+
+/// What stands at the beginning of the bytes that came.
+enum Parsed {
+    Partial,
+    /// One request of so many bytes is answered; keep the connection?
+    Done(usize, Reply, bool),
+    Bad(Reply),
+}
+
+impl Conn {
+    /// Reads, answers and writes as far as it goes. An error ends the connection.
+    fn turn(
+        &mut self,
+        limits: &Http1Limits,
+        answer: &mut impl FnMut(&Request<'_>) -> Reply,
+    ) -> io::Result<()> {
+        let mut chunk = [0; 16 << 10];
+        loop {
+            self.write()?;
+            // No more is read than one request and its answer take.
+            if self.sent < self.out.len() {
+                return Ok(());
+            }
+            if self.last {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            match parse(&self.came, limits, answer) {
+                Parsed::Done(used, reply, keep) => {
+                    self.came.drain(..used);
+                    self.last = !keep;
+                    self.reply(&reply);
+                    self.until = Instant::now() + limits.patience;
+                    continue;
+                }
+                Parsed::Bad(reply) => {
+                    self.last = true;
+                    self.reply(&reply);
+                    continue;
+                }
+                Parsed::Partial => {}
+            }
+            match self.socket.read(&mut chunk) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(n) => self.came.extend_from_slice(&chunk[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    fn write(&mut self) -> io::Result<()> {
+        while self.sent < self.out.len() {
+            match self.socket.write(&self.out[self.sent..]) {
+                Ok(n) => self.sent += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.out.clear();
+        self.sent = 0;
+        Ok(())
+    }
+
+    fn reply(&mut self, reply: &Reply) {
+        let reason =
+            http::StatusCode::from_u16(reply.status).ok().and_then(|s| s.canonical_reason()).unwrap_or("");
+        let keep = if self.last { "close" } else { "keep-alive" };
+        let mut head = format!(
+            "HTTP/1.1 {} {reason}\r\nContent-Type: {}\r\nContent-Length: {}\r\nConnection: {keep}\r\n",
+            reply.status,
+            reply.kind,
+            reply.body.len()
+        );
+        for (name, value) in &reply.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        self.out.extend_from_slice(head.as_bytes());
+        self.out.extend_from_slice(&reply.body);
+    }
+}
+
+fn parse(came: &[u8], limits: &Http1Limits, answer: &mut impl FnMut(&Request<'_>) -> Reply) -> Parsed {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let used = match head.parse(came) {
+        Ok(httparse::Status::Complete(used)) if used <= limits.head_bytes => used,
+        Ok(httparse::Status::Partial) if came.len() <= limits.head_bytes => return Parsed::Partial,
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+            let what = format!("at most {} bytes and {MOST_HEADERS} headers are taken\n", limits.head_bytes);
+            return Parsed::Bad(Reply::text(431, what));
+        }
+        Err(error) => return Parsed::Bad(Reply::text(400, format!("no HTTP/1.1 request: {error}\n"))),
+    };
+    let request = Request {
+        method: head.method.unwrap_or(""),
+        target: head.path.unwrap_or(""),
+        headers: head.headers.iter().map(|h| (h.name, h.value)).collect(),
+        body: &[],
+    };
+    if request.header("transfer-encoding").is_some() {
+        return Parsed::Bad(Reply::text(411, "chunked bodies are not taken: send Content-Length\n"));
+    }
+    // Two lengths that differ are an attack on whoever stands between (RFC 9112, 6.3).
+    let mut lengths = request.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+    let length = match (lengths.next(), lengths.next()) {
+        (None, _) => Some(0),
+        (Some((_, value)), None) => {
+            std::str::from_utf8(value).ok().and_then(|v| v.trim().parse::<usize>().ok())
+        }
+        _ => None,
+    };
+    let Some(length) = length else {
+        return Parsed::Bad(Reply::text(400, "Content-Length is not one whole number\n"));
+    };
+    if length > limits.body_bytes {
+        return Parsed::Bad(Reply::text(
+            413,
+            format!("at most {} bytes of body are taken\n", limits.body_bytes),
+        ));
+    }
+    let Some(body) = came.get(used..used + length) else { return Parsed::Partial };
+    let connection = request.header("connection").unwrap_or("").to_ascii_lowercase();
+    let keep = if head.version == Some(1) { connection != "close" } else { connection == "keep-alive" };
+    let reply = answer(&Request { body, ..request });
+    Parsed::Done(used + length, reply, keep)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpStream as Plain;
+
+    /// What a server answers to bytes that come in pieces of a size.
+    fn talk(bytes: &[u8], piece: usize) -> String {
+        let limits = Http1Limits { head_bytes: 400, body_bytes: 10, ..Http1Limits::default() };
+        let mut server = Http1::bind("127.0.0.1:0".parse().expect("sound"), limits).expect("a port");
+        let (address, stop) = (server.local().expect("bound"), server.stop());
+        let thread = std::thread::spawn(move || {
+            server.run(|r| Reply::text(200, format!("{} {} {}\n", r.method, r.target, r.body.len())))
+        });
+        let mut socket = Plain::connect(address).expect("connects");
+        socket.set_read_timeout(Some(Duration::from_secs(20))).expect("set");
+        socket.set_nodelay(true).expect("set");
+        for part in bytes.chunks(piece) {
+            if socket.write_all(part).is_err() {
+                break;
+            }
+        }
+        let mut told = Vec::new();
+        let _ = socket.read_to_end(&mut told);
+        stop.stop();
+        thread.join().expect("ends").expect("served");
+        String::from_utf8_lossy(&told).into_owned()
+    }
+
+    #[test]
+    fn requests_are_answered_in_order_however_they_come() {
+        let bytes = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyz\
+                      GET /c HTTP/1.1\r\nConnection: close\r\n\r\n";
+        for piece in [1, 7, 1000] {
+            let told = talk(bytes, piece);
+            let bodies: Vec<&str> =
+                told.lines().filter(|l| l.contains(" /")).filter(|l| !l.starts_with("HTTP")).collect();
+            assert_eq!(bodies, ["GET /a 0", "POST /b 3", "GET /c 0"], "{told}");
+        }
+    }
+
+    #[test]
+    fn what_is_malformed_or_too_large_is_told_and_ends() {
+        let status = |bytes: &[u8]| talk(bytes, 4096).split(' ').nth(1).unwrap_or("").to_owned();
+        assert_eq!(status(b"nonsense\r\n\r\n"), "400");
+        assert_eq!(status(b"POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n"), "413");
+        assert_eq!(status(b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n"), "400");
+        assert_eq!(status(b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"), "400");
+        assert_eq!(status(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"), "411");
+        let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(500));
+        assert_eq!(status(long.as_bytes()), "431");
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 //! happened comes out as [`NetEvent`]s.
 //!
 //! * [`hub`]: connections and streams. [`io`]: a mio socket as `AsyncRead`/`AsyncWrite`.
+//! * [`http1`]: a small HTTP/1.1 server for side listeners.
 //! * [`framing`]: length-prefixed messages. [`grpc`]: status, time-outs, percent and base64 headers.
 //! * [`limits`]: every bound, and its counter.
 
@@ -15,6 +16,7 @@
 
 pub mod framing;
 pub mod grpc;
+pub mod http1;
 pub mod hub;
 pub mod io;
 pub mod limits;
--- a/examples/nettleferry.sexp
+++ b/examples/nettleferry.sexp
@@ -108,3 +108,7 @@
   (handshake-timeout 5s)            ; an accepted connection must speak HTTP/2 by then (default 5s)
   (idle 30s)                        ; a connection without calls is closed (default 30s)
   (drain 30s))                      ; at SIGTERM open calls have so long (default 30s)
+
+(figures
+  (scrape "127.0.0.1:9091")         ; OpenMetrics text at /metrics (default: not served)
+  (series 5000))                    ; of calls at the most; tenants and models beyond share "other" (default 5000)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -287,6 +287,19 @@
     pub born: Option<Micros>,
 }
 
+/// A listed worker's health, as the module sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Health {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its state in the list.
+    pub state: WorkerState,
+    /// Its recent outcomes keep calls from it, but for trials.
+    pub barred: bool,
+    /// Its process died or is silent.
+    pub down: bool,
+}
+
 /// What a worker list event brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListForm {
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,6 +132,16 @@
 
 /// Book-keeping that keeps the counts in step; no choice is made here.
 impl Controller {
+    /// Health of the listed workers, as the events so far show it: for figures.
+    pub fn health(&self) -> impl Iterator<Item = Health> + '_ {
+        self.workers.iter().filter(|(_, w)| w.entry.state != WorkerState::Gone).map(|(id, w)| Health {
+            worker: *id,
+            state: w.entry.state,
+            barred: w.barred,
+            down: w.down,
+        })
+    }
+
     pub(crate) fn forget_copies(&mut self, id: WorkerId) {
         for function in self.functions.values_mut() {
             function.warm.remove(&id);
