Push queue: batches, order by series, bounds, backoff and drain, without I/O

The receiver will be away: what is dropped first, what is tried again and how fast a backlog drains are decided in a package of their own with a made-up clock.

--- /dev/null
+++ b/crates/push/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions of pushing samples to a receiver that will be away: no I/O, no clock.
+//!
+//! May know: samples, batches, answers as kinds. Must not know: sockets, HTTP, encodings, files. Time is handed
+//! in, microseconds on any clock that never goes back; chance comes from a seed. Equal events give equal
+//! actions.
+//!
+//! * [`queue`]: what is kept, what is dropped first, what is sent when, and what is tried again.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod queue;
+
+pub use queue::{Answer, Batch, Counters, Limits, Queue, Sample};
