--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -49,8 +49,8 @@
     repeat: bool,
     /// The stream's first failing call ends it with its status.
     grpc_error: bool,
-    /// Its open calls, and their ids as the client gave them.
-    calls: BTreeMap<CallId, Arc<str>>,
+    /// Its open calls, and their marks.
+    calls: BTreeMap<CallId, u64>,
     answered: bool,
     half_closed: bool,
     /// A message has come.
@@ -263,7 +263,7 @@
         self.next += 1;
         let front = self.next;
         let (id, name): (Arc<str>, Arc<str>) = (head.id.into(), head.model.into());
-        self.calls.insert(front, Call { stream, id: Arc::clone(&id), model: Arc::clone(&name) });
+        self.calls.insert(front, Call { stream, id, model: Arc::clone(&name) });
         let open = Open {
             front,
             class: model.class,
@@ -284,7 +284,7 @@
         let ended =
             around.commands[before..].iter().any(|c| matches!(c, Command::End { call: c, .. } if *c == call));
         let Some(rpc) = self.rpcs.get_mut(&stream).filter(|_| !ended) else { return };
-        rpc.calls.insert(call, id);
+        rpc.calls.insert(call, front);
         if rpc.full {
             around.engine.handle(around.now, Event::ClientSlow { call }, around.commands);
         }
@@ -308,10 +308,15 @@
 
     fn client_gone(&mut self, around: &mut Around, stream: StreamKey) {
         let Some(rpc) = self.rpcs.remove(&stream) else { return };
-        for call in rpc.calls.into_keys() {
+        self.abandon(around, rpc.calls);
+    }
+
+    /// Calls that have lost their client.
+    fn abandon(&mut self, around: &mut Around, calls: BTreeMap<CallId, u64>) {
+        for (call, front) in calls {
+            self.calls.remove(&front);
             around.engine.handle(around.now, Event::ClientGone { call }, around.commands);
         }
-        self.calls.retain(|_, call| call.stream != stream);
     }
 
     // ---- answers ----
@@ -390,10 +395,7 @@
         } else {
             respond_only(around.hub, stream, failure);
         }
-        for call in rpc.calls.into_keys() {
-            around.engine.handle(around.now, Event::ClientGone { call }, around.commands);
-        }
-        self.calls.retain(|_, call| call.stream != stream);
+        self.abandon(around, rpc.calls);
     }
 
     /// A stream whose client sends no more and whose calls have all ended.
--- a/crates/proto/build.rs
+++ b/crates/proto/build.rs
@@ -1,7 +1,13 @@
 //! Compiles the project's .proto files with protox: no protoc is needed.
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let files = ["proto/inference.proto", "proto/orca.proto", "proto/rpc.proto"];
+    let files = [
+        "proto/inference.proto",
+        "proto/orca.proto",
+        "proto/rpc.proto",
+        "proto/remote_write_v1.proto",
+        "proto/remote_write_v2.proto",
+    ];
     for file in files {
         println!("cargo::rerun-if-changed={file}");
     }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -5,11 +5,13 @@
 //! * [`inference`]: the Open Inference Protocol v2 over gRPC with its model repository extension.
 //! * [`orca`]: `xds.data.orca.v3.OrcaLoadReport`, sent in the trailer [`orca::TRAILER`].
 //! * [`rpc`]: `google.rpc.Status` and `RetryInfo`, sent in `grpc-status-details-bin`.
+//! * [`remote_write`]: Prometheus remote write 1.0 and 2.0, snappy-compressed.
 //! * [`peek`]: reads the head of an inference request and of a stream response without decoding tensors.
 
 #![forbid(unsafe_code)]
 
 pub mod peek;
+pub mod remote_write;
 
 /// `inference.GRPCInferenceService`.
 pub mod inference {
--- /dev/null
+++ b/crates/proto/src/remote_write.rs
@@ -0,0 +1,291 @@
+//! Prometheus remote write, both versions: series to a compressed body and back.
+//!
+//! Source: "Prometheus Remote-Write Specification" 1.0 and 2.0. A body is one protobuf message in snappy's block
+//! format. Labels are sorted by name, the metric's name is the label `__name__`, times are milliseconds since
+//! 1970.
+
+use std::collections::HashMap;
+
+use prost::Message;
+
+/// Messages of version 1.0.
+pub mod v1 {
+    include!(concat!(env!("OUT_DIR"), "/prometheus.rs"));
+}
+
+/// Messages of version 2.0.
+pub mod v2 {
+    include!(concat!(env!("OUT_DIR"), "/io.prometheus.write.v2.rs"));
+}
+
+/// The versions, in the order in which a sender prefers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Version {
+    /// `io.prometheus.write.v2.Request`.
+    Two,
+    /// `prometheus.WriteRequest`.
+    One,
+}
+
+impl Version {
+    /// Content-Type of a body.
+    pub fn content_type(self) -> &'static str {
+        match self {
+            Self::Two => "application/x-protobuf;proto=io.prometheus.write.v2.Request",
+            Self::One => "application/x-protobuf;proto=prometheus.WriteRequest",
+        }
+    }
+
+    /// `X-Prometheus-Remote-Write-Version`.
+    pub fn header(self) -> &'static str {
+        match self {
+            Self::Two => "2.0.0",
+            Self::One => "0.1.0",
+        }
+    }
+}
+
+/// What a series is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Only grows.
+    Counter,
+    /// Goes up and down.
+    Gauge,
+    /// A part of a classic histogram.
+    Histogram,
+}
+
+/// A series with its samples in order of time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Series {
+    /// Labels, `__name__` among them.
+    pub labels: Vec<(String, String)>,
+    /// Time and value.
+    pub samples: Vec<(i64, f64)>,
+    /// What it is; told by version 2.0 alone.
+    pub kind: Kind,
+    /// When its counter began; told by version 2.0 alone.
+    pub created_ms: Option<i64>,
+}
+
+/// The value of a staleness marker: "this series has ended". A NaN with these bits, and no other NaN.
+pub const STALE: u64 = 0x7ff0_0000_0000_0002;
+
+/// A staleness marker.
+pub fn stale() -> f64 {
+    f64::from_bits(STALE)
+}
+
+/// Is it a staleness marker?
+pub fn is_stale(value: f64) -> bool {
+    value.to_bits() == STALE
+}
+
+/// A body that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// It would unpack to more than is taken.
+    #[error("the body unpacks to {got} bytes; at most {most} are taken")]
+    TooLarge {
+        /// Bytes told.
+        got: usize,
+        /// The limit.
+        most: usize,
+    },
+    /// It is no snappy block.
+    #[error("the body is not sound snappy: {0}")]
+    Snappy(String),
+    /// It is no message of its version.
+    #[error("the body is no message of its version: {0}")]
+    Protobuf(String),
+    /// A reference to a symbol that is not there, or half a label.
+    #[error("series {series}: a label refers to what is not in the symbols")]
+    Symbol {
+        /// Its place.
+        series: usize,
+    },
+}
+
+/// Encodes series as a compressed body.
+pub fn write(version: Version, series: &[Series]) -> Result<Vec<u8>, BodyError> {
+    let message = match version {
+        Version::One => write_one(series).encode_to_vec(),
+        Version::Two => write_two(series).encode_to_vec(),
+    };
+    snap::raw::Encoder::new().compress_vec(&message).map_err(|e| BodyError::Snappy(e.to_string()))
+}
+
+fn sorted(series: &Series) -> Vec<&(String, String)> {
+    let mut labels: Vec<_> = series.labels.iter().collect();
+    labels.sort();
+    labels
+}
+
+fn write_one(series: &[Series]) -> v1::WriteRequest {
+    let one = |s: &Series| v1::TimeSeries {
+        labels: sorted(s).into_iter().map(|(n, v)| v1::Label { name: n.clone(), value: v.clone() }).collect(),
+        samples: s
+            .samples
+            .iter()
+            .map(|(timestamp, value)| v1::Sample { value: *value, timestamp: *timestamp })
+            .collect(),
+    };
+    v1::WriteRequest { timeseries: series.iter().map(one).collect() }
+}
+
+fn write_two(series: &[Series]) -> v2::Request {
+    // The first symbol is the empty one, as the specification wants.
+    let mut symbols = vec![String::new()];
+    let mut places: HashMap<String, u32> = HashMap::from([(String::new(), 0)]);
+    let mut timeseries = Vec::with_capacity(series.len());
+    for s in series {
+        let mut labels_refs = Vec::with_capacity(s.labels.len() * 2);
+        for (name, value) in sorted(s) {
+            for text in [name, value] {
+                let place = match places.get(text.as_str()) {
+                    Some(place) => *place,
+                    None => {
+                        let place = symbols.len() as u32;
+                        symbols.push(text.clone());
+                        places.insert(text.clone(), place);
+                        place
+                    }
+                };
+                labels_refs.push(place);
+            }
+        }
+        let kind = match s.kind {
+            Kind::Counter => v2::metadata::MetricType::Counter,
+            Kind::Gauge => v2::metadata::MetricType::Gauge,
+            Kind::Histogram => v2::metadata::MetricType::Histogram,
+        };
+        timeseries.push(v2::TimeSeries {
+            labels_refs,
+            samples: s
+                .samples
+                .iter()
+                .map(|(timestamp, value)| v2::Sample { value: *value, timestamp: *timestamp })
+                .collect(),
+            metadata: Some(v2::Metadata { r#type: kind.into(), ..Default::default() }),
+            created_timestamp: s.created_ms.unwrap_or(0),
+            ..Default::default()
+        });
+    }
+    v2::Request { symbols, timeseries }
+}
+
+/// Reads a compressed body that unpacks to at most `most` bytes.
+pub fn read(version: Version, body: &[u8], most: usize) -> Result<Vec<Series>, BodyError> {
+    let got = snap::raw::decompress_len(body).map_err(|e| BodyError::Snappy(e.to_string()))?;
+    if got > most {
+        return Err(BodyError::TooLarge { got, most });
+    }
+    let message =
+        snap::raw::Decoder::new().decompress_vec(body).map_err(|e| BodyError::Snappy(e.to_string()))?;
+    let malformed = |e: prost::DecodeError| BodyError::Protobuf(e.to_string());
+    match version {
+        Version::One => {
+            let request = v1::WriteRequest::decode(&message[..]).map_err(malformed)?;
+            let series = request.timeseries.into_iter().map(|s| Series {
+                labels: s.labels.into_iter().map(|l| (l.name, l.value)).collect(),
+                samples: s.samples.into_iter().map(|s| (s.timestamp, s.value)).collect(),
+                kind: Kind::Gauge,
+                created_ms: None,
+            });
+            Ok(series.collect())
+        }
+        Version::Two => {
+            let request = v2::Request::decode(&message[..]).map_err(malformed)?;
+            let one = |(place, s): (usize, v2::TimeSeries)| read_two(place, s, &request.symbols);
+            request.timeseries.iter().cloned().enumerate().map(one).collect()
+        }
+    }
+}
+
+fn read_two(place: usize, s: v2::TimeSeries, symbols: &[String]) -> Result<Series, BodyError> {
+    let symbol = |at: u32| symbols.get(at as usize).cloned().ok_or(BodyError::Symbol { series: place });
+    if s.labels_refs.len() % 2 != 0 {
+        return Err(BodyError::Symbol { series: place });
+    }
+    let labels = s.labels_refs.chunks(2).map(|pair| Ok((symbol(pair[0])?, symbol(pair[1])?)));
+    let kind = match s.metadata.map(|m| m.r#type()) {
+        Some(v2::metadata::MetricType::Counter) => Kind::Counter,
+        Some(v2::metadata::MetricType::Histogram) => Kind::Histogram,
+        _ => Kind::Gauge,
+    };
+    Ok(Series {
+        labels: labels.collect::<Result<_, _>>()?,
+        samples: s.samples.into_iter().map(|s| (s.timestamp, s.value)).collect(),
+        kind,
+        created_ms: Some(s.created_timestamp).filter(|c| *c != 0),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn series(n: usize) -> Series {
+        let label = |a: &str, b: String| (a.to_owned(), b);
+        Series {
+            labels: vec![
+                label("__name__", "nettleferry_calls_total".to_owned()),
+                label("class", format!("c{}", n % 3)),
+                label("tenant", format!("t{}", n % 10)),
+            ],
+            samples: vec![
+                (1_764_590_000_000 + n as i64, n as f64),
+                (1_764_590_015_000 + n as i64, n as f64 + 1.0),
+            ],
+            kind: Kind::Counter,
+            created_ms: Some(1_764_589_000_000),
+        }
+    }
+
+    #[test]
+    fn both_versions_give_back_what_was_written() {
+        let all: Vec<Series> = (0..50).map(series).collect();
+        let body = write(Version::Two, &all).expect("encodes");
+        assert_eq!(read(Version::Two, &body, 1 << 20), Ok(all.clone()));
+        let body = write(Version::One, &all).expect("encodes");
+        let back = read(Version::One, &body, 1 << 20).expect("sound");
+        assert!(back.iter().zip(&all).all(|(a, b)| a.labels == b.labels && a.samples == b.samples));
+    }
+
+    #[test]
+    fn a_staleness_marker_keeps_its_bits_and_is_no_other_nan() {
+        let mut one = series(0);
+        one.samples = vec![(1, stale()), (2, f64::NAN)];
+        for version in [Version::One, Version::Two] {
+            let back = read(version, &write(version, &[one.clone()]).expect("encodes"), 1000).expect("sound");
+            assert!(is_stale(back[0].samples[0].1) && !is_stale(back[0].samples[1].1));
+        }
+    }
+
+    #[test]
+    fn bombs_and_bad_symbols_are_refused() {
+        let body = write(Version::Two, &(0..100).map(series).collect::<Vec<_>>()).expect("encodes");
+        assert!(matches!(read(Version::Two, &body, 100), Err(BodyError::TooLarge { most: 100, .. })));
+        let mut request = write_two(&[series(0)]);
+        request.timeseries[0].labels_refs[1] = 99;
+        let body = snap::raw::Encoder::new().compress_vec(&request.encode_to_vec()).expect("packs");
+        assert_eq!(read(Version::Two, &body, 1000), Err(BodyError::Symbol { series: 0 }));
+        request.timeseries[0].labels_refs.pop();
+        let body = snap::raw::Encoder::new().compress_vec(&request.encode_to_vec()).expect("packs");
+        assert_eq!(read(Version::Two, &body, 1000), Err(BodyError::Symbol { series: 0 }));
+    }
+
+    proptest! {
+        #[test]
+        fn noise_never_panics(noise in prop::collection::vec(any::<u8>(), 0..200), two in any::<bool>()) {
+            let version = if two { Version::Two } else { Version::One };
+            let _ = read(version, &noise, 10_000);
+            // Also behind sound snappy.
+            if let Ok(packed) = snap::raw::Encoder::new().compress_vec(&noise) {
+                let _ = read(version, &packed, 10_000);
+            }
+        }
+    }
+}
