--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -6,11 +6,13 @@
 //!
 //! * [`Figures`]: the registry and its handles. Counting takes no lock and allocates nothing: handles of all
 //!   series are made at the start and found by place.
+//! * [`sample`]: the registry as single samples.
 //! * [`slots`]: which tenants and model groups have series of their own, and which share `other`.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod sample;
 pub mod slots;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! * [`hub`]: connections and streams. [`io`]: a mio socket as `AsyncRead`/`AsyncWrite`.
 //! * [`http1`]: a small HTTP/1.1 server for side listeners.
+//! * [`post`]: an HTTP/1.1 client for pushing.
 //! * [`framing`]: length-prefixed messages. [`grpc`]: status, time-outs, percent and base64 headers.
 //! * [`limits`]: every bound, and its counter.
 
@@ -20,6 +21,7 @@
 pub mod hub;
 pub mod io;
 pub mod limits;
+pub mod post;
 mod wake;
 
 pub use hub::{Closing, ConnKey, Hub, ListenerKey, NetEvent, StreamError, StreamKey};
--- a/crates/proto/src/remote_write.rs
+++ b/crates/proto/src/remote_write.rs
@@ -205,7 +205,7 @@
 
 fn read_two(place: usize, s: v2::TimeSeries, symbols: &[String]) -> Result<Series, BodyError> {
     let symbol = |at: u32| symbols.get(at as usize).cloned().ok_or(BodyError::Symbol { series: place });
-    if s.labels_refs.len() % 2 != 0 {
+    if !s.labels_refs.len().is_multiple_of(2) {
         return Err(BodyError::Symbol { series: place });
     }
     let labels = s.labels_refs.chunks(2).map(|pair| Ok((symbol(pair[0])?, symbol(pair[1])?)));
--- /dev/null
+++ b/crates/push/src/keeper.rs
@@ -0,0 +1,57 @@
+//! Which record of the spool holds which samples: a record is done when the last of its samples is gone.
+
+use std::collections::BTreeMap;
+
+/// The book of records. `P` names a record.
+#[derive(Debug)]
+pub struct Keeper<P> {
+    /// By the time of their samples: a round has one time and, as a rule, one record.
+    open: BTreeMap<i64, (Vec<P>, usize)>,
+}
+
+impl<P> Default for Keeper<P> {
+    fn default() -> Self {
+        Self { open: BTreeMap::new() }
+    }
+}
+
+impl<P> Keeper<P> {
+    /// A record holds so many samples of this time.
+    pub fn began(&mut self, at_ms: i64, record: P, samples: usize) {
+        let (records, left) = self.open.entry(at_ms).or_default();
+        records.push(record);
+        *left += samples;
+    }
+
+    /// A sample of this time is gone: taken, refused or dropped. The records that are done with it.
+    pub fn gone(&mut self, at_ms: i64) -> Vec<P> {
+        let Some((_, left)) = self.open.get_mut(&at_ms) else { return Vec::new() };
+        *left = left.saturating_sub(1);
+        if *left > 0 {
+            return Vec::new();
+        }
+        self.open.remove(&at_ms).map(|(records, _)| records).unwrap_or_default()
+    }
+
+    /// Rounds with samples that are not gone.
+    pub fn rounds(&self) -> usize {
+        self.open.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_record_is_done_with_its_last_sample() {
+        let mut keeper = Keeper::default();
+        keeper.began(1000, 'a', 2);
+        keeper.began(2000, 'b', 1);
+        keeper.began(1000, 'c', 1);
+        assert!(keeper.gone(1000).is_empty() && keeper.gone(1000).is_empty());
+        assert_eq!(keeper.gone(2000), ['b']);
+        assert_eq!(keeper.gone(1000), ['a', 'c']);
+        assert_eq!((keeper.gone(1000).len(), keeper.rounds()), (0, 0));
+    }
+}
--- a/crates/push/src/lib.rs
+++ b/crates/push/src/lib.rs
@@ -4,11 +4,14 @@
 //! in, microseconds on any clock that never goes back; chance comes from a seed. Equal events give equal
 //! actions.
 //!
+//! * [`keeper`]: which record of a spool holds which samples.
 //! * [`queue`]: what is kept, what is dropped first, what is sent when, and what is tried again.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod keeper;
 pub mod queue;
 
+pub use keeper::Keeper;
 pub use queue::{Answer, Batch, Counters, Limits, Queue, Sample};
--- a/crates/push/src/queue.rs
+++ b/crates/push/src/queue.rs
@@ -155,6 +155,7 @@
     /// The receiver wants nothing before.
     pause: Micros,
     counters: Counters,
+    gone: Vec<Sample>,
 }
 
 impl Queue {
@@ -174,6 +175,7 @@
             turn: 0,
             pause: 0,
             counters: Counters::default(),
+            gone: Vec::new(),
         }
     }
 
@@ -182,6 +184,12 @@
         self.counters
     }
 
+    /// Samples that have gone since the last time, however: for whoever keeps them elsewhere as well. To be
+    /// drained after each event.
+    pub fn gone(&mut self) -> std::vec::Drain<'_, Sample> {
+        self.gone.drain(..)
+    }
+
     /// Samples kept, those that are out included.
     pub fn kept(&self) -> usize {
         self.kept
@@ -205,10 +213,12 @@
         let last = self.last.get(&sample.series).copied();
         if last.is_some_and(|last| last >= sample.at_ms) {
             self.counters.dropped_order += 1;
+            self.gone.push(sample);
             return;
         }
         if last.is_none() && self.last.len() >= self.limits.series {
             self.counters.dropped_series += 1;
+            self.gone.push(sample);
             return;
         }
         self.last.insert(sample.series, sample.at_ms);
@@ -216,6 +226,7 @@
             if !self.drop_oldest() {
                 // All that is kept is out: the newest has no room.
                 self.counters.dropped_full += 1;
+                self.gone.push(sample);
                 return;
             }
         }
@@ -229,7 +240,7 @@
         let fronts =
             self.shards.iter().enumerate().filter_map(|(n, s)| Some((s.waiting.front()?.sequence, n)));
         let Some((_, at)) = fronts.min() else { return false };
-        self.shards[at].waiting.pop_front();
+        self.gone.extend(self.shards[at].waiting.pop_front().map(|k| k.sample));
         self.kept -= 1;
         self.counters.dropped_full += 1;
         true
@@ -238,7 +249,7 @@
     fn drop_old(&mut self, now: Micros) {
         for shard in &mut self.shards {
             while shard.waiting.front().is_some_and(|k| k.came + self.limits.age < now) {
-                shard.waiting.pop_front();
+                self.gone.extend(shard.waiting.pop_front().map(|k| k.sample));
                 self.kept -= 1;
                 self.counters.dropped_old += 1;
             }
@@ -247,6 +258,8 @@
                 && let Some((_, _, samples)) = &mut shard.batch
             {
                 let before = samples.len();
+                let old = samples.iter().filter(|k| k.came + self.limits.age < now);
+                self.gone.extend(old.map(|k| k.sample));
                 samples.retain(|k| k.came + self.limits.age >= now);
                 self.kept -= before - samples.len();
                 self.counters.dropped_old += (before - samples.len()) as u64;
@@ -320,7 +333,8 @@
         s.out = false;
         match answer {
             Answer::Taken | Answer::Refused => {
-                s.batch = None;
+                let samples = s.batch.take().map(|b| b.2).unwrap_or_default();
+                self.gone.extend(samples.iter().map(|k| k.sample));
                 self.kept -= count;
                 if answer == Answer::Taken {
                     self.counters.taken += count as u64;
--- a/crates/push/tests/queue.rs
+++ b/crates/push/tests/queue.rs
@@ -193,7 +193,7 @@
         let (mut now, mut time) = (0, 0);
         let mut out: Vec<Batch> = Vec::new();
         let mut taken: BTreeMap<u64, Vec<i64>> = BTreeMap::new();
-        let mut count = 0;
+        let (mut count, mut left) = (0, 0);
         for (what, pick, span) in steps {
             match what {
                 0..5 => {
@@ -229,6 +229,8 @@
             let gone = c.taken + c.refused + c.dropped_full + c.dropped_old + c.dropped_order + c.dropped_series;
             prop_assert_eq!(c.offered, gone + queue.kept() as u64);
             prop_assert_eq!(c.taken, count);
+            left += queue.gone().count() as u64;
+            prop_assert_eq!(left, gone, "each that has gone is named once");
         }
         for times in taken.values() {
             prop_assert!(times.windows(2).all(|w| w[0] < w[1]), "in order, once each");
