Remote write from the controller: rounds, spool, retries, two versions, a new life after a kill

Figures are pushed by a thread of their own; what is not acknowledged survives a crash and is sent by the next life with its old times and values, the old series get a staleness marker, and counters begin anew with their created timestamp.

--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -64,6 +64,10 @@
 /// Health of workers as the module sees it.
 pub const HEALTH: [&str; 4] = ["serving", "draining", "barred", "down"];
 
+/// What became of samples that are pushed.
+pub const PUSHED: [&str; 6] =
+    ["taken", "refused", "dropped_full", "dropped_old", "dropped_order", "dropped_series"];
+
 macro_rules! labels {
     ($($(#[$doc:meta])* $name:ident { $($field:ident),* })*) => {
         $($(#[$doc])*
@@ -107,6 +111,13 @@
     held: Gauge,
     health: Vec<Gauge>,
     limits: Vec<Counter>,
+    pushed: Vec<Counter>,
+    push_retries: Counter,
+    push_kept: Gauge,
+    push_oldest: Gauge,
+    spool_bytes: Gauge,
+    spool_limit: Gauge,
+    spool_failed: Counter,
 }
 
 fn made<L: Clone + std::hash::Hash + Eq>(
@@ -186,9 +197,35 @@
         let hit_handles = made(&hits, limits.iter().map(|l| LimitLabels { limit: (*l).to_owned() }));
         registry.register("limit_hits", "How often a named limit was hit", hits);
 
+        let pushed = Family::<EndLabels, Counter>::default();
+        let pushed_handles = made(&pushed, PUSHED.iter().map(|e| EndLabels { end: (*e).to_owned() }));
+        registry.register("push_samples", "Samples to be pushed, by what became of them", pushed);
+        let (push_retries, spool_failed) = (Counter::default(), Counter::default());
+        registry.register("push_retries", "Batches pushed again", push_retries.clone());
+        registry.register("spool_failures", "Appends that the spool's disk refused", spool_failed.clone());
+        let gauges: [Gauge; 4] = Default::default();
+        let [push_kept, push_oldest, spool_bytes, spool_limit] = gauges;
+        registry.register("push_waiting_samples", "Samples that wait to be pushed", push_kept.clone());
+        let help = "Age of the oldest sample that waits";
+        registry.register_with_unit("push_oldest_age", help, Unit::Seconds, push_oldest.clone());
+        registry.register_with_unit("spool", "Size of the spool on disk", Unit::Bytes, spool_bytes.clone());
+        registry.register_with_unit(
+            "spool_limit",
+            "Bound of the spool on disk",
+            Unit::Bytes,
+            spool_limit.clone(),
+        );
+
         Self {
             registry,
             slots,
+            pushed: pushed_handles,
+            push_retries,
+            push_kept,
+            push_oldest,
+            spool_bytes,
+            spool_limit,
+            spool_failed,
             calls: call_handles,
             latency: latency_handles,
             attempts: attempt_handles,
@@ -269,6 +306,23 @@
         }
     }
 
+    /// Brings the push's figures up to date: totals in the order of [`PUSHED`].
+    pub fn push(&self, totals: [u64; 6], retries: u64, waiting: usize, oldest_s: u64) {
+        for (counter, total) in self.pushed.iter().zip(totals) {
+            raise(counter, total);
+        }
+        raise(&self.push_retries, retries);
+        self.push_kept.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        self.push_oldest.set(i64::try_from(oldest_s).unwrap_or(i64::MAX));
+    }
+
+    /// Brings the spool's figures up to date.
+    pub fn spool(&self, bytes: u64, limit: u64, failed: u64) {
+        self.spool_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+        self.spool_limit.set(i64::try_from(limit).unwrap_or(i64::MAX));
+        raise(&self.spool_failed, failed);
+    }
+
     /// All series in the OpenMetrics text format.
     pub fn text(&self) -> Result<String, std::fmt::Error> {
         let mut out = String::new();
--- a/crates/gateway/src/commands/serve.rs
+++ b/crates/gateway/src/commands/serve.rs
@@ -33,6 +33,9 @@
     let beside = path.parent().unwrap_or(Path::new(""));
     config.workers = beside.join(&config.workers);
     config.workers_kept = config.workers_kept.map(|kept| beside.join(kept));
+    if let Some(push) = &mut config.figures.push {
+        push.spool = beside.join(&push.spool);
+    }
     Ok(config)
 }
 
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -20,6 +20,7 @@
 use crate::links::{LinkLimits, Links};
 use crate::list::{ListFile, News, members};
 use crate::observe::{Observer, Scrape};
+use crate::push::Pusher;
 
 /// Why a controller could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -61,6 +62,8 @@
     signals: Option<Signals>,
     observer: Observer,
     scrape: Option<Scrape>,
+    /// Pushes until it is dropped.
+    _pusher: Option<Pusher>,
     refresh_at: Micros,
     commands: Vec<Command>,
     local: SocketAddr,
@@ -113,6 +116,8 @@
             ),
             None => None,
         };
+        let pusher =
+            config.figures.push.clone().map(|push| Pusher::start(push, observer.figures())).transpose()?;
         engine.take_notes();
         let config = Arc::new(config);
         let mut controller = Self {
@@ -125,6 +130,7 @@
             signals,
             observer,
             scrape,
+            _pusher: pusher,
             refresh_at: 0,
             commands: Vec::new(),
             local,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,7 +4,7 @@
 //! engine.
 //!
 //! * [`controller`]: the loop. [`front`]: towards clients. [`links`]: towards workers. [`list`]: who they are.
-//! * [`commands`]: one file a subcommand. [`observe`]: figures. [`logs`], [`clock`].
+//! * [`commands`]: one file a subcommand. [`observe`]: figures. [`push`]: remote write. [`logs`], [`clock`].
 
 #![forbid(unsafe_code)]
 
@@ -16,6 +16,7 @@
 mod list;
 mod logs;
 mod observe;
+mod push;
 
 use std::process::ExitCode;
 
--- a/crates/spool/src/spool.rs
+++ b/crates/spool/src/spool.rs
@@ -178,6 +178,12 @@
         self.segments.values().map(|s| s.bytes).sum()
     }
 
+    /// The segment that is written to. A record in an older one that is long kept holds back the segments after
+    /// it: its owner writes it anew and acknowledges the old one.
+    pub fn newest(&self) -> u64 {
+        self.last
+    }
+
     /// Records that are not acknowledged.
     pub fn unacknowledged(&self) -> usize {
         self.segments.values().map(|s| s.open.len()).sum()
--- a/examples/nettleferry.sexp
+++ b/examples/nettleferry.sexp
@@ -111,4 +111,17 @@
 
 (figures
   (scrape "127.0.0.1:9091")         ; OpenMetrics text at /metrics (default: not served)
-  (series 5000))                    ; of calls at the most; tenants and models beyond share "other" (default 5000)
+  (series 5000)                     ; of calls at the most; tenants and models beyond share "other" (default 5000)
+  (push                             ; Prometheus remote write (default: not pushed)
+    (to "127.0.0.1:9090")
+    (path "/api/v1/write")          ; (default /api/v1/write)
+    (every 15s)                     ; figures are sampled so often (default 15s)
+    (label instance "controller-0") ; added to every series
+    (spool "spool")                 ; folder of samples that are not yet acknowledged
+    (spool-size 256MiB)             ; of it; the oldest go first (default 256MiB)
+    (queue-size 32MiB)              ; in memory; the oldest go first (default 32MiB)
+    (age 2h)                        ; older samples are dropped (default 2h)
+    (shards 4)                      ; batches out at once (default 4)
+    (batch 2000)                    ; samples of one (default 2000)
+    (batch-age 5s)                  ; a sample waits so long for its batch to fill (default 5s)
+    (timeout 10s)))                 ; an answer that takes longer has not come (default 10s)
