--- /dev/null
+++ b/crates/alerts/src/rules.rs
@@ -0,0 +1,174 @@
+//! The Prometheus rule-file format, as far as alerts go. Unknown keys are errors: a misspelt `for` would make
+//! an alert that fires at once.
+
+use std::collections::BTreeMap;
+
+use promql_parser::parser::{self, Expr};
+use serde::Deserialize;
+
+/// Milliseconds.
+pub type Millis = i64;
+
+/// Why a file can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RuleError {
+    /// It is no rule file.
+    #[error("{file}: {what}")]
+    Format {
+        /// The file.
+        file: String,
+        /// What is wrong, with line and column.
+        what: String,
+    },
+    /// An expression is no PromQL.
+    #[error("{file}: alert {alert}: {what}")]
+    Expression {
+        /// The file.
+        file: String,
+        /// The alert.
+        alert: String,
+        /// What is wrong.
+        what: String,
+    },
+    /// A span is none.
+    #[error("{file}: alert {alert}: {text:?} is no duration, such as 30s, 5m or 1h30m")]
+    Duration {
+        /// The file.
+        file: String,
+        /// The alert.
+        alert: String,
+        /// What stands there.
+        text: String,
+    },
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    groups: Vec<Group>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Group {
+    name: String,
+    #[serde(default)]
+    interval: Option<String>,
+    rules: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Entry {
+    alert: String,
+    expr: String,
+    #[serde(rename = "for", default)]
+    wait: Option<String>,
+    #[serde(default)]
+    keep_firing_for: Option<String>,
+    #[serde(default)]
+    labels: BTreeMap<String, String>,
+    #[serde(default)]
+    annotations: BTreeMap<String, String>,
+}
+
+/// An alert rule.
+#[derive(Clone, Debug)]
+pub struct Rule {
+    /// Its group.
+    pub group: String,
+    /// Its name.
+    pub alert: String,
+    /// Its expression.
+    pub expr: Expr,
+    /// It must hold so long before it fires.
+    pub wait: Millis,
+    /// It fires so long after it held last.
+    pub keep: Millis,
+    /// Labels added.
+    pub labels: BTreeMap<String, String>,
+    /// Annotations, as written.
+    pub annotations: BTreeMap<String, String>,
+    /// How often its group is evaluated, where told.
+    pub interval: Option<Millis>,
+}
+
+/// Reads a Prometheus duration: `1h30m`, `90s`, `500ms`, `0`.
+pub fn duration(text: &str) -> Option<Millis> {
+    if text == "0" {
+        return Some(0);
+    }
+    let units =
+        [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000), ("d", 86_400_000), ("w", 604_800_000)];
+    let (mut rest, mut sum) = (text, 0i64);
+    while !rest.is_empty() {
+        let digits = rest.find(|c: char| !c.is_ascii_digit()).filter(|n| *n > 0)?;
+        let number: i64 = rest[..digits].parse().ok()?;
+        rest = &rest[digits..];
+        let letters = rest.find(|c: char| c.is_ascii_digit()).unwrap_or(rest.len());
+        let (_, factor) = units.iter().find(|(name, _)| *name == &rest[..letters])?;
+        sum = sum.checked_add(number.checked_mul(*factor)?)?;
+        rest = &rest[letters..];
+    }
+    (!text.is_empty()).then_some(sum)
+}
+
+/// Reads a rule file.
+pub fn read(file: &str, text: &str) -> Result<Vec<Rule>, RuleError> {
+    let format = |e: serde_yaml_ng::Error| RuleError::Format { file: file.to_owned(), what: e.to_string() };
+    let read: File = serde_yaml_ng::from_str(text).map_err(format)?;
+    let mut rules = Vec::new();
+    for group in read.groups {
+        let span = |alert: &str, told: Option<&String>| match told {
+            None => Ok(None),
+            Some(text) => duration(text).map(Some).ok_or_else(|| RuleError::Duration {
+                file: file.to_owned(),
+                alert: alert.to_owned(),
+                text: text.clone(),
+            }),
+        };
+        let interval = span(&group.name, group.interval.as_ref())?;
+        for entry in group.rules {
+            let expr = parser::parse(&entry.expr).map_err(|what| RuleError::Expression {
+                file: file.to_owned(),
+                alert: entry.alert.clone(),
+                what,
+            })?;
+            rules.push(Rule {
+                wait: span(&entry.alert, entry.wait.as_ref())?.unwrap_or(0),
+                keep: span(&entry.alert, entry.keep_firing_for.as_ref())?.unwrap_or(0),
+                group: group.name.clone(),
+                alert: entry.alert,
+                expr,
+                labels: entry.labels,
+                annotations: entry.annotations,
+                interval,
+            });
+        }
+    }
+    Ok(rules)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn durations_are_prometheus_s() {
+        assert_eq!(duration("1h30m"), Some(5_400_000));
+        assert_eq!(duration("500ms"), Some(500));
+        for bad in ["", "5", "m", "5x", "-1s", "1.5s", "99999999999999999999s", "9223372036854775807w"] {
+            assert_eq!(duration(bad), None, "{bad:?}");
+        }
+    }
+
+    #[test]
+    fn what_is_wrong_is_told_with_its_place() {
+        let rule = |body: &str| read("a.yml", &format!("groups:\n- name: g\n  rules:\n  - {body}"));
+        let told = |body: &str| rule(body).expect_err("wrong").to_string();
+        assert!(told("{alert: A, expr: up, fro: 5m}").contains("fro"));
+        assert!(told("{alert: A, expr: 'sum by (', for: 5m}").contains("alert A"));
+        assert!(told("{alert: A, expr: up, for: 5 minutes}").contains("no duration"));
+        assert_eq!(rule("{alert: A, expr: up, for: 5m}").expect("sound")[0].wait, 300_000);
+    }
+}
--- /dev/null
+++ b/crates/alerts/src/unit.rs
@@ -0,0 +1,215 @@
+//! Rule unit tests as files, in the manner of `promtool test rules`: series in its notation, and what fires
+//! when.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use promql_parser::parser::{Expr, parse};
+use serde::Deserialize;
+
+use crate::eval::{Labels, Store, stale};
+use crate::rules::{Millis, Rule, duration};
+use crate::state::Alerts;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    /// Rule files, beside this one.
+    rule_files: Vec<String>,
+    #[serde(default)]
+    evaluation_interval: Option<String>,
+    tests: Vec<Test>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Test {
+    #[serde(default)]
+    name: String,
+    interval: String,
+    input_series: Vec<Input>,
+    alert_rule_test: Vec<Expected>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Input {
+    series: String,
+    values: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Expected {
+    eval_time: String,
+    alertname: String,
+    #[serde(default)]
+    exp_alerts: Vec<ExpectedAlert>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ExpectedAlert {
+    #[serde(default)]
+    exp_labels: BTreeMap<String, String>,
+}
+
+/// A test file, read.
+pub struct UnitTests {
+    /// The rule files it names.
+    pub rule_files: Vec<String>,
+    interval: Millis,
+    tests: Vec<Test>,
+}
+
+/// Most samples of one series of a test.
+const MOST_SAMPLES: usize = 100_000;
+
+/// Reads a test file.
+pub fn read(file: &str, text: &str) -> Result<UnitTests, String> {
+    let read: File = serde_yaml_ng::from_str(text).map_err(|e| format!("{file}: {e}"))?;
+    let interval = read.evaluation_interval.as_deref().unwrap_or("1m");
+    let interval = duration(interval)
+        .filter(|ms| *ms > 0)
+        .ok_or_else(|| format!("{file}: evaluation_interval {interval:?}"))?;
+    Ok(UnitTests { rule_files: read.rule_files, interval, tests: read.tests })
+}
+
+impl UnitTests {
+    /// Runs the tests against rules; what did not come out as expected.
+    pub fn run(&self, rules: &[Rule]) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for (n, test) in self.tests.iter().enumerate() {
+            let name = if test.name.is_empty() { format!("test {}", n + 1) } else { test.name.clone() };
+            if let Err(what) = self.one(test, rules, &name, &mut wrong) {
+                wrong.push(format!("{name}: {what}"));
+            }
+        }
+        wrong
+    }
+
+    fn one(&self, test: &Test, rules: &[Rule], name: &str, wrong: &mut Vec<String>) -> Result<(), String> {
+        let interval =
+            duration(&test.interval).filter(|ms| *ms > 0).ok_or(format!("interval {:?}", test.interval))?;
+        let mut store = Store::default();
+        for input in &test.input_series {
+            let labels = series(&input.series)?;
+            for (at, value) in values(&input.values)?.into_iter().enumerate() {
+                if let Some(value) = value {
+                    store.add(&labels, at as Millis * interval, value);
+                }
+            }
+        }
+        let mut expected: BTreeMap<Millis, Vec<&Expected>> = BTreeMap::new();
+        for e in &test.alert_rule_test {
+            let at = duration(&e.eval_time).ok_or(format!("eval_time {:?}", e.eval_time))?;
+            if !rules.iter().any(|r| r.alert == e.alertname) {
+                return Err(format!("there is no alert {}", e.alertname));
+            }
+            expected.entry(at).or_default().push(e);
+        }
+        let Some(last) = expected.keys().last().copied() else { return Err("it expects nothing".to_owned()) };
+        let mut alerts: Vec<Alerts> = rules.iter().cloned().map(Alerts::new).collect();
+        let mut at = 0;
+        while at <= last {
+            for a in &mut alerts {
+                a.step(&store, at).map_err(|e| format!("alert {}: {e}", a.rule().alert))?;
+            }
+            // Expectations between two evaluations see the earlier one.
+            for (when, all) in expected.range(at..at + self.interval) {
+                for e in all {
+                    let want: BTreeSet<Labels> =
+                        e.exp_alerts.iter().map(|a| full(&a.exp_labels, &e.alertname)).collect();
+                    let ours = alerts.iter().filter(|a| a.rule().alert == e.alertname);
+                    let got: BTreeSet<Labels> = ours.flat_map(|a| a.firing()).cloned().collect();
+                    if want != got {
+                        wrong.push(format!(
+                            "{name}: {} at {} s: expected {want:?}, got {got:?}",
+                            e.alertname,
+                            when / 1000
+                        ));
+                    }
+                }
+            }
+            at += self.interval;
+        }
+        Ok(())
+    }
+}
+
+fn full(labels: &BTreeMap<String, String>, alert: &str) -> Labels {
+    let mut all = labels.clone();
+    all.insert("alertname".to_owned(), alert.to_owned());
+    all
+}
+
+/// A series in PromQL's notation.
+fn series(text: &str) -> Result<Labels, String> {
+    let Ok(Expr::VectorSelector(vs)) = parse(text) else { return Err(format!("{text:?} is no series")) };
+    let mut labels: Labels = vs.matchers.matchers.iter().map(|m| (m.name.clone(), m.value.clone())).collect();
+    if let Some(name) = vs.name {
+        labels.insert("__name__".to_owned(), name);
+    }
+    Ok(labels)
+}
+
+/// Values in promtool's notation: `1`, `_`, `stale`, `0+10x5` (six values), `7x3`, `_x4`.
+fn values(text: &str) -> Result<Vec<Option<f64>>, String> {
+    let mut all = Vec::new();
+    for word in text.split_whitespace() {
+        let bad = || format!("{word:?} is no value: write 1, _, stale, 0+10x5 or _x4");
+        let (head, times) = match word.rsplit_once('x') {
+            Some((head, times)) => (head, Some(times.parse::<usize>().map_err(|_| bad())?)),
+            None => (word, None),
+        };
+        let count = times.unwrap_or(0);
+        if all.len() + count >= MOST_SAMPLES {
+            return Err(format!("more than {MOST_SAMPLES} values"));
+        }
+        if head == "_" {
+            all.extend(std::iter::repeat_n(None, times.unwrap_or(1)));
+        } else if head == "stale" && times.is_none() {
+            all.push(Some(stale()));
+        } else {
+            // A sign after the first character parts the start from the step.
+            let cut = head.char_indices().skip(1).find(|(_, c)| matches!(c, '+' | '-')).map(|(at, _)| at);
+            let (start, step) = head.split_at(cut.unwrap_or(head.len()));
+            let start: f64 = start.parse().map_err(|_| bad())?;
+            let step: f64 = if step.is_empty() { 0.0 } else { step.parse().map_err(|_| bad())? };
+            all.extend((0..=count).map(|n| Some(start + step * n as f64)));
+        }
+    }
+    Ok(all)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::rules;
+
+    #[test]
+    fn values_are_promtool_s() {
+        let some = |all: &[f64]| all.iter().map(|x| Some(*x)).collect::<Vec<_>>();
+        assert_eq!(values("0+10x2 5").expect("sound"), some(&[0.0, 10.0, 20.0, 5.0]));
+        assert_eq!(values("-2-3x1").expect("sound"), some(&[-2.0, -5.0]));
+        assert_eq!(values("1 _x2 3").expect("sound"), [Some(1.0), None, None, Some(3.0)]);
+        assert!(values("1 two").is_err() && values("1x999999999").is_err());
+    }
+
+    #[test]
+    fn a_wrong_expectation_is_told() {
+        let rules = rules::read("r", "groups: [{name: g, rules: [{alert: A, expr: x > 5, for: 1m}]}]")
+            .expect("sound");
+        let file = |time: &str, fires: &str| {
+            let text = format!(
+                "rule_files: [r]\ntests:\n- interval: 1m\n  input_series:\n  - {{series: 'x{{c=\"q\"}}', values: '0+2x9'}}\n  \
+                 alert_rule_test:\n  - {{eval_time: {time}, alertname: A, exp_alerts: [{fires}]}}\n"
+            );
+            read("t", &text).expect("sound").run(&rules)
+        };
+        assert!(file("2m", "").is_empty());
+        assert!(file("4m", "{exp_labels: {c: q}}").is_empty());
+        assert_eq!(file("4m", "").len(), 1);
+        assert_eq!(file("2m", "{exp_labels: {c: q}}").len(), 1);
+        assert_eq!(file("4m", "{exp_labels: {c: other}}").len(), 1);
+    }
+}
