--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -1,7 +1,9 @@
-//! The command line. Exit codes: 0 done; 1 a rule broke (`day`) or the call was not served (`call`); 2 the
+//! The command line. Exit codes: 0 done; 1 a rule broke (`day`), the call was not served (`call`), or alert
+//! rules have findings (`alerts`); 2 the
 //! command line is wrong; 3 a file can't be read or is not sound; 4 the system refused something (an address,
 //! a thread, a process); 130 stopped at once by a second signal or with calls still open.
 
+mod alerts;
 mod call;
 mod day;
 mod demo;
@@ -22,7 +24,7 @@
     name = "nettleferry",
     version,
     propagate_version = true,
-    after_help = "Exit codes: 0 done; 1 a rule broke (day) or the call was not served (call); 2 wrong command line; 3 a \
+    after_help = "Exit codes: 0 done; 1 a rule broke (day), the call was not served (call) or alert rules have findings (alerts); 2 wrong command line; 3 a \
                   file can't be read or is not sound; 4 the system refused something; 130 stopped at once with calls open."
 )]
 pub struct Arguments {
@@ -46,6 +48,8 @@
     Load(load::Load),
     /// Play a scripted day against controller processes and audit the five rules
     Day(day::Day),
+    /// Check alert rules against the registry, or run rule unit tests
+    Alerts(alerts::Alerts),
     /// Run one stand-in worker
     Worker(worker::WorkerCommand),
 }
@@ -67,6 +71,9 @@
     /// The controller failed.
     #[error("{0}")]
     Controller(#[from] ControllerError),
+    /// A file is not what it should be.
+    #[error("{0}")]
+    File(String),
     /// A day could not be played.
     #[error("{0}")]
     Day(nettleferry_day::run::DayError),
@@ -88,7 +95,7 @@
     pub fn code(&self) -> u8 {
         match self {
             Self::Usage(_) => 2,
-            Self::Read { .. } | Self::Unsound(_) => 3,
+            Self::Read { .. } | Self::Unsound(_) | Self::File(_) => 3,
             Self::Controller(ControllerError::Settings(_)) => 3,
             Self::Controller(_) | Self::System { .. } | Self::Day(_) => 4,
         }
@@ -109,6 +116,7 @@
         Command::Call(call) => call.run(),
         Command::Load(load) => load.run(),
         Command::Day(day) => day.run(),
+        Command::Alerts(alerts) => alerts.run(),
         Command::Worker(worker) => worker.run(),
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/alerts.rs
@@ -0,0 +1,54 @@
+//! The shipped alert rules, by the program that ships them.
+
+mod common;
+use common::PROGRAM;
+
+use std::path::Path;
+use std::process::Command;
+
+fn run(arguments: &[&str]) -> (i32, String) {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let out =
+        Command::new(PROGRAM).arg("alerts").args(arguments).current_dir(root).output().expect("it runs");
+    let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+    (out.status.code().expect("it ended by itself"), text)
+}
+
+#[test]
+fn the_shipped_rules_name_what_exists() {
+    let (code, told) = run(&["check"]);
+    assert_eq!(code, 0, "{told}");
+    let (code, told) = run(&["check", "--settings", "examples/nettleferry.sexp"]);
+    assert_eq!(code, 0, "{told}");
+}
+
+#[test]
+fn the_shipped_rules_pass_their_tests_and_each_has_one() {
+    let (code, told) = run(&["test", "alerts/tests.yml"]);
+    assert_eq!(code, 0, "{told}");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let read = |name: &str| std::fs::read_to_string(root.join(name)).expect("text");
+    let (rules, tests, page) =
+        (read("alerts/nettleferry.yml"), read("alerts/tests.yml"), read("docs/alerts.md"));
+    for line in rules.lines() {
+        if let Some(alert) = line.trim().strip_prefix("- alert: ") {
+            let fires = tests
+                .split("alertname: ")
+                .any(|t| t.starts_with(alert) && t[alert.len()..].trim_start().starts_with("exp_alerts"));
+            assert!(fires, "{alert} fires in no test");
+            assert!(page.contains(alert), "{alert} is not in docs/alerts.md");
+        }
+    }
+}
+
+#[test]
+fn a_rule_on_what_is_not_there_is_a_finding() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("r.yml");
+    let text = "groups: [{name: g, rules: [{alert: A, expr: 'nettleferry_call_total{end=\"late\"} > 0'}]}]";
+    std::fs::write(&file, text).expect("written");
+    let (code, told) = run(&["check", &file.display().to_string()]);
+    assert!(code == 1 && told.contains("A: there is no metric nettleferry_call_total"), "{told}");
+    std::fs::write(&file, "groups: [{name: g, rules: [{alert: A, expr: 'sum by ('}]}]").expect("written");
+    assert_eq!(run(&["check", &file.display().to_string()]).0, 3);
+}
