--- a/crates/alerts/src/eval.rs
+++ b/crates/alerts/src/eval.rs
@@ -53,7 +53,10 @@
     Vector(Vec<(Labels, f64)>),
 }
 
+type Samples = [(Millis, f64)];
 type Ranges = Vec<(Labels, Vec<(Millis, f64)>)>;
+type Selected<'a> = Vec<(&'a Labels, &'a Samples)>;
+type OverTime = dyn Fn(&Samples, Millis, Millis) -> Option<f64>;
 
 /// Evaluates an expression at a time.
 pub fn eval(expr: &Expr, store: &Store, at: Millis) -> Result<Value, Outside> {
@@ -79,10 +82,7 @@
     labels
 }
 
-fn selected<'a>(
-    vs: &VectorSelector,
-    store: &'a Store,
-) -> Result<Vec<(&'a Labels, &'a [(Millis, f64)])>, Outside> {
+fn selected<'a>(vs: &VectorSelector, store: &'a Store) -> Result<Selected<'a>, Outside> {
     if vs.at.is_some() {
         return Err(Outside("the @ modifier".to_owned()));
     }
@@ -168,7 +168,7 @@
 
 fn call(c: &Call, store: &Store, at: Millis) -> Result<Value, Outside> {
     let arg = |n: usize| c.args.args.get(n).map(|a| &**a);
-    let over = |work: &dyn Fn(&[(Millis, f64)], Millis, Millis) -> Option<f64>| -> Result<Value, Outside> {
+    let over = |work: &OverTime| -> Result<Value, Outside> {
         let (all, from, to) = ranged(arg(0), store, at)?;
         let values = all.into_iter().filter_map(|(l, s)| Some((nameless(l), work(&s, from, to)?)));
         Ok(Value::Vector(values.collect()))
