--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -172,6 +172,14 @@
         &self.groups
     }
 
+    /// What the settings say of a model in a version; empty: any. `None`: it is not served.
+    pub fn served(&self, name: &str, version: &str) -> Option<&Model> {
+        let any = |m: &&Model| {
+            version.is_empty() || m.versions.is_empty() || m.versions.iter().any(|v| v == version)
+        };
+        self.find(name).filter(any)
+    }
+
     /// What the settings say of a model; `None`: nothing matches.
     pub fn find(&self, name: &str) -> Option<&Model> {
         if let Some(model) = self.exact.get(name) {
--- a/crates/day/src/client.rs
+++ b/crates/day/src/client.rs
@@ -56,7 +56,6 @@
     streams: HashMap<u64, StreamKey>,
     next: u64,
     events: Vec<NetEvent>,
-    paused: Vec<u64>,
 }
 
 impl Client {
@@ -70,7 +69,6 @@
             streams: HashMap::new(),
             next: 0,
             events: Vec::new(),
-            paused: Vec::new(),
         })
     }
 
@@ -156,7 +154,6 @@
             self.hub.resume(*stream);
         } else {
             self.hub.pause(*stream);
-            self.paused.push(rpc);
         }
     }
 
--- a/crates/gateway/src/front/metadata.rs
+++ b/crates/gateway/src/front/metadata.rs
@@ -70,10 +70,10 @@
 }
 
 fn find<'a>(config: &'a Config, name: &str, version: &str) -> Result<&'a nettleferry_config::Model, Failure> {
-    let model = config.models.find(name);
-    let model = model
-        .filter(|m| version.is_empty() || m.versions.is_empty() || m.versions.iter().any(|v| v == version));
-    model.ok_or_else(|| Failure::of(Code::NotFound, format!("no model {name:?} is served here")))
+    config
+        .models
+        .served(name, version)
+        .ok_or_else(|| Failure::of(Code::NotFound, format!("no model {name:?} is served here")))
 }
 
 fn tensor(tensor: &Tensor) -> TensorMetadata {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -174,9 +174,7 @@
         let method = match head.uri.path().strip_prefix(SERVICE) {
             Some("ModelInfer") => Method::Infer,
             Some("ModelStreamInfer") => Method::Stream,
-            Some(name) if metadata::Small::named(name).is_some() => {
-                metadata::Small::named(name).map_or(Method::Infer, Method::Small)
-            }
+            Some(name) if let Some(small) = metadata::Small::named(name) => Method::Small(small),
             _ => {
                 let what = format!("there is no method {} here", head.uri.path());
                 return respond_only(around.hub, stream, &Failure::of(Code::Unimplemented, what));
@@ -246,11 +244,7 @@
             let leaving = self.leaving();
             return self.fail_call(around, stream, &head.id, &leaving);
         }
-        let model = self.config.models.find(&head.model);
-        let model = model.filter(|m| {
-            head.version.is_empty() || m.versions.is_empty() || m.versions.contains(&head.version)
-        });
-        let Some(model) = model else {
+        let Some(model) = self.config.models.served(&head.model, &head.version) else {
             self.counters.unknown_model += 1;
             let version =
                 if head.version.is_empty() { String::new() } else { format!(" version {}", head.version) };
--- a/crates/net/src/hub/conn.rs
+++ b/crates/net/src/hub/conn.rs
@@ -10,14 +10,13 @@
 
 use bytes::Bytes;
 use h2::{Reason, RecvStream, client, server};
-use mio::Registry;
 use mio::net::TcpStream;
 use slab::Slab;
 
 use super::stream::{Stream, classify};
-use super::{Closing, ConnKey, ListenerKey, NetEvent, StreamError, StreamKey};
+use super::{Closing, ConnKey, ListenerKey, StreamError, StreamKey};
 use crate::io::{Io, Shared};
-use crate::limits::{NetCounters, NetLimits};
+use crate::limits::NetLimits;
 
 type ClientShake = Pin<
     Box<dyn Future<Output = Result<(client::SendRequest<Bytes>, client::Connection<Io, Bytes>), h2::Error>>>,
@@ -144,13 +143,7 @@
     }
 
     /// Lets HTTP/2 read and write. `Some`: the connection has ended.
-    pub(super) fn poll(
-        &mut self,
-        streams: &mut Slab<Stream>,
-        out: &mut Vec<NetEvent>,
-        counters: &mut NetCounters,
-    ) -> Option<Closing> {
-        let _ = (out, counters);
+    pub(super) fn poll(&mut self, streams: &mut Slab<Stream>) -> Option<Closing> {
         let waker = self.waker.clone();
         let mut cx = Context::from_waker(&waker);
         loop {
@@ -262,7 +255,7 @@
     }
 
     /// Lets go of the socket. Bytes already given to the kernel still leave.
-    pub(super) fn shut(&mut self, _: &Registry) {
+    pub(super) fn shut(&mut self) {
         self.side = Side::Gone;
         let _ = self.shared.socket.shutdown(Shutdown::Both);
     }
--- a/crates/net/src/hub/mod.rs
+++ b/crates/net/src/hub/mod.rs
@@ -662,7 +662,7 @@
 
     fn run_conn(&mut self, key: ConnKey) {
         let Some(conn) = self.conns.get_mut(key.index()).filter(|c| c.key == key) else { return };
-        let ended = conn.poll(&mut self.streams, &mut self.out, &mut self.counters);
+        let ended = conn.poll(&mut self.streams);
         if conn.just_established {
             conn.just_established = false;
             self.alarms.remove(&(conn.alarm, key));
@@ -730,7 +730,7 @@
                 self.out.push(NetEvent::Failed { stream, why });
             }
         }
-        conn.shut(self.poll.registry());
+        conn.shut();
         self.out.push(NetEvent::Closed { conn: key, why });
     }
 
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -20,7 +20,6 @@
     pub(crate) writable: Cell<bool>,
     /// Bytes handed to the kernel. Zero since a request was queued proves that nothing of it was written.
     pub(crate) written: Cell<u64>,
-    pub(crate) read: Cell<u64>,
     /// Neither reads nor writes: a cut link or a silent machine, for stand-ins.
     pub(crate) frozen: Cell<bool>,
     /// Breaks the connection once so many bytes have been written: half-written frames, for stand-ins.
@@ -38,7 +37,6 @@
             readable: Cell::new(true),
             writable: Cell::new(true),
             written: Cell::new(0),
-            read: Cell::new(0),
             frozen: Cell::new(false),
             cut_at: Cell::new(None),
         });
@@ -54,7 +52,6 @@
         }
         tried(&shared.readable, || (&shared.socket).read(buf.initialize_unfilled())).map_ok(|n| {
             buf.advance(n);
-            shared.read.set(shared.read.get() + n as u64);
         })
     }
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -230,10 +230,6 @@
     sent: usize,
 }
 
-struct Order {
-    stream: StreamKey,
-}
-
 struct Server {
     options: Options,
     hub: Hub,
@@ -244,7 +240,7 @@
     random: ChaCha8Rng,
     rpcs: BTreeMap<StreamKey, Rpc>,
     calls: BTreeMap<CallNo, Call>,
-    orders: BTreeMap<u64, Order>,
+    orders: BTreeMap<u64, StreamKey>,
     next: u64,
     history: VecDeque<(Micros, Load)>,
     thaw: VecDeque<(Micros, ConnKey)>,
@@ -256,7 +252,6 @@
     cut_after: Option<u32>,
     half_frame: bool,
     slow_handshake: Micros,
-    cut: Vec<bool>,
 }
 
 /// Most past loads kept for late reports.
@@ -286,7 +281,6 @@
             cut_after: None,
             half_frame: false,
             slow_handshake: 0,
-            cut: vec![false; options.doors.len()],
             options,
         };
         let cold = server.options.cold;
@@ -407,7 +401,6 @@
             }
             Fault::Cut { door, cut } => {
                 if let Some(listener) = self.listeners.get(door).copied() {
-                    self.cut[door] = cut;
                     self.hub.freeze_listener(listener, cut);
                     for conn in self.hub.accepted_at(listener) {
                         self.hub.freeze(conn, cut);
@@ -528,17 +521,17 @@
         }
     }
 
+    /// A request's message; a malformed one is answered.
+    fn decoded<M: Message + Default>(&mut self, stream: StreamKey, payload: Bytes) -> Option<M> {
+        let read = M::decode(payload);
+        if let Err(error) = &read {
+            self.finish(stream, Status::new(Code::InvalidArgument, error.to_string()), HeaderMap::new());
+        }
+        read.ok()
+    }
+
     fn infer(&mut self, stream: StreamKey, payload: Bytes, streamed: bool) {
-        let request = match ModelInferRequest::decode(payload) {
-            Ok(request) => request,
-            Err(error) => {
-                return self.finish(
-                    stream,
-                    Status::new(Code::InvalidArgument, error.to_string()),
-                    HeaderMap::new(),
-                );
-            }
-        };
+        let Some(request) = self.decoded::<ModelInferRequest>(stream, payload) else { return };
         let model = request.model_name.clone();
         let work = self.options.spec.model(&model).work;
         let controller = self.rpcs.get(&stream).map(|rpc| rpc.controller.clone()).unwrap_or_default();
@@ -593,16 +586,7 @@
     }
 
     fn load(&mut self, stream: StreamKey, payload: Bytes) {
-        let request = match RepositoryModelLoadRequest::decode(payload) {
-            Ok(request) => request,
-            Err(error) => {
-                return self.finish(
-                    stream,
-                    Status::new(Code::InvalidArgument, error.to_string()),
-                    HeaderMap::new(),
-                );
-            }
-        };
+        let Some(request) = self.decoded::<RepositoryModelLoadRequest>(stream, payload) else { return };
         let copies = request.parameters.get(COPIES).and_then(|p| match p.parameter_choice {
             Some(model_repository_parameter::ParameterChoice::Int64Param(n)) => u32::try_from(n).ok(),
             _ => None,
@@ -615,7 +599,7 @@
         }
         self.next += 1;
         let no = self.next;
-        self.orders.insert(no, Order { stream });
+        self.orders.insert(no, stream);
         let (now, store) = (self.now(), Arc::clone(&self.options.store));
         let Some(worker) = &mut self.worker else { return };
         let mut done = Vec::new();
@@ -666,23 +650,19 @@
     }
 
     fn ordered(&mut self, no: u64, copies: u32, stand: bool) {
-        let Some(order) = self.orders.remove(&no) else { return };
+        let Some(stream) = self.orders.remove(&no) else { return };
         let mut report = self.report();
         report.named_metrics.insert(orca::STANDING.to_owned(), f64::from(copies));
         let mut trailers = HeaderMap::new();
         put(&mut trailers, &report);
         if stand {
-            self.hub.respond(order.stream, grpc_head());
-            self.hub.send(order.stream, Bytes::new());
+            self.hub.respond(stream, grpc_head());
+            self.hub.send(stream, Bytes::new());
             let status = Status::new(Code::Ok, "").trailers();
-            self.hub.finish(order.stream, Some(merged(status, trailers)));
+            self.hub.finish(stream, Some(merged(status, trailers)));
         } else {
             trailers.insert(marks::NEVER_RAN, HeaderValue::from_static(marks::FULL));
-            self.finish(
-                order.stream,
-                Status::new(Code::Unavailable, "no room, or the load failed"),
-                trailers,
-            );
+            self.finish(stream, Status::new(Code::Unavailable, "no room, or the load failed"), trailers);
         }
     }
 
