Audit: attempts by their number, and by what a cut link proves of when they left

Change: attempts are ordered by nettleferry-attempt; what arrives over a link that was cut left at the cut's beginning at the earliest, for overlaps, attempts after the end, keyed windows, drains and rations alike; all pairs of attempts are judged, and numbers given twice are a finding.

--- a/crates/day/src/evidence.rs
+++ b/crates/day/src/evidence.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use nettleferry::{Effect, Micros, WorkerState};
-use nettleferry_standin::Record;
+use nettleferry_standin::{Record, Seen};
 
 /// What a client saw of a call.
 #[derive(Clone, Debug, PartialEq)]
@@ -137,7 +137,7 @@
     pub lives: Vec<Life>,
     /// Spans in which a controller stood still.
     pub stalls: Vec<(usize, During)>,
-    /// Spans in which a worker's sockets for a zone were cut.
+    /// Spans in which a worker's sockets for a zone were cut, as its own thread saw them: [`cuts`].
     pub cuts: Vec<(String, String, During)>,
     /// Figures.
     pub figures: Figures,
@@ -146,3 +146,26 @@
     /// Everything was over.
     pub until: Micros,
 }
+
+/// Spans in which workers' doors, or connections at them, were cut; `zones` has the zone of each door.
+pub fn cuts(workers: &[Record], zones: &[String]) -> Vec<(String, String, During)> {
+    let mut open: BTreeMap<(&str, usize, Option<u64>), Micros> = BTreeMap::new();
+    let mut cuts = Vec::new();
+    let mut add = |worker: &str, door: usize, from, to| {
+        let zone = zones.get(door).cloned().unwrap_or_default();
+        cuts.push((worker.to_owned(), zone, During { from, to }));
+    };
+    for record in workers {
+        let Seen::Link { door, conn, cut } = record.seen else { continue };
+        let link = (record.worker.as_str(), door, conn);
+        if cut {
+            open.entry(link).or_insert(record.at);
+        } else if let Some(from) = open.remove(&link) {
+            add(&record.worker, door, from, record.at);
+        }
+    }
+    for ((worker, door, _), from) in open {
+        add(worker, door, from, Micros::MAX);
+    }
+    cuts
+}
--- a/crates/day/src/fleet.rs
+++ b/crates/day/src/fleet.rs
@@ -27,20 +27,21 @@
     pub address: Option<SocketAddr>,
     settings: PathBuf,
     log: PathBuf,
+    level: String,
     child: Option<Child>,
 }
 
 impl Controller {
-    /// A controller that is not started.
-    pub fn new(number: usize, zone: String, settings: PathBuf, log: PathBuf) -> Self {
-        Self { number, zone, address: None, settings, log, child: None }
+    /// A controller that is not started. It logs to `log`, as `level` says.
+    pub fn new(number: usize, zone: String, settings: PathBuf, log: PathBuf, level: String) -> Self {
+        Self { number, zone, address: None, settings, log, level, child: None }
     }
 
     /// Starts its process; it listens when this returns.
     pub fn start(&mut self, program: &Path) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(program);
-        command.args(["--log", "warn", "serve"]).arg(&self.settings);
+        command.args(["--log", &self.level, "serve"]).arg(&self.settings);
         if let Some(address) = self.address {
             command.args(["--listen", &address.to_string()]);
         }
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -5,10 +5,12 @@
 
 //! * [`script`]: a day as text. [`run`]: plays it. [`fleet`]: controllers and list files. [`traffic`]: clients.
 //! * [`evidence`]: what was seen. [`audit`]: the rules, judged from it. [`report`]: what it came to.
+//!   [`story`]: it as lines for people.
 //! * [`client`]: a client of the protocol, also for load and for people.
 
 #![forbid(unsafe_code)]
 
+mod attempts;
 pub mod audit;
 pub mod client;
 pub mod evidence;
@@ -16,4 +18,5 @@
 pub mod report;
 pub mod run;
 pub mod script;
+pub mod story;
 pub mod traffic;
--- a/crates/gateway/src/commands/day.rs
+++ b/crates/gateway/src/commands/day.rs
@@ -4,7 +4,7 @@
 
 use clap::Args;
 use nettleferry_day::audit::{Slack, audit};
-use nettleferry_day::{report, run, script};
+use nettleferry_day::{report, run, script, story};
 
 use super::{CommandError, announce, read};
 
@@ -13,21 +13,24 @@
 pub struct Day {
     /// Day file; days/ has one of each kind
     file: PathBuf,
-    /// Keep the controllers' settings, lists and logs in this folder
+    /// Keep the controllers' settings, lists and logs and the evidence (evidence.txt) in this folder
     #[arg(long, value_name = "DIR")]
     keep: Option<PathBuf>,
 }
 
 /// Most findings printed.
 const MOST_SHOWN: usize = 40;
+/// Most calls whose story is printed.
+const MOST_STORIES: usize = 3;
 
 impl Day {
-    pub fn run(self) -> Result<u8, CommandError> {
+    /// `log`: what the controllers log, as this program was told for itself.
+    pub fn run(self, log: &str) -> Result<u8, CommandError> {
         let text = read(&self.file)?;
         let script = script::read(&self.file.display().to_string(), &text).map_err(CommandError::Unsound)?;
         let program = std::env::current_exe().map_err(CommandError::system("can't find this program"))?;
         let dir = self.keep.clone().unwrap_or_else(run::folder);
-        let played = run::play(&script, &program, &dir);
+        let played = run::play(&script, &program, &dir, log);
         if self.keep.is_none() {
             let _ = std::fs::remove_dir_all(&dir);
         }
@@ -35,6 +38,10 @@
             run::DayError::Settings(errors) => CommandError::Unsound(errors),
             other => CommandError::Day(other),
         })?;
+        if let Some(dir) = &self.keep {
+            std::fs::write(dir.join("evidence.txt"), story::whole(&played.evidence))
+                .map_err(CommandError::system("can't write evidence.txt"))?;
+        }
         announce(report::summary(&played.evidence).trim_end())?;
         let found = audit(&played.evidence, Slack::default());
         for breach in found.iter().take(MOST_SHOWN) {
@@ -43,6 +50,11 @@
         if found.len() > MOST_SHOWN {
             announce(&format!("and {} more", found.len() - MOST_SHOWN))?;
         }
+        let mut calls: Vec<&str> = found.iter().filter_map(|b| b.call.as_deref()).collect();
+        calls.dedup();
+        for call in calls.into_iter().take(MOST_STORIES) {
+            announce(&format!("call {call}:\n{}", story::of_call(&played.evidence, call).trim_end()))?;
+        }
         for odd in &played.odd_ends {
             announce(odd)?;
         }
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -108,14 +108,14 @@
 }
 
 /// Runs a command and gives its exit code.
-pub fn run(command: Command) -> Result<u8, CommandError> {
-    match command {
+pub fn run(arguments: Arguments) -> Result<u8, CommandError> {
+    match arguments.command {
         Command::Demo(demo) => demo.run(),
         Command::Serve(serve) => serve.run(),
         Command::Check(check) => check.run(),
         Command::Call(call) => call.run(),
         Command::Load(load) => load.run(),
-        Command::Day(day) => day.run(),
+        Command::Day(day) => day.run(&arguments.logs.log),
         Command::Alerts(alerts) => alerts.run(),
         Command::Worker(worker) => worker.run(),
     }
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -17,7 +17,7 @@
 pub struct Logs {
     /// What is logged: a level (error, warn, info, debug, trace) or tracing's filter directives
     #[arg(long, global = true, default_value = "info", value_name = "FILTER")]
-    log: String,
+    pub log: String,
     /// How log lines look
     #[arg(long, global = true, default_value = "text", value_name = "FORMAT")]
     log_format: Format,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -25,7 +25,7 @@
 fn main() -> ExitCode {
     let arguments = commands::Arguments::parse();
     logs::start(&arguments.logs);
-    match commands::run(arguments.command) {
+    match commands::run(arguments) {
         Ok(code) => ExitCode::from(code),
         Err(error) => {
             eprintln!("nettleferry: {error}");
--- /dev/null
+++ b/crates/gateway/tests/cut.rs
@@ -0,0 +1,127 @@
+//! Links that are cut, not broken: what was sent stays in the socket and arrives when they heal. What may run
+//! as late as that must not be repeated meanwhile, nor refused.
+
+mod common;
+use common::*;
+
+use std::collections::BTreeMap;
+
+use nettleferry_net::grpc::Code;
+use nettleferry_standin::{Fault, Record, Seen};
+
+const SETTINGS: &str = r#"
+(listen (grpc "127.0.0.1:0"))
+(workers (file "workers.sexp") (check-every 5ms))
+(class once (effect unsafe) (aim 200ms) (deadline 900ms))
+(class patient (effect unsafe) (aim 200ms) (deadline 20s))
+(class safe (effect safe) (aim 200ms) (deadline 20s))
+(class tag (effect keyed zone 500ms) (aim 200ms) (deadline 900ms))
+(model "echo-once-*" (class once) (lanes 64))
+(model "echo-patient-*" (class patient) (lanes 64))
+(model "echo-safe-*" (class safe) (lanes 64))
+(model "echo-tag-*" (class tag) (lanes 64))
+(limits (attempts 4))
+"#;
+
+const KINDS: [&str; 4] = ["echo-once", "echo-patient", "echo-safe", "echo-tag"];
+/// Models of each kind, so that each worker is the first choice of some.
+const MODELS: usize = 12;
+/// Their links are cut; the third worker's is not.
+const CUT: [&str; 2] = ["w1", "w2"];
+
+fn cut(fleet: &mut Fleet, cut: bool) {
+    for handle in fleet.handles.iter().filter(|h| CUT.contains(&h.name.as_str())) {
+        handle.tell(Fault::Cut { door: 0, cut });
+    }
+    eventually("the links are told", || {
+        fleet.count(|s| matches!(s, Seen::Link { cut: c, .. } if *c == cut)) == CUT.len()
+    });
+}
+
+/// A call's attempts as they arrived: worker, number, whether it ran.
+type Arrived = BTreeMap<String, Vec<(String, Option<u32>, bool)>>;
+
+fn arrived(records: &[Record]) -> Arrived {
+    let mut streams = BTreeMap::new();
+    let mut arrived = Arrived::new();
+    for Record { worker, seen, .. } in records {
+        match seen {
+            Seen::Call { stream, id, attempt, .. } => {
+                let tries = arrived.entry(id.clone()).or_default();
+                streams.insert((worker, *stream), (id.clone(), tries.len()));
+                tries.push((worker.clone(), *attempt, false));
+            }
+            Seen::Runs { stream } => {
+                let (id, at) = &streams[&(worker, *stream)];
+                arrived.get_mut(id).expect("it came")[*at].2 = true;
+            }
+            _ => {}
+        }
+    }
+    arrived
+}
+
+#[test]
+fn an_unsafe_call_is_never_repeated_or_refused_behind_a_cut_link() {
+    let mut fleet = Fleet::new(3, SPEC);
+    let program = serve(SETTINGS, &fleet.list());
+    let mut caller = Caller::new(program.address);
+    let call = |caller: &mut Caller, kind: &str, n: usize, id: &str| {
+        caller.ask(ask("ModelInfer", &echo(&format!("{kind}-{n}"), id, 64)))
+    };
+    // The module gives nothing to workers that it has not heard yet.
+    for (n, kind) in (0..MODELS).flat_map(|n| KINDS.map(|kind| (n, kind))) {
+        let rpc = call(&mut caller, kind, n, &format!("warm-{kind}-{n}"));
+        assert_eq!(caller.status(rpc).0.code, Code::Ok);
+    }
+    cut(&mut fleet, true);
+    let mut calls = BTreeMap::new();
+    for (n, kind) in (0..MODELS).flat_map(|n| KINDS.map(|kind| (n, kind))) {
+        let id = format!("{kind}-{n}");
+        calls.insert(caller.ask(ask("ModelInfer", &echo(&id, &id, 64))), (kind, id));
+    }
+    // The silent workers are left: what may be repeated is, at the third.
+    let mut refused = Vec::new();
+    let mut note = |(status, _): (nettleferry_net::grpc::Status, _), id: &str| {
+        if status.code == Code::Unavailable {
+            refused.push(id.to_owned());
+        }
+        status.code
+    };
+    for (rpc, (_, id)) in calls.iter().filter(|(_, (kind, _))| *kind != "echo-patient") {
+        let code = note(caller.status(*rpc), id);
+        assert!(!id.starts_with("echo-safe") || code == Code::Ok, "{id}: {code:?}");
+    }
+    cut(&mut fleet, false);
+    for (rpc, (_, id)) in calls.iter().filter(|(_, (kind, _))| *kind == "echo-patient") {
+        note(caller.status(*rpc), id);
+    }
+    // A socket is read in order: once a worker has seen something newer, it has seen all that was held back.
+    let mut after = 0;
+    eventually("each worker sees something newer", || {
+        after += 1;
+        let rpc = call(&mut caller, "echo-safe", after, "after");
+        let _ = caller.end(rpc);
+        let records = fleet.look();
+        CUT.iter().all(|name| {
+            let ours = records.iter().filter(|r| r.worker == *name);
+            let newer = |r: &Record| matches!(&r.seen, Seen::Call { id, .. } if id == "after");
+            ours.skip_while(|r| !matches!(r.seen, Seen::Link { cut: false, .. })).any(newer)
+        })
+    });
+    let arrived = arrived(fleet.look());
+    let kind = |id: &str| KINDS.into_iter().find(|kind| id.starts_with(kind));
+    let unsafe_ones = |id: &str| matches!(kind(id), Some("echo-once" | "echo-patient"));
+    let behind = |tries: &[(String, Option<u32>, bool)]| tries.iter().any(|t| CUT.contains(&t.0.as_str()));
+    let held_back = arrived.iter().filter(|(id, tries)| unsafe_ones(id) && behind(tries)).count();
+    assert!(held_back > 0, "the cut holds requests back");
+    let again = arrived.iter().filter(|(id, tries)| {
+        kind(id) == Some("echo-safe") && behind(tries) && tries.iter().any(|t| t.1 > Some(0))
+    });
+    assert!(again.count() > 0, "safe ones are repeated elsewhere");
+    for (id, tries) in arrived.iter().filter(|(id, _)| unsafe_ones(id)) {
+        // No proof can come through a cut link, so there is one attempt and no more.
+        assert!(tries.len() == 1 && tries[0].1 == Some(0), "{id}: {tries:?}");
+        assert!(!refused.contains(id), "{id} was refused and arrived: {tries:?}");
+    }
+}
