--- a/crates/alerts/src/rules.rs
+++ b/crates/alerts/src/rules.rs
@@ -20,6 +20,12 @@
         /// What is wrong, with line and column.
         what: String,
     },
+    /// It is a file of rule unit tests.
+    #[error("{file}: this is a file of rule unit tests: run it with nettleferry alerts test {file}")]
+    Tests {
+        /// The file.
+        file: String,
+    },
     /// An expression is no PromQL.
     #[error("{file}: alert {alert}: {what}")]
     Expression {
@@ -116,6 +122,12 @@
 /// Reads a rule file.
 pub fn read(file: &str, text: &str) -> Result<Vec<Rule>, RuleError> {
     let format = |e: serde_yaml_ng::Error| RuleError::Format { file: file.to_owned(), what: e.to_string() };
+    // Before the strict reading, whose words would be about a field that no rule file has.
+    let tests =
+        |value: &serde_yaml_ng::Value| value.get("rule_files").is_some() && value.get("groups").is_none();
+    if serde_yaml_ng::from_str::<serde_yaml_ng::Value>(text).is_ok_and(|value| tests(&value)) {
+        return Err(RuleError::Tests { file: file.to_owned() });
+    }
     let read: File = serde_yaml_ng::from_str(text).map_err(format)?;
     let mut rules = Vec::new();
     for group in read.groups {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -45,6 +45,8 @@
 pub struct Figures {
     /// Where they can be scraped; `None`: nowhere.
     pub scrape: Option<SocketAddr>,
+    /// What happens to calls is counted; else those series stay at zero. For measuring what counting costs.
+    pub count: bool,
     /// Series of calls at the most.
     pub series: usize,
     /// Pushing; `None`: they are not pushed.
@@ -78,6 +80,11 @@
     pub batch_age: Micros,
     /// An answer that takes longer has not come.
     pub timeout: Micros,
+    /// A receiver that did not understand version 2.0 is asked again after so long, then ever more seldom, up to
+    /// twelve times as long.
+    pub ask_again: Micros,
+    /// A controller that ends in order tries for so long to deliver its last samples.
+    pub farewell: Micros,
 }
 
 /// Bounds and spans at the edge; each is told in the settings' page.
@@ -482,7 +489,7 @@
     }
     let push = form.sub("push").and_then(push);
     let series = series.clamp(1, MOST_SERIES) as usize;
-    let figures = Figures { scrape: form.get("scrape"), series, push };
+    let figures = Figures { scrape: form.get("scrape"), count: form.or("count", true), series, push };
     form.end();
     figures
 }
@@ -528,6 +535,8 @@
         batch: batch.clamp(1, 100_000) as usize,
         batch_age,
         timeout: form.span_or("timeout", 10_000_000),
+        ask_again: form.span_or("ask-again", 300_000_000),
+        farewell: form.span_or("farewell", 2_000_000),
     };
     form.end();
     Some(Push { to: to?, spool: PathBuf::from(spool?), ..push })
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -5,11 +5,12 @@
 
 //! * [`script`]: a day as text. [`run`]: plays it. [`fleet`]: controllers and list files. [`traffic`]: clients.
 //! * [`evidence`]: what was seen. [`audit`]: the rules, judged from it. [`report`]: what it came to.
-//!   [`story`]: it as lines for people.
+//!   [`story`]: it as lines for people. [`alerting`]: what the rules of a receiver did.
 //! * [`client`]: a client of the protocol, also for load and for people.
 
 #![forbid(unsafe_code)]
 
+pub mod alerting;
 mod attempts;
 pub mod audit;
 pub mod client;
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -10,11 +10,13 @@
 
 use nettleferry::{Micros, WorkerState};
 use nettleferry_config::{Worker, settings};
+use nettleferry_standin::receiver::{Mode, Receiver};
 use nettleferry_standin::{Fault, Handle, Options, Store, spawn};
 
+use crate::alerting;
 use crate::evidence::{self, During, Evidence, Figures, Life, Place};
 use crate::fleet::{Controller, Lists};
-use crate::script::{Kind, Script, Trouble};
+use crate::script::{Kind, Script, Trouble, Watch};
 use crate::traffic::{self, Addresses, Tell};
 
 /// Why a day could not be played.
@@ -23,6 +25,9 @@
     /// The settings in it are not sound.
     #[error("the day's (settings ...) with what the day fills in: {0}")]
     Settings(nettleferry_config::Errors),
+    /// The receiver's rule file is not sound.
+    #[error("the day's rules: {0}")]
+    Rules(#[from] nettleferry_alerts::rules::RuleError),
     /// The system refused something.
     #[error("{what}: {source}")]
     System {
@@ -46,6 +51,8 @@
     pub evidence: Evidence,
     /// Controllers that ended otherwise than told.
     pub odd_ends: Vec<String>,
+    /// What the receiver saw, where the day has one.
+    pub alerts: Option<alerting::Seen>,
 }
 
 /// One thing to do at a time.
@@ -86,10 +93,36 @@
 /// A listening address of a worker or controller that comes back may be taken for a moment.
 const TRIES: u32 = 50;
 
-/// Plays a day with a controller program; files go to `dir`. `log`: what the controllers log.
-pub fn play(script: &Script, program: &Path, dir: &Path, log: &str) -> Result<Played, DayError> {
+/// Where a day is played.
+pub struct Stage<'a> {
+    /// The controllers' program.
+    pub program: &'a Path,
+    /// Files of the day go there.
+    pub dir: &'a Path,
+    /// Files that the day names are seen from there.
+    pub beside: &'a Path,
+    /// What the controllers log.
+    pub log: &'a str,
+}
+
+/// A receiver with the rules of the day, where it has one.
+fn receiver(script: &Script, beside: &Path) -> Result<Option<Receiver>, DayError> {
+    let Some(watch) = &script.watch else { return Ok(None) };
+    let path = beside.join(&watch.rules);
+    let text = std::fs::read_to_string(&path).map_err(system("can't read the day's rule file"))?;
+    let rules = nettleferry_alerts::rules::read(&path.display().to_string(), &text)?;
+    let mut receiver = Receiver::start(Mode::Take).map_err(system("can't start a receiver"))?;
+    receiver.watch(rules, watch.speed).map_err(system("can't start a thread"))?;
+    Ok(Some(receiver))
+}
+
+/// Plays a day.
+pub fn play(script: &Script, stage: &Stage<'_>) -> Result<Played, DayError> {
+    let Stage { program, dir, beside, log } = *stage;
     std::fs::create_dir_all(dir).map_err(system("can't make the day's folder"))?;
+    let receiver = receiver(script, beside)?;
     let epoch = Instant::now();
+    let epoch_ms = i64::try_from(unix() / 1000).unwrap_or(0);
     let mut zones: Vec<String> = Vec::new();
     for zone in &script.controllers.1 {
         if !zones.contains(zone) {
@@ -133,7 +166,10 @@
     let mut config = None;
     for n in 0..script.controllers.0 {
         let zone = script.controllers.1[n % script.controllers.1.len()].clone();
-        let text = controller_settings(script, n, &zone);
+        let mut text = controller_settings(script, n, &zone);
+        if let (Some(watch), Some(receiver)) = (&script.watch, &receiver) {
+            text.push_str(&pushing(watch, receiver, n));
+        }
         let name = format!("controller-{n}.sexp");
         config = Some(settings::read(&name, &text).map_err(DayError::Settings)?);
         let path = dir.join(name);
@@ -204,13 +240,30 @@
     let told = lists.told;
     let clients = seen_by_clients;
     let evidence = Evidence { clients, workers, told, lives, stalls, cuts, figures, places, until };
-    Ok(Played { evidence, odd_ends })
+    let alerts = receiver.map(|receiver| {
+        let kept = receiver.kept();
+        let watch = kept.watch.as_ref();
+        let episodes = watch.map_or(&[][..], |w| w.episodes());
+        let mut faults = kept.faults.clone();
+        faults.extend(watch.into_iter().flat_map(|w| w.faults.iter().cloned()));
+        let alerts = episodes.iter().map(|e| alerting::Fired::new(e, epoch_ms)).collect();
+        alerting::Seen { alerts, faults, samples: kept.series.values().map(Vec::len).sum() }
+    });
+    Ok(Played { evidence, odd_ends, alerts })
 }
 
 fn unix() -> Micros {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros
 }
 
+/// Settings that push a controller's figures to the day's receiver.
+fn pushing(watch: &Watch, receiver: &Receiver, number: usize) -> String {
+    format!(
+        "(figures (push (to \"{}\") (every {}us) (batch-age 20ms) (spool \"spool-{number}\") (label instance \"c{number}\")))\n",
+        receiver.address, watch.every
+    )
+}
+
 fn controller_settings(script: &Script, number: usize, zone: &str) -> String {
     format!(
         "(listen (grpc \"127.0.0.1:0\"))\n(controller (number {number}) (of {}) (zone \"{zone}\") (seed {}))\n\
@@ -268,6 +321,7 @@
                 }
             }
             Kind::FastErrors(share) => both(self, Fault::FailFast(*share), Fault::FailFast(0.0)),
+            Kind::Slow(factor) => both(self, Fault::Slow(*factor), Fault::Slow(1.0)),
             Kind::LateReports(late) => both(self, Fault::LateReports(*late), Fault::LateReports(0)),
             Kind::Hang(models) => both(self, Fault::Hang(Some(models.clone())), Fault::Hang(None)),
             Kind::Refuse => both(self, Fault::Refuse(true), Fault::Refuse(false)),
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -31,6 +31,34 @@
     pub traffic: Vec<Traffic>,
     /// Troubles, by time.
     pub troubles: Vec<(Micros, Trouble)>,
+    /// A remote-write receiver that evaluates alert rules, where wanted.
+    pub watch: Option<Watch>,
+}
+
+/// A receiver of the controllers' figures, and what its rules are expected to do.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Watch {
+    /// The rule file, seen from the day file's folder.
+    pub rules: String,
+    /// How often controllers push.
+    pub every: Micros,
+    /// A second of the day is so many of the rules': their minutes pass sooner.
+    pub speed: u32,
+    /// Alerts that are to fire; no other may.
+    pub fires: Vec<Fires>,
+}
+
+/// An alert that is to fire. Times are the day's.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fires {
+    /// Its name.
+    pub alert: String,
+    /// Not before.
+    pub after: Micros,
+    /// So long after that at the latest.
+    pub within: Micros,
+    /// It is over by then.
+    pub clear_by: Micros,
 }
 
 /// A stream of calls.
@@ -80,6 +108,8 @@
     Silence,
     /// Workers run a share of their calls and fail them at once.
     FastErrors(f64),
+    /// Calls take this many times their work.
+    Slow(f64),
     /// Load reports are this old.
     LateReports(Micros),
     /// A zone is cut off from the others.
@@ -165,6 +195,7 @@
         at.end();
     }
     troubles.sort_by_key(|t| t.0);
+    let watch = top.sub("receiver").map(watch);
     top.end();
     let value = (|| {
         let (name, length, seed) = head?;
@@ -183,11 +214,31 @@
             settings: settings?,
             traffic,
             troubles,
+            watch,
         })
     })();
     source.finish(value)
 }
 
+fn watch(mut form: Form) -> Watch {
+    let span = |form: &mut Form, key| form.must::<TimeSpan>(key).map_or(0, |s| s.0);
+    let rules = form.must("rules").unwrap_or_default();
+    let every = form.span_or("every", 1_000_000).max(10_000);
+    let speed = form.or("speed", 1u32);
+    if speed == 0 || speed > 100 {
+        form.fault(format!("(speed {speed}): from 1 to 100"));
+    }
+    let mut fires = Vec::new();
+    for mut one in form.all("fires") {
+        let alert = one.or_name();
+        let (after, within) = (span(&mut one, "after"), span(&mut one, "within"));
+        fires.push(Fires { alert, after, within, clear_by: span(&mut one, "clear-by") });
+        one.end();
+    }
+    form.end();
+    Watch { rules, every, speed, fires }
+}
+
 trait OrName {
     fn or_name(&mut self) -> String;
 }
@@ -268,6 +319,7 @@
         "crash" => Kind::Crash,
         "silence" => Kind::Silence,
         "fast-errors" => Kind::FastErrors(form.must::<f64>("share")?.min(1.0)),
+        "slow" => Kind::Slow(form.must::<f64>("factor")?.clamp(0.01, 1e4)),
         "late-reports" => Kind::LateReports(span(&mut form, "late")?),
         "cut" => Kind::Cut(form.must("zone")?),
         "roll" => Kind::Roll(span(&mut form, "each")?),
@@ -289,6 +341,7 @@
                 "crash",
                 "silence",
                 "fast-errors",
+                "slow",
                 "late-reports",
                 "cut",
                 "roll",
--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -4,25 +4,28 @@
 //! May know: names of classes, tenants and model groups as labels. Must not know: sockets, clocks, calls in
 //! hand. What is counted is handed in; the registry is read by whoever serves or pushes it.
 //!
-//! * [`Figures`]: the registry and its handles. Counting takes no lock and allocates nothing: handles of all
 //! * [`Figures`]: the registry and its handles, all made at the start and found by place: counting allocates
 //!   nothing, and only a latency takes a lock, its histogram's.
+//! * [`latency`]: a class's latencies, in classic and native buckets.
 //! * [`sample`]: the registry as single samples.
 //! * [`slots`]: which tenants and model groups have series of their own, and which share `other`.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod latency;
 pub mod sample;
 pub mod slots;
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+pub use latency::{Latency, Native};
 pub use slots::Slots;
 
 /// Ends of calls, with their label values.
@@ -91,17 +94,15 @@
 pub const BUCKETS: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0];
 
-/// Growth of native histogram buckets at the most: their relative error.
-const NATIVE_FACTOR: f64 = 1.1;
-/// Most native buckets of a class: bounds the memory of a histogram.
-const NATIVE_BUCKETS: usize = 160;
+/// The latency's name, as it stands in the registry.
+pub const LATENCY: &str = "nettleferry_call_duration_seconds";
 
 /// Handles of all series, and the registry that holds them.
 pub struct Figures {
     registry: Registry,
     slots: Slots,
     calls: Vec<Counter>,
-    latency: Vec<Histogram>,
+    latency: Vec<Latency>,
     attempts: Vec<Counter>,
     notes: Vec<Counter>,
     orders_sent: Counter,
@@ -116,6 +117,10 @@
     push_retries: Counter,
     push_kept: Gauge,
     push_oldest: Gauge,
+    push_changes: Counter,
+    push_splits: Counter,
+    push_short: Counter,
+    push_ahead: Gauge<f64, AtomicU64>,
     spool_bytes: Gauge,
     spool_limit: Gauge,
     spool_failed: Counter,
@@ -149,12 +154,7 @@
             }
         }
         registry.register("calls", "Calls with their one final answer", calls);
-        let histogram = || {
-            use prometheus_client::metrics::histogram::NativeHistogramConfig as Native;
-            let native = Native::with_bucket_factor(NATIVE_FACTOR).max_buckets(NATIVE_BUCKETS);
-            Histogram::new_classic_and_native(BUCKETS, native)
-        };
-        let latency = Family::<ClassLabels, Histogram, fn() -> Histogram>::new_with_constructor(histogram);
+        let latency = Family::<ClassLabels, Latency>::default();
         let latency_handles = slots
             .classes()
             .iter()
@@ -202,8 +202,19 @@
         let pushed_handles = made(&pushed, PUSHED.iter().map(|e| EndLabels { end: (*e).to_owned() }));
         registry.register("push_samples", "Samples to be pushed, by what became of them", pushed);
         let (push_retries, spool_failed) = (Counter::default(), Counter::default());
+        let (push_changes, push_splits, push_short) =
+            (Counter::default(), Counter::default(), Counter::default());
+        let push_ahead = Gauge::<f64, AtomicU64>::default();
+        let help = "Changes between the versions of remote write";
+        registry.register("push_version_changes", help, push_changes.clone());
+        let help = "Refused batches that were halved to find what is bad in them";
+        registry.register("push_splits", help, push_splits.clone());
+        let help = "Batches of which the receiver told that it wrote less than it took";
+        registry.register("push_short_writes", help, push_short.clone());
+        let help = "How far the wall clock is ahead of the time of samples";
+        registry.register_with_unit("push_clock_offset", help, Unit::Seconds, push_ahead.clone());
         registry.register("push_retries", "Batches pushed again", push_retries.clone());
-        registry.register("spool_failures", "Appends that the spool's disk refused", spool_failed.clone());
+        registry.register("spool_failures", "Operations that the spool's disk refused", spool_failed.clone());
         let gauges: [Gauge; 4] = Default::default();
         let [push_kept, push_oldest, spool_bytes, spool_limit] = gauges;
         registry.register("push_waiting_samples", "Samples that wait to be pushed", push_kept.clone());
@@ -224,6 +235,10 @@
             push_retries,
             push_kept,
             push_oldest,
+            push_changes,
+            push_splits,
+            push_short,
+            push_ahead,
             spool_bytes,
             spool_limit,
             spool_failed,
@@ -242,9 +257,9 @@
         }
     }
 
-    /// A call has had its end. `tenant`: its place among the tenants, where it named one; `seconds`: how long it
+    /// A call has had its end. `tenant`: its place among the tenants, where it named one; `micros`: how long it
     /// took, for the latency of served calls.
-    pub fn call(&self, class: usize, end: End, tenant: Option<usize>, group: usize, seconds: f64) {
+    pub fn call(&self, class: usize, end: End, tenant: Option<usize>, group: usize, micros: u64) {
         if let Some(counter) =
             self.slots.place(class, end as usize, tenant, group).and_then(|at| self.calls.get(at))
         {
@@ -253,7 +268,7 @@
         if matches!(end, End::InTime | End::Late)
             && let Some(histogram) = self.latency.get(class)
         {
-            histogram.observe(seconds);
+            histogram.observe(micros);
         }
     }
 
@@ -317,6 +332,20 @@
         self.push_oldest.set(i64::try_from(oldest_s).unwrap_or(i64::MAX));
     }
 
+    /// Brings the figures of the push's dealings with its receiver up to date; `ahead_s`: how far the wall clock is
+    /// ahead of the time of samples, seconds.
+    pub fn receiver(&self, changes: u64, splits: u64, short: u64, ahead_s: f64) {
+        raise(&self.push_changes, changes);
+        raise(&self.push_splits, splits);
+        raise(&self.push_short, short);
+        self.push_ahead.set(ahead_s);
+    }
+
+    /// The latency of each class as a native histogram.
+    pub fn natives(&self) -> impl Iterator<Item = (&str, Native)> {
+        self.slots.classes().iter().map(String::as_str).zip(self.latency.iter().map(Latency::native))
+    }
+
     /// Brings the spool's figures up to date.
     pub fn spool(&self, bytes: u64, limit: u64, failed: u64) {
         self.spool_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
@@ -372,8 +401,8 @@
     fn what_is_counted_is_found_in_its_series_alone() {
         let slots = Slots::new(names("c", 2), &names("t", 2), &names("m", 2), 1000);
         let figures = Figures::new(slots, &[]);
-        figures.call(1, End::Late, Some(1), 0, 0.3);
-        figures.call(0, End::Refused, None, 9, 0.0);
+        figures.call(1, End::Late, Some(1), 0, 300_000);
+        figures.call(0, End::Refused, None, 9, 0);
         figures.attempt(2);
         let text = figures.text().expect("text");
         let counted: Vec<&str> =
@@ -398,7 +427,7 @@
         assert!(slots.series() <= 2_000);
         let figures = Figures::new(slots, &[]);
         for n in 0..10_000 {
-            figures.call(n % 3, End::InTime, Some(n), n, 0.01);
+            figures.call(n % 3, End::InTime, Some(n), n, 10_000);
         }
         let text = figures.text().expect("text");
         let series: Vec<&str> = text.lines().filter(|l| l.starts_with("nettleferry_calls_total")).collect();
--- a/crates/figures/src/sample.rs
+++ b/crates/figures/src/sample.rs
@@ -85,7 +85,7 @@
     fn every_series_is_read_with_its_labels_and_kind() {
         let odd = "a\"b\\c,d={e}".to_owned();
         let figures = Figures::new(Slots::new(vec![odd.clone()], &[], &[], 100), &["x"]);
-        figures.call(0, crate::End::InTime, None, 0, 0.02);
+        figures.call(0, crate::End::InTime, None, 0, 20_000);
         let text = figures.text().expect("text");
         let all = read(&text);
         assert_eq!(all.len(), text.lines().filter(|l| !l.starts_with('#')).count());
--- a/crates/gateway/benches/measure.rs
+++ b/crates/gateway/benches/measure.rs
@@ -3,8 +3,11 @@
 
 #[path = "../tests/common/mod.rs"]
 mod common;
+#[path = "outage.rs"]
+mod outage;
 use common::*;
 
+use std::alloc::System;
 use std::collections::BTreeMap;
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -15,6 +18,11 @@
 use nettleferry_proto::inference::ModelStreamInferResponse;
 use nettleferry_standin::Fault;
 use prost::Message;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+
+/// Counts what this program itself allocates; the controllers it measures are processes of their own.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 fn main() {
     let only: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
@@ -26,6 +34,12 @@
     if wanted("figures") {
         figures();
     }
+    if wanted("counting") {
+        counting();
+    }
+    if wanted("outage") {
+        outage::measure();
+    }
     if wanted("idle") {
         idle();
     }
@@ -186,19 +200,23 @@
     let figures =
         Figures::new(Slots::new(names("class", 3), &names("tenant", 6), &names("model", 8), 5_000), &["a"]);
     const CALLS: u32 = 2_000_000;
+    let region = Region::new(ALLOCATOR);
     let begun = Instant::now();
     for n in 0..CALLS {
         figures.attempt(0);
         figures.note(0);
-        figures.call((n % 3) as usize, End::InTime, Some((n % 6) as usize), (n % 8) as usize, 0.02);
+        figures.call((n % 3) as usize, End::InTime, Some((n % 6) as usize), (n % 8) as usize, 20_000);
         figures.in_hand(7, 0);
     }
-    println!("figures: {:.0} ns to count a call", begun.elapsed().as_secs_f64() * 1e9 / f64::from(CALLS));
+    let (took, allocations) = (begun.elapsed(), region.change().allocations);
+    println!("figures: {:.0} ns to count a call", took.as_secs_f64() * 1e9 / f64::from(CALLS));
+    println!("figures: {allocations} allocations while {CALLS} calls are counted");
     let text = figures.text().expect("text");
     let begun = Instant::now();
     let series: Vec<Series> = sample::read(&text)
         .into_iter()
         .map(|s| Series {
+            natives: Vec::new(),
             labels: s.labels,
             samples: vec![(1_764_590_000_000, s.value)],
             kind: Kind::Counter,
@@ -255,6 +273,42 @@
     );
 }
 
+/// Calls a second with counting and without, two controllers in turn before one worker.
+fn counting() {
+    let spec = "(listen \"127.0.0.1:0\") (cores 64) (queue 10000) (model \"\" (lanes 512) (work 0us) (load-time 1ms))";
+    let fleet = Fleet::new(1, spec);
+    let settings = SETTINGS.replace("(lanes 64)", "(lanes 512)");
+    let with = serve(&settings, &fleet.list());
+    let without = serve(&format!("{settings}(figures (count no))"), &fleet.list());
+    let rate = |of: &Program| {
+        let mut caller = Caller::new(of.address);
+        let request = ask("ModelInfer", &echo("echo", "u", 256));
+        let mut open: std::collections::HashSet<u64> = (0..64).map(|_| caller.ask(request.clone())).collect();
+        let (begun, mut calls, mut heard) = (Instant::now(), 0u64, Vec::new());
+        while begun.elapsed() < Duration::from_secs(3) {
+            caller.client.turn(Some(Duration::from_millis(50)), &mut heard).expect("polls");
+            for what in heard.drain(..) {
+                if let Heard::End { rpc, .. } = what
+                    && open.remove(&rpc)
+                {
+                    calls += 1;
+                    open.insert(caller.ask(request.clone()));
+                }
+            }
+        }
+        calls as f64 / begun.elapsed().as_secs_f64()
+    };
+    let (_, _) = (rate(&with), rate(&without));
+    let mut pairs: Vec<(f64, f64)> = (0..9).map(|_| (rate(&with), rate(&without))).collect();
+    let mut ratios: Vec<f64> = pairs.iter().map(|(a, b)| a / b).collect();
+    ratios.sort_by(f64::total_cmp);
+    pairs.sort_by(|a, b| a.0.total_cmp(&b.0));
+    println!(
+        "counting: {:.0} calls/s with, {:.0} without (the median pair); ratios of 9 pairs in turn: median {:.3}, {:.3} to {:.3}",
+        pairs[4].0, pairs[4].1, ratios[4], ratios[0], ratios[8]
+    );
+}
+
 /// How often a controller wakes without calls: with connections open to it.
 fn idle() {
     let fleet = Fleet::new(2, SPEC);
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -15,8 +15,7 @@
 impl Clock {
     /// Starts it.
     pub fn start() -> Self {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Self { base: since.as_micros() as Micros, start: Instant::now() }
+        Self { base: wall(), start: Instant::now() }
     }
 
     /// Now.
@@ -24,3 +23,8 @@
         self.base + self.start.elapsed().as_micros() as Micros
     }
 }
+
+/// The wall clock as it stands: it may step.
+pub fn wall() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_micros() as Micros
+}
--- a/crates/gateway/src/commands/day.rs
+++ b/crates/gateway/src/commands/day.rs
@@ -1,10 +1,10 @@
 //! `day`: plays a scripted day and prints the audit of the five rules.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use clap::Args;
 use nettleferry_day::audit::{Slack, audit};
-use nettleferry_day::{report, run, script, story};
+use nettleferry_day::{alerting, report, run, script, story};
 
 use super::{CommandError, announce, read};
 
@@ -30,7 +30,8 @@
         let script = script::read(&self.file.display().to_string(), &text).map_err(CommandError::Unsound)?;
         let program = std::env::current_exe().map_err(CommandError::system("can't find this program"))?;
         let dir = self.keep.clone().unwrap_or_else(run::folder);
-        let played = run::play(&script, &program, &dir, log);
+        let beside = self.file.parent().unwrap_or(Path::new(""));
+        let played = run::play(&script, &run::Stage { program: &program, dir: &dir, beside, log });
         if self.keep.is_none() {
             let _ = std::fs::remove_dir_all(&dir);
         }
@@ -58,8 +59,24 @@
         for odd in &played.odd_ends {
             announce(odd)?;
         }
+        let mut unmet = Vec::new();
+        if let (Some(watch), Some(seen)) = (&script.watch, &played.alerts) {
+            for f in &seen.alerts {
+                let to = f.to.map_or("the end".to_owned(), |to| format!("{:.1} s", to as f64 / 1e6));
+                announce(&format!("alert {}{}: {:.1} s to {to}", f.alert, f.labels, f.from as f64 / 1e6))?;
+            }
+            unmet = alerting::judge(watch, seen);
+            for what in unmet.iter().take(MOST_SHOWN) {
+                announce(what)?;
+            }
+        }
         let sound = found.is_empty() && played.odd_ends.is_empty();
         announce(&format!("day {}: {}", script.name, if sound { "no rule broken" } else { "BROKEN" }))?;
+        if script.watch.is_some() {
+            let came = if unmet.is_empty() { "as expected" } else { "NOT as expected" };
+            announce(&format!("day {}: alerts came {came}", script.name))?;
+        }
+        let sound = sound && unmet.is_empty();
         Ok(u8::from(!sound))
     }
 }
--- a/crates/gateway/src/commands/demo.rs
+++ b/crates/gateway/src/commands/demo.rs
@@ -6,6 +6,7 @@
 
 use clap::Args;
 use nettleferry_config::{settings, workers};
+use nettleferry_standin::spec::ModelSpec;
 use nettleferry_standin::{Handle, Options, Spec, Store, spawn};
 
 use super::{CommandError, serve};
@@ -29,6 +30,7 @@
 (model "echo" (class quick) (lanes 2))
 (model "echo-*" (class quick) (lanes 2))
 (model "echo-once" (class once) (lanes 2))
+(model "echo-now" (class quick) (lanes 256))
 (model "climb" (class quick) (lanes 2) (input "HEIGHT" FP32 -1) (output "ASCENT" FP32 -1) (output "DESCENT" FP32 -1))
 (model "climb-*" (class quick) (lanes 2) (input "HEIGHT" FP32 -1) (output "ASCENT" FP32 -1) (output "DESCENT" FP32 -1))
 "#;
@@ -68,7 +70,15 @@
 
 impl Demo {
     pub fn run(self) -> Result<u8, CommandError> {
-        let (_workers, list) = fleet(self.workers, &Spec::default())?;
+        let mut spec = Spec { queue: 4096, ..Spec::default() };
+        // Answers at once: load on it shows the gateway, not the pretended work of the others.
+        spec.models.push(ModelSpec {
+            prefix: "echo-now".to_owned(),
+            lanes: 256,
+            work: 0,
+            ..ModelSpec::any()
+        });
+        let (_workers, list) = fleet(self.workers, &spec)?;
         let dir = std::env::temp_dir().join(format!("nettleferry-demo-{}", std::process::id()));
         std::fs::create_dir_all(&dir)
             .map_err(CommandError::system("can't make a folder for the worker list"))?;
--- a/crates/gateway/src/commands/load.rs
+++ b/crates/gateway/src/commands/load.rs
@@ -1,8 +1,10 @@
-//! `load`: closed-loop load with latencies, through a gateway and straight to a worker in one run.
+//! `load`: closed-loop load with latencies, through a gateway and straight to a worker in one run, and what the
+//! gateway answers by itself, to tell whose bound the figure shows.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use clap::Args;
 use hdrhistogram::Histogram;
 use nettleferry_day::client::{Ask, Client, Heard};
@@ -44,6 +46,10 @@
     stream: bool,
 }
 
+/// A call through the gateway costs it some times an answer of its own; below this part of them something
+/// else bounds.
+const WORKERS_BOUND: f64 = 0.15;
+
 /// What one round gave.
 struct Round {
     calls: u64,
@@ -60,9 +66,10 @@
         let mut sides = vec![("through", self.address)];
         sides.extend(self.against.map(|address| ("direct", address)));
         let mut rates = vec![Vec::new(); sides.len()];
+        let ask = self.ask();
         for round in 1..=self.rounds {
             for (side, (name, address)) in sides.iter().enumerate() {
-                let got = self.round(*address)?;
+                let got = self.round(*address, &ask)?;
                 let rate = got.calls as f64 / got.span.as_secs_f64();
                 rates[side].push(rate);
                 let at = |q| got.latency.value_at_quantile(q) as f64 / 1e3;
@@ -75,6 +82,17 @@
                 ))?;
             }
         }
+        let through = median(&mut rates[0]);
+        let live = Ask { method: "ServerLive", messages: vec![Bytes::new()], ..Ask::default() };
+        let got = self.round(self.address, &live)?;
+        let front = got.calls as f64 / got.span.as_secs_f64();
+        announce(&format!("the gateway's own answers (ServerLive): {front:.0} a second at the same load"))?;
+        if through < front * WORKERS_BOUND {
+            announce(&format!(
+                "calls come to {:.0}% of that: lanes, cores and work of the workers bound this figure, not the gateway",
+                100.0 * through / front.max(1e-9)
+            ))?;
+        }
         if let [through, direct] = &mut rates[..] {
             let ratio = median(through) / median(direct).max(1e-9);
             announce(&format!(
@@ -85,10 +103,7 @@
         Ok(0)
     }
 
-    fn round(&self, address: SocketAddr) -> Result<Round, CommandError> {
-        let failed = || CommandError::system("the client failed");
-        let limits = NetLimits { connect_timeout: Duration::from_secs(5), ..NetLimits::default() };
-        let mut client = Client::new(self.connections as usize, limits).map_err(failed())?;
+    fn ask(&self) -> Ask {
         let mut request = nettleferry_standin::models::climb_request(&self.model, "1", &[], 1);
         request.raw_input_contents = vec![vec![7; self.bytes].into()];
         if self.model.starts_with("climb") {
@@ -97,7 +112,13 @@
         }
         let body = ModelInferRequest::encode_to_vec(&request);
         let method = if self.stream { "ModelStreamInfer" } else { "ModelInfer" };
-        let ask = Ask { method, messages: vec![body.into()], ..Ask::default() };
+        Ask { method, messages: vec![body.into()], ..Ask::default() }
+    }
+
+    fn round(&self, address: SocketAddr, ask: &Ask) -> Result<Round, CommandError> {
+        let failed = || CommandError::system("the client failed");
+        let limits = NetLimits { connect_timeout: Duration::from_secs(5), ..NetLimits::default() };
+        let mut client = Client::new(self.connections as usize, limits).map_err(failed())?;
         let mut begun = std::collections::HashMap::new();
         let mut round = Round {
             calls: 0,
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -62,8 +62,8 @@
     signals: Option<Signals>,
     observer: Observer,
     scrape: Option<Scrape>,
-    /// Pushes until it is dropped.
-    _pusher: Option<Pusher>,
+    /// Pushes until it is dropped, with last words.
+    pusher: Option<Pusher>,
     refresh_at: Micros,
     commands: Vec<Command>,
     local: SocketAddr,
@@ -118,7 +118,9 @@
         };
         let pusher =
             config.figures.push.clone().map(|push| Pusher::start(push, observer.figures())).transpose()?;
-        engine.take_notes();
+        if config.figures.count {
+            engine.take_notes();
+        }
         let config = Arc::new(config);
         let mut controller = Self {
             clock: Clock::start(),
@@ -130,7 +132,7 @@
             signals,
             observer,
             scrape,
-            _pusher: pusher,
+            pusher,
             refresh_at: 0,
             commands: Vec::new(),
             local,
@@ -159,15 +161,14 @@
         loop {
             self.tick();
             if let Some(stopped) = self.stopped() {
-                self.farewell();
-                return Ok(stopped);
+                return Ok(self.farewell(stopped));
             }
             let wait = Duration::from_micros(self.next().saturating_sub(self.clock.now()));
             self.hub.turn(Some(wait), &mut events)?;
             for event in events.drain(..) {
                 if matches!(event, NetEvent::Source(SIGNALS)) {
                     if self.signalled() {
-                        return Ok(Stopped::AtOnce);
+                        return Ok(self.farewell(Stopped::AtOnce));
                     }
                 } else {
                     self.event(event);
@@ -183,11 +184,15 @@
         let now = self.clock.now();
         if now >= self.refresh_at {
             self.refresh_at = now + REFRESH;
-            let (net, front) = (self.hub.counters(), self.front.counters());
-            self.observer.refresh(&self.engine, &net, &front, self.links.no_room);
+            self.refresh();
         }
     }
 
+    fn refresh(&self) {
+        let (net, front) = (self.hub.counters(), self.front.counters());
+        self.observer.refresh(&self.engine, &net, &front, self.links.no_room);
+    }
+
     fn next(&self) -> Micros {
         let engine = self.engine.next_timer().unwrap_or(Micros::MAX);
         let drain = self.draining.map_or(Micros::MAX, |until| until.min(self.clock.now() + 20_000));
@@ -345,7 +350,14 @@
         })
     }
 
-    fn farewell(&self) {
+    fn farewell(&mut self, stopped: Stopped) -> Stopped {
+        // The last round is to have what was counted last.
+        self.observer.count(&mut self.engine);
+        self.refresh();
+        match (stopped, self.pusher.take()) {
+            (Stopped::AtOnce, Some(pusher)) => pusher.abandon(),
+            (_, pusher) => drop(pusher),
+        }
         let (engine, net, front) = (self.engine.counters(), self.hub.counters(), self.front.counters());
         info!(
             ?engine,
@@ -355,6 +367,7 @@
             lists_refused = self.list.refused,
             "stopped"
         );
+        stopped
     }
 }
 
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -33,6 +33,7 @@
 pub struct Observer {
     figures: Arc<Figures>,
     aims: Vec<Micros>,
+    counts: bool,
 }
 
 impl Observer {
@@ -45,7 +46,8 @@
         let slots =
             Slots::new(config.classes.clone(), &tenants, config.models.groups(), config.figures.series);
         let figures = Arc::new(Figures::new(slots, &LIMITS));
-        Self { figures, aims: config.settings.classes.iter().map(|c| c.aim).collect() }
+        let aims = config.settings.classes.iter().map(|c| c.aim).collect();
+        Self { figures, aims, counts: config.figures.count }
     }
 
     /// The figures, for whoever serves them.
@@ -55,8 +57,10 @@
 
     /// Counts what was noted.
     pub fn count(&self, engine: &mut Engine) {
-        for note in engine.notes() {
-            self.note(note);
+        if self.counts {
+            for note in engine.notes() {
+                self.note(note);
+            }
         }
         self.figures.in_hand(engine.open_calls(), engine.held_calls());
     }
@@ -73,7 +77,7 @@
                     EndKind::Rejected => End::Rejected,
                     EndKind::Gone => End::Cancelled,
                 };
-                self.figures.call(class.0, end, tenant.map(|t| t.0), group as usize, took as f64 / 1e6);
+                self.figures.call(class.0, end, tenant.map(|t| t.0), group as usize, took);
             }
             Note::Attempt { after } => self.figures.attempt(reason(after)),
             Note::Copy(note) => self.figures.note(match note {
--- a/crates/gateway/src/push.rs
+++ b/crates/gateway/src/push.rs
@@ -6,34 +6,56 @@
 //! queue. A record is acknowledged when the last of its samples is gone from the queue. At the start what was
 //! not acknowledged is offered again with its old times and values; the series of the last life, which the
 //! spool keeps as a record without samples, get a staleness marker; then new rounds begin with a new created
-//! timestamp. Nothing is written for the time away.
+//! timestamp. Nothing is written for the time away. A life that ends in order writes a last round and the
+//! markers itself, and tries for `farewell` to deliver them.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use nettleferry::Micros;
 use nettleferry_config::settings::Push;
-use nettleferry_figures::{Figures, sample};
+use nettleferry_figures::{Figures, LATENCY, sample};
 use nettleferry_net::post::{Answer as Heard, PostError, Poster};
-use nettleferry_proto::remote_write::{self, Kind, Series, Version};
-use nettleferry_push::{Answer, Batch, Keeper, Limits, Queue, Sample};
+use nettleferry_proto::remote_write::{self, Kind, Native, Series, Version};
+use nettleferry_push::{Answer, Form, Keeper, Limits, Queue, Speech, Understood, Waits, Wall, Weigh};
 use nettleferry_spool::{FolderDisk, Limits as SpoolLimits, Position, Spool, SpoolError};
 use tracing::{info, warn};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, wall};
+
+type Sample = nettleferry_push::Sample<Value>;
+type Batch = nettleferry_push::Batch<Value>;
 
 /// Series of one spool record at the most: bounds its length.
 const RECORD_SERIES: usize = 2_000;
 /// Bytes that a record of the spool may unpack to.
 const MOST_RECORD: usize = 8 << 20;
 
-/// The push's thread; it ends when this is dropped. What was not acknowledged by then is sent by the next life.
+/// What a sample tells.
+#[derive(Clone, Debug)]
+enum Value {
+    Number(f64),
+    Native(Arc<Native>),
+}
+
+impl Weigh for Value {
+    fn heap(&self) -> usize {
+        match self {
+            Self::Number(_) => 0,
+            Self::Native(native) => size_of::<Native>() + native.buckets.len() * size_of::<(i32, u64)>(),
+        }
+    }
+}
+
+/// The push's thread. Dropped, it ends as a life ends in order; see [`Pusher::abandon`].
 pub struct Pusher {
     told: Arc<AtomicBool>,
+    /// No last words.
+    abandoned: Arc<AtomicBool>,
     waker: Arc<mio::Waker>,
     thread: Option<JoinHandle<()>>,
 }
@@ -42,14 +64,20 @@
     /// Starts it. A spool that can't be opened is an error: the operator told us to keep samples there.
     pub fn start(settings: Push, figures: Arc<Figures>) -> io::Result<Self> {
         let mut work = Work::new(settings, figures)?;
-        let (told, waker) = (Arc::new(AtomicBool::new(false)), work.poster.waker());
-        let stop = Arc::clone(&told);
+        let (told, abandoned) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let waker = work.poster.waker();
+        let (stop, at_once) = (Arc::clone(&told), Arc::clone(&abandoned));
         let thread = std::thread::Builder::new().name("push".to_owned()).spawn(move || {
-            if let Err(error) = work.run(&stop) {
+            if let Err(error) = work.run(&stop).and_then(|()| work.farewell(&at_once)) {
                 warn!(%error, "pushing has ended");
             }
         })?;
-        Ok(Self { told, waker, thread: Some(thread) })
+        Ok(Self { told, abandoned, waker, thread: Some(thread) })
+    }
+
+    /// Ends it without last words: what is not acknowledged is sent by the next life, which closes the series.
+    pub fn abandon(self) {
+        self.abandoned.store(true, Ordering::Release);
     }
 }
 
@@ -66,8 +94,10 @@
 struct Known {
     labels: Vec<(String, String)>,
     kind: Kind,
-    /// Created timestamp of samples of the last life, where there are any.
-    before: Option<i64>,
+    /// A series of native histograms.
+    native: bool,
+    /// Created timestamps of earlier lives of which samples are kept, in order.
+    before: Vec<i64>,
 }
 
 struct Work {
@@ -75,7 +105,7 @@
     figures: Arc<Figures>,
     clock: Clock,
     poster: Poster,
-    queue: Queue,
+    queue: Queue<Value>,
     spool: Spool<FolderDisk>,
     keeper: Keeper<Position>,
     series: Vec<Known>,
@@ -83,9 +113,14 @@
     /// This life's counters began then.
     created_ms: i64,
     last_ms: i64,
-    version: Version,
-    out: BTreeMap<usize, Batch>,
+    wall: Wall,
+    speech: Speech,
+    /// What is out on a lane, and in which version.
+    out: BTreeMap<usize, (Batch, Version)>,
+    /// Batches of which the receiver wrote less than it took.
+    short: u64,
     spool_ails: bool,
+    spool_failures: u64,
     roster: Vec<Position>,
 }
 
@@ -101,7 +136,6 @@
             other => io::Error::other(other.to_string()),
         })?;
         let clock = Clock::start();
-        let created_ms = ms(clock.now());
         let queue = Queue::new(
             Limits {
                 shards: settings.shards,
@@ -114,6 +148,7 @@
             rand::random(),
         );
         let poster = Poster::new(settings.to, settings.shards, Duration::from_micros(settings.timeout))?;
+        let ask_again = settings.ask_again;
         let mut work = Self {
             settings,
             figures,
@@ -124,11 +159,15 @@
             keeper: Keeper::default(),
             series: Vec::new(),
             numbers: HashMap::new(),
-            created_ms,
+            // Until what earlier lives left is read, all is theirs.
+            created_ms: i64::MAX,
             last_ms: i64::MIN,
-            version: Version::Two,
+            wall: Wall::new(clock.now(), wall(), 0),
+            speech: Speech::new(Waits { first: ask_again, most: ask_again.saturating_mul(12) }),
             out: BTreeMap::new(),
+            short: 0,
             spool_ails: false,
+            spool_failures: 0,
             roster: Vec::new(),
         };
         work.restore(found.records);
@@ -147,29 +186,33 @@
                 let _ = self.spool.acknowledge(position);
                 continue;
             };
-            let roster = series.iter().all(|s| s.samples.is_empty());
+            let roster = series.iter().all(|s| s.samples.is_empty() && s.natives.is_empty());
             let mut times: BTreeMap<i64, usize> = BTreeMap::new();
             for s in &series {
                 let number = self.number(&s.labels, s.kind);
-                if let Some(known) = self.series.get_mut(number as usize) {
-                    known.before = s.created_ms;
+                if let (Some(known), Some(created)) = (self.series.get_mut(number as usize), s.created_ms)
+                    && let Err(place) = known.before.binary_search(&created)
+                {
+                    known.before.insert(place, created);
                 }
                 if roster {
                     ended.push(number);
                 }
-                for (at_ms, _) in &s.samples {
-                    *times.entry(*at_ms).or_default() += 1;
+                for at_ms in s.samples.iter().map(|s| s.0).chain(s.natives.iter().map(|n| n.0)) {
+                    *times.entry(at_ms).or_default() += 1;
                 }
             }
             for (at_ms, count) in times {
                 self.keeper.began(at_ms, position, count);
             }
-            for s in &series {
+            for s in series {
                 let number = self.number(&s.labels, s.kind);
-                for (at_ms, value) in &s.samples {
+                let numbers = s.samples.into_iter().map(|(at, value)| (at, Value::Number(value)));
+                let natives = s.natives.into_iter().map(|(at, value)| (at, Value::Native(Arc::new(value))));
+                for (at_ms, value) in numbers.chain(natives) {
                     samples += 1;
-                    self.last_ms = self.last_ms.max(*at_ms);
-                    self.queue.offer(now, Sample { series: number, at_ms: *at_ms, value: *value });
+                    self.last_ms = self.last_ms.max(at_ms);
+                    self.queue.offer(now, Sample { series: number, at_ms, value });
                 }
             }
             if roster {
@@ -179,22 +222,41 @@
         if samples > 0 {
             info!(samples, "samples of the last life are sent again");
         }
+        // The wall may have stepped back between the lives.
+        let last = u64::try_from(self.last_ms).map_or(0, |ms| ms.saturating_mul(1000));
+        self.wall = Wall::new(now, wall(), last);
         ended.sort_unstable();
         ended.dedup();
-        if !ended.is_empty() {
-            let at_ms = self.time();
-            let markers =
-                ended.into_iter().map(|series| Sample { series, at_ms, value: remote_write::stale() });
-            self.keep(markers.collect());
-        }
+        self.close(ended);
         for roster in rosters {
             self.disk(|spool| spool.acknowledge(roster));
         }
+        self.created_ms = self.time();
     }
 
-    /// The time of a round: of the wall at the start and monotonic from there, never twice the same.
+    /// Staleness markers for series that have ended.
+    fn close(&mut self, ended: Vec<u64>) {
+        if ended.is_empty() {
+            return;
+        }
+        let at_ms = self.time();
+        let end = |series: u64| {
+            let native = self.series.get(series as usize).is_some_and(|known| known.native);
+            let value = if native {
+                Value::Native(Arc::new(Native::ended(nettleferry_figures::latency::SCHEMA)))
+            } else {
+                Value::Number(remote_write::stale())
+            };
+            Sample { series, at_ms, value }
+        };
+        let markers = ended.into_iter().map(end).collect();
+        self.keep(markers);
+    }
+
+    /// The time of a round, never twice the same.
     fn time(&mut self) -> i64 {
-        self.last_ms = ms(self.clock.now()).max(self.last_ms.saturating_add(1));
+        let now = self.wall.now(self.clock.now(), wall());
+        self.last_ms = ms(now).max(self.last_ms.saturating_add(1));
         self.last_ms
     }
 
@@ -203,7 +265,8 @@
             return *number;
         }
         let number = self.series.len() as u64;
-        self.series.push(Known { labels: labels.to_vec(), kind, before: None });
+        let native = kind == Kind::Histogram && labels.iter().any(|(n, v)| n == "__name__" && v == LATENCY);
+        self.series.push(Known { labels: labels.to_vec(), kind, native, before: Vec::new() });
         self.numbers.insert(labels.to_vec(), number);
         number
     }
@@ -217,6 +280,7 @@
                 Some(done)
             }
             Err(error) => {
+                self.spool_failures += 1;
                 // Told once; meanwhile samples live in memory alone.
                 if !std::mem::replace(&mut self.spool_ails, true) {
                     warn!(%error, "the spool fails: samples that are not yet acknowledged would not survive a crash");
@@ -245,31 +309,38 @@
 
     /// Samples as series, each with its samples in order.
     fn described(&self, samples: &[Sample]) -> Vec<Series> {
-        let mut places: HashMap<(u64, bool), usize> = HashMap::new();
+        let mut places: HashMap<(u64, Option<i64>), usize> = HashMap::new();
         let mut all: Vec<Series> = Vec::new();
         for s in samples {
             let Some(known) = self.series.get(s.series as usize) else { continue };
             // A life's samples and another's have created timestamps of their own.
-            let old = s.at_ms < self.created_ms;
-            let at = *places.entry((s.series, old)).or_insert_with(|| {
-                let created = if old { known.before } else { Some(self.created_ms) };
-                let created_ms = if known.kind == Kind::Gauge { None } else { created };
+            let created = if s.at_ms >= self.created_ms {
+                Some(self.created_ms)
+            } else {
+                known.before.iter().rev().find(|created| **created <= s.at_ms).copied()
+            };
+            let created_ms = created.filter(|_| known.kind != Kind::Gauge);
+            let at = *places.entry((s.series, created_ms)).or_insert_with(|| {
                 all.push(Series {
                     labels: known.labels.clone(),
                     samples: Vec::new(),
+                    natives: Vec::new(),
                     kind: known.kind,
                     created_ms,
                 });
                 all.len() - 1
             });
-            all[at].samples.push((s.at_ms, s.value));
+            match &s.value {
+                Value::Number(value) => all[at].samples.push((s.at_ms, *value)),
+                Value::Native(native) => all[at].natives.push((s.at_ms, Native::clone(native))),
+            }
         }
         all
     }
 
     /// Records whose samples are gone are acknowledged.
     fn let_go(&mut self) {
-        let gone: Vec<i64> = self.queue.gone().map(|s| s.at_ms).collect();
+        let gone: Vec<i64> = self.queue.gone().collect();
         for at_ms in gone {
             for position in self.keeper.gone(at_ms) {
                 self.disk(|spool| spool.acknowledge(position));
@@ -288,25 +359,43 @@
                 sample::Kind::Gauge => Kind::Gauge,
                 sample::Kind::Histogram => Kind::Histogram,
             };
-            let mut labels = s.labels;
-            labels.extend(self.settings.labels.iter().cloned());
-            labels.sort();
-            let series = self.number(&labels, kind);
-            samples.push(Sample { series, at_ms, value: s.value });
+            let series = self.labelled(s.labels, kind);
+            samples.push(Sample { series, at_ms, value: Value::Number(s.value) });
         }
+        // The plain version carries classic buckets alone.
+        if self.speech.form() == Form::Preferred {
+            let figures = Arc::clone(&self.figures);
+            for (class, told) in figures.natives() {
+                let labels = [("__name__", LATENCY), ("class", class)];
+                let labels = labels.map(|(n, v)| (n.to_owned(), v.to_owned())).to_vec();
+                let series = self.labelled(labels, Kind::Histogram);
+                let nettleferry_figures::Native { schema, count, sum, buckets } = told;
+                let native = Native { schema, count, sum, buckets };
+                samples.push(Sample { series, at_ms, value: Value::Native(Arc::new(native)) });
+            }
+        }
+        // It goes on to a new segment, or was let go with its old one when the spool was full.
         let newest = self.spool.newest();
-        if first || self.roster.iter().any(|p| p.segment < newest) {
+        if first || self.roster.iter().any(|p| p.segment < newest || !self.spool.holds(*p)) {
             self.write_roster(&samples);
         }
         self.keep(samples);
     }
 
+    /// The number of a series of ours, with the labels of the settings.
+    fn labelled(&mut self, mut labels: Vec<(String, String)>, kind: Kind) -> u64 {
+        labels.extend(self.settings.labels.iter().cloned());
+        labels.sort();
+        self.number(&labels, kind)
+    }
+
     /// The roster: series without samples, which the next life is to close. It is written anew when the spool
     /// has gone on to another segment, so that it holds none back.
     fn write_roster(&mut self, samples: &[Sample]) {
         let mut series = self.described(samples);
         for s in &mut series {
             s.samples.clear();
+            s.natives.clear();
         }
         let mut written = Vec::new();
         for part in series.chunks(RECORD_SERIES) {
@@ -326,7 +415,8 @@
         let totals = [c.taken, c.refused, c.dropped_full, c.dropped_old, c.dropped_order, c.dropped_series];
         let oldest = self.queue.oldest(self.clock.now()) / 1_000_000;
         self.figures.push(totals, c.retries, self.queue.kept(), oldest);
-        self.figures.spool(self.spool.bytes(), self.settings.spool_bytes, self.spool.counters().failed);
+        self.figures.receiver(self.speech.changes(), c.splits, self.short, self.wall.ahead() as f64 / 1e6);
+        self.figures.spool(self.spool.bytes(), self.settings.spool_bytes, self.spool_failures);
     }
 
     fn run(&mut self, stop: &AtomicBool) -> io::Result<()> {
@@ -340,19 +430,53 @@
                 // Rounds missed while the machine slept are not made up for.
                 round = round.saturating_add(self.settings.every).max(now);
             }
-            self.queue.due(self.clock.now(), &mut due);
-            for batch in due.drain(..) {
-                self.send(batch);
+            self.step(round, &mut due, &mut heard)?;
+        }
+        Ok(())
+    }
+
+    /// Sends what is due, and hears what comes until something else is due, at `until` at the latest.
+    fn step(
+        &mut self,
+        until: Micros,
+        due: &mut Vec<Batch>,
+        heard: &mut Vec<(usize, Result<Heard, PostError>)>,
+    ) -> io::Result<()> {
+        self.queue.due(self.clock.now(), due);
+        for batch in due.drain(..) {
+            self.send(batch);
+        }
+        self.let_go();
+        let now = self.clock.now();
+        let next = self.queue.next(now).map_or(until, |at| at.min(until));
+        let wait = Duration::from_micros(next.saturating_sub(now));
+        self.poster.turn(Some(wait), heard)?;
+        for (lane, answer) in heard.drain(..) {
+            self.answered(lane, answer);
+        }
+        self.let_go();
+        Ok(())
+    }
+
+    /// The last words of a life that ends in order: what was counted since the last round, the end of each
+    /// series, and some time to deliver them. What is not delivered is in the spool.
+    fn farewell(&mut self, abandoned: &AtomicBool) -> io::Result<()> {
+        if !abandoned.load(Ordering::Acquire) {
+            self.round(false);
+            self.close((0..self.series.len() as u64).collect());
+            // The markers are as durable as the roster was.
+            for roster in std::mem::take(&mut self.roster) {
+                self.disk(|spool| spool.acknowledge(roster));
+            }
+            self.queue.flush();
+            let until = self.clock.now() + self.settings.farewell;
+            let (mut heard, mut due) = (Vec::new(), Vec::new());
+            while self.queue.kept() > 0 && self.clock.now() < until && !abandoned.load(Ordering::Acquire) {
+                self.step(until, &mut due, &mut heard)?;
             }
-            self.let_go();
-            let now = self.clock.now();
-            let next = self.queue.next(now).map_or(round, |at| at.min(round));
-            let wait = Duration::from_micros(next.saturating_sub(now));
-            self.poster.turn(Some(wait), &mut heard)?;
-            for (lane, answer) in heard.drain(..) {
-                self.answered(lane, answer);
+            if self.queue.kept() > 0 {
+                info!(samples = self.queue.kept(), "not delivered: the next life sends them");
             }
-            self.let_go();
         }
         self.disk(Spool::sync);
         Ok(())
@@ -360,67 +484,102 @@
 
     fn send(&mut self, batch: Batch) {
         let lane = batch.shard;
-        match remote_write::write(self.version, &self.described(&batch.samples)) {
+        let version = match self.speech.next(self.clock.now(), lane) {
+            Form::Preferred => Version::Two,
+            Form::Plain => Version::One,
+        };
+        let series = self.described(&batch.samples);
+        let empty = version == Version::One && series.iter().all(|s| s.samples.is_empty());
+        match remote_write::write(version, &series) {
+            // Native histograms of an earlier version 2.0, whose classic buckets have gone by themselves.
+            Ok(_) if empty => self.queue.answered(self.clock.now(), lane, batch.number, Answer::Taken),
             Ok(body) => {
                 let headers = [
-                    ("Content-Type", self.version.content_type()),
+                    ("Content-Type", version.content_type()),
                     ("Content-Encoding", "snappy"),
-                    ("X-Prometheus-Remote-Write-Version", self.version.header()),
+                    ("X-Prometheus-Remote-Write-Version", version.header()),
                     ("User-Agent", concat!("nettleferry/", env!("CARGO_PKG_VERSION"))),
                 ];
                 self.poster.post(lane, &self.settings.path, &headers, &body);
-                self.out.insert(lane, batch);
+                self.out.insert(lane, (batch, version));
             }
             // What can't be written can't be written later.
-            Err(_) => self.queue.answered(self.clock.now(), lane, batch.number, Answer::Refused),
+            Err(_) => {
+                let now = self.clock.now();
+                self.speech.told(now, lane, Understood::Untold);
+                self.queue.answered(now, lane, batch.number, Answer::Refused);
+            }
         }
     }
 
     fn answered(&mut self, lane: usize, heard: Result<Heard, PostError>) {
-        let Some(batch) = self.out.remove(&lane) else { return };
+        let Some((batch, version)) = self.out.remove(&lane) else { return };
         let now = self.clock.now();
-        let answer = match &heard {
-            Ok(heard) => self.meaning(&batch, heard),
-            Err(_) => Answer::NotNow { retry_after: None },
+        let (answer, understood) = match &heard {
+            Ok(heard) => self.meaning(&batch, version, heard),
+            Err(_) => (Answer::NotNow { retry_after: None }, Understood::Untold),
         };
-        if answer == Answer::Refused
-            && let Ok(heard) = &heard
-        {
-            warn!(
-                status = heard.status,
-                samples = batch.samples.len(),
-                "the receiver refused a batch for good"
-            );
+        let before = self.speech.form();
+        self.speech.told(now, lane, understood);
+        match (before, self.speech.form()) {
+            (Form::Preferred, Form::Plain) => {
+                info!("the receiver does not speak remote write 2.0: 1.0 for now")
+            }
+            (Form::Plain, Form::Preferred) => info!("the receiver speaks remote write 2.0"),
+            _ => {}
         }
         self.queue.answered(now, lane, batch.number, answer);
+        if let Ok(heard) = &heard
+            && matches!(answer, Answer::Refused | Answer::Bad)
+        {
+            let (status, samples) = (heard.status, batch.samples.len());
+            let series = batch.samples.first().and_then(|s| self.series.get(s.series as usize));
+            warn!(status, samples, first = ?series.map(|s| &s.labels), "the receiver refused a batch or a part of one");
+        }
     }
 
-    /// What a status says: 2xx taken; 415 that version 2.0 is not spoken there (the batch goes again as 1.0);
-    /// 429 and 5xx not now; any other refused for good.
-    fn meaning(&mut self, batch: &Batch, heard: &Heard) -> Answer {
-        let retry_after = heard.header("retry-after").and_then(|v| v.trim().parse::<u64>().ok());
-        let retry_after = retry_after.map(|s| s.saturating_mul(1_000_000));
-        match heard.status {
-            200..300 => {
-                // Version 2.0 wants to be told what was written; a receiver that says nothing spoke 1.0 of it.
-                let written = heard.header("x-prometheus-remote-write-samples-written");
-                let written = written.and_then(|v| v.trim().parse::<usize>().ok());
-                if self.version == Version::Two && written.is_some_and(|n| n < batch.samples.len()) {
-                    warn!(?written, sent = batch.samples.len(), "the receiver wrote less than it took");
+    /// What a status says. 2xx: taken, though of version 2.0 only where the answer tells what was written:
+    /// a receiver of 1.0 that does not look at the content type reads nothing in it. 415: this version is not
+    /// spoken there. 429 and 5xx: not now. 400, 413 and 422: something in it is bad. Any other: refused for
+    /// good.
+    fn meaning(&mut self, batch: &Batch, version: Version, heard: &Heard) -> (Answer, Understood) {
+        let not_now = |retry_after| Answer::NotNow { retry_after };
+        let written = |kind: &str| -> Option<usize> {
+            heard.header(&format!("x-prometheus-remote-write-{kind}-written"))?.trim().parse().ok()
+        };
+        match (heard.status, version) {
+            (200..300, Version::One) => (Answer::Taken, Understood::Untold),
+            (200..300, Version::Two) => match written("samples") {
+                None => (not_now(None), Understood::No),
+                Some(numbers) => {
+                    let sent = batch.samples.iter().filter(|s| matches!(s.value, Value::Number(_))).count();
+                    let natives = written("histograms").unwrap_or(0);
+                    if numbers < sent || natives < batch.samples.len() - sent {
+                        self.short += 1;
+                        warn!(numbers, sent, natives, "the receiver wrote less than it took");
+                    }
+                    (Answer::Taken, Understood::Yes)
                 }
-                Answer::Taken
-            }
-            415 if self.version == Version::Two => {
-                info!("the receiver does not speak remote write 2.0: 1.0 from now on");
-                self.version = Version::One;
-                Answer::NotNow { retry_after: None }
-            }
-            429 | 500..600 => Answer::NotNow { retry_after },
-            _ => Answer::Refused,
+            },
+            (415, Version::Two) => (not_now(None), Understood::No),
+            (429 | 500..600, _) => (not_now(retry_after(heard)), Understood::Untold),
+            (400 | 413 | 422, _) => (Answer::Bad, Understood::Untold),
+            _ => (Answer::Refused, Understood::Untold),
         }
     }
 }
 
+/// Retry-After (RFC 9110, 10.2.3): seconds, or a date on the wall's clock.
+fn retry_after(heard: &Heard) -> Option<Micros> {
+    let told = heard.header("retry-after")?.trim();
+    if let Ok(seconds) = told.parse::<u64>() {
+        return Some(seconds.saturating_mul(1_000_000));
+    }
+    let at = httpdate::parse_http_date(told).ok()?;
+    let wait = at.duration_since(SystemTime::now()).unwrap_or_default();
+    Some(u64::try_from(wait.as_micros()).unwrap_or(u64::MAX))
+}
+
 fn ms(now: Micros) -> i64 {
     i64::try_from(now / 1000).unwrap_or(i64::MAX)
 }
--- a/crates/gateway/tests/alerts.rs
+++ b/crates/gateway/tests/alerts.rs
@@ -52,3 +52,9 @@
     std::fs::write(&file, "groups: [{name: g, rules: [{alert: A, expr: 'sum by ('}]}]").expect("written");
     assert_eq!(run(&["check", &file.display().to_string()]).0, 3);
 }
+
+#[test]
+fn a_file_of_tests_is_told_from_a_file_of_rules() {
+    let (code, told) = run(&["check", "alerts/tests.yml"]);
+    assert!(code == 3 && told.contains("run it with nettleferry alerts test alerts/tests.yml"), "{told}");
+}
--- a/crates/gateway/tests/days.rs
+++ b/crates/gateway/tests/days.rs
@@ -12,12 +12,27 @@
 fn no_rule_breaks_on_the_days_in_which_most_meets() {
     let days = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days");
     for day in ["stop", "ration", "clients", "refuse", "bad"] {
-        let file = days.join(format!("{day}.sexp"));
-        let out = Command::new(PROGRAM).arg("day").arg(&file).output().expect("it runs");
-        let told = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
-        assert_eq!(out.status.code(), Some(0), "day {day}:\n{told}");
-        assert!(told.contains(&format!("day {day}: no rule broken")), "{told}");
+        play(&days, day);
     }
+    // These two load the machine little and may share it.
+    let both = ["slowdown", "no-slowdown"].map(|day| {
+        let days = days.clone();
+        std::thread::spawn(move || play(&days, day))
+    });
+    for thread in both {
+        let told = thread.join().expect("as expected");
+        assert!(told.contains("alerts came as expected"), "{told}");
+    }
+}
+
+#[track_caller]
+fn play(days: &Path, day: &str) -> String {
+    let file = days.join(format!("{day}.sexp"));
+    let out = Command::new(PROGRAM).args(["--log", "warn", "day"]).arg(&file).output().expect("it runs");
+    let told = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+    assert_eq!(out.status.code(), Some(0), "day {day}:\n{told}");
+    assert!(told.contains(&format!("day {day}: no rule broken")), "{told}");
+    told
 }
 
 #[test]
@@ -31,5 +46,5 @@
         nettleferry_day::script::read(&name, &text).unwrap_or_else(|e| panic!("{e}"));
         kinds += 1;
     }
-    assert!(kinds >= 20);
+    assert!(kinds >= 22);
 }
--- a/crates/gateway/tests/push.rs
+++ b/crates/gateway/tests/push.rs
@@ -59,6 +59,203 @@
     assert!(kept.faults.is_empty() && kept.requests[0] == 0 && kept.turned_away >= 1, "{:?}", kept.faults);
 }
 
+/// The last round before an end, with all that was counted, and a marker on each series.
+#[test]
+fn a_controller_that_ends_in_order_has_the_last_word_and_closes_its_series() {
+    let fleet = Fleet::new(1, SPEC);
+    let receiver = Receiver::start(Mode::Take).expect("listens");
+    // A round an hour: all that arrives after the first is the last words.
+    let settings = settings(&receiver).replace("(every 40ms)", "(every 1h)");
+    let mut gateway = serve(&settings, &fleet.list());
+    eventually("the first round arrives", || served(&receiver.kept()) == 0.0);
+    call(&gateway, 9);
+    gateway.signal("TERM");
+    assert!(gateway.wait().success());
+    let kept = receiver.kept();
+    assert_eq!(kept.faults, Vec::<String>::new());
+    let all = kept.find(CALLS, &SERVED);
+    assert_eq!(all.iter().map(|t| t.value).take(2).collect::<Vec<_>>(), [0.0, 9.0]);
+    for (labels, taken) in &kept.series {
+        assert!(taken.len() == 3 && is_stale(taken[2].value), "{labels:?}: {taken:?}");
+    }
+    for (labels, taken) in &kept.natives {
+        assert!(taken.len() == 3 && is_stale(taken[2].1.sum), "{labels:?}");
+    }
+    let quick = kept.natives.iter().find(|(l, _)| l.iter().any(|(_, v)| v == "quick")).expect("native");
+    assert_eq!((quick.1[0].1.count, quick.1[1].1.count), (0, 9));
+    assert_eq!(quick.1[1].1.buckets.iter().map(|b| b.1).sum::<u64>(), 9);
+    // Nothing is left for the next life to say.
+    let dir = tempfile::tempdir().expect("a folder");
+    std::fs::rename(gateway.dir.path().join("spool"), dir.path().join("spool")).expect("the spool stands");
+    std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+    let _next = serve_in(dir, &settings, None);
+    eventually("the next life's first round", || served(&receiver.kept()) == 0.0);
+    let kept = receiver.kept();
+    let all = kept.find(CALLS, &SERVED);
+    assert_eq!((all.len(), kept.repeated, kept.faults), (4, 0, Vec::new()), "no second marker");
+    assert!(all[3].created_ms > all[2].created_ms);
+}
+
+#[test]
+fn last_words_that_find_no_receiver_are_bounded_and_said_by_the_next_life() {
+    let fleet = Fleet::new(1, SPEC);
+    let receiver = Receiver::start(Mode::Take).expect("listens");
+    let settings = settings(&receiver).replace("(every 40ms)", "(every 1h) (farewell 300ms)");
+    let mut gateway = serve(&settings, &fleet.list());
+    eventually("the first round arrives", || served(&receiver.kept()) == 0.0);
+    receiver.be(Mode::Answer(503, Some(3600)));
+    call(&gateway, 3);
+    gateway.signal("TERM");
+    assert!(gateway.wait().success(), "it ends all the same");
+    receiver.be(Mode::Take);
+    let dir = tempfile::tempdir().expect("a folder");
+    std::fs::rename(gateway.dir.path().join("spool"), dir.path().join("spool")).expect("the spool stands");
+    std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+    let _next = serve_in(dir, &settings, None);
+    let values = || receiver.kept().find(CALLS, &SERVED).iter().map(|t| t.value).collect::<Vec<_>>();
+    eventually("last words and a new life", || values().len() == 4);
+    let all = values();
+    assert!(all[..2] == [0.0, 3.0] && is_stale(all[2]) && all[3] == 0.0, "{all:?}");
+    assert_eq!(receiver.kept().faults, Vec::<String>::new());
+}
+
+#[test]
+fn a_receiver_that_is_replaced_is_asked_again_for_version_two() {
+    let fleet = Fleet::new(1, SPEC);
+    let receiver = Receiver::start(Mode::OnlyOne).expect("listens");
+    let settings = settings(&receiver).replace("(every 40ms)", "(every 40ms) (ask-again 200ms)");
+    let _gateway = serve(&settings, &fleet.list());
+    eventually("1.0 is spoken", || receiver.kept().requests[1] > 3);
+    receiver.be(Mode::Take);
+    eventually("2.0 is spoken again", || receiver.kept().requests[0] > 3);
+    eventually("native histograms arrive", || !receiver.kept().natives.is_empty());
+    // One that takes 2.0 for 1.0 and answers 204 has read nothing: its answer does not say what it wrote.
+    let before = receiver.kept().find("nettleferry_open_calls", &[]).len();
+    receiver.be(Mode::Blind);
+    eventually("1.0 again", || receiver.kept().find("nettleferry_open_calls", &[]).len() > before + 3);
+    let changes = || receiver.kept().find("nettleferry_push_version_changes_total", &[]);
+    eventually("each change is counted", || changes().last().is_some_and(|t| t.value >= 3.0));
+    let kept = receiver.kept();
+    assert_eq!(kept.faults, Vec::<String>::new());
+    let rounds = kept.find("nettleferry_open_calls", &[]);
+    assert!(rounds.windows(2).all(|w| w[0].at_ms < w[1].at_ms));
+}
+
+#[test]
+fn one_bad_series_costs_itself_alone() {
+    let fleet = Fleet::new(1, SPEC);
+    let receiver =
+        Receiver::start(Mode::Bad("nettleferry_load_orders_sent_total".to_owned())).expect("listens");
+    let gateway = serve(&settings(&receiver), &fleet.list());
+    call(&gateway, 6);
+    eventually("its neighbours arrive", || served(&receiver.kept()) == 6.0);
+    let refused = || receiver.kept().find("nettleferry_push_samples_total", &[("end", "refused")]);
+    eventually("what it cost is told", || refused().last().is_some_and(|t| t.value > 0.0));
+    let kept = receiver.kept();
+    assert!(kept.find("nettleferry_load_orders_sent_total", &[]).is_empty());
+    assert_eq!(kept.faults, Vec::<String>::new());
+    // All other series of the registry are there.
+    assert!(!kept.find("nettleferry_workers", &[]).is_empty() && !kept.natives.is_empty());
+}
+
+#[test]
+fn a_receiver_that_is_slow_or_cuts_requests_and_answers_gets_every_round_once() {
+    let fleet = Fleet::new(1, SPEC);
+    let receiver = Receiver::start(Mode::CutRequest(2_000)).expect("listens");
+    let settings = settings(&receiver).replace("(every 40ms)", "(every 200ms) (timeout 2s)");
+    let gateway = serve(&settings, &fleet.list());
+    call(&gateway, 2);
+    let retries =
+        |kept: &Kept| kept.find("nettleferry_push_retries_total", &[]).last().map_or(0.0, |t| t.value);
+    let rounds = || receiver.kept().find("nettleferry_open_calls", &[]);
+    // Half a request is no request.
+    let mut caller = Caller::new(gateway.address);
+    for _ in 0..20 {
+        let rpc = caller.unary("echo");
+        assert_eq!(caller.status(rpc).0.code, Code::Ok);
+    }
+    receiver.be(Mode::CutAnswer);
+    eventually("batches come again", || receiver.kept().repeated > 0);
+    receiver.be(Mode::Slow(std::time::Duration::from_millis(300)));
+    let then = rounds().len();
+    eventually("a slow one takes them", || rounds().len() > then + 3);
+    receiver.be(Mode::Take);
+    eventually("all calls are told", || served(&receiver.kept()) == 22.0);
+    eventually("that batches were sent again is told", || retries(&receiver.kept()) > 0.0);
+    let kept = receiver.kept();
+    assert_eq!(kept.faults, Vec::<String>::new());
+    assert!(rounds().windows(2).all(|w| w[0].at_ms < w[1].at_ms));
+}
+
+/// A spool whose folder is gone: pushing goes on from memory, and the failure is told in a series that arrives.
+#[test]
+fn a_spool_that_fails_under_way_is_told_and_stops_nothing() {
+    let fleet = Fleet::new(1, SPEC);
+    let receiver = Receiver::start(Mode::Take).expect("listens");
+    let gateway = serve(
+        // Small segments: the next one is soon wanted.
+        &settings(&receiver).replace("(every 40ms)", "(every 40ms) (spool-size 1MiB)"),
+        &fleet.list(),
+    );
+    eventually("the first round arrives", || served(&receiver.kept()) == 0.0);
+    // A file in the folder's place: nothing can be opened, made or removed there.
+    let spool = gateway.dir.path().join("spool");
+    std::fs::rename(&spool, gateway.dir.path().join("away")).expect("renamed");
+    std::fs::write(&spool, "").expect("written");
+    call(&gateway, 4);
+    eventually("calls arrive all the same", || served(&receiver.kept()) == 4.0);
+    let failed = || receiver.kept().find("nettleferry_spool_failures_total", &[]);
+    eventually("the failure is told", || failed().last().is_some_and(|t| t.value > 0.0));
+    std::fs::remove_file(&spool).expect("removed");
+    std::fs::rename(gateway.dir.path().join("away"), &spool).expect("renamed");
+    let told = failed().last().map_or(0.0, |t| t.value);
+    let then = failed().len();
+    eventually("rounds go on", || failed().len() > then + 8);
+    eventually("it works again", || {
+        let all = failed();
+        all.len() > 4
+            && all[all.len() - 4..].iter().all(|t| t.value == all[all.len() - 1].value && t.value >= told)
+    });
+    assert_eq!(receiver.kept().faults, Vec::<String>::new());
+}
+
+/// A spool damaged while the controller was away: what is sound is sent, what is not is never made up.
+#[test]
+fn a_damaged_spool_gives_what_is_sound_and_nothing_else() {
+    let fleet = Fleet::new(1, SPEC);
+    let receiver = Receiver::start(Mode::Answer(503, None)).expect("listens");
+    let gateway = serve(&settings(&receiver), &fleet.list());
+    call(&gateway, 5);
+    eventually("rounds pass", || receiver.kept().turned_away > 12);
+    gateway.signal("KILL");
+    let dir = tempfile::tempdir().expect("a folder");
+    let spool = dir.path().join("spool");
+    std::fs::rename(gateway.dir.path().join("spool"), &spool).expect("the spool stands");
+    std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+    drop(gateway);
+    let mut files: Vec<_> =
+        std::fs::read_dir(&spool).expect("there").map(|e| e.expect("readable").path()).collect();
+    files.sort();
+    let mut bytes = std::fs::read(&files[0]).expect("readable");
+    let (middle, tail) = (bytes.len() / 2, bytes.len() - 7);
+    bytes[middle] ^= 0x10;
+    bytes.truncate(tail);
+    std::fs::write(&files[0], bytes).expect("written");
+    receiver.be(Mode::Take);
+    let _next = serve_in(dir, &settings(&receiver), None);
+    let rounds = || receiver.kept().find(CALLS, &SERVED);
+    eventually("the new life's rounds arrive", || {
+        let all = rounds();
+        all.iter().position(|t| is_stale(t.value)).is_some_and(|at| at + 2 < all.len())
+    });
+    let kept = receiver.kept();
+    assert_eq!(kept.faults, Vec::<String>::new());
+    let all = rounds();
+    let marker = all.iter().position(|t| is_stale(t.value)).expect("just seen");
+    assert!(marker > 2, "sound rounds of the old life are there");
+    assert!(all[..marker].iter().all(|t| (0.0..=5.0).contains(&t.value)), "{all:?}");
+}
+
 #[test]
 fn what_was_kept_while_the_receiver_was_away_arrives_in_order() {
     let fleet = Fleet::new(1, SPEC);
--- a/crates/net/src/http1.rs
+++ b/crates/net/src/http1.rs
@@ -7,7 +7,7 @@
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use mio::net::{TcpListener, TcpStream};
@@ -65,13 +65,15 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: Vec<u8>,
+    /// A fault, for stand-ins: only so many bytes of the answer leave, then the connection closes.
+    pub cut: Option<usize>,
 }
 
 impl Reply {
     /// An answer in plain text.
     pub fn text(status: u16, text: impl Into<String>) -> Self {
         let body = text.into().into_bytes();
-        Self { status, kind: "text/plain; charset=utf-8", headers: Vec::new(), body }
+        Self { status, kind: "text/plain; charset=utf-8", headers: Vec::new(), body, cut: None }
     }
 }
 
@@ -106,6 +108,7 @@
     conns: Slab<Conn>,
     limits: Http1Limits,
     stop: Stop,
+    cut_requests: Arc<AtomicUsize>,
 }
 
 const LISTEN: Token = Token(usize::MAX);
@@ -120,7 +123,8 @@
         poll.registry().register(&mut listener, LISTEN, Interest::READABLE)?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKE)?);
         let stop = Stop { told: Arc::default(), waker };
-        Ok(Self { poll, listener, conns: Slab::new(), limits, stop })
+        let cut_requests = Arc::new(AtomicUsize::new(usize::MAX));
+        Ok(Self { poll, listener, conns: Slab::new(), limits, stop, cut_requests })
     }
 
     /// Where it listens.
@@ -133,6 +137,11 @@
         self.stop.clone()
     }
 
+    /// A fault, for stand-ins: a connection that has brought more bytes than this of one request is closed.
+    pub fn cut_requests(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.cut_requests)
+    }
+
     /// Serves until stopped.
     pub fn run(&mut self, mut answer: impl FnMut(&Request<'_>) -> Reply) -> io::Result<()> {
         let mut events = Events::with_capacity(128);
@@ -174,7 +183,8 @@
     fn work(&mut self, at: usize, answer: &mut impl FnMut(&Request<'_>) -> Reply) {
         let limits = self.limits;
         let Some(conn) = self.conns.get_mut(at) else { return };
-        if conn.turn(&limits, answer).is_err() {
+        let most = self.cut_requests.load(Ordering::Relaxed);
+        if conn.turn(&limits, most, answer).is_err() {
             self.conns.remove(at);
         }
     }
@@ -193,6 +203,7 @@
     fn turn(
         &mut self,
         limits: &Http1Limits,
+        most: usize,
         answer: &mut impl FnMut(&Request<'_>) -> Reply,
     ) -> io::Result<()> {
         let mut chunk = [0; 16 << 10];
@@ -222,6 +233,9 @@
             }
             match self.socket.read(&mut chunk) {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(n) if self.came.len() + n > most => {
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
                 Ok(n) => self.came.extend_from_slice(&chunk[..n]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -260,6 +274,10 @@
         head.push_str("\r\n");
         self.out.extend_from_slice(head.as_bytes());
         self.out.extend_from_slice(&reply.body);
+        if let Some(cut) = reply.cut {
+            self.out.truncate(cut);
+            self.last = true;
+        }
     }
 }
 
--- a/crates/proto/src/remote_write.rs
+++ b/crates/proto/src/remote_write.rs
@@ -63,12 +63,80 @@
     pub labels: Vec<(String, String)>,
     /// Time and value.
     pub samples: Vec<(i64, f64)>,
+    /// Time and native histogram; carried by version 2.0 alone.
+    pub natives: Vec<(i64, Native)>,
     /// What it is; told by version 2.0 alone.
     pub kind: Kind,
     /// When its counter began; told by version 2.0 alone.
     pub created_ms: Option<i64>,
 }
 
+/// A native histogram of whole counts with positive exponential buckets: bucket `i` holds values up to
+/// `2^(i / 2^schema)`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Native {
+    /// From -4 to 8.
+    pub schema: i32,
+    /// Observations.
+    pub count: u64,
+    /// Their sum. A staleness marker here ends the series.
+    pub sum: f64,
+    /// Buckets by index, each with its own count.
+    pub buckets: Vec<(i32, u64)>,
+}
+
+impl Native {
+    /// The end of a series.
+    pub fn ended(schema: i32) -> Self {
+        Self { schema, count: 0, sum: stale(), buckets: Vec::new() }
+    }
+
+    fn write(&self, timestamp: i64) -> v2::Histogram {
+        let (mut spans, mut deltas): (Vec<v2::BucketSpan>, Vec<i64>) = Default::default();
+        let (mut next, mut before) = (0, 0);
+        for (index, count) in &self.buckets {
+            match spans.last_mut() {
+                Some(span) if *index == next => span.length += 1,
+                _ => spans.push(v2::BucketSpan { offset: index - next, length: 1 }),
+            }
+            next = index + 1;
+            let count = i64::try_from(*count).unwrap_or(i64::MAX);
+            deltas.push(count - before);
+            before = count;
+        }
+        v2::Histogram {
+            count: Some(v2::histogram::Count::CountInt(self.count)),
+            sum: self.sum,
+            schema: self.schema,
+            zero_count: Some(v2::histogram::ZeroCount::ZeroCountInt(0)),
+            positive_spans: spans,
+            positive_deltas: deltas,
+            timestamp,
+            ..Default::default()
+        }
+    }
+
+    /// `None`: its buckets do not add up, or are of a kind that is not read here.
+    fn read(told: &v2::Histogram) -> Option<(i64, Self)> {
+        let Some(v2::histogram::Count::CountInt(count)) = told.count else { return None };
+        let (mut buckets, mut deltas) = (Vec::new(), told.positive_deltas.iter());
+        let (mut next, mut before) = (0i32, 0i64);
+        for span in &told.positive_spans {
+            next = next.checked_add(span.offset)?;
+            for _ in 0..span.length {
+                before = before.checked_add(*deltas.next()?)?;
+                buckets.push((next, u64::try_from(before).ok()?));
+                next = next.checked_add(1)?;
+            }
+        }
+        let sum = buckets.iter().try_fold(0u64, |sum, (_, n)| sum.checked_add(*n))?;
+        let plain =
+            deltas.next().is_none() && told.negative_spans.is_empty() && told.custom_values.is_empty();
+        let sound = plain && sum == count && (-4..=8).contains(&told.schema);
+        sound.then_some((told.timestamp, Self { schema: told.schema, count, sum: told.sum, buckets }))
+    }
+}
+
 /// The value of a staleness marker: "this series has ended". A NaN with these bits, and no other NaN.
 pub const STALE: u64 = 0x7ff0_0000_0000_0002;
 
@@ -99,6 +167,14 @@
     /// It is no message of its version.
     #[error("the body is no message of its version: {0}")]
     Protobuf(String),
+    /// A native histogram whose buckets do not add up, or of a kind that is not read here.
+    #[error(
+        "series {series}: a native histogram is not sound, or not of whole counts in exponential buckets"
+    )]
+    Histogram {
+        /// Its place.
+        series: usize,
+    },
     /// A reference to a symbol that is not there, or half a label.
     #[error("series {series}: a label refers to what is not in the symbols")]
     Symbol {
@@ -131,7 +207,8 @@
             .map(|(timestamp, value)| v1::Sample { value: *value, timestamp: *timestamp })
             .collect(),
     };
-    v1::WriteRequest { timeseries: series.iter().map(one).collect() }
+    // A series of native histograms alone would come without samples.
+    v1::WriteRequest { timeseries: series.iter().filter(|s| !s.samples.is_empty()).map(one).collect() }
 }
 
 fn write_two(series: &[Series]) -> v2::Request {
@@ -167,6 +244,7 @@
                 .iter()
                 .map(|(timestamp, value)| v2::Sample { value: *value, timestamp: *timestamp })
                 .collect(),
+            histograms: s.natives.iter().map(|(at, native)| native.write(*at)).collect(),
             metadata: Some(v2::Metadata { r#type: kind.into(), ..Default::default() }),
             created_timestamp: s.created_ms.unwrap_or(0),
             ..Default::default()
@@ -190,6 +268,7 @@
             let series = request.timeseries.into_iter().map(|s| Series {
                 labels: s.labels.into_iter().map(|l| (l.name, l.value)).collect(),
                 samples: s.samples.into_iter().map(|s| (s.timestamp, s.value)).collect(),
+                natives: Vec::new(),
                 kind: Kind::Gauge,
                 created_ms: None,
             });
@@ -214,7 +293,9 @@
         Some(v2::metadata::MetricType::Histogram) => Kind::Histogram,
         _ => Kind::Gauge,
     };
+    let natives = s.histograms.iter().map(Native::read).collect::<Option<_>>();
     Ok(Series {
+        natives: natives.ok_or(BodyError::Histogram { series: place })?,
         labels: labels.collect::<Result<_, _>>()?,
         samples: s.samples.into_iter().map(|s| (s.timestamp, s.value)).collect(),
         kind,
@@ -239,6 +320,7 @@
                 (1_764_590_000_000 + n as i64, n as f64),
                 (1_764_590_015_000 + n as i64, n as f64 + 1.0),
             ],
+            natives: Vec::new(),
             kind: Kind::Counter,
             created_ms: Some(1_764_589_000_000),
         }
@@ -277,6 +359,32 @@
         assert_eq!(read(Version::Two, &body, 1000), Err(BodyError::Symbol { series: 0 }));
     }
 
+    #[test]
+    fn native_histograms_keep_their_buckets_and_unsound_ones_are_refused() {
+        let mut one = series(0);
+        let buckets = vec![(-30, 4), (-29, 1), (-20, 7), (0, 1), (1, 2)];
+        let native = Native { schema: 3, count: 15, sum: 3.25, buckets };
+        one.natives = vec![(7, native.clone()), (8, Native { buckets: vec![], count: 0, ..native.clone() })];
+        let body = write(Version::Two, &[one.clone()]).expect("encodes");
+        assert_eq!(read(Version::Two, &body, 1000), Ok(vec![one.clone()]));
+        // A message that does not add up, and one whose spans promise what does not come.
+        let spans = native.write(0).positive_spans;
+        assert_eq!(spans[0], v2::BucketSpan { offset: -30, length: 2 });
+        for spoil in [
+            |h: &mut v2::Histogram| h.positive_deltas[0] += 1,
+            |h: &mut v2::Histogram| {
+                h.positive_spans[0].length = u32::MAX;
+            },
+        ] {
+            let mut request = write_two(&[one.clone()]);
+            spoil(&mut request.timeseries[0].histograms[0]);
+            let body = snap::raw::Encoder::new().compress_vec(&request.encode_to_vec()).expect("packs");
+            assert_eq!(read(Version::Two, &body, 10_000), Err(BodyError::Histogram { series: 0 }));
+        }
+        let body = write(Version::One, &[Series { samples: Vec::new(), ..one }]).expect("encodes");
+        assert_eq!(read(Version::One, &body, 1000), Ok(Vec::new()), "1.0 does not carry them");
+    }
+
     proptest! {
         #[test]
         fn noise_never_panics(noise in prop::collection::vec(any::<u8>(), 0..200), two in any::<bool>()) {
--- a/crates/push/src/lib.rs
+++ b/crates/push/src/lib.rs
@@ -5,6 +5,8 @@
 //! actions.
 //!
 //! * [`keeper`]: which record of a spool holds which samples.
+//! * [`speech`]: which form of the messages a receiver is spoken to in.
+//! * [`wall`]: the time of samples.
 //! * [`queue`]: what is kept, what is dropped first, what is sent when, and what is tried again.
 
 #![forbid(unsafe_code)]
@@ -12,6 +14,10 @@
 
 pub mod keeper;
 pub mod queue;
+pub mod speech;
+pub mod wall;
 
 pub use keeper::Keeper;
-pub use queue::{Answer, Batch, Counters, Limits, Queue, Sample};
+pub use queue::{Answer, Batch, Counters, Limits, Queue, Sample, Weigh};
+pub use speech::{Form, Speech, Understood, Waits};
+pub use wall::Wall;
--- a/crates/push/tests/queue.rs
+++ b/crates/push/tests/queue.rs
@@ -183,6 +183,102 @@
     assert_eq!((queue.kept(), queue.counters().dropped_series), (5, 3));
 }
 
+/// Answers all that is due: what holds a culprit is bad. The number of requests.
+fn with_culprits(queue: &mut Queue, now: u64, bad: impl Fn(&Sample) -> bool) -> usize {
+    let mut requests = 0;
+    loop {
+        let mut send = Vec::new();
+        queue.due(now, &mut send);
+        if send.is_empty() {
+            return requests;
+        }
+        for batch in send {
+            requests += 1;
+            let answer = if batch.samples.iter().any(&bad) { Answer::Bad } else { Answer::Taken };
+            queue.answered(now, batch.shard, batch.number, answer);
+        }
+    }
+}
+
+#[test]
+fn one_bad_series_among_a_thousand_costs_itself_alone() {
+    let limits = Limits { shards: 1, batch_samples: 3_000, bytes: 1 << 20, ..limits() };
+    let mut queue = Queue::new(limits, 1);
+    for at in [1, 2, 3] {
+        for series in 0..1_000 {
+            queue.offer(0, sample(series, at));
+        }
+    }
+    let requests = with_culprits(&mut queue, S, |s| s.series == 617);
+    let c = queue.counters();
+    assert_eq!((c.taken, c.refused, queue.kept()), (2_997, 3, 0));
+    assert!(requests <= 2 * 12 + 3, "{requests} requests");
+    // It is left out for a while, and then tried again: what was bad of it may be over.
+    for at in 4..8 {
+        for series in 0..1_000 {
+            queue.offer(2 * S, sample(series, at));
+        }
+    }
+    assert_eq!(queue.left_out(), 1);
+    assert!(with_culprits(&mut queue, 4 * S, |s| s.series == 617) <= 2, "no search");
+    assert_eq!(queue.counters().refused, 7);
+    queue.offer(700 * S, sample(617, 9));
+    with_culprits(&mut queue, 702 * S, |_| false);
+    assert_eq!((queue.counters().refused, queue.left_out()), (7, 0));
+    // One bad moment of one series.
+    let mut queue = Queue::new(limits, 1);
+    for at in 0..64 {
+        queue.offer(0, sample(1, at));
+    }
+    with_culprits(&mut queue, S, |s| s.at_ms == 40);
+    assert_eq!((queue.counters().taken, queue.counters().refused), (63, 1));
+}
+
+#[test]
+fn halving_is_bounded_and_what_is_refused_whole_is_not_halved() {
+    let limits = Limits { shards: 1, batch_samples: 1_000, bytes: 1 << 20, splits: 5, ..limits() };
+    let mut queue = Queue::new(limits, 1);
+    for series in 0..1_000 {
+        queue.offer(0, sample(series, 0));
+    }
+    let requests = with_culprits(&mut queue, S, |_| true);
+    assert_eq!((requests, queue.counters().refused, queue.counters().splits), (11, 1_000, 5));
+    for series in 0..1_000 {
+        queue.offer(S, sample(series, 1));
+    }
+    assert_eq!(drain(&mut queue, 3 * S, Answer::Refused).len(), 1, "and none is left out");
+    assert_eq!((queue.kept(), queue.bytes()), (0, 0));
+}
+
+#[test]
+fn halves_leave_in_the_order_of_each_series_and_before_what_waits() {
+    let limits = Limits { shards: 1, batch_samples: 20, ..limits() };
+    let mut queue = Queue::new(limits, 1);
+    for at in 0..20 {
+        queue.offer(0, sample(at % 2, at as i64));
+    }
+    let mut send = Vec::new();
+    queue.due(0, &mut send);
+    queue.offer(0, sample(0, 100));
+    queue.answered(0, 0, send[0].number, Answer::Bad);
+    // A half that is not taken now comes again, as it is.
+    let first = drain(&mut queue, 0, Answer::NotNow { retry_after: None });
+    let rest = drain(&mut queue, 5 * S, Answer::Taken);
+    assert_eq!((first[0].number, &first[0].samples), (rest[0].number, &rest[0].samples));
+    let times: Vec<i64> = rest.iter().flat_map(|b| &b.samples).map(|s| s.at_ms).collect();
+    let want: Vec<i64> = (0..20).step_by(2).chain((1..20).step_by(2)).chain([100]).collect();
+    assert_eq!(times, want);
+}
+
+#[test]
+fn at_the_end_nothing_waits_for_its_batch_to_fill() {
+    let mut queue = Queue::new(limits(), 1);
+    queue.offer(0, sample(1, 0));
+    assert_eq!(queue.next(0), Some(S));
+    queue.flush();
+    assert_eq!((queue.next(0), drain(&mut queue, 0, Answer::Taken).len(), queue.kept()), (Some(0), 1, 0));
+}
+
 proptest! {
     #[test]
     fn whatever_the_receiver_does_samples_are_accounted_for_and_in_order(
@@ -204,7 +300,8 @@
                     let batch = out.remove(pick as usize % out.len());
                     let answer = match what {
                         5 => Answer::Taken,
-                        6 => Answer::Refused,
+                        6 if pick == 0 => Answer::Refused,
+                        6 => Answer::Bad,
                         _ => Answer::NotNow { retry_after: (pick == 2).then_some(span * MS) },
                     };
                     if answer == Answer::Taken {
--- a/crates/spool/src/lib.rs
+++ b/crates/spool/src/lib.rs
@@ -15,8 +15,10 @@
 #![deny(missing_docs)]
 
 pub mod disk;
+pub mod error;
 pub mod record;
 pub mod spool;
 
 pub use disk::{Disk, FolderDisk, MemoryDisk};
-pub use spool::{Counters, Limits, Position, Recovered, Spool, SpoolError};
+pub use error::SpoolError;
+pub use spool::{Counters, Limits, Position, Recovered, Spool};
--- a/crates/spool/src/record.rs
+++ b/crates/spool/src/record.rs
@@ -1,11 +1,10 @@
 //! A record on disk: length (u32, little-endian), CRC-32 of kind and payload (u32), kind (u8), payload.
 
-use crate::spool::SpoolError;
+pub use crate::error::MOST_PAYLOAD;
+use crate::error::SpoolError;
 
 /// Bytes before the payload.
 pub const HEAD: usize = 9;
-/// Longest payload.
-pub const MOST_PAYLOAD: usize = 1 << 20;
 
 /// What a record is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/spool/src/spool.rs
+++ b/crates/spool/src/spool.rs
@@ -8,6 +8,7 @@
 use std::io;
 
 use crate::disk::Disk;
+use crate::error::SpoolError;
 use crate::record::{self, Found, Kind};
 
 /// Where a record stands: its name until it is acknowledged.
@@ -34,20 +35,6 @@
     }
 }
 
-/// Why a record was not kept.
-#[derive(Debug, thiserror::Error)]
-pub enum SpoolError {
-    /// It is longer than any may be.
-    #[error("a record of {bytes} bytes; at most {} are kept", record::MOST_PAYLOAD)]
-    TooLong {
-        /// Its length.
-        bytes: usize,
-    },
-    /// The disk refused.
-    #[error("the spool's disk: {0}")]
-    Io(#[from] io::Error),
-}
-
 /// What was lost or let go, and why.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -189,6 +176,11 @@
         self.segments.values().map(|s| s.open.len()).sum()
     }
 
+    /// Is this record kept, and not acknowledged?
+    pub fn holds(&self, position: Position) -> bool {
+        self.segments.get(&position.segment).is_some_and(|s| s.open.contains(&position.offset))
+    }
+
     /// The disk: for tests, and to look at.
     pub fn disk(&mut self) -> &mut D {
         &mut self.disk
@@ -271,7 +263,7 @@
         while self.bytes() + more > self.limits.bytes {
             let Some((&oldest, segment)) = self.segments.first_key_value() else { break };
             self.counters.dropped_full += segment.open.len() as u64;
-            self.disk.remove(oldest)?;
+            self.discard(oldest)?;
             self.segments.remove(&oldest);
             if oldest == self.last {
                 self.last += 1;
@@ -281,13 +273,21 @@
         Ok(())
     }
 
+    /// A file that is gone already, or never came about because the disk refused it, is as good as removed.
+    fn discard(&mut self, segment: u64) -> io::Result<()> {
+        match self.disk.remove(segment) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
+            other => other,
+        }
+    }
+
     /// Removes segments that are of no use any more, the oldest first.
     fn sweep(&mut self) -> Result<(), SpoolError> {
         while let Some((&oldest, segment)) = self.segments.first_key_value() {
             if !segment.open.is_empty() {
                 break;
             }
-            self.disk.remove(oldest)?;
+            self.discard(oldest)?;
             self.segments.remove(&oldest);
             if oldest == self.last {
                 self.last += 1;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //!   starts, falling over. [`store`]: the one store that all share.
 //! * [`models`]: what `echo` and `climb` answer. [`spec`]: a worker's description as text.
 //! * [`receiver`]: a remote-write receiver that is away, slow, strict or forgetful as told.
+//!   [`watch`]: alert rules on its clock.
 //! * [`server`]: the wire around it, in a thread of its own; faults are told to it, and what it sees is recorded.
 
 #![forbid(unsafe_code)]
@@ -15,6 +16,7 @@
 pub mod server;
 pub mod spec;
 pub mod store;
+pub mod watch;
 pub mod worker;
 
 pub use server::{Fault, Handle, Options, Record, Seen, spawn};
--- a/crates/standin/src/receiver.rs
+++ b/crates/standin/src/receiver.rs
@@ -4,14 +4,19 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nettleferry_alerts::rules::Rule;
 use nettleferry_net::http1::{Http1, Http1Limits, Reply, Request, Stop};
-use nettleferry_proto::remote_write::{self, Series, Version};
+use nettleferry_proto::remote_write::{self, Kind, Native, Series, Version};
+
+use crate::watch::Watch;
 
 /// How it behaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Mode {
     /// It takes what comes.
     Take,
@@ -21,6 +26,16 @@
     Answer(u16, Option<u32>),
     /// It takes what comes and answers 500: the acknowledgement is lost.
     Forget,
+    /// It takes what comes, and its answer breaks off in its first line.
+    CutAnswer,
+    /// It closes a connection after so many bytes of a request.
+    CutRequest(usize),
+    /// It takes what comes, so much later.
+    Slow(Duration),
+    /// It answers 400 and takes nothing where a series has this value of any label.
+    Bad(String),
+    /// It reads version 1.0 whatever it is sent, and does not look at the content type.
+    Blind,
 }
 
 /// A sample as it was taken.
@@ -34,19 +49,35 @@
     pub created_ms: Option<i64>,
 }
 
+/// Labels of a series, in order.
+pub type SeriesLabels = Vec<(String, String)>;
+
 /// What it has taken and found.
 #[derive(Clone, Debug, Default)]
 pub struct Kept {
     /// Samples by series, in the order in which they came, repeats left out.
-    pub series: BTreeMap<Vec<(String, String)>, Vec<Taken>>,
+    pub series: BTreeMap<SeriesLabels, Vec<Taken>>,
+    /// Native histograms by series, likewise.
+    pub natives: BTreeMap<SeriesLabels, Vec<(i64, Native)>>,
     /// Requests by version: 2.0, 1.0.
     pub requests: [u64; 2],
     /// Requests that it did not take.
     pub turned_away: u64,
     /// Samples that came again with the same value.
     pub repeated: u64,
-    /// What no sender should do: another value for a time, a time before the last, labels out of order.
+    /// What no sender should do: another value for a time, a time before the last, labels out of order; and what
+    /// it can't have: times to come, counters that fall within a life, samples of a life after its end.
     pub faults: Vec<String>,
+    /// Rules under evaluation.
+    pub watch: Option<Watch>,
+}
+
+/// A sample may be from so far in the future: clocks on one machine, and a moment's rounding.
+const FUTURE_MS: i64 = 2_000;
+
+fn now_ms() -> i64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    i64::try_from(since.as_millis()).unwrap_or(i64::MAX)
 }
 
 impl Kept {
@@ -67,7 +98,31 @@
         if !series.labels.windows(2).all(|w| w[0].0 < w[1].0) {
             self.faults.push(format!("labels out of order: {name}"));
         }
-        let taken = self.series.entry(series.labels).or_default();
+        let now = now_ms();
+        let times = series.samples.iter().map(|s| s.0).chain(series.natives.iter().map(|n| n.0));
+        for at_ms in times {
+            if at_ms > now + FUTURE_MS || series.created_ms.is_some_and(|created| created > at_ms) {
+                self.faults.push(format!("{name} at {at_ms}: to come, or before it was created ({now})"));
+            }
+        }
+        if !series.natives.is_empty() {
+            let taken = self.natives.entry(series.labels.clone()).or_default();
+            for (at_ms, native) in series.natives {
+                let same = |old: &Native| {
+                    old.sum.to_bits() == native.sum.to_bits()
+                        && (old.count, &old.buckets) == (native.count, &native.buckets)
+                };
+                match taken.iter().find(|t| t.0 == at_ms) {
+                    Some((_, old)) if same(old) => self.repeated += 1,
+                    None if taken.last().is_none_or(|l| l.0 < at_ms) => taken.push((at_ms, native)),
+                    _ => self.faults.push(format!("{name} at {at_ms}: another histogram, or too late")),
+                }
+            }
+        }
+        if series.samples.is_empty() {
+            return;
+        }
+        let taken = self.series.entry(series.labels.clone()).or_default();
         for (at_ms, value) in series.samples {
             match taken.iter().find(|t| t.at_ms == at_ms) {
                 Some(old) if old.value.to_bits() == value.to_bits() => self.repeated += 1,
@@ -75,7 +130,21 @@
                 None if taken.last().is_some_and(|l| l.at_ms > at_ms) => {
                     self.faults.push(format!("{name}: {at_ms} came after a later one"));
                 }
-                None => taken.push(Taken { at_ms, value, created_ms: series.created_ms }),
+                None => {
+                    let one = Taken { at_ms, value, created_ms: series.created_ms };
+                    let counter = series.kind == Kind::Counter && series.created_ms.is_some();
+                    if counter && let Some(last) = taken.last().filter(|l| l.created_ms == one.created_ms) {
+                        if remote_write::is_stale(last.value) {
+                            self.faults.push(format!("{name} at {at_ms}: its life had ended"));
+                        } else if value < last.value {
+                            self.faults.push(format!("{name} at {at_ms}: {value} after {}", last.value));
+                        }
+                    }
+                    taken.push(one);
+                    if let Some(watch) = &mut self.watch {
+                        watch.add(&series.labels, at_ms, value);
+                    }
+                }
             }
         }
     }
@@ -87,10 +156,15 @@
     pub address: SocketAddr,
     mode: Arc<Mutex<Mode>>,
     kept: Arc<Mutex<Kept>>,
+    cut: Arc<AtomicUsize>,
     stop: Stop,
-    thread: Option<JoinHandle<()>>,
+    ended: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
 }
 
+/// How often the clock of rules is looked at.
+const TICK: Duration = Duration::from_millis(20);
+
 /// Bytes that a body may unpack to.
 const MOST_BODY: usize = 64 << 20;
 
@@ -99,24 +173,45 @@
     pub fn start(mode: Mode) -> io::Result<Self> {
         let limits = Http1Limits { body_bytes: 16 << 20, ..Http1Limits::default() };
         let mut server = Http1::bind(SocketAddr::from(([127, 0, 0, 1], 0)), limits)?;
-        let (address, stop) = (server.local()?, server.stop());
+        let (address, stop, cut) = (server.local()?, server.stop(), server.cut_requests());
+        cut.store(most_of(&mode), Ordering::Relaxed);
         let mode = Arc::new(Mutex::new(mode));
         let kept = Arc::new(Mutex::new(Kept::default()));
         let (m, k) = (Arc::clone(&mode), Arc::clone(&kept));
         let thread = std::thread::Builder::new().name("receiver".to_owned()).spawn(move || {
             let ended = server.run(|request| {
-                let mode = *lock(&m);
-                reply(request, mode, &mut lock(&k))
+                let mode = lock(&m).clone();
+                if let Mode::Slow(span) = mode {
+                    std::thread::sleep(span);
+                }
+                reply(request, &mode, &mut lock(&k))
             });
             if let Err(error) = ended {
                 eprintln!("stand-in receiver: {error}");
             }
         })?;
-        Ok(Self { address, mode, kept, stop, thread: Some(thread) })
+        Ok(Self { address, mode, kept, cut, stop, ended: Arc::default(), threads: vec![thread] })
+    }
+
+    /// Evaluates rules from now on, on its own clock, by which a second is `speed` seconds of theirs.
+    pub fn watch(&mut self, rules: Vec<Rule>, speed: u32) -> io::Result<()> {
+        lock(&self.kept).watch = Some(Watch::new(rules, now_ms(), speed));
+        let (kept, ended) = (Arc::clone(&self.kept), Arc::clone(&self.ended));
+        let thread = std::thread::Builder::new().name("rules".to_owned()).spawn(move || {
+            while !ended.load(Ordering::Acquire) {
+                if let Some(watch) = &mut lock(&kept).watch {
+                    watch.tick(now_ms());
+                }
+                std::thread::sleep(TICK);
+            }
+        })?;
+        self.threads.push(thread);
+        Ok(())
     }
 
     /// Tells it to behave otherwise from now on.
     pub fn be(&self, mode: Mode) {
+        self.cut.store(most_of(&mode), Ordering::Relaxed);
         *lock(&self.mode) = mode;
     }
 
@@ -129,7 +224,8 @@
 impl Drop for Receiver {
     fn drop(&mut self) {
         self.stop.stop();
-        if let Some(thread) = self.thread.take() {
+        self.ended.store(true, Ordering::Release);
+        for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
     }
@@ -139,8 +235,12 @@
     what.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn reply(request: &Request<'_>, mode: Mode, kept: &mut Kept) -> Reply {
-    if let Mode::Answer(status, after) = mode {
+fn most_of(mode: &Mode) -> usize {
+    if let Mode::CutRequest(bytes) = mode { *bytes } else { usize::MAX }
+}
+
+fn reply(request: &Request<'_>, mode: &Mode, kept: &mut Kept) -> Reply {
+    if let Mode::Answer(status, after) = *mode {
         kept.turned_away += 1;
         let headers = after.map(|s| ("Retry-After", s.to_string())).into_iter().collect();
         return Reply { headers, ..Reply::text(status, "as told\n") };
@@ -151,7 +251,9 @@
         k if k == Version::One.content_type() || k == "application/x-protobuf" => Version::One,
         _ => return Reply::text(415, "no such message\n"),
     };
-    if version == Version::Two && mode == Mode::OnlyOne {
+    let blind = *mode == Mode::Blind;
+    let version = if blind { Version::One } else { version };
+    if version == Version::Two && *mode == Mode::OnlyOne {
         kept.turned_away += 1;
         return Reply::text(415, "version 1.0 alone\n");
     }
@@ -162,17 +264,27 @@
         Ok(series) => series,
         Err(error) => return Reply::text(400, format!("{error}\n")),
     };
+    if let Mode::Bad(value) = mode
+        && let Some(bad) = series.iter().find(|s| s.labels.iter().any(|(_, v)| v == value))
+    {
+        kept.turned_away += 1;
+        return Reply::text(400, format!("bad series {:?}\n", bad.labels));
+    }
     kept.requests[usize::from(version == Version::One)] += 1;
     let samples: usize = series.iter().map(|s| s.samples.len()).sum();
+    let natives: usize = series.iter().map(|s| s.natives.len()).sum();
     for s in series {
         kept.take(s);
     }
-    if mode == Mode::Forget {
-        return Reply::text(500, "forgotten\n");
+    match mode {
+        Mode::Forget => return Reply::text(500, "forgotten\n"),
+        Mode::CutAnswer => return Reply { cut: Some(9), ..Reply::text(204, "") },
+        _ if version == Version::One => return Reply::text(204, ""),
+        _ => {}
     }
     let headers = vec![
         ("X-Prometheus-Remote-Write-Samples-Written", samples.to_string()),
-        ("X-Prometheus-Remote-Write-Histograms-Written", "0".to_owned()),
+        ("X-Prometheus-Remote-Write-Histograms-Written", natives.to_string()),
         ("X-Prometheus-Remote-Write-Exemplars-Written", "0".to_owned()),
     ];
     Reply { headers, ..Reply::text(204, "") }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -39,6 +39,8 @@
     FailFast(f64),
     /// Calls of models that begin so are never answered; `None`: none hang.
     Hang(Option<String>),
+    /// Calls take this many times their work.
+    Slow(f64),
     /// Its load reports are this old.
     LateReports(Micros),
     /// It breaks the connection after so many messages of an answer.
@@ -260,6 +262,7 @@
     refuse: bool,
     fail_fast: f64,
     hang: Option<String>,
+    slow: f64,
     late: Micros,
     cut_after: Option<u32>,
     half_frame: bool,
@@ -290,6 +293,7 @@
             refuse: false,
             fail_fast: 0.0,
             hang: None,
+            slow: 1.0,
             late: 0,
             cut_after: None,
             half_frame: false,
@@ -403,6 +407,7 @@
             Fault::Refuse(on) => self.refuse = on,
             Fault::FailFast(share) => self.fail_fast = share,
             Fault::Hang(models) => self.hang = models,
+            Fault::Slow(factor) => self.slow = factor,
             Fault::LateReports(late) => self.late = late,
             Fault::CutAfter(n) => self.cut_after = n,
             Fault::HalfFrame => self.half_frame = true,
@@ -557,7 +562,7 @@
     fn infer(&mut self, stream: StreamKey, payload: Bytes, streamed: bool) {
         let Some(request) = self.decoded::<ModelInferRequest>(stream, payload) else { return };
         let model = request.model_name.clone();
-        let work = self.options.spec.model(&model).work;
+        let work = (self.options.spec.model(&model).work as f64 * self.slow) as Micros;
         let rpc = self.rpcs.get(&stream).map(|rpc| (rpc.controller.clone(), rpc.attempt));
         let (controller, attempt) = rpc.unwrap_or_default();
         let number = stream.number();
--- a/examples/nettleferry.sexp
+++ b/examples/nettleferry.sexp
@@ -111,6 +111,7 @@
 
 (figures
   (scrape "127.0.0.1:9091")         ; OpenMetrics text at /metrics (default: not served)
+  (count yes)                       ; no: calls are not counted, to measure what counting costs (default yes)
   (series 5000)                     ; of calls at the most; tenants and models beyond share "other" (default 5000)
   (push                             ; Prometheus remote write (default: not pushed)
     (to "127.0.0.1:9090")
@@ -124,4 +125,6 @@
     (shards 4)                      ; batches out at once (default 4)
     (batch 2000)                    ; samples of one (default 2000)
     (batch-age 5s)                  ; a sample waits so long for its batch to fill (default 5s)
-    (timeout 10s)))                 ; an answer that takes longer has not come (default 10s)
+    (timeout 10s)                   ; an answer that takes longer has not come (default 10s)
+    (ask-again 5m)                  ; a receiver of 1.0 alone is asked for 2.0 again, then ever more seldom (default 5m)
+    (farewell 2s)))                 ; an ordered end tries so long to deliver the last samples (default 2s)
