--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -100,6 +100,8 @@
     pub admitted: u64,
     /// Calls turned away by admission.
     pub refused: u64,
+    /// Open calls by class.
+    pub open_by_class: std::collections::BTreeMap<String, u32>,
     /// Calls by their one final answer.
     pub ends: std::collections::BTreeMap<String, u64>,
 }
@@ -219,6 +221,11 @@
         &self.book
     }
 
+    /// Changes after a revision, in order.
+    pub fn entries(&self, after: Revision) -> Result<Vec<Entry>, String> {
+        self.keep.audit(after, usize::MAX, None)
+    }
+
     /// Ends the graces that are over; the entries, in order. What can't be kept is tried again next time.
     pub fn sweep(&mut self, now: Millis) -> Vec<Entry> {
         let mut all = Vec::new();
--- a/crates/admin/src/openapi.rs
+++ b/crates/admin/src/openapi.rs
@@ -83,6 +83,7 @@
         "tenant": text("its name"), "uid": whole("which tenant of that name"),
         "open_calls": whole("calls without a final answer"), "held_calls": whole("those that no worker has"),
         "loaded_memory_bytes": whole("of the models in use"), "admitted": whole("calls taken"), "refused": whole("calls turned away by admission"),
+        "open_by_class": { "type": "object", "additionalProperties": { "type": "integer" }, "description": "open calls by class" },
         "ends": { "type": "object", "additionalProperties": { "type": "integer" }, "description": "calls by their one final answer" },
     });
     let entry = json!({
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -345,10 +345,12 @@
         |value: &Value| -> Vec<String> { value.as_object().expect("an object").keys().cloned().collect() };
     let schema = &document["components"]["schemas"]["Tenant"]["properties"];
     let (mut ours, mut told) = (fields(&tenant), fields(schema));
-    (ours.sort(), told.sort());
+    ours.sort();
+    told.sort();
     assert_eq!(ours, told);
     let (mut ours, mut told) = (fields(&tenant["limits"]), fields(&schema["limits"]["properties"]));
-    (ours.sort(), told.sort());
+    ours.sort();
+    told.sort();
     assert_eq!(ours, told);
     for route in routes::ROUTES {
         let target = route.path.replace("{name}", "a");
--- a/crates/admission/tests/verdicts.rs
+++ b/crates/admission/tests/verdicts.rs
@@ -185,11 +185,11 @@
                     all.ended(now, tenant, class, model);
                 },
             }
-            for tenant in 0..3 {
+            for (tenant, (most_open, _, most_memory)) in limits.iter().enumerate() {
                 let ours = || calls.iter().filter(|c| c.0 == tenant);
                 let c = all.counters(tenant).expect("set");
                 prop_assert_eq!((c.open as usize, c.running as usize), (ours().count(), ours().filter(|c| c.3).count()));
-                prop_assert!(c.open <= limits[tenant].0 && c.memory <= limits[tenant].2.max(0));
+                prop_assert!(c.open <= *most_open && c.memory <= *most_memory);
                 let mut by: BTreeMap<usize, u32> = BTreeMap::new();
                 ours().for_each(|c| *by.entry(c.1).or_default() += 1);
                 let told: BTreeMap<usize, u32> = all.open_by_class(tenant).filter(|c| c.1 > 0).collect();
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -38,6 +38,8 @@
     pub edge: Edge,
     /// Figures.
     pub figures: Figures,
+    /// Administration; `None`: tenants are those of the settings, and nothing listens.
+    pub admin: Option<Admin>,
 }
 
 /// Where and how figures are given.
@@ -53,6 +55,32 @@
     pub push: Option<Push>,
 }
 
+/// Administration of tenants.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Admin {
+    /// Where the API listens.
+    pub listen: SocketAddr,
+    /// The store's file.
+    pub store: PathBuf,
+    /// Who may ask.
+    pub keys: Vec<AdminKey>,
+    /// Calls that name no tenant are taken, without limits of admission.
+    pub anonymous: bool,
+    /// Calls that may wait for a worker before tenants share the places by weight.
+    pub places: u32,
+}
+
+/// A key of the administration API.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdminKey {
+    /// Its name: who, in the audit trail.
+    pub name: String,
+    /// viewer, operator, admin or controller.
+    pub role: String,
+    /// Its secret's argon2 hash, as `nettleferry admin key` prints it.
+    pub hash: String,
+}
+
 /// Pushing by Prometheus remote write.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Push {
@@ -237,6 +265,7 @@
     let step = top.span_or("step", 1_000);
     let (limits, edge) = limits(&mut top);
     let figures = figures(&mut top);
+    let admin = top.sub("admin").and_then(admin);
     top.end();
     let settings = Settings {
         me,
@@ -266,6 +295,7 @@
         models,
         edge,
         figures,
+        admin,
     });
     source.finish(value)
 }
@@ -494,6 +524,35 @@
     figures
 }
 
+fn admin(mut form: Form) -> Option<Admin> {
+    let (listen, store) = (form.must("listen"), form.must::<String>("store"));
+    let mut keys: Vec<AdminKey> = Vec::new();
+    for mut key in form.all("key") {
+        let name: Option<String> = key.want("its name");
+        let role: Option<String> = key.want("its role");
+        let hash: Option<String> = key.want("its hash");
+        if let (Some(name), Some(role), Some(hash)) = (name, role, hash) {
+            if !["viewer", "operator", "admin", "controller"].contains(&role.as_str()) {
+                key.fault(format!("role {role}: viewer, operator, admin or controller"));
+            }
+            if !hash.starts_with("$argon2") {
+                key.fault("the hash is an argon2 one, as nettleferry admin key prints it");
+            }
+            if keys.iter().any(|k| k.name == name) {
+                key.fault(format!("key {name} stands twice: names are unique"));
+            }
+            keys.push(AdminKey { name, role, hash });
+        }
+        key.end();
+    }
+    if keys.is_empty() {
+        form.fault("no (key NAME ROLE HASH): nothing listens that nobody may ask; nettleferry admin key NAME ROLE makes one");
+    }
+    let (anonymous, places) = (form.or("anonymous", false), form.or("places", 256u32));
+    form.end();
+    Some(Admin { listen: listen?, store: PathBuf::from(store?), keys, anonymous, places })
+}
+
 fn push(mut form: Form) -> Option<Push> {
     let mut labels = Vec::new();
     for mut label in form.all("label") {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -75,9 +75,12 @@
     slow: bool,
     /// How its last attempt ended: why it fails, for people.
     last: Option<Ended>,
+    /// An attempt ended without proof that it never ran.
+    may_have_run: bool,
 }
 
 struct Flight {
+    front: u64,
     worker: WorkerId,
     sent: Micros,
     times_out: Option<Micros>,
@@ -120,6 +123,7 @@
     now: Micros,
     counters: EngineCounters,
     notes: Option<Vec<Note>>,
+    phases: Option<Vec<Phase>>,
 }
 
 impl Engine {
@@ -150,6 +154,7 @@
             now: 0,
             counters: EngineCounters::default(),
             notes: None,
+            phases: None,
         })
     }
 
@@ -168,6 +173,22 @@
         self.notes.get_or_insert_default().drain(..)
     }
 
+    /// From now on steps of calls are noted, for [`Engine::phases`].
+    pub fn take_phases(&mut self) {
+        self.phases = Some(Vec::with_capacity(256));
+    }
+
+    /// Steps since the last time, in order. To be drained after each event: they are not bounded by themselves.
+    pub fn phases(&mut self) -> std::vec::Drain<'_, Phase> {
+        self.phases.get_or_insert_default().drain(..)
+    }
+
+    fn step(&mut self, front: u64, step: Step) {
+        if let Some(phases) = &mut self.phases {
+            phases.push(Phase { front, step });
+        }
+    }
+
     fn note(&mut self, note: Note) {
         if let Some(notes) = &mut self.notes {
             notes.push(note);
@@ -223,16 +244,19 @@
         let note = |how| Note::Ended { class, tenant, group, how, took: 0 };
         if left == 0 {
             self.note(note(EndKind::Failed));
+            self.step(front, Step::Ended(EndKind::Failed));
             let message = "no time was left when the call came".to_owned();
             self.end_unheld(call, front, End::Failed { cause: Cause::Deadline, message });
         } else if self.calls.len() >= self.limits.open_calls {
             self.note(note(EndKind::Refused));
+            self.step(front, Step::Ended(EndKind::Refused));
             self.refuse_unheld(call, front);
         } else {
             let model = Model { name: open.model.clone(), version: open.version.clone() };
             match self.names.open(model, self.limits.models) {
                 None => {
                     self.note(note(EndKind::Refused));
+                    self.step(front, Step::Ended(EndKind::Refused));
                     self.refuse_unheld(call, front);
                 }
                 Some(function) => self.take(call, function, left, open),
@@ -267,6 +291,7 @@
                 started: false,
                 slow: false,
                 last: None,
+                may_have_run: false,
             },
         );
         self.queue.push_back(Told::Request(Request {
@@ -300,6 +325,7 @@
             Event::Ended { attempt, how, news } => self.ended(attempt, how, news),
             Event::Loaded { errand, how, copies } => self.errand_done(errand, &how, copies, None),
             Event::Probed { errand, how, report } => self.errand_done(errand, &how, 0, report),
+            Event::Evict { tenant } => self.evict(tenant),
             Event::Tick => {}
         }
         self.work();
@@ -423,11 +449,13 @@
         if let Some(at) = times_out {
             self.timers.insert((at, Timer::Attempt(attempt)));
         }
-        self.flights.insert(attempt, Flight { worker, sent: self.now, times_out, kept: None });
+        let front = call.front;
+        self.flights.insert(attempt, Flight { front, worker, sent: self.now, times_out, kept: None });
         self.counters.attempts += 1;
         let (streamed, body, slow) = (call.streamed, call.body.clone(), call.slow);
         let after = call.last.as_ref().map(Ended::outcome);
         self.note(Note::Attempt { after });
+        self.step(front, Step::Began);
         self.out.push(Command::Start { attempt, worker, streamed, left, body });
         if slow {
             self.out.push(Command::Pause { attempt });
@@ -462,6 +490,7 @@
 
     fn ended(&mut self, attempt: AttemptId, how: Ended, news: News) {
         let Some(flight) = self.flights.remove(&attempt) else { return };
+        self.step(flight.front, Step::Back);
         if let Some(copy) = news.note {
             self.note(Note::Copy(copy));
         }
@@ -481,6 +510,7 @@
         let finished = served || call.as_ref().is_none_or(|c| c.started);
         if let Some(call) = call {
             call.last = Some(how.clone());
+            call.may_have_run |= !how.never_ran();
         }
         self.queue.push_back(Told::Outcome {
             request: RequestId(attempt.call.0),
@@ -539,6 +569,24 @@
             self.out.push(Command::Withdraw { attempt });
             self.ended(attempt, Ended::Cancelled, News::default());
         }
+        self.step(call.front, Step::Ended(how));
+    }
+
+    /// A tenant is gone. What no worker can have run is refused; nothing is promised of the rest.
+    fn evict(&mut self, tenant: nettleferry::TenantId) {
+        let ours = self.calls.iter().filter(|(_, call)| call.tenant == Some(tenant));
+        for id in ours.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let all = AttemptId { call: id, number: 0 }..=AttemptId { call: id, number: u32::MAX };
+            let out = self.flights.range(all).next().is_some();
+            let end = if out || self.calls.get(&id).is_some_and(|c| c.may_have_run) {
+                let message = "its tenant was removed; the call may have run".to_owned();
+                End::Failed { cause: Cause::Aborted, message }
+            } else {
+                End::Refused { why: Refusal::TenantGone, retry_after: None }
+            };
+            self.queue.push_back(Told::ClientGone { request: RequestId(id.0) });
+            self.end(id, end);
+        }
     }
 
     /// The backstop. For an answer that has begun it is the deadline itself: the module leaves those to us.
--- a/crates/engine/src/types.rs
+++ b/crates/engine/src/types.rs
@@ -134,6 +134,11 @@
         /// The load report, where attached.
         report: Option<Report>,
     },
+    /// A tenant is gone: its open calls have their final answers now.
+    Evict {
+        /// The tenant.
+        tenant: TenantId,
+    },
     /// Time has passed.
     Tick,
 }
@@ -169,6 +174,8 @@
     NoWorker,
     /// No worker had room in time, or each attempt was turned away.
     NoRoom,
+    /// [`Event::Evict`], and nothing of it can have run.
+    TenantGone,
 }
 
 /// A call's one final answer.
@@ -325,6 +332,26 @@
     },
 }
 
+/// A step of a call, for whoever counts what is in hand: see [`crate::Engine::phases`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Phase {
+    /// The front's mark of the call.
+    pub front: u64,
+    /// What happened.
+    pub step: Step,
+}
+
+/// A step of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A worker has it.
+    Began,
+    /// The worker has it no more.
+    Back,
+    /// It has had its end; a worker that had it is [`Step::Back`] first.
+    Ended(EndKind),
+}
+
 /// Kinds of [`End`], and a client that left first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndKind {
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -3,12 +3,14 @@
 //! command line is wrong; 3 a file can't be read or is not sound; 4 the system refused something (an address,
 //! a thread, a process); 130 stopped at once by a second signal or with calls still open.
 
+pub mod admin;
 mod alerts;
 mod call;
 mod day;
 mod demo;
 mod load;
 mod serve;
+mod top;
 mod worker;
 
 use std::path::{Path, PathBuf};
@@ -24,7 +26,7 @@
     name = "nettleferry",
     version,
     propagate_version = true,
-    after_help = "Exit codes: 0 done; 1 a rule broke (day), the call was not served (call) or alert rules have findings (alerts); 2 wrong command line; 3 a \
+    after_help = "Exit codes: 0 done; 1 a rule broke (day), the call was not served (call) alert rules have findings (alerts) or the administration refused (admin); 2 wrong command line; 3 a \
                   file can't be read or is not sound; 4 the system refused something; 130 stopped at once with calls open."
 )]
 pub struct Arguments {
@@ -50,6 +52,10 @@
     Day(day::Day),
     /// Check alert rules against the registry, or run rule unit tests
     Alerts(alerts::Alerts),
+    /// Administer tenants, limits, workers and the audit trail of a running controller
+    Admin(admin::Admin),
+    /// Show tenants, classes, workers and held calls, live; q ends it
+    Top(top::Top),
     /// Run one stand-in worker
     Worker(worker::WorkerCommand),
 }
@@ -85,6 +91,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The administration refused, or could not be asked.
+    #[error("the administration: {0}")]
+    Api(String),
     /// Words that clap can't judge.
     #[error("{0}")]
     Usage(String),
@@ -98,6 +107,7 @@
             Self::Read { .. } | Self::Unsound(_) | Self::File(_) => 3,
             Self::Controller(ControllerError::Settings(_)) => 3,
             Self::Controller(_) | Self::System { .. } | Self::Day(_) => 4,
+            Self::Api(_) => 1,
         }
     }
 
@@ -116,6 +126,8 @@
         Command::Call(call) => call.run(),
         Command::Load(load) => load.run(),
         Command::Day(day) => day.run(&arguments.logs.log),
+        Command::Admin(admin) => admin.run(),
+        Command::Top(top) => top.run(),
         Command::Alerts(alerts) => alerts.run(),
         Command::Worker(worker) => worker.run(),
     }
--- a/crates/gateway/src/commands/serve.rs
+++ b/crates/gateway/src/commands/serve.rs
@@ -36,6 +36,9 @@
     if let Some(push) = &mut config.figures.push {
         push.spool = beside.join(&push.spool);
     }
+    if let Some(admin) = &mut config.admin {
+        admin.store = beside.join(&admin.store);
+    }
     Ok(config)
 }
 
@@ -56,6 +59,9 @@
     if let Some(scrape) = controller.scrape() {
         announce(&format!("listening scrape {scrape}"))?;
     }
+    if let Some(admin) = controller.admin() {
+        announce(&format!("listening admin {admin}"))?;
+    }
     Ok(match controller.run()? {
         Stopped::Clean => 0,
         Stopped::AtOnce => 130,
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -1,7 +1,7 @@
 //! The running controller: one thread, one reactor; events in at the edge, the engine in the middle, commands
 //! out at the edge. Nothing is decided here.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,12 +15,14 @@
 use signal_hook_mio::v1_0::Signals;
 use tracing::{debug, info, warn};
 
+use crate::admin::{Desk, Shown, Told};
 use crate::clock::Clock;
 use crate::front::{Around, Front};
 use crate::links::{LinkLimits, Links};
 use crate::list::{ListFile, News, members};
 use crate::observe::{Observer, Scrape};
 use crate::push::Pusher;
+use crate::tenants::Tenants;
 
 /// Why a controller could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -64,6 +66,12 @@
     scrape: Option<Scrape>,
     /// Pushes until it is dropped, with last words.
     pusher: Option<Pusher>,
+    /// Tenants of the administration, and the administration.
+    tenants: Option<Tenants>,
+    desk: Option<Desk>,
+    /// Workers drained by hand, and the list as it was told last.
+    drained: BTreeSet<String>,
+    listed: Vec<Worker>,
     refresh_at: Micros,
     commands: Vec<Command>,
     local: SocketAddr,
@@ -121,6 +129,16 @@
         if config.figures.count {
             engine.take_notes();
         }
+        let (mut tenants, mut desk) = (None, None);
+        if let Some(admin) = &config.admin {
+            let listen = |source| ControllerError::Listen { address: admin.listen, source };
+            let started = Desk::start(admin, config.settings.me, hub.waker()).map_err(listen)?;
+            let (base, of) = (config.tenants.len(), config.settings.controllers);
+            let mut all = Tenants::new(base, &config.classes, admin.anonymous, admin.places, of);
+            all.begin(&started.book);
+            engine.take_phases();
+            (tenants, desk) = (Some(all), Some(started));
+        }
         let config = Arc::new(config);
         let mut controller = Self {
             clock: Clock::start(),
@@ -133,6 +151,10 @@
             observer,
             scrape,
             pusher,
+            tenants,
+            desk,
+            drained: BTreeSet::new(),
+            listed: Vec::new(),
             refresh_at: 0,
             commands: Vec::new(),
             local,
@@ -155,6 +177,11 @@
         self.scrape.as_ref().map(|s| s.local)
     }
 
+    /// Where the administration listens.
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.desk.as_ref().map(|desk| desk.local)
+    }
+
     /// Runs until told to stop.
     pub fn run(&mut self) -> Result<Stopped, ControllerError> {
         let mut events = Vec::new();
@@ -170,6 +197,8 @@
                     if self.signalled() {
                         return Ok(self.farewell(Stopped::AtOnce));
                     }
+                } else if matches!(event, NetEvent::Woken) {
+                    self.administered();
                 } else {
                     self.event(event);
                 }
@@ -180,6 +209,7 @@
 
     /// Counts what was noted; slower figures now and then, as events come.
     fn observe(&mut self) {
+        self.steps();
         self.observer.count(&mut self.engine);
         let now = self.clock.now();
         if now >= self.refresh_at {
@@ -191,6 +221,50 @@
     fn refresh(&self) {
         let (net, front) = (self.hub.counters(), self.front.counters());
         self.observer.refresh(&self.engine, &net, &front, self.links.no_room);
+        if let (Some(tenants), Some(desk)) = (&self.tenants, &self.desk) {
+            self.observer.turned(tenants.turned());
+            let workers = self.listed.iter().map(|w| shown(w, &self.drained)).collect();
+            desk.show(Shown { revision: tenants.revision(), usage: tenants.usage(), workers });
+        }
+    }
+
+    /// Tells admission what became of calls.
+    fn steps(&mut self) {
+        if let Some(tenants) = &mut self.tenants {
+            let now = self.clock.now();
+            for phase in self.engine.phases() {
+                tenants.step(now, phase);
+            }
+        }
+    }
+
+    /// What the administration has told: changes in order, each whole.
+    fn administered(&mut self) {
+        let Some(desk) = &self.desk else { return };
+        let told: Vec<Told> = desk.told().collect();
+        for told in told {
+            match told {
+                Told::Changed(entry) => {
+                    let gone = self.tenants.as_mut().and_then(|tenants| tenants.apply(&entry));
+                    if let Some(tenant) = gone {
+                        // Each of its calls has its one final answer before its place may be another's.
+                        self.engine.handle(self.clock.now(), Event::Evict { tenant }, &mut self.commands);
+                        self.carry_out();
+                        self.steps();
+                        if let Some(tenants) = &mut self.tenants {
+                            tenants.forget(tenant);
+                        }
+                    }
+                }
+                Told::Drained(drained) => {
+                    self.drained = drained;
+                    let (form, workers) = (nettleferry::ListForm::Complete, self.listed.clone());
+                    self.listed(News { form, workers });
+                }
+            }
+        }
+        // Those who ask next are shown what is in force.
+        self.refresh();
     }
 
     fn next(&self) -> Micros {
@@ -231,8 +305,13 @@
 
     fn at_front<T>(&mut self, work: impl FnOnce(&mut Front, &mut Around) -> T) -> T {
         let now = self.clock.now();
-        let mut around =
-            Around { hub: &mut self.hub, engine: &mut self.engine, commands: &mut self.commands, now };
+        let mut around = Around {
+            hub: &mut self.hub,
+            engine: &mut self.engine,
+            commands: &mut self.commands,
+            tenants: self.tenants.as_mut(),
+            now,
+        };
         work(&mut self.front, &mut around)
     }
 
@@ -290,8 +369,17 @@
         None
     }
 
-    fn listed(&mut self, news: News) {
+    fn listed(&mut self, mut news: News) {
         let now = self.clock.now();
+        if news.form != nettleferry::ListForm::Failed {
+            self.listed.clone_from(&news.workers);
+            // Drained by hand: the module is told what it would be told by the list.
+            for worker in news.workers.iter_mut().filter(|w| w.state == WorkerState::On) {
+                if self.drained.contains(&worker.name) {
+                    worker.state = WorkerState::Draining;
+                }
+            }
+        }
         if news.form == nettleferry::ListForm::Failed {
             self.engine.handle(
                 now,
@@ -371,6 +459,22 @@
     }
 }
 
+/// A worker as the administration shows it.
+fn shown(worker: &Worker, drained: &BTreeSet<String>) -> nettleferry_admin::api::Worker {
+    let listed = match worker.state {
+        WorkerState::On => "on",
+        WorkerState::Draining => "draining",
+        WorkerState::Gone => "gone",
+    };
+    nettleferry_admin::api::Worker {
+        name: worker.name.clone(),
+        address: worker.address.to_string(),
+        zone: worker.zone.clone(),
+        listed: listed.to_owned(),
+        drained: drained.contains(&worker.name),
+    }
+}
+
 fn watch_signals(hub: &Hub) -> io::Result<Signals> {
     // The numbers are POSIX's; a crate for two constants would be more than they need.
     const SIGINT: i32 = 2;
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -77,8 +77,12 @@
     Some(match end {
         End::Served { .. } => return None,
         End::Rejected { message } => Failure::of(Code::InvalidArgument, message.clone()),
+        End::Refused { why: Refusal::TenantGone, .. } => {
+            Failure::of(Code::PermissionDenied, "its tenant was removed; it was not run")
+        }
         End::Refused { why, retry_after } => {
             let message = match why {
+                Refusal::TenantGone => "its tenant was removed; it was not run",
                 Refusal::TooManyOpen => "too many open calls at this controller; it was not run",
                 Refusal::NoWorker => "no worker is in service; it was not run or may be repeated",
                 Refusal::NoRoom => "no worker had room in time; it was not run or may be repeated",
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::tenants::{Tenants, Turned};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use nettleferry::{Micros, TenantId};
@@ -30,6 +31,8 @@
     pub engine: &'a mut Engine,
     /// What the engine commands meanwhile.
     pub commands: &'a mut Vec<Command>,
+    /// Tenants of the administration, where there is one.
+    pub tenants: Option<&'a mut Tenants>,
     /// The time.
     pub now: Micros,
 }
@@ -45,7 +48,8 @@
     method: Method,
     /// When the client gives up, where it told.
     due: Option<Micros>,
-    tenant: Option<TenantId>,
+    /// The tenant it names.
+    tenant: Option<String>,
     repeat: bool,
     /// The stream's first failing call ends it with its status.
     grpc_error: bool,
@@ -74,6 +78,8 @@
     pub malformed: u64,
     /// Calls of models that no setting matches.
     pub unknown_model: u64,
+    /// Calls that admission turned away.
+    pub turned_away: u64,
     /// Streams made to wait because of `calls-per-stream`.
     pub over_calls_per_stream: u64,
     /// Streams whose client did not take its answers, so that their workers were made to wait.
@@ -186,13 +192,12 @@
         if read.gzip {
             around.hub.allow_gzip(stream);
         }
-        let tenant = read.tenant.and_then(|name| self.config.tenants.get(&name).copied());
         self.rpcs.insert(
             stream,
             Rpc {
                 method,
                 due: read.due,
-                tenant,
+                tenant: read.tenant,
                 repeat: read.repeat,
                 grpc_error: read.grpc_error,
                 calls: BTreeMap::new(),
@@ -256,12 +261,31 @@
         let left = rpc.due.map_or(most, |due| due.saturating_sub(around.now).min(most));
         self.next += 1;
         let front = self.next;
+        let tenant = match &mut around.tenants {
+            None => Ok(rpc.tenant.as_ref().and_then(|name| self.config.tenants.get(name).copied())),
+            Some(tenants) => {
+                // What is in hand is to be as the engine has it by now.
+                for phase in around.engine.phases() {
+                    tenants.step(around.now, phase);
+                }
+                let asked = (head.model.as_str(), model.memory);
+                tenants.ask(around.now, front, rpc.tenant.as_deref(), model.class.0, asked)
+            }
+        };
+        let tenant: Option<TenantId> = match tenant {
+            Ok(tenant) => tenant,
+            Err(turned) => {
+                self.counters.turned_away += 1;
+                let failure = self.turned(&turned);
+                return self.fail_call(around, stream, &head.id, &failure);
+            }
+        };
         let (id, name): (Arc<str>, Arc<str>) = (head.id.into(), head.model.into());
         self.calls.insert(front, Call { stream, id, model: Arc::clone(&name) });
         let open = Open {
             front,
             class: model.class,
-            tenant: rpc.tenant,
+            tenant,
             model: name,
             version: head.version.into(),
             left,
@@ -289,6 +313,16 @@
         }
     }
 
+    /// Over a limit: another try is harmless, after a while. Without a right: none will do.
+    fn turned(&self, turned: &Turned) -> Failure {
+        if turned.denied {
+            return Failure::of(Code::PermissionDenied, turned.message.clone());
+        }
+        let wait = turned.wait.map_or(self.pushback(), Duration::from_micros);
+        let refused = Failure::refused(turned.message.clone(), wait.max(Duration::from_millis(1)));
+        Failure { status: Status::new(Code::ResourceExhausted, turned.message.clone()), ..refused }
+    }
+
     fn half_closed(&mut self, around: &mut Around, stream: StreamKey) {
         let Some(rpc) = self.rpcs.get_mut(&stream) else { return };
         rpc.half_closed = true;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,10 +4,12 @@
 //! engine.
 //!
 //! * [`controller`]: the loop. [`front`]: towards clients. [`links`]: towards workers. [`list`]: who they are.
+//! * [`tenants`]: admission in a front's words. [`admin`]: the administration's thread.
 //! * [`commands`]: one file a subcommand. [`observe`]: figures. [`push`]: remote write. [`logs`], [`clock`].
 
 #![forbid(unsafe_code)]
 
+mod admin;
 mod clock;
 mod commands;
 mod controller;
@@ -17,6 +19,7 @@
 mod logs;
 mod observe;
 mod push;
+mod tenants;
 
 use std::process::ExitCode;
 
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -45,7 +45,10 @@
         let tenants: Vec<String> = tenants.into_iter().map(|t| t.0.clone()).collect();
         let slots =
             Slots::new(config.classes.clone(), &tenants, config.models.groups(), config.figures.series);
-        let figures = Arc::new(Figures::new(slots, &LIMITS));
+        // Reasons of admission stand behind the other limits.
+        let admission = nettleferry_admission::admission::WHY.iter().map(|(_, name)| *name);
+        let limits: Vec<&str> = LIMITS.into_iter().chain(admission).collect();
+        let figures = Arc::new(Figures::new(slots, &limits));
         let aims = config.settings.classes.iter().map(|c| c.aim).collect();
         Self { figures, aims, counts: config.figures.count }
     }
@@ -131,6 +134,15 @@
     }
 }
 
+impl Observer {
+    /// Calls that admission turned away, by reason.
+    pub fn turned(&self, by_reason: &[u64]) {
+        for (at, total) in by_reason.iter().enumerate() {
+            self.figures.limit(LIMITS.len() + at, *total);
+        }
+    }
+}
+
 /// The place of a reason among [`nettleferry_figures::REASONS`].
 fn reason(after: Option<Outcome>) -> usize {
     match after {
--- /dev/null
+++ b/crates/gateway/src/tenants.rs
@@ -0,0 +1,267 @@
+//! Tenants of the administration at this controller: names to places, the admission's verdicts in a front's
+//! words, and changes carried out in order. Decides nothing: limits are judged by `nettleferry-admission`.
+
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+use nettleferry::{Micros, TenantId};
+use nettleferry_admin::api::Usage;
+use nettleferry_admission::admission::{Asked, Limits};
+use nettleferry_admission::{Admission, Policy, Terms, Verdict, Why};
+use nettleferry_engine::{EndKind, Phase, Step};
+use nettleferry_tenancy::{Book, Entry, Revision, Spec, State, Tenant};
+use slab::Slab;
+
+/// Why a call is turned away, for a front.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Turned {
+    /// It has no right to call: no retry will do. Else it is over a limit.
+    pub denied: bool,
+    /// For people.
+    pub message: String,
+    /// Stay away so long, where it is known.
+    pub wait: Option<Micros>,
+}
+
+struct Place {
+    name: Arc<str>,
+    uid: Revision,
+    spec: Spec,
+    ends: BTreeMap<&'static str, u64>,
+}
+
+/// A call of a tenant.
+struct InHand {
+    place: usize,
+    class: usize,
+    model: u64,
+}
+
+/// All of them.
+pub struct Tenants {
+    /// Numbers of the settings' own tenants come first.
+    base: usize,
+    classes: HashMap<String, usize>,
+    class_names: Vec<String>,
+    anonymous: bool,
+    terms: Terms,
+    places: Slab<Place>,
+    names: HashMap<Arc<str>, usize>,
+    admission: Admission,
+    calls: HashMap<u64, InHand>,
+    /// The revision that is in force.
+    revision: Revision,
+    /// Calls turned away, by reason in the order of `WHY`.
+    turned: [u64; nettleferry_admission::admission::WHY.len()],
+}
+
+/// Words for the ends of calls, as the figures have them.
+fn end_word(how: EndKind) -> &'static str {
+    match how {
+        EndKind::Served => "served",
+        EndKind::Rejected => "rejected",
+        EndKind::Refused => "refused",
+        EndKind::Failed => "failed",
+        EndKind::Gone => "cancelled",
+    }
+}
+
+impl Tenants {
+    /// No tenants yet. `controllers`: among how many a limit is divided.
+    pub fn new(base: usize, classes: &[String], anonymous: bool, places: u32, controllers: u32) -> Self {
+        Self {
+            base,
+            classes: classes.iter().cloned().enumerate().map(|(n, name)| (name, n)).collect(),
+            class_names: classes.to_vec(),
+            anonymous,
+            // Controllers that share nothing: each has its equal part for good.
+            terms: Terms { controllers: controllers.max(1), reserve: 1.0, lease: 0 },
+            places: Slab::new(),
+            names: HashMap::new(),
+            admission: Admission::new(places),
+            calls: HashMap::new(),
+            revision: 0,
+            turned: Default::default(),
+        }
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Begins with a book.
+    pub fn begin(&mut self, book: &Book) {
+        for tenant in book.tenants() {
+            self.put(tenant);
+        }
+        self.revision = book.revision();
+    }
+
+    /// Puts a change in force. `Some`: this tenant is gone, and its calls are to be ended before
+    /// [`Tenants::forget`].
+    pub fn apply(&mut self, entry: &Entry) -> Option<TenantId> {
+        self.revision = entry.revision;
+        match &entry.after {
+            Some(tenant) => {
+                self.put(tenant);
+                None
+            }
+            None => self.names.remove(entry.tenant.as_str()).map(|place| TenantId(self.base + place)),
+        }
+    }
+
+    /// A tenant whose calls have ended is forgotten: its place may be another's.
+    pub fn forget(&mut self, tenant: TenantId) {
+        let Some(place) = tenant.0.checked_sub(self.base).filter(|p| self.places.contains(*p)) else {
+            return;
+        };
+        self.admission.remove(place);
+        self.places.remove(place);
+    }
+
+    fn put(&mut self, tenant: &Tenant) {
+        let known = self.names.get(tenant.name.as_str()).copied();
+        let place = known.unwrap_or_else(|| {
+            let name: Arc<str> = tenant.name.as_str().into();
+            let (uid, spec, ends) = (tenant.uid, Spec::default(), BTreeMap::new());
+            let place = self.places.insert(Place { name: Arc::clone(&name), uid, spec, ends });
+            self.names.insert(name, place);
+            place
+        });
+        self.places[place].spec = tenant.spec.clone();
+        self.admission.set(place, self.policy(tenant));
+    }
+
+    /// This controller's part of the limits.
+    fn policy(&self, tenant: &Tenant) -> Policy {
+        let limits = &tenant.spec.limits;
+        let rate = |per_second: Option<f64>, burst: Option<u32>| {
+            let ours = self.terms.reserve_of(per_second?);
+            let burst = burst.map_or(ours / 10.0, |b| self.terms.reserve_of(f64::from(b)));
+            Some((ours, (burst as u32).max(1)))
+        };
+        // A part of a small limit is one call at the least, or else nobody could call at all: the bound of the
+        // installation is then the number of controllers.
+        let count = |limit: Option<u32>| {
+            limit.map(|n| if n == 0 { 0 } else { (self.terms.reserve_of(f64::from(n)) as u32).max(1) })
+        };
+        let class = |(name, class): (&String, &nettleferry_tenancy::ClassLimits)| {
+            let rate = rate(class.rate_per_second, class.burst);
+            Some((*self.classes.get(name)?, Limits { rate, open: count(class.open_calls) }))
+        };
+        Policy {
+            active: tenant.state == State::Active,
+            limits: Limits {
+                rate: rate(limits.rate_per_second, limits.burst),
+                open: count(limits.open_calls),
+            },
+            classes: tenant.spec.classes.iter().filter_map(class).collect(),
+            held: count(limits.held_calls),
+            // Memory is the fleet's: each controller sees its own calls' models alone, which may be the same.
+            memory: limits.loaded_memory_bytes,
+            share: limits.fleet_share,
+            weight: tenant.spec.weight.unwrap_or(1.0),
+        }
+    }
+
+    /// May this call be opened? It counts as open from then on, under the front's mark.
+    pub fn ask(
+        &mut self,
+        now: Micros,
+        front: u64,
+        tenant: Option<&str>,
+        class: usize,
+        (model, memory): (&str, Option<u64>),
+    ) -> Result<Option<TenantId>, Turned> {
+        let denied = |message: String| Turned { denied: true, message, wait: None };
+        let Some(name) = tenant else {
+            if self.anonymous {
+                return Ok(None);
+            }
+            self.turned[0] += 1;
+            return Err(denied("this call names no tenant: send the metadata nettleferry-tenant".to_owned()));
+        };
+        let Some(place) = self.names.get(name).copied() else {
+            self.turned[0] += 1;
+            return Err(denied(format!("there is no tenant {name}")));
+        };
+        if !self.places[place].spec.may_call(model) {
+            self.turned[1] += 1;
+            return Err(denied(format!("tenant {name} has no right to call {model}")));
+        }
+        let mut hasher = DefaultHasher::new();
+        model.hash(&mut hasher);
+        let asked = Asked { tenant: place, class, model: hasher.finish(), memory: memory.unwrap_or(0) };
+        match self.admission.ask(now, asked) {
+            Verdict::Admit => {
+                self.calls.insert(front, InHand { place, class, model: asked.model });
+                Ok(Some(TenantId(self.base + place)))
+            }
+            Verdict::Refuse(why, wait) => {
+                self.turned[why as usize] += 1;
+                Err(Turned { denied: why == Why::Inactive, message: words(why, name), wait })
+            }
+        }
+    }
+
+    /// Steps of calls, in order.
+    pub fn step(&mut self, now: Micros, phase: Phase) {
+        let Some(call) = self.calls.get(&phase.front) else { return };
+        let place = call.place;
+        match phase.step {
+            Step::Began => self.admission.began(place),
+            Step::Back => self.admission.back(place),
+            Step::Ended(how) => {
+                self.admission.ended(now, place, call.class, call.model);
+                if let Some(place) = self.places.get_mut(place) {
+                    *place.ends.entry(end_word(how)).or_default() += 1;
+                }
+                self.calls.remove(&phase.front);
+            }
+        }
+    }
+
+    /// Calls turned away, by reason in the order of `WHY`.
+    pub fn turned(&self) -> &[u64] {
+        &self.turned
+    }
+
+    /// Every tenant's calls, by which tenant of its name it is.
+    pub fn usage(&self) -> HashMap<Revision, Usage> {
+        let one = |(place, p): (usize, &Place)| {
+            let c = self.admission.counters(place).unwrap_or_default();
+            let open = self.admission.open_by_class(place).filter(|(_, open)| *open > 0);
+            let name = |class: usize| self.class_names.get(class).cloned().unwrap_or_default();
+            let usage = Usage {
+                open_by_class: open.map(|(class, open)| (name(class), open)).collect(),
+                tenant: p.name.to_string(),
+                uid: p.uid,
+                open_calls: c.open,
+                held_calls: c.open - c.running,
+                loaded_memory_bytes: c.memory,
+                admitted: c.admitted,
+                refused: c.refused,
+                ends: p.ends.iter().map(|(end, n)| ((*end).to_owned(), *n)).collect(),
+            };
+            (p.uid, usage)
+        };
+        self.places.iter().map(one).collect()
+    }
+}
+
+fn words(why: Why, name: &str) -> String {
+    match why {
+        Why::Unknown => format!("there is no tenant {name}"),
+        Why::Inactive => format!("tenant {name} is suspended or being removed"),
+        Why::Rate => format!("tenant {name} is over its rate"),
+        Why::ClassRate => format!("tenant {name} is over its rate in this class"),
+        Why::Open => format!("tenant {name} has as many open calls as it may"),
+        Why::ClassOpen => format!("tenant {name} has as many open calls in this class as it may"),
+        Why::Held => format!("tenant {name} has as many calls waiting as it may"),
+        Why::Memory => format!("tenant {name} uses as much memory of models as it may"),
+        Why::Share => format!("tenant {name} has its part of the fleet, and others wait"),
+        Why::Fair => format!("many calls wait, and tenant {name} has its part of the places"),
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/admin.rs
@@ -0,0 +1,442 @@
+//! Tenants on whole paths: the administration over HTTP while calls flow.
+
+mod common;
+use common::*;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+
+use nettleferry_net::grpc::Code;
+use nettleferry_standin::{Fault, Seen};
+use serde_json::{Value, json};
+
+/// A key of each role, made by the program.
+fn key(name: &str, role: &str) -> (String, String) {
+    let out = Command::new(PROGRAM).args(["admin", "key", name, role]).output().expect("it runs");
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    let line = |start: &str| text.lines().find_map(|l| l.strip_prefix(start)).expect("told").to_owned();
+    (line("token: "), line("settings: "))
+}
+
+/// The administration as a client sees it.
+#[derive(Clone)]
+struct Http {
+    api: SocketAddr,
+    token: String,
+}
+
+struct Desk {
+    program: Program,
+    http: Http,
+}
+
+impl std::ops::Deref for Desk {
+    type Target = Http;
+
+    fn deref(&self) -> &Http {
+        &self.http
+    }
+}
+
+fn desk(fleet: &Fleet) -> Desk {
+    let dir = tempfile::tempdir().expect("a folder");
+    std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+    let (token, line) = key("ada", "admin");
+    start(dir, token, &line)
+}
+
+fn start(dir: tempfile::TempDir, token: String, key: &str) -> Desk {
+    std::fs::write(dir.path().join("key"), key).expect("written");
+    let settings = format!("{SETTINGS}(admin (listen \"127.0.0.1:0\") (store \"tenants.redb\") {key})");
+    let program = serve_in(dir, &settings, None);
+    let api = program.line("listening admin ");
+    Desk { program, http: Http { api, token } }
+}
+
+impl Http {
+    fn raw(&self, request: &str) -> (u16, String, String) {
+        let mut socket = TcpStream::connect(self.api).expect("connects");
+        socket.set_read_timeout(Some(PATIENCE)).expect("set");
+        socket.write_all(request.as_bytes()).expect("sent");
+        let mut text = String::new();
+        let _ = socket.read_to_string(&mut text);
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        (status, head.to_owned(), body.to_owned())
+    }
+
+    fn ask(&self, method: &str, target: &str, headers: &str, body: &str) -> (u16, Value) {
+        let kind = if method == "PATCH" { "application/merge-patch+json" } else { "application/json" };
+        let request = format!(
+            "{method} {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer {}\r\nContent-Type: {kind}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            self.token,
+            body.len()
+        );
+        let (status, _, body) = self.raw(&request);
+        (status, serde_json::from_str(&body).unwrap_or(Value::Null))
+    }
+
+    fn get(&self, target: &str) -> Value {
+        self.ask("GET", target, "", "").1
+    }
+
+    #[track_caller]
+    fn create(&self, tenant: Value) {
+        let (status, told) = self.ask("POST", "/v1/tenants", "", &tenant.to_string());
+        assert_eq!(status, 201, "{told}");
+        self.in_force();
+    }
+
+    #[track_caller]
+    fn change(&self, method: &str, target: &str, body: &str) -> Value {
+        let (status, told) = self.ask(method, target, "If-Match: *\r\n", body);
+        assert!((200..300).contains(&status), "{told}");
+        self.in_force();
+        told
+    }
+
+    /// Waits until the controller runs the last revision.
+    #[track_caller]
+    fn in_force(&self) {
+        eventually("the change is in force", || {
+            let told = self.get("/v1/controllers");
+            told["controllers"][0]["revision"] == told["revision"]
+        });
+    }
+}
+
+fn call(caller: &mut Caller, tenant: Option<&str>, model: &str) -> u64 {
+    let headers = tenant.map(|t| ("nettleferry-tenant".to_owned(), t.to_owned())).into_iter().collect();
+    let ask = nettleferry_day::client::Ask { headers, ..ask("ModelInfer", &echo(model, "u", 64)) };
+    caller.ask(ask)
+}
+
+fn code(caller: &mut Caller, tenant: Option<&str>, model: &str) -> (Code, String) {
+    let rpc = call(caller, tenant, model);
+    let (status, trailers) = caller.status(rpc);
+    let pushback =
+        trailers.get("grpc-retry-pushback-ms").and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+    (status.code, pushback)
+}
+
+#[test]
+fn a_tenant_s_rights_limits_and_states_hold_from_the_next_call_on() {
+    let fleet = Fleet::new(2, SPEC);
+    let desk = desk(&fleet);
+    let mut caller = Caller::new(desk.program.address);
+    assert_eq!(code(&mut caller, None, "echo").0, Code::PermissionDenied, "a call names its tenant");
+    assert_eq!(code(&mut caller, Some("kalahari"), "echo").0, Code::PermissionDenied);
+    desk.create(
+        json!({"name": "kalahari", "models": ["echo*"], "limits": {"rate_per_second": 0.01, "burst": 2}}),
+    );
+    assert_eq!(code(&mut caller, Some("kalahari"), "climb").0, Code::PermissionDenied, "no right to it");
+    assert_eq!(code(&mut caller, Some("kalahari"), "echo").0, Code::Ok);
+    assert_eq!(code(&mut caller, Some("kalahari"), "echo").0, Code::Ok);
+    let (over, pushback) = code(&mut caller, Some("kalahari"), "echo");
+    assert_eq!(over, Code::ResourceExhausted);
+    assert!(pushback.parse::<u64>().is_ok_and(|ms| ms > 50_000), "the wait that is needed: {pushback} ms");
+    desk.change("PATCH", "/v1/tenants/kalahari", r#"{"limits":{"rate_per_second":null,"burst":null}}"#);
+    assert_eq!(code(&mut caller, Some("kalahari"), "echo").0, Code::Ok);
+    desk.change("POST", "/v1/tenants/kalahari/suspend", "");
+    assert_eq!(code(&mut caller, Some("kalahari"), "echo").0, Code::PermissionDenied);
+    desk.change("POST", "/v1/tenants/kalahari/resume", "");
+    assert_eq!(code(&mut caller, Some("kalahari"), "echo").0, Code::Ok);
+    desk.change("PATCH", "/v1/tenants/kalahari", r#"{"limits":{"open_calls":0}}"#);
+    assert_eq!(code(&mut caller, Some("kalahari"), "echo").0, Code::ResourceExhausted, "set to nought");
+    let usage = || desk.get("/v1/tenants/kalahari/usage");
+    // Shown a moment later; what is counted never goes back.
+    eventually("the usage is the truth", || {
+        let told = usage();
+        told["ends"] == json!({"served": 4}) && told["open_calls"] == 0 && told["refused"] == 3
+    });
+    assert_eq!(usage()["admitted"], 4);
+}
+
+#[test]
+fn a_tenant_is_removed_while_its_calls_are_held_in_flight_and_mid_stream() {
+    let mut fleet = Fleet::new(
+        1,
+        "(listen \"127.0.0.1:0\") (cores 8) (queue 100) (model \"\" (lanes 64) (load-time 1ms) (work 600ms))",
+    );
+    let desk = desk(&fleet);
+    desk.create(json!({"name": "a"}));
+    desk.create(json!({"name": "b"}));
+    let mut caller = Caller::new(desk.program.address);
+    assert_eq!(code(&mut caller, Some("b"), "echo").0, Code::Ok);
+    // In flight: it hangs. Held: its model's load never ends, so that the second of it has no worker.
+    fleet.handles[0].tell(Fault::Hang(Some("echo-".to_owned())));
+    let headers = || vec![("nettleferry-tenant".to_owned(), "a".to_owned())];
+    let stream = caller.ask(nettleferry_day::client::Ask {
+        headers: headers(),
+        ..ask("ModelStreamInfer", &climb("climb", "s", 50))
+    });
+    caller.message(stream);
+    let flight = call(&mut caller, Some("a"), "echo-x");
+    let held: Vec<u64> = (0..4).map(|_| call(&mut caller, Some("a"), "echo-x")).collect();
+    let bystander = call(&mut caller, Some("b"), "echo");
+    caller.until("it is out", || fleet.any(|s| matches!(s, Seen::Call { model, .. } if model == "echo-x")));
+    eventually("all are open", || desk.get("/v1/tenants/a/usage")["open_calls"] == 6);
+    desk.change("DELETE", "/v1/tenants/a?grace_ms=400", "");
+    assert_eq!(code(&mut caller, Some("a"), "echo").0, Code::PermissionDenied, "refused promptly");
+    let mut refused = 0;
+    for rpc in held {
+        match caller.status(rpc).0.code {
+            Code::PermissionDenied => refused += 1,
+            other => assert_eq!(other, Code::Aborted),
+        }
+    }
+    assert!(refused > 0, "what no worker had is refused");
+    assert_eq!(caller.status(flight).0.code, Code::Aborted, "it may have run");
+    let (status, _) = caller.end(stream);
+    assert!(status.is_ok(), "a stream ends in order");
+    assert_eq!(caller.status(bystander).0.code, Code::Ok, "nobody else is hurt");
+    eventually("it is gone", || desk.ask("GET", "/v1/tenants/a", "", "").0 == 404);
+    // The next of the same name, in the same place, begins at nought.
+    fleet.handles[0].tell(Fault::Hang(None));
+    desk.create(json!({"name": "a"}));
+    let usage = desk.get("/v1/tenants/a/usage");
+    assert_eq!((usage["admitted"].clone(), usage["ends"].clone()), (json!(0), json!({})));
+    assert_eq!(code(&mut caller, Some("a"), "echo").0, Code::Ok);
+    let audit = desk.get("/v1/audit?tenant=a");
+    let actions: Vec<&str> =
+        audit["entries"].as_array().expect("rows").iter().filter_map(|e| e["action"].as_str()).collect();
+    assert_eq!(actions, ["create", "remove", "gone", "create"]);
+}
+
+#[test]
+fn two_administrators_change_the_same_tenant_a_hundred_times_and_one_truth_is_left() {
+    let fleet = Fleet::new(1, SPEC);
+    let desk = desk(&fleet);
+    desk.create(json!({"name": "a"}));
+    let http = &desk.http;
+    let work = |number: u64| {
+        let desk = http;
+        let mut accepted = 0;
+        for n in 0..100u64 {
+            let now = desk.get("/v1/tenants/a")["revision"].as_u64().expect("a revision");
+            let body = json!({"note": format!("{number}-{n}")}).to_string();
+            let (status, told) =
+                desk.ask("PATCH", "/v1/tenants/a", &format!("If-Match: \"{now}\"\r\n"), &body);
+            match status {
+                200 => {
+                    assert_eq!(told["revision"], now + 1);
+                    accepted += 1;
+                }
+                412 => {}
+                other => panic!("{other}: {told}"),
+            }
+        }
+        accepted
+    };
+    let accepted: u64 = std::thread::scope(|scope| {
+        let both = [scope.spawn(|| work(1)), scope.spawn(|| work(2))];
+        both.into_iter().map(|t| t.join().expect("as expected")).sum()
+    });
+    let audit = desk.get("/v1/audit?limit=1000");
+    let entries = audit["entries"].as_array().expect("rows");
+    assert_eq!(entries.len() as u64, 1 + accepted, "the trail has exactly these");
+    assert!(accepted >= 100, "one of two succeeds");
+    for pair in entries.windows(2) {
+        assert_eq!(pair[1]["before"], pair[0]["after"], "each follows on the one before");
+    }
+    assert_eq!(entries.last().expect("some")["after"], desk.get("/v1/tenants/a"));
+}
+
+#[test]
+fn an_acknowledged_change_survives_a_kill_and_a_damaged_store_serves_the_last_good_snapshot() {
+    let fleet = Fleet::new(1, SPEC);
+    let desk = desk(&fleet);
+    desk.create(json!({"name": "a"}));
+    desk.create(json!({"name": "b", "note": "kept"}));
+    desk.program.signal("KILL");
+    let (token, dir) = (desk.token.clone(), tempfile::tempdir().expect("a folder"));
+    for name in ["tenants.redb", "workers.sexp", "key"] {
+        std::fs::copy(desk.program.dir.path().join(name), dir.path().join(name)).expect("copied");
+    }
+    drop(desk);
+    let line = std::fs::read_to_string(dir.path().join("key")).expect("text");
+    let mut desk = start(dir, token.clone(), &line);
+    assert_eq!(desk.get("/v1/tenants/b")["note"], "kept");
+    desk.change("POST", "/v1/tenants/b/suspend", "");
+    // An ordered end writes the snapshot at the latest.
+    desk.program.signal("TERM");
+    assert!(desk.program.wait().success());
+    let dir = tempfile::tempdir().expect("a folder");
+    for name in ["workers.sexp", "tenants.snapshot"] {
+        std::fs::copy(desk.program.dir.path().join(name), dir.path().join(name)).expect("copied");
+    }
+    std::fs::write(dir.path().join("tenants.redb"), vec![7; 20_000]).expect("written");
+    drop(desk);
+    let desk = start(dir, token, &line);
+    assert_eq!(desk.get("/v1/tenants/b")["state"], "suspended");
+    let (status, told) = desk.ask("POST", "/v1/tenants/b/resume", "If-Match: *\r\n", "");
+    assert!(
+        status == 503 && told["detail"].as_str().is_some_and(|d| d.contains("nothing can be changed")),
+        "{told}"
+    );
+    let mut caller = Caller::new(desk.program.address);
+    assert_eq!(code(&mut caller, Some("a"), "echo").0, Code::Ok, "calls flow");
+    assert_eq!(code(&mut caller, Some("b"), "echo").0, Code::PermissionDenied);
+}
+
+#[test]
+fn bad_requests_get_a_problem_and_hurt_nobody() {
+    let fleet = Fleet::new(1, SPEC);
+    let desk = desk(&fleet);
+    desk.create(json!({"name": "a"}));
+    let mut caller = Caller::new(desk.program.address);
+    // Slow heads and bodies without end, left open.
+    let mut slow: Vec<TcpStream> = Vec::new();
+    for part in ["POST /v1/tenants HT", "POST /v1/tenants HTTP/1.1\r\nContent-Length: 900000\r\n\r\n{\"a\":"]
+    {
+        let mut socket = TcpStream::connect(desk.api).expect("connects");
+        socket.write_all(part.as_bytes()).expect("sent");
+        slow.push(socket);
+    }
+    let auth = format!("Authorization: Bearer {}\r\nConnection: close\r\n", desk.token);
+    for (request, status, words) in [
+        ("GET /v1/tenants HTTP/1.1\r\nConnection: close\r\n\r\n".to_owned(), 401, "NAME.SECRET"),
+        (
+            "GET /v1/tenants HTTP/1.1\r\nConnection: close\r\nAuthorization: Bearer ada.wrong\r\n\r\n"
+                .to_owned(),
+            401,
+            "no such key",
+        ),
+        (format!("POST /v1/tenants HTTP/1.1\r\n{auth}Content-Length: 99999999\r\n\r\n"), 413, "at most"),
+        (
+            format!("POST /v1/tenants HTTP/1.1\r\n{auth}Transfer-Encoding: chunked\r\n\r\n"),
+            411,
+            "Content-Length",
+        ),
+        (format!("GET /v1/tenants HTTP/1.1\r\n{auth}X: {}\r\n\r\n", "y".repeat(20_000)), 431, "at most"),
+        (
+            format!(
+                "POST /v1/tenants HTTP/1.1\r\n{auth}Content-Type: application/json\r\nContent-Length: 3\r\n\r\n{{a}}"
+            ),
+            400,
+            "the body",
+        ),
+        (
+            format!(
+                "POST /v1/tenants HTTP/1.1\r\n{auth}Content-Type: application/json\r\nContent-Length: 20\r\n\r\n{{\"name\":\"x\",\"nme\":1}}"
+            ),
+            422,
+            "nme",
+        ),
+    ] {
+        let (got, head, body) = desk.raw(&request);
+        assert_eq!(got, status, "{head}\n{body}");
+        assert!(body.contains(words), "{words} in {body}");
+    }
+    // Two requests at once are answered in order.
+    let plain = format!("Authorization: Bearer {}\r\n", desk.token);
+    let (_, _, both) = desk.raw(&format!(
+        "GET /v1/tenants/a HTTP/1.1\r\n{plain}\r\nGET /v1/tenants/none HTTP/1.1\r\n{auth}\r\n"
+    ));
+    assert!(both.contains("HTTP/1.1 404") && both.contains("\"name\":\"a\""), "{both}");
+    for _ in 0..20 {
+        assert_eq!(code(&mut caller, Some("a"), "echo").0, Code::Ok);
+    }
+    drop(slow);
+}
+
+#[test]
+fn a_worker_drained_by_hand_gets_nothing_new_until_the_list_decides_again() {
+    let mut fleet = Fleet::new(2, SPEC);
+    let desk = desk(&fleet);
+    desk.create(json!({"name": "a"}));
+    let mut caller = Caller::new(desk.program.address);
+    eventually("workers are known", || {
+        desk.get("/v1/workers")["workers"].as_array().map(Vec::len) == Some(2)
+    });
+    desk.change("POST", "/v1/workers/w1/drain", "");
+    let told = desk.get("/v1/workers");
+    assert_eq!(
+        (told["workers"][0]["drained"].clone(), told["workers"][0]["listed"].clone()),
+        (json!(true), json!("on"))
+    );
+    for n in 0..20 {
+        assert_eq!(code(&mut caller, Some("a"), &format!("echo-{n}")).0, Code::Ok);
+    }
+    let at = |fleet: &mut Fleet, name: &str| {
+        fleet.look().iter().filter(|r| r.worker == name && matches!(r.seen, Seen::Call { .. })).count()
+    };
+    assert_eq!((at(&mut fleet, "w1"), at(&mut fleet, "w2")), (0, 20));
+    desk.change("POST", "/v1/workers/w1/undrain", "");
+    eventually("it is used again", || {
+        let n = fleet.look().len();
+        code(&mut caller, Some("a"), &format!("echo-{n}"));
+        at(&mut fleet, "w1") > 0
+    });
+    assert_eq!(desk.ask("POST", "/v1/workers/w9/drain", "", "").0, 404);
+}
+
+#[test]
+fn a_watch_is_answered_when_something_changes() {
+    let fleet = Fleet::new(1, SPEC);
+    let desk = desk(&fleet);
+    desk.create(json!({"name": "a"}));
+    let http = &desk.http;
+    std::thread::scope(|scope| {
+        let waiting = scope.spawn(|| http.get("/v1/watch?after=1&wait_ms=20000"));
+        desk.create(json!({"name": "b"}));
+        let told = waiting.join().expect("answered");
+        assert_eq!(told["entries"][0]["tenant"], "b", "{told}");
+    });
+}
+
+#[test]
+fn the_command_line_administers_with_tables_json_conditions_and_dry_runs() {
+    let fleet = Fleet::new(1, SPEC);
+    let desk = desk(&fleet);
+    let run = |arguments: &[&str]| {
+        let mut command = Command::new(PROGRAM);
+        command
+            .args(["admin", "--api", &desk.api.to_string()])
+            .args(arguments)
+            .env("NETTLEFERRY_KEY", &desk.token);
+        let out = command.output().expect("it runs");
+        let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+        (out.status.code().expect("it ended by itself"), text)
+    };
+    let (code, told) = run(&["tenants", "create", "a", r#"{"limits":{"open_calls":5}}"#, "--once", "k"]);
+    assert!(code == 0 && told.contains("open_calls=5"), "{told}");
+    assert_eq!(
+        run(&["tenants", "create", "a", r#"{"limits":{"open_calls":5}}"#, "--once", "k"]).0,
+        0,
+        "once"
+    );
+    let (code, told) = run(&["limits", "a", r#"{"limits":{"open_calls":9}}"#, "--dry-run"]);
+    assert!(
+        code == 0 && told.contains("- limits.open_calls: 5") && told.contains("+ limits.open_calls: 9"),
+        "{told}"
+    );
+    assert_eq!(desk.get("/v1/tenants/a")["limits"]["open_calls"], 5);
+    let (code, told) = run(&["limits", "a", r#"{"weight":2}"#, "--if-revision", "7"]);
+    assert!(code == 1 && told.contains("412") && told.contains("is at revision 1, not 7"), "{told}");
+    let (code, told) = run(&["limits", "a", r#"{"wieght":2}"#]);
+    assert!(code == 1 && told.contains("wieght"), "{told}");
+    assert_eq!(run(&["limits", "a", r#"{"weight":2}"#, "--if-revision", "1"]).0, 0);
+    let (_, told) = run(&["tenants", "list"]);
+    assert!(told.contains("NAME") && told.lines().any(|l| l.starts_with(" a ")), "{told}");
+    let (_, told) = run(&["audit", "--json"]);
+    let rows: Value = serde_json::from_str(&told).expect("json");
+    assert_eq!((rows.as_array().map(Vec::len), rows[1]["action"].clone()), (Some(2), json!("change")));
+    assert!(run(&["workers"]).1.contains("w1") && run(&["usage"]).1.contains("TENANT"));
+    assert_eq!(run(&["tenants", "remove", "a", "--grace-ms", "0"]).0, 0);
+    assert_eq!(run(&["tenants", "show", "none"]).0, 1);
+    // A snapshot of a store that nobody has open, and back.
+    let (store, dir) = (desk.program.dir.path().join("tenants.redb"), tempfile::tempdir().expect("a folder"));
+    let mut desk = desk;
+    desk.program.signal("TERM");
+    assert!(desk.program.wait().success());
+    let path = |p: &std::path::Path| p.display().to_string();
+    let (file, other) = (dir.path().join("s.snapshot"), dir.path().join("b.redb"));
+    let offline = |arguments: &[&str]| {
+        Command::new(PROGRAM).arg("admin").args(arguments).output().expect("it runs").status.code()
+    };
+    assert_eq!(offline(&["snapshot", &path(&store), &path(&file)]), Some(0));
+    assert_eq!(offline(&["restore", &path(&file), &path(&other)]), Some(0));
+    assert_eq!(offline(&["restore", &path(&file), &path(&other)]), Some(3), "not over what is there");
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -64,8 +64,13 @@
 
     /// Where figures can be scraped: its second line.
     pub fn scrape(&self) -> SocketAddr {
-        let line = self.lines.recv_timeout(PATIENCE).expect("a second line");
-        line.strip_prefix("listening scrape ").expect("the second line").parse().expect("an address")
+        self.line("listening scrape ")
+    }
+
+    /// The address of a further line that begins so.
+    pub fn line(&self, start: &str) -> SocketAddr {
+        let line = self.lines.recv_timeout(PATIENCE).expect("a further line");
+        line.strip_prefix(start).expect("its beginning").parse().expect("an address")
     }
 
     pub fn pid(&self) -> u32 {
--- a/crates/net/src/http1.rs
+++ b/crates/net/src/http1.rs
@@ -77,7 +77,16 @@
     }
 }
 
-/// Ends a server from another thread.
+/// What a request gets for now.
+#[derive(Clone, Debug)]
+pub enum Turn {
+    /// Its answer.
+    Reply(Reply),
+    /// Nothing yet: it is asked again when the server is woken, and when so long has passed since it came.
+    Wait(Duration),
+}
+
+/// Ends or wakes a server from another thread.
 #[derive(Clone)]
 pub struct Stop {
     told: Arc<AtomicBool>,
@@ -85,6 +94,11 @@
 }
 
 impl Stop {
+    /// Requests that wait are asked again.
+    pub fn wake(&self) {
+        let _ = self.waker.wake();
+    }
+
     /// Ends it.
     pub fn stop(&self) {
         self.told.store(true, Ordering::Release);
@@ -99,6 +113,8 @@
     sent: usize,
     last: bool,
     until: Instant,
+    /// Its request came then and waits until then.
+    waits: Option<(Instant, Instant)>,
 }
 
 /// A server.
@@ -144,15 +160,29 @@
 
     /// Serves until stopped.
     pub fn run(&mut self, mut answer: impl FnMut(&Request<'_>) -> Reply) -> io::Result<()> {
+        self.run_waiting(|request, _| Turn::Reply(answer(request)), || None)
+    }
+
+    /// Serves until stopped. A request may be told to wait; it is asked again with how long ago it came. `tick` is
+    /// called in every round and says when it wants the next one at the latest.
+    pub fn run_waiting(
+        &mut self,
+        mut answer: impl FnMut(&Request<'_>, Duration) -> Turn,
+        mut tick: impl FnMut() -> Option<Duration>,
+    ) -> io::Result<()> {
         let mut events = Events::with_capacity(128);
         while !self.stop.told.load(Ordering::Acquire) {
+            let wanted = tick();
             let now = Instant::now();
-            let next = self.conns.iter().map(|(_, c)| c.until.saturating_duration_since(now)).min();
+            let ends = self.conns.iter().map(|(_, c)| c.waits.map_or(c.until, |(_, until)| until));
+            let next = ends.map(|at| at.saturating_duration_since(now)).min();
+            let next = [next, wanted].into_iter().flatten().min();
             match self.poll.poll(&mut events, next) {
                 Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
                 _ => {}
             }
             let due: Vec<Token> = events.iter().map(|e| e.token()).collect();
+            let woken = due.contains(&WAKE);
             for token in due {
                 match token {
                     LISTEN => self.accept(),
@@ -161,7 +191,12 @@
                 }
             }
             let now = Instant::now();
-            self.conns.retain(|_, c| c.until > now);
+            let again = |c: &Conn| c.waits.is_some_and(|(_, until)| woken || until <= now);
+            let waiting: Vec<usize> = self.conns.iter().filter(|(_, c)| again(c)).map(|(at, _)| at).collect();
+            for at in waiting {
+                self.work(at, &mut answer);
+            }
+            self.conns.retain(|_, c| c.until > now || c.waits.is_some());
         }
         Ok(())
     }
@@ -175,12 +210,13 @@
             let interest = Interest::READABLE | Interest::WRITABLE;
             if self.poll.registry().register(&mut socket, Token(entry.key()), interest).is_ok() {
                 let until = Instant::now() + self.limits.patience;
-                entry.insert(Conn { socket, came: Vec::new(), out: Vec::new(), sent: 0, last: false, until });
+                let (came, out, sent, last, waits) = Default::default();
+                entry.insert(Conn { socket, came, out, sent, last, until, waits });
             }
         }
     }
 
-    fn work(&mut self, at: usize, answer: &mut impl FnMut(&Request<'_>) -> Reply) {
+    fn work(&mut self, at: usize, answer: &mut impl FnMut(&Request<'_>, Duration) -> Turn) {
         let limits = self.limits;
         let Some(conn) = self.conns.get_mut(at) else { return };
         let most = self.cut_requests.load(Ordering::Relaxed);
@@ -193,6 +229,8 @@
 /// What stands at the beginning of the bytes that came.
 enum Parsed {
     Partial,
+    /// The request waits, so long after it came.
+    Wait(Duration),
     /// One request of so many bytes is answered; keep the connection?
     Done(usize, Reply, bool),
     Bad(Reply),
@@ -204,7 +242,7 @@
         &mut self,
         limits: &Http1Limits,
         most: usize,
-        answer: &mut impl FnMut(&Request<'_>) -> Reply,
+        answer: &mut impl FnMut(&Request<'_>, Duration) -> Turn,
     ) -> io::Result<()> {
         let mut chunk = [0; 16 << 10];
         loop {
@@ -216,7 +254,15 @@
             if self.last {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            match parse(&self.came, limits, answer) {
+            let since = self.waits.map_or_else(Instant::now, |(since, _)| since);
+            let parsed = parse(&self.came, limits, &mut |request| answer(request, since.elapsed()));
+            self.waits = None;
+            match parsed {
+                // No more is read meanwhile; a peer that has left is found when it is answered.
+                Parsed::Wait(span) => {
+                    self.waits = Some((since, since + span));
+                    return Ok(());
+                }
                 Parsed::Done(used, reply, keep) => {
                     self.came.drain(..used);
                     self.last = !keep;
@@ -281,7 +327,7 @@
     }
 }
 
-fn parse(came: &[u8], limits: &Http1Limits, answer: &mut impl FnMut(&Request<'_>) -> Reply) -> Parsed {
+fn parse(came: &[u8], limits: &Http1Limits, answer: &mut dyn FnMut(&Request<'_>) -> Turn) -> Parsed {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let used = match head.parse(came) {
@@ -323,8 +369,10 @@
     let Some(body) = came.get(used..used + length) else { return Parsed::Partial };
     let connection = request.header("connection").unwrap_or("").to_ascii_lowercase();
     let keep = if head.version == Some(1) { connection != "close" } else { connection == "keep-alive" };
-    let reply = answer(&Request { body, ..request });
-    Parsed::Done(used + length, reply, keep)
+    match answer(&Request { body, ..request }) {
+        Turn::Reply(reply) => Parsed::Done(used + length, reply, keep),
+        Turn::Wait(span) => Parsed::Wait(span),
+    }
 }
 
 #[cfg(test)]
--- a/crates/net/src/post.rs
+++ b/crates/net/src/post.rs
@@ -9,13 +9,15 @@
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token, Waker};
 
-/// The head of an answer; its body is read and let go.
+/// An answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
     /// The status.
     pub status: u16,
     /// Headers, names in lower case.
     pub headers: Vec<(String, String)>,
+    /// The body, where it came whole.
+    pub body: Vec<u8>,
 }
 
 impl Answer {
@@ -42,7 +44,7 @@
 /// Bytes of an answer's head at the most.
 const MOST_HEAD: usize = 16 << 10;
 /// Bytes of an answer's body that are read at the most; a longer one ends the connection.
-const MOST_BODY: usize = 64 << 10;
+const MOST_BODY: usize = 4 << 20;
 const WAKE: Token = Token(usize::MAX);
 
 struct Lane {
@@ -77,11 +79,16 @@
         Arc::clone(&self.waker)
     }
 
-    /// Begins a request on a lane that has none out.
+    /// Begins a POST on a lane that has none out.
     pub fn post(&mut self, lane: usize, path: &str, headers: &[(&str, &str)], body: &[u8]) {
+        self.send(lane, "POST", path, headers, body);
+    }
+
+    /// Begins a request on a lane that has none out.
+    pub fn send(&mut self, lane: usize, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) {
         let Some(l) = self.lanes.get_mut(lane) else { return };
         let mut head =
-            format!("POST {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", self.to, body.len());
+            format!("{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", self.to, body.len());
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -200,7 +207,7 @@
     };
     let text = |v: &[u8]| String::from_utf8_lossy(v).into_owned();
     let headers = head.headers.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect();
-    let answer = Answer { status: head.code.unwrap_or(0), headers };
+    let mut answer = Answer { status: head.code.unwrap_or(0), headers, body: Vec::new() };
     let length = answer.header("content-length").and_then(|v| v.trim().parse::<usize>().ok());
     let empty = matches!(answer.status, 204 | 304);
     match if empty { Some(0) } else { length } {
@@ -208,6 +215,7 @@
             if came.len() < used + length {
                 return Ok(None);
             }
+            answer.body = came[used..used + length].to_vec();
             let keep = answer.header("connection").is_none_or(|c| !c.eq_ignore_ascii_case("close"));
             Ok(Some((answer, keep)))
         }
--- a/crates/tenant-store/tests/crash.rs
+++ b/crates/tenant-store/tests/crash.rs
@@ -244,7 +244,7 @@
     format(1);
     let (store, book) = Store::open(&path).expect("migrated");
     assert_eq!(book.get("a"), entry.after.as_ref());
-    assert_eq!(store.audit(0, 9, Some("a")).expect("readable"), [entry.clone()]);
+    assert_eq!(store.audit(0, 9, Some("a")).expect("readable"), std::slice::from_ref(&entry));
     drop(store);
     assert_eq!(Store::open(&path).expect("once").1, book);
     format(99);
--- a/examples/nettleferry.sexp
+++ b/examples/nettleferry.sexp
@@ -126,5 +126,12 @@
     (batch 2000)                    ; samples of one (default 2000)
     (batch-age 5s)                  ; a sample waits so long for its batch to fill (default 5s)
     (timeout 10s)                   ; an answer that takes longer has not come (default 10s)
-    (ask-again 5m)                  ; a receiver of 1.0 alone is asked for 2.0 again, then ever more seldom (default 5m)
+    (ask-again 5min)                ; a receiver of 1.0 alone is asked for 2.0 again, then ever more seldom (default 5min)
     (farewell 2s)))                 ; an ordered end tries so long to deliver the last samples (default 2s)
+
+(admin                              ; tenants managed while calls flow: docs/tenants.md (default: none, nothing listens)
+  (listen "127.0.0.1:8002")
+  (store "tenants.redb")            ; its last good snapshot is beside it
+  (key ada admin "$argon2id$v=19$m=19456,t=2,p=1$c29tZXNhbHRzb21lc2FsdA$Q0JNMFQxYjJlM2Q0YzViNmE3ODk5MDAxMTIyMzM0NDU")
+  (anonymous yes)                   ; calls that name no tenant are taken, without limits of admission (default no)
+  (places 256))                     ; calls that wait before tenants share the places by weight (default 256)
