Controllers that follow an administration; a receiver that refuses all bars no series

Stores have a name of their own, so that a restored one is another. gateway::admin::follow polls on a thread of its own and keeps the book for a start alone. The queue leaves a series out only where others of its batch were taken.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -150,6 +150,8 @@
 pub struct Api<K> {
     book: Book,
     keep: K,
+    /// The store's own name.
+    store: String,
     /// Why nothing may be changed: the store is damaged.
     read_only: Option<String>,
 }
@@ -211,9 +213,9 @@
 }
 
 impl<K: Keep> Api<K> {
-    /// An API over what a store held at its start.
-    pub fn new(book: Book, keep: K, read_only: Option<String>) -> Self {
-        Self { book, keep, read_only }
+    /// An API over what a store of this name held at its start.
+    pub fn new(book: Book, keep: K, store: String, read_only: Option<String>) -> Self {
+        Self { book, keep, store, read_only }
     }
 
     /// The book as it stands.
@@ -334,7 +336,9 @@
                 let revision = self.book.revision();
                 return told(200, &json!({ "controllers": live.controllers(), "revision": revision }));
             }
-            Operation::ReadSnapshot => return told(200, &self.book),
+            Operation::ReadSnapshot => {
+                return told(200, &json!({ "store": self.store, "book": self.book }));
+            }
             Operation::ReadDocument => return told(200, &openapi::document()),
             Operation::Watch => return Err(internal("a watch is answered elsewhere".to_owned())),
             Operation::CreateTenant => {
@@ -428,6 +432,9 @@
             let number = query.number("controller", 0, u64::from(u32::MAX), 0)?;
             live.follows(u32::try_from(number).unwrap_or(u32::MAX), after);
         }
+        if query.text("store").is_some_and(|store| store != self.store) {
+            return Err(Problem::new(410, "another-store", "this is another store: take the snapshot"));
+        }
         if after > self.book.revision() {
             let detail = format!("revision {after} is not there; the last one is {}", self.book.revision());
             return Err(Problem::new(409, "ahead", detail));
--- a/crates/admin/src/openapi.rs
+++ b/crates/admin/src/openapi.rs
@@ -109,7 +109,10 @@
         "WorkerPage": { "type": "object", "required": ["workers"], "properties": { "workers": list("Worker") } },
         "Controller": object(&["controller", "revision", "seen_ms_ago"], controller),
         "ControllerPage": { "type": "object", "required": ["controllers"], "properties": { "controllers": list("Controller"), "revision": whole("the book's") } },
-        "Snapshot": { "type": "object", "required": ["revision", "tenants"], "properties": { "revision": whole("the last"), "tenants": { "type": "object", "additionalProperties": of("Tenant") } } },
+        "Snapshot": { "type": "object", "required": ["store", "book"], "properties": {
+            "store": text("the store's own name: one that was restored has another"),
+            "book": { "type": "object", "required": ["revision", "tenants"], "properties": { "revision": whole("the last"), "tenants": { "type": "object", "additionalProperties": of("Tenant") } } },
+        } },
         "Document": { "type": "object" },
         "Problem": { "type": "object", "required": ["type", "title", "status", "detail"], "properties": {
             "type": text("/problems/ and a word for the kind"), "title": text("for people"), "status": whole("the HTTP status"),
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -110,7 +110,7 @@
     route!("POST" "/v1/workers/{name}/drain" Operator DrainWorker "drainWorker" "Nothing new to it from this controller, whatever the list says", 200 "Worker"),
     route!("POST" "/v1/workers/{name}/undrain" Operator UndrainWorker "undrainWorker" "What the list says of it holds again", 200 "Worker"),
     route!("GET" "/v1/controllers" Viewer ListControllers "listControllers" "Which revision each controller runs", 200 "ControllerPage"),
-    route!("GET" "/v1/watch" Controller Watch "watch" "Changes after a revision; waits for one (long poll)", 200 "AuditPage", query: &[("after", "changes after this revision"), ("limit", "at most so many, 1 to 1000"), ("wait_ms", "wait so long for the first, 0 to 60000"), ("controller", "its number, where a controller asks: it runs the revision it asks after")]),
+    route!("GET" "/v1/watch" Controller Watch "watch" "Changes after a revision; waits for one (long poll)", 200 "AuditPage", query: &[("after", "changes after this revision"), ("limit", "at most so many, 1 to 1000"), ("wait_ms", "wait so long for the first, 0 to 60000"), ("store", "the store that the revision is of; 410 where this is another"), ("controller", "its number, where a controller asks: it runs the revision it asks after")]),
     route!("GET" "/v1/snapshot" Controller ReadSnapshot "readSnapshot" "All tenants with their revision", 200 "Snapshot"),
     route!("GET" "/v1/openapi.json" Viewer ReadDocument "readDocument" "This document", 200 "Document"),
 ];
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -58,18 +58,37 @@
 /// Administration of tenants.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Admin {
-    /// Where the API listens.
-    pub listen: SocketAddr,
-    /// The store's file.
-    pub store: PathBuf,
-    /// Who may ask.
-    pub keys: Vec<AdminKey>,
+    /// Whose tenants they are.
+    pub desk: Desk,
     /// Calls that name no tenant are taken, without limits of admission.
     pub anonymous: bool,
     /// Calls that may wait for a worker before tenants share the places by weight.
     pub places: u32,
 }
 
+/// Whose tenants a controller has.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Desk {
+    /// Its own: it keeps the store and listens.
+    Own {
+        /// Where the API listens.
+        listen: SocketAddr,
+        /// The store's file.
+        store: PathBuf,
+        /// Who may ask.
+        keys: Vec<AdminKey>,
+    },
+    /// Those of another controller's administration.
+    Follow {
+        /// Its address.
+        to: SocketAddr,
+        /// File of the key to ask with, of role controller.
+        key_file: PathBuf,
+        /// File of the book as it was last, for a start without the other.
+        kept: PathBuf,
+    },
+}
+
 /// A key of the administration API.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdminKey {
@@ -525,6 +544,19 @@
 }
 
 fn admin(mut form: Form) -> Option<Admin> {
+    let desk = match form.get::<SocketAddr>("follow") {
+        Some(to) => {
+            let (key_file, kept) = (form.must::<String>("key-file"), form.must::<String>("kept"));
+            key_file.zip(kept).map(|(k, f)| Desk::Follow { to, key_file: k.into(), kept: f.into() })
+        }
+        None => own_desk(&mut form),
+    };
+    let (anonymous, places) = (form.or("anonymous", false), form.or("places", 256u32));
+    form.end();
+    Some(Admin { desk: desk?, anonymous, places })
+}
+
+fn own_desk(form: &mut Form) -> Option<Desk> {
     let (listen, store) = (form.must("listen"), form.must::<String>("store"));
     let mut keys: Vec<AdminKey> = Vec::new();
     for mut key in form.all("key") {
@@ -546,11 +578,11 @@
         key.end();
     }
     if keys.is_empty() {
-        form.fault("no (key NAME ROLE HASH): nothing listens that nobody may ask; nettleferry admin key NAME ROLE makes one");
+        form.fault(
+            "no (key NAME ROLE HASH): nothing listens that nobody may ask; nettleferry admin key NAME ROLE makes one",
+        );
     }
-    let (anonymous, places) = (form.or("anonymous", false), form.or("places", 256u32));
-    form.end();
-    Some(Admin { listen: listen?, store: PathBuf::from(store?), keys, anonymous, places })
+    Some(Desk::Own { listen: listen?, store: store?.into(), keys })
 }
 
 fn push(mut form: Form) -> Option<Push> {
--- a/crates/gateway/src/admin/mod.rs
+++ b/crates/gateway/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The administration's thread: the API on its own listener, the store, and word of changes to the controller.
 //! What is answered is decided by `nettleferry-admin`; here it is wired to the socket, the disk and the clock.
 
+mod follow;
 mod keys;
 
 use std::collections::{BTreeSet, HashMap};
@@ -14,7 +15,7 @@
 
 use nettleferry_admin::api::{Answer, Api, Keep, Live, MOST_BODY, Running, Usage, Worker};
 use nettleferry_admin::{Request, Response};
-use nettleferry_config::settings::Admin;
+use nettleferry_config::settings::{Admin, AdminKey, Desk as Whose};
 use nettleferry_net::http1::{self, Http1, Http1Limits, Reply, Stop, Turn};
 use nettleferry_tenancy::{Book, Entry, Once, Revision, Tenant};
 use nettleferry_tenant_store::{Snapshot, Store};
@@ -29,6 +30,8 @@
 pub enum Told {
     /// A change, in order.
     Changed(Box<Entry>),
+    /// Everything: what is not in it is gone.
+    Began(Book),
     /// Workers drained by hand, all of them.
     Drained(BTreeSet<String>),
 }
@@ -51,22 +54,64 @@
 
 /// The thread; it ends when this is dropped.
 pub struct Desk {
-    /// Where it listens.
-    pub local: SocketAddr,
+    /// Where it listens; `None`: it follows another.
+    pub local: Option<SocketAddr>,
     /// What it begins with.
     pub book: Book,
     told: Receiver<Told>,
     shown: Arc<Mutex<Shown>>,
-    stop: Stop,
+    ender: Ender,
     thread: Option<JoinHandle<()>>,
 }
 
+enum Ender {
+    Own(Stop),
+    Follow(Arc<std::sync::atomic::AtomicBool>, Arc<mio::Waker>),
+}
+
 impl Desk {
+    /// Starts what the settings say.
+    pub fn start(admin: &Admin, number: u32, waker: Arc<mio::Waker>) -> io::Result<Self> {
+        match &admin.desk {
+            Whose::Own { listen, store, keys } => Self::own(*listen, store, keys, number, waker),
+            Whose::Follow { to, key_file, kept } => Self::follow(*to, key_file, kept, number, waker),
+        }
+    }
+
+    fn follow(
+        to: SocketAddr,
+        key_file: &Path,
+        kept: &Path,
+        number: u32,
+        waker: Arc<mio::Waker>,
+    ) -> io::Result<Self> {
+        let (telling, told) = channel();
+        let tell = move |news| {
+            let _ = telling.send(news);
+            let _ = waker.wake();
+        };
+        let mut work = follow::Follow::new(to, key_file, kept, number, tell)?;
+        let book = work.book().clone();
+        let ender = Ender::Follow(work.ended(), work.waker());
+        let thread = std::thread::Builder::new().name("follow".to_owned()).spawn(move || {
+            if let Err(error) = work.run() {
+                warn!(%error, "following the administration has ended: tenants stay as they are");
+            }
+        })?;
+        Ok(Self { local: None, book, told, shown: Arc::default(), ender, thread: Some(thread) })
+    }
+
     /// Opens the store and listens. A damaged store is told and set aside by nobody: the last good snapshot
     /// serves, and nothing can be changed until an operator has restored it.
-    pub fn start(admin: &Admin, number: u32, waker: Arc<mio::Waker>) -> io::Result<Self> {
-        let beside = snapshot_path(&admin.store);
-        let (store, book, read_only) = match Store::open(&admin.store) {
+    fn own(
+        listen: SocketAddr,
+        store: &Path,
+        keys: &[AdminKey],
+        number: u32,
+        waker: Arc<mio::Waker>,
+    ) -> io::Result<Self> {
+        let beside = snapshot_path(store);
+        let (store, book, read_only) = match Store::open(store) {
             Ok((store, book)) => (Some(store), book, None),
             Err(why) => {
                 error!(%why, "the tenant store can't be used: the last good snapshot serves, changes are refused");
@@ -80,15 +125,16 @@
                 (None, book, Some(why.to_string()))
             }
         };
+        let identity = store.as_ref().and_then(|s| s.identity().ok()).unwrap_or_else(|| "damaged".to_owned());
         info!(revision = book.revision(), tenants = book.tenants().len(), "tenants");
         let limits = Http1Limits { body_bytes: MOST_BODY, ..Http1Limits::default() };
-        let mut server = Http1::bind(admin.listen, limits)?;
+        let mut server = Http1::bind(listen, limits)?;
         let (local, stop) = (server.local()?, server.stop());
         let (telling, told) = channel();
         let shown = Arc::new(Mutex::new(Shown::default()));
         let mut work = Work {
-            api: Api::new(book.clone(), Kept(store), read_only),
-            keys: keys::Keys::new(&admin.keys),
+            api: Api::new(book.clone(), Kept(store), identity, read_only),
+            keys: keys::Keys::new(keys),
             around: Around {
                 number,
                 shown: Arc::clone(&shown),
@@ -114,7 +160,7 @@
                 warn!(%error, "the administration has ended");
             }
         })?;
-        Ok(Self { local, book, told, shown, stop, thread: Some(thread) })
+        Ok(Self { local: Some(local), book, told, shown, ender: Ender::Own(stop), thread: Some(thread) })
     }
 
     /// What was told since the last time, in order.
@@ -130,7 +176,13 @@
 
 impl Drop for Desk {
     fn drop(&mut self) {
-        self.stop.stop();
+        match &self.ender {
+            Ender::Own(stop) => stop.stop(),
+            Ender::Follow(ended, waker) => {
+                ended.store(true, std::sync::atomic::Ordering::Release);
+                let _ = waker.wake();
+            }
+        }
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
--- a/crates/gateway/src/commands/serve.rs
+++ b/crates/gateway/src/commands/serve.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use clap::Args;
+use nettleferry_config::settings::Desk;
 use nettleferry_config::{Config, settings};
 
 use super::{CommandError, announce, read};
@@ -37,7 +38,12 @@
         push.spool = beside.join(&push.spool);
     }
     if let Some(admin) = &mut config.admin {
-        admin.store = beside.join(&admin.store);
+        match &mut admin.desk {
+            Desk::Own { store, .. } => *store = beside.join(&*store),
+            Desk::Follow { key_file, kept, .. } => {
+                (*key_file, *kept) = (beside.join(&*key_file), beside.join(&*kept));
+            }
+        }
     }
     Ok(config)
 }
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -38,6 +38,12 @@
         /// Why.
         source: io::Error,
     },
+    /// The administration could not start.
+    #[error("the administration: {source}; is its address taken, or its key file missing?")]
+    Admin {
+        /// Why.
+        source: io::Error,
+    },
     /// The reactor failed.
     #[error("the reactor failed: {0}")]
     Io(#[from] io::Error),
@@ -131,8 +137,8 @@
         }
         let (mut tenants, mut desk) = (None, None);
         if let Some(admin) = &config.admin {
-            let listen = |source| ControllerError::Listen { address: admin.listen, source };
-            let started = Desk::start(admin, config.settings.me, hub.waker()).map_err(listen)?;
+            let failed = |source| ControllerError::Admin { source };
+            let started = Desk::start(admin, config.settings.me, hub.waker()).map_err(failed)?;
             let (base, of) = (config.tenants.len(), config.settings.controllers);
             let mut all = Tenants::new(base, &config.classes, admin.anonymous, admin.places, of);
             all.begin(&started.book);
@@ -179,7 +185,7 @@
 
     /// Where the administration listens.
     pub fn admin(&self) -> Option<SocketAddr> {
-        self.desk.as_ref().map(|desk| desk.local)
+        self.desk.as_ref().and_then(|desk| desk.local)
     }
 
     /// Runs until told to stop.
@@ -238,6 +244,18 @@
         }
     }
 
+    /// Tenants that are gone: each of their calls has its one final answer before a place may be another's.
+    fn evict(&mut self, gone: impl IntoIterator<Item = nettleferry::TenantId>) {
+        for tenant in gone {
+            self.engine.handle(self.clock.now(), Event::Evict { tenant }, &mut self.commands);
+            self.carry_out();
+            self.steps();
+            if let Some(tenants) = &mut self.tenants {
+                tenants.forget(tenant);
+            }
+        }
+    }
+
     /// What the administration has told: changes in order, each whole.
     fn administered(&mut self) {
         let Some(desk) = &self.desk else { return };
@@ -246,15 +264,11 @@
             match told {
                 Told::Changed(entry) => {
                     let gone = self.tenants.as_mut().and_then(|tenants| tenants.apply(&entry));
-                    if let Some(tenant) = gone {
-                        // Each of its calls has its one final answer before its place may be another's.
-                        self.engine.handle(self.clock.now(), Event::Evict { tenant }, &mut self.commands);
-                        self.carry_out();
-                        self.steps();
-                        if let Some(tenants) = &mut self.tenants {
-                            tenants.forget(tenant);
-                        }
-                    }
+                    self.evict(gone);
+                }
+                Told::Began(book) => {
+                    let gone = self.tenants.as_mut().map(|tenants| tenants.begin_anew(&book));
+                    self.evict(gone.into_iter().flatten());
                 }
                 Told::Drained(drained) => {
                     self.drained = drained;
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -112,6 +112,26 @@
         }
     }
 
+    /// Puts a whole book in force. Those that are not in it, or are others of the same name, are gone: see
+    /// [`Tenants::apply`].
+    pub fn begin_anew(&mut self, book: &Book) -> Vec<TenantId> {
+        let stays = |name: &str, uid| book.get(name).is_some_and(|t| t.uid == uid);
+        let gone: Vec<(Arc<str>, usize)> = self
+            .names
+            .iter()
+            .filter(|(name, place)| !stays(name, self.places[**place].uid))
+            .map(|(name, place)| (Arc::clone(name), *place))
+            .collect();
+        for (name, _) in &gone {
+            self.names.remove(name);
+        }
+        self.begin(book);
+        let mut gone: Vec<TenantId> =
+            gone.into_iter().map(|(_, place)| TenantId(self.base + place)).collect();
+        gone.sort_by_key(|id| id.0);
+        gone
+    }
+
     /// A tenant whose calls have ended is forgotten: its place may be another's.
     pub fn forget(&mut self, tenant: TenantId) {
         let Some(place) = tenant.0.checked_sub(self.base).filter(|p| self.places.contains(*p)) else {
--- a/crates/push/src/queue.rs
+++ b/crates/push/src/queue.rs
@@ -4,7 +4,7 @@
 //! time. A batch is sent when it is large or old enough. Answers are of four kinds: taken; refused for good
 //! (dropped, counted, never sent again); bad, which is refused for what is in it: the batch is halved, by series
 //! and then by time, until the culprits stand alone and are dropped, with a bound on how often, and a series
-//! that was refused alone is left out for a while; or not now
+//! that was refused alone while others of its batch were taken is left out for a while; or not now
 //! (the same batch again after a wait that doubles, with jitter, or as long as Retry-After says).
 //!
 //! What is full drops the oldest samples first, of all shards: the newest tell most of now. What is too old
@@ -172,6 +172,9 @@
     parts: VecDeque<Part<V>>,
     /// How often this batch was halved.
     splits: u32,
+    /// Series of it that were refused alone, and whether anything of it was taken: else it is the receiver.
+    culprits: Vec<u64>,
+    took: bool,
     out: bool,
     /// Not before.
     at: Micros,
@@ -201,8 +204,15 @@
 impl<V: Clone + Weigh> Queue<V> {
     /// An empty queue.
     pub fn new(limits: Limits, seed: u64) -> Self {
-        let shard =
-            || Shard { waiting: VecDeque::new(), parts: VecDeque::new(), splits: 0, out: false, at: 0 };
+        let shard = || Shard {
+            waiting: VecDeque::new(),
+            parts: VecDeque::new(),
+            splits: 0,
+            culprits: Vec::new(),
+            took: false,
+            out: false,
+            at: 0,
+        };
         let shards = (0..limits.shards.max(1)).map(|_| shard()).collect();
         Self {
             limits,
@@ -386,7 +396,8 @@
         if shard.parts.is_empty() {
             let samples = shard.waiting.drain(..most.min(shard.waiting.len())).collect();
             self.number += 1;
-            shard.splits = 0;
+            (shard.splits, shard.took) = (0, false);
+            shard.culprits.clear();
             shard.parts.push_back(Part { number: self.number, tries: 0, samples });
         }
         let part = shard.parts.front_mut()?;
@@ -431,9 +442,16 @@
         if answer == Answer::Bad
             && let Some(series) = part.samples.first().map(|k| k.sample.series)
             && part.samples.iter().all(|k| k.sample.series == series)
-            && self.barred.len() < self.limits.barred
         {
-            self.barred.insert(series, now + self.limits.bar);
+            s.culprits.push(series);
+        }
+        s.took |= answer == Answer::Taken;
+        if s.parts.is_empty() && s.took {
+            for series in s.culprits.drain(..) {
+                if self.barred.len() < self.limits.barred {
+                    self.barred.insert(series, now + self.limits.bar);
+                }
+            }
         }
         self.let_go(&part.samples);
         if answer == Answer::Taken {
--- a/crates/push/tests/queue.rs
+++ b/crates/push/tests/queue.rs
@@ -250,6 +250,20 @@
     assert_eq!((queue.kept(), queue.bytes()), (0, 0));
 }
 
+#[test]
+fn a_receiver_that_finds_everything_bad_has_no_series_left_out() {
+    let mut queue = Queue::new(Limits { shards: 1, batch_samples: 4, ..limits() }, 1);
+    for series in 0..4 {
+        queue.offer(0, sample(series, 0));
+    }
+    assert_eq!(with_culprits(&mut queue, S, |_| true), 7, "halved down to each");
+    assert_eq!((queue.counters().refused, queue.left_out()), (4, 0), "it is the receiver, not the series");
+    for series in 0..4 {
+        queue.offer(2 * S, sample(series, 1));
+    }
+    assert_eq!((drain(&mut queue, 4 * S, Answer::Taken).len(), queue.counters().taken), (1, 4));
+}
+
 #[test]
 fn halves_leave_in_the_order_of_each_series_and_before_what_waits() {
     let limits = Limits { shards: 1, batch_samples: 20, ..limits() };
--- a/crates/tenancy/src/lib.rs
+++ b/crates/tenancy/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`model`]: a tenant, its limits and rights, as they are stored and shown. [`check`]: what is sound, each
 //!   fault with the field that holds it.
 //! * [`book`]: all tenants under one revision: a change is taken whole or refused, and names what it changed.
+//! * [`follow`]: a book that follows another one.
 //! * [`once`]: answers to be given again. [`audit`]: who changed what, when, before and after.
 
 #![forbid(unsafe_code)]
@@ -13,6 +14,7 @@
 pub mod audit;
 pub mod book;
 pub mod check;
+pub mod follow;
 pub mod model;
 pub mod once;
 
--- /dev/null
+++ b/crates/tenancy/tests/follow.rs
@@ -0,0 +1,123 @@
+//! Followers that lose answers, come late, or whose peer begins anew.
+
+use nettleferry_tenancy::follow::{Ask, Follower, Heard, News, WAIT_MOST};
+use nettleferry_tenancy::{Book, Change, Condition, Entry};
+use proptest::prelude::*;
+use serde_json::json;
+
+/// A peer with its trail.
+#[derive(Default)]
+struct Peer {
+    store: &'static str,
+    book: Book,
+    trail: Vec<Entry>,
+}
+
+impl Peer {
+    fn change(&mut self, n: u64) {
+        let name = format!("t{}", n % 5);
+        let change = match n % 4 {
+            0 => Change::Create { name, spec: json!({}) },
+            1 => Change::Patch { name, patch: json!({"limits": {"open_calls": n}}) },
+            2 => Change::Suspend { name },
+            _ => Change::Remove { name, grace_ms: 0 },
+        };
+        if let Ok(applied) = self.book.judge(&change, Condition::Any, "p", n)
+            && let Some(entry) = applied.entry
+        {
+            self.book.take(&entry).expect("the next");
+            self.trail.push(entry);
+        }
+        while let Some(entry) = self.book.due(n) {
+            self.book.take(&entry).expect("the next");
+            self.trail.push(entry);
+        }
+    }
+
+    fn answer(&self, ask: Ask, most: usize) -> Heard {
+        match ask {
+            Ask::Snapshot => Heard::Snapshot { store: self.store.to_owned(), book: self.book.clone() },
+            Ask::Watch { store, .. } if store != self.store => Heard::Elsewhere,
+            Ask::Watch { after, .. } if after > self.book.revision() => Heard::Elsewhere,
+            Ask::Watch { after, .. } => {
+                Heard::Entries(self.trail.iter().filter(|e| e.revision > after).take(most).cloned().collect())
+            }
+        }
+    }
+}
+
+/// What is in force, by the news alone.
+fn put(force: &mut Book, news: &mut Vec<News>) {
+    for one in news.drain(..) {
+        match one {
+            News::Changed(entry) => force.take(&entry).expect("in order, none left out"),
+            News::Began(book) => *force = book,
+        }
+    }
+}
+
+#[test]
+fn a_peer_that_began_anew_is_taken_whole_and_waits_grow() {
+    let mut peer = Peer::default();
+    (0..30).for_each(|n| peer.change(n));
+    let mut follower = Follower::new(None, 7);
+    let (mut news, mut force) = (Vec::new(), Book::default());
+    assert_eq!(follower.next(), (Ask::Snapshot, 0));
+    follower.heard(0, peer.answer(Ask::Snapshot, 9), &mut news);
+    put(&mut force, &mut news);
+    assert_eq!(force, peer.book);
+    let mut waits = Vec::new();
+    for _ in 0..12 {
+        follower.heard(1_000, Heard::Failed, &mut news);
+        waits.push(follower.next().1 - 1_000);
+    }
+    assert!(
+        waits[0] <= 100 && waits.iter().all(|w| *w <= WAIT_MOST) && waits[11] >= WAIT_MOST / 2,
+        "{waits:?}"
+    );
+    // Its store was restored to an earlier revision, and changed since: another truth under the same numbers.
+    let mut other = Peer { store: "restored", ..Peer::default() };
+    (0..20).for_each(|n| other.change(n * 3));
+    let (ask, _) = follower.next();
+    follower.heard(2_000, other.answer(ask, 9), &mut news);
+    for _ in 0..3 {
+        let (ask, _) = follower.next();
+        follower.heard(3_000, other.answer(ask, 9), &mut news);
+    }
+    put(&mut force, &mut news);
+    assert_eq!(force, other.book);
+}
+
+proptest! {
+    #[test]
+    fn a_follower_ends_with_its_peer_s_book_whatever_is_lost(
+        steps in prop::collection::vec((0u8..6, 0u64..200, 1usize..4), 1..200), kept in any::<bool>(),
+    ) {
+        let mut peer = Peer::default();
+        peer.change(0);
+        let mut follower = Follower::new(kept.then(|| (String::new(), peer.book.clone())), 3);
+        let mut force = follower.book().clone();
+        let mut news = Vec::new();
+        for (what, n, most) in steps {
+            let (ask, _) = follower.next();
+            match what {
+                0 | 1 => peer.change(n),
+                2 => follower.heard(n, Heard::Failed, &mut news),
+                3 => {
+                    // An answer to an earlier question comes again.
+                    follower.heard(n, peer.answer(Ask::Watch { store: String::new(), after: 0 }, most), &mut news);
+                }
+                _ => follower.heard(n, peer.answer(ask, most), &mut news),
+            }
+            put(&mut force, &mut news);
+            prop_assert_eq!(&force, follower.book());
+            prop_assert!(force.revision() <= peer.book.revision());
+        }
+        for _ in 0..400 {
+            let (ask, _) = follower.next();
+            follower.heard(0, peer.answer(ask, 2), &mut news);
+        }
+        put(&mut force, &mut news);
+        prop_assert_eq!(&force, &peer.book);
+    }
+}
--- a/crates/tenant-store/src/store.rs
+++ b/crates/tenant-store/src/store.rs
@@ -146,10 +146,24 @@
             if found != Some(FORMAT) {
                 meta.insert("format", FORMAT).map_err(storage())?;
             }
+            // Random: a store that was made anew is another, whatever its revisions say.
+            let known = meta.get("store").map_err(storage())?.is_some();
+            if !known {
+                let hasher = std::collections::hash_map::RandomState::new();
+                meta.insert("store", std::hash::BuildHasher::hash_one(&hasher, FORMAT)).map_err(storage())?;
+            }
         }
         write.commit().map_err(database("the tenant store's tables can't be made"))
     }
 
+    /// The store's own name: one that was made or restored anew has another.
+    pub fn identity(&self) -> Result<String, StoreError> {
+        let read = self.database.begin_read().map_err(database("the tenant store can't be read"))?;
+        let meta = read.open_table(META).map_err(database("the tenant store can't be read"))?;
+        let found = meta.get("store").map_err(database("the tenant store can't be read"))?;
+        Ok(format!("{:016x}", found.map_or(0, |v| v.value())))
+    }
+
     fn book(&self) -> Result<Book, StoreError> {
         let read = self.database.begin_read().map_err(database("the tenant store can't be read"))?;
         let fail = || database::<redb::TableError>("the tenant store can't be read");
--- a/examples/nettleferry.sexp
+++ b/examples/nettleferry.sexp
@@ -129,6 +129,8 @@
     (ask-again 5min)                ; a receiver of 1.0 alone is asked for 2.0 again, then ever more seldom (default 5min)
     (farewell 2s)))                 ; an ordered end tries so long to deliver the last samples (default 2s)
 
+; A controller that follows another's administration has (follow "ADDR:PORT") (key-file "FILE") (kept "FILE") instead of
+; listen, store and key.
 (admin                              ; tenants managed while calls flow: docs/tenants.md (default: none, nothing listens)
   (listen "127.0.0.1:8002")
   (store "tenants.redb")            ; its last good snapshot is beside it
