Isolation, verdict cost and time to force measured; usage shown by what changed

Need: figures for admission, and two costs that grew with tenants: a verdict under a full queue looked at every tenant, and what the API shows was built of all tenants five times a second on the controller's thread.

Change: admission keeps the weights of those who wait; usage is brought up to date by the tenants whose calls changed, workers by changes of the list. Benches isolation (simulated, the real admission package) and force. admin's messages in a file of their own: no circle. A whole path for a kill between write and acknowledgement.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+use crate::message::{Answer, Caller, Request, Response};
 use crate::openapi;
 use crate::problem::Problem;
 use crate::routes::{Found, Operation, Role, Route, find};
@@ -25,54 +26,6 @@
 /// Longest idempotency key, bytes.
 pub const MOST_KEY: usize = 128;
 
-/// Who asks, once the key was proven.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Caller {
-    /// The key's name.
-    pub name: String,
-    /// Its role.
-    pub role: Role,
-}
-
-/// A request.
-#[derive(Clone, Debug, Default)]
-pub struct Request<'a> {
-    /// The method.
-    pub method: &'a str,
-    /// Path and query.
-    pub target: &'a str,
-    /// Content-Type, without parameters.
-    pub kind: Option<&'a str>,
-    /// If-Match.
-    pub if_match: Option<&'a str>,
-    /// Idempotency-Key.
-    pub once: Option<&'a str>,
-    /// The body.
-    pub body: &'a [u8],
-}
-
-/// An answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Response {
-    /// The status.
-    pub status: u16,
-    /// Content-Type.
-    pub kind: &'static str,
-    /// Further headers.
-    pub headers: Vec<(&'static str, String)>,
-    /// The body.
-    pub body: String,
-}
-
-/// An answer, or that it is to be asked again.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// This.
-    Now(Response),
-    /// Nothing to tell yet: ask again when the book has changed, and answer after this span all the same.
-    Later(Duration),
-}
-
 /// What is kept of changes; errors are for people.
 pub trait Keep {
     /// Keeps a change; durable when it returns.
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -5,16 +5,18 @@
 //! RFC 7396: merge patch). Must not know: sockets, files, how keys are proven, calls.
 //!
 //! * [`routes`]: what there is, who may ask for it. [`api`]: what it answers. [`problem`]: errors as they are told.
-//! * [`openapi`]: the document of it, made from the same table.
+//! * [`message`]: requests and answers. [`openapi`]: the document of it, made from the same table.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 pub mod api;
+pub mod message;
 pub mod openapi;
 pub mod problem;
 pub mod routes;
 
-pub use api::{Answer, Api, Caller, Keep, Live, Request, Response};
+pub use api::{Api, Keep, Live};
+pub use message::{Answer, Caller, Request, Response};
 pub use problem::Problem;
 pub use routes::Role;
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -3,7 +3,7 @@
 use nettleferry_tenancy::Denied;
 use serde_json::{Value, json};
 
-use crate::api::Response;
+use crate::message::Response;
 
 /// Media type of a problem.
 pub const KIND: &str = "application/problem+json";
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use nettleferry_admin::api::{Answer, Api, Caller, Keep, Live, Request, Response, Running, Usage, Worker};
-use nettleferry_admin::{Role, openapi, routes};
+use nettleferry_admin::api::{Api, Keep, Live, Running, Usage, Worker};
+use nettleferry_admin::{Answer, Caller, Request, Response, Role, openapi, routes};
 use nettleferry_tenancy::{Book, Entry, Once, Revision, Tenant};
 use serde_json::{Value, json};
 
--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -170,6 +170,8 @@
     places: u32,
     held: u32,
     running: u32,
+    /// Weights of the tenants that have calls waiting: so that a verdict does not look at all of them.
+    waiting: BTreeMap<usize, f64>,
     now: Micros,
 }
 
@@ -242,12 +244,28 @@
 impl Admission {
     /// No tenants; so many places for calls that wait.
     pub fn new(places: u32) -> Self {
-        Self { accounts: BTreeMap::new(), places: places.max(1), held: 0, running: 0, now: 0 }
+        Self {
+            accounts: BTreeMap::new(),
+            places: places.max(1),
+            held: 0,
+            running: 0,
+            waiting: BTreeMap::new(),
+            now: 0,
+        }
     }
 
     /// A tenant's policy, from now on. What is open stays open, also beyond a lower limit.
     pub fn set(&mut self, tenant: usize, policy: Policy) {
         self.accounts.entry(tenant).or_default().set(policy);
+        self.weigh(tenant);
+    }
+
+    /// Notes whether a tenant has calls waiting, after any change to that.
+    fn weigh(&mut self, tenant: usize) {
+        match self.accounts.get(&tenant).filter(|a| a.held() > 0) {
+            Some(account) => _ = self.waiting.insert(tenant, account.policy.weight),
+            None => _ = self.waiting.remove(&tenant),
+        }
     }
 
     /// A tenant is gone. Its calls must have ended.
@@ -256,6 +274,7 @@
             self.held -= account.held();
             self.running -= account.counters.running;
         }
+        self.weigh(tenant);
     }
 
     /// A tenant's figures.
@@ -290,6 +309,7 @@
             Ok(()) => {
                 account.take(&asked, now);
                 self.held += 1;
+                self.weigh(asked.tenant);
                 Verdict::Admit
             }
             Err((why, wait)) => {
@@ -308,8 +328,7 @@
         if ours.held() == 0 {
             return true;
         }
-        let waiting = self.accounts.values().filter(|a| a.held() > 0);
-        let all: f64 = waiting.map(|a| a.policy.weight).sum();
+        let all: f64 = self.waiting.values().sum();
         f64::from(ours.held()) + 1.0 <= (f64::from(self.places) * ours.policy.weight / all).max(1.0)
     }
 
@@ -328,6 +347,7 @@
         account.counters.running += 1;
         self.held -= 1;
         self.running += 1;
+        self.weigh(tenant);
     }
 
     /// A call of this tenant came back from a worker without an end: it waits again.
@@ -336,6 +356,7 @@
         account.counters.running -= 1;
         self.held += 1;
         self.running -= 1;
+        self.weigh(tenant);
     }
 
     /// A call has had its end; it waited, or was [`Admission::back`] before.
@@ -354,6 +375,7 @@
                 account.idle.insert((self.now, model));
             }
         }
+        self.weigh(tenant);
     }
 }
 
--- a/crates/gateway/benches/measure.rs
+++ b/crates/gateway/benches/measure.rs
@@ -3,6 +3,8 @@
 
 #[path = "../tests/common/mod.rs"]
 mod common;
+#[path = "isolation.rs"]
+mod isolation;
 #[path = "outage.rs"]
 mod outage;
 use common::*;
@@ -40,6 +42,12 @@
     if wanted("outage") {
         outage::measure();
     }
+    if wanted("isolation") {
+        isolation::measure();
+    }
+    if wanted("force") {
+        force(7);
+    }
     if wanted("idle") {
         idle();
     }
@@ -309,6 +317,67 @@
     );
 }
 
+/// From an accepted change to the moment at which each controller has said that it took it in.
+fn force(followers: u32) {
+    use nettleferry_net::post::Poster;
+    let key = |name: &str, role: &str| {
+        let out = Command::new(PROGRAM).args(["admin", "key", name, role]).output().expect("it runs");
+        let text = String::from_utf8_lossy(&out.stdout).into_owned();
+        let line = |start: &str| text.lines().find_map(|l| l.strip_prefix(start)).expect("told").to_owned();
+        (line("token: "), line("settings: "))
+    };
+    let ((token, line), (fleet_token, fleet_line)) = (key("ada", "admin"), key("fleet", "controller"));
+    let admin = format!("(admin (listen \"127.0.0.1:0\") (store \"tenants.redb\") {line} {fleet_line})");
+    let desk = serve(&format!("{SETTINGS}{admin}"), "");
+    let api = desk.line("listening admin ");
+    let all: Vec<Program> = (1..=followers)
+        .map(|n| {
+            let dir = tempfile::tempdir().expect("a folder");
+            std::fs::write(dir.path().join("workers.sexp"), "").expect("written");
+            std::fs::write(dir.path().join("key"), &fleet_token).expect("written");
+            let admin = format!("(admin (follow \"{api}\") (key-file \"key\") (kept \"kept.json\"))");
+            let number = format!("(controller (number {n}) (of {}))", followers + 1);
+            serve_in(dir, &format!("{SETTINGS}{admin}{number}"), None)
+        })
+        .collect();
+    let mut poster = Poster::new(api, 1, Duration::from_secs(10)).expect("a poll");
+    let bearer = format!("Bearer {token}");
+    let mut ask = |method: &str, target: &str, body: &str| -> serde_json::Value {
+        let headers =
+            [("Authorization", bearer.as_str()), ("Content-Type", "application/json"), ("If-Match", "*")];
+        poster.send(0, method, target, &headers, body.as_bytes());
+        let mut heard = Vec::new();
+        while heard.is_empty() {
+            poster.turn(Some(Duration::from_secs(10)), &mut heard).expect("polls");
+        }
+        serde_json::from_slice(&heard.remove(0).1.expect("an answer").body).expect("json")
+    };
+    ask("POST", "/v1/tenants", r#"{"name":"a"}"#);
+    let mut spans: Vec<f64> = Vec::new();
+    for n in 0..110 {
+        let accepted = ask("PATCH", "/v1/tenants/a", &format!("{{\"note\":\"{n}\"}}"))["revision"].as_u64();
+        let begun = Instant::now();
+        loop {
+            let told = ask("GET", "/v1/controllers", "");
+            let rows = told["controllers"].as_array().expect("rows");
+            if rows.len() == 1 + all.len() && rows.iter().all(|c| c["revision"].as_u64() >= accepted) {
+                break;
+            }
+            assert!(begun.elapsed() < Duration::from_secs(30), "never in force: {told}");
+        }
+        if n >= 10 {
+            spans.push(begun.elapsed().as_secs_f64() * 1e3);
+        }
+    }
+    spans.sort_by(f64::total_cmp);
+    println!(
+        "force: a change at {} controllers, from its answer to the word of all: median {:.1} ms, 99 of 100 within {:.1} ms",
+        all.len() + 1,
+        spans[spans.len() / 2],
+        spans[spans.len() * 99 / 100]
+    );
+}
+
 /// How often a controller wakes without calls: with connections open to it.
 fn idle() {
     let fleet = Fleet::new(2, SPEC);
--- a/crates/gateway/src/admin/mod.rs
+++ b/crates/gateway/src/admin/mod.rs
@@ -13,8 +13,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use nettleferry_admin::api::{Answer, Api, Keep, Live, MOST_BODY, Running, Usage, Worker};
-use nettleferry_admin::{Request, Response};
+use nettleferry_admin::api::{Api, Keep, Live, MOST_BODY, Running, Usage, Worker};
+use nettleferry_admin::{Answer, Request, Response};
 use nettleferry_config::settings::{Admin, AdminKey, Desk as Whose};
 use nettleferry_net::http1::{self, Http1, Http1Limits, Reply, Stop, Turn};
 use nettleferry_tenancy::{Book, Entry, Once, Revision, Tenant};
@@ -168,9 +168,9 @@
         self.told.try_iter()
     }
 
-    /// Shows the controller's state.
-    pub fn show(&self, shown: Shown) {
-        *lock(&self.shown) = shown;
+    /// What is shown of the controller, to be brought up to date.
+    pub fn shown(&self) -> MutexGuard<'_, Shown> {
+        lock(&self.shown)
     }
 }
 
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -15,7 +15,7 @@
 use signal_hook_mio::v1_0::Signals;
 use tracing::{debug, info, warn};
 
-use crate::admin::{Desk, Shown, Told};
+use crate::admin::{Desk, Told};
 use crate::clock::Clock;
 use crate::front::{Around, Front};
 use crate::links::{LinkLimits, Links};
@@ -78,6 +78,8 @@
     /// Workers drained by hand, and the list as it was told last.
     drained: BTreeSet<String>,
     listed: Vec<Worker>,
+    /// It is to be shown anew.
+    list_changed: bool,
     refresh_at: Micros,
     commands: Vec<Command>,
     local: SocketAddr,
@@ -161,6 +163,7 @@
             desk,
             drained: BTreeSet::new(),
             listed: Vec::new(),
+            list_changed: false,
             refresh_at: 0,
             commands: Vec::new(),
             local,
@@ -224,13 +227,17 @@
         }
     }
 
-    fn refresh(&self) {
+    fn refresh(&mut self) {
         let (net, front) = (self.hub.counters(), self.front.counters());
         self.observer.refresh(&self.engine, &net, &front, self.links.no_room);
-        if let (Some(tenants), Some(desk)) = (&self.tenants, &self.desk) {
+        if let (Some(tenants), Some(desk)) = (&mut self.tenants, &self.desk) {
             self.observer.turned(tenants.turned());
-            let workers = self.listed.iter().map(|w| shown(w, &self.drained)).collect();
-            desk.show(Shown { revision: tenants.revision(), usage: tenants.usage(), workers });
+            let mut shown = desk.shown();
+            shown.revision = tenants.revision();
+            tenants.show(&mut shown.usage);
+            if std::mem::take(&mut self.list_changed) {
+                shown.workers = self.listed.iter().map(|w| shown_as(w, &self.drained)).collect();
+            }
         }
     }
 
@@ -387,6 +394,7 @@
         let now = self.clock.now();
         if news.form != nettleferry::ListForm::Failed {
             self.listed.clone_from(&news.workers);
+            self.list_changed = true;
             // Drained by hand: the module is told what it would be told by the list.
             for worker in news.workers.iter_mut().filter(|w| w.state == WorkerState::On) {
                 if self.drained.contains(&worker.name) {
@@ -474,7 +482,7 @@
 }
 
 /// A worker as the administration shows it.
-fn shown(worker: &Worker, drained: &BTreeSet<String>) -> nettleferry_admin::api::Worker {
+fn shown_as(worker: &Worker, drained: &BTreeSet<String>) -> nettleferry_admin::api::Worker {
     let listed = match worker.state {
         WorkerState::On => "on",
         WorkerState::Draining => "draining",
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -1,7 +1,7 @@
 //! Tenants of the administration at this controller: names to places, the admission's verdicts in a front's
 //! words, and changes carried out in order. Decides nothing: limits are judged by `nettleferry-admission`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
@@ -50,6 +50,9 @@
     names: HashMap<Arc<str>, usize>,
     admission: Admission,
     calls: HashMap<u64, InHand>,
+    /// Places whose usage has changed since it was shown, and tenants that are gone since.
+    touched: BTreeSet<usize>,
+    gone: Vec<Revision>,
     /// The revision that is in force.
     revision: Revision,
     /// Calls turned away, by reason in the order of `WHY`.
@@ -81,6 +84,8 @@
             names: HashMap::new(),
             admission: Admission::new(places),
             calls: HashMap::new(),
+            touched: BTreeSet::new(),
+            gone: Vec::new(),
             revision: 0,
             turned: Default::default(),
         }
@@ -138,7 +143,8 @@
             return;
         };
         self.admission.remove(place);
-        self.places.remove(place);
+        self.touched.remove(&place);
+        self.gone.push(self.places.remove(place).uid);
     }
 
     fn put(&mut self, tenant: &Tenant) {
@@ -213,6 +219,7 @@
         }
         let mut hasher = DefaultHasher::new();
         model.hash(&mut hasher);
+        self.touched.insert(place);
         let asked = Asked { tenant: place, class, model: hasher.finish(), memory: memory.unwrap_or(0) };
         match self.admission.ask(now, asked) {
             Verdict::Admit => {
@@ -230,6 +237,7 @@
     pub fn step(&mut self, now: Micros, phase: Phase) {
         let Some(call) = self.calls.get(&phase.front) else { return };
         let place = call.place;
+        self.touched.insert(place);
         match phase.step {
             Step::Began => self.admission.began(place),
             Step::Back => self.admission.back(place),
@@ -248,26 +256,34 @@
         &self.turned
     }
 
-    /// Every tenant's calls, by which tenant of its name it is.
-    pub fn usage(&self) -> HashMap<Revision, Usage> {
-        let one = |(place, p): (usize, &Place)| {
-            let c = self.admission.counters(place).unwrap_or_default();
-            let open = self.admission.open_by_class(place).filter(|(_, open)| *open > 0);
-            let name = |class: usize| self.class_names.get(class).cloned().unwrap_or_default();
-            let usage = Usage {
-                open_by_class: open.map(|(class, open)| (name(class), open)).collect(),
-                tenant: p.name.to_string(),
-                uid: p.uid,
-                open_calls: c.open,
-                held_calls: c.open - c.running,
-                loaded_memory_bytes: c.memory,
-                admitted: c.admitted,
-                refused: c.refused,
-                ends: p.ends.iter().map(|(end, n)| ((*end).to_owned(), *n)).collect(),
-            };
-            (p.uid, usage)
-        };
-        self.places.iter().map(one).collect()
+    /// Brings what is shown up to date: of tenants alone whose calls have changed, so that many idle ones cost
+    /// nothing.
+    pub fn show(&mut self, usage: &mut HashMap<Revision, Usage>) {
+        for uid in self.gone.drain(..) {
+            usage.remove(&uid);
+        }
+        for place in std::mem::take(&mut self.touched) {
+            if let Some(p) = self.places.get(place) {
+                usage.insert(p.uid, self.usage(place, p));
+            }
+        }
+    }
+
+    fn usage(&self, place: usize, p: &Place) -> Usage {
+        let open = self.admission.open_by_class(place).filter(|(_, open)| *open > 0);
+        let name = |class: usize| self.class_names.get(class).cloned().unwrap_or_default();
+        let c = self.admission.counters(place).unwrap_or_default();
+        Usage {
+            open_by_class: open.map(|(class, open)| (name(class), open)).collect(),
+            tenant: p.name.to_string(),
+            uid: p.uid,
+            open_calls: c.open,
+            held_calls: c.open - c.running,
+            loaded_memory_bytes: c.memory,
+            admitted: c.admitted,
+            refused: c.refused,
+            ends: p.ends.iter().map(|(end, n)| ((*end).to_owned(), *n)).collect(),
+        }
     }
 }
 
--- a/crates/gateway/tests/admin.rs
+++ b/crates/gateway/tests/admin.rs
@@ -462,7 +462,8 @@
     let keys = format!("{line} {follow_line}");
     let dir = tempfile::tempdir().expect("a folder");
     std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
-    let desk = start(dir, token.clone(), &keys);
+    // An address of its own: no other test's port can take this one's while it is away.
+    let desk = start_at("127.0.0.2:0", dir, token.clone(), &keys);
     desk.create(json!({"name": "early"}));
     let follower = |dir: tempfile::TempDir, number: u32| {
         std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
--- a/crates/gateway/tests/push.rs
+++ b/crates/gateway/tests/push.rs
@@ -333,3 +333,28 @@
     assert!(all[marker + 1].created_ms > all[marker - 1].created_ms);
     assert!(all.windows(2).all(|w| w[0].at_ms < w[1].at_ms));
 }
+
+/// The receiver has written what it never acknowledged; the next life sends it again, with the same values.
+#[test]
+fn a_kill_between_write_and_acknowledgement_repeats_and_changes_nothing() {
+    let fleet = Fleet::new(1, SPEC);
+    let receiver = Receiver::start(Mode::Forget).expect("listens");
+    let gateway = serve(&settings(&receiver), &fleet.list());
+    call(&gateway, 3);
+    eventually("it is written and not acknowledged", || served(&receiver.kept()) >= 0.0);
+    gateway.signal("KILL");
+    let dir = tempfile::tempdir().expect("a folder");
+    std::fs::rename(gateway.dir.path().join("spool"), dir.path().join("spool")).expect("the spool stands");
+    std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+    drop(gateway);
+    let before = receiver.kept().repeated;
+    receiver.be(Mode::Take);
+    let _next = serve_in(dir, &settings(&receiver), None);
+    eventually("a marker and a new life", || {
+        let all = receiver.kept().find(CALLS, &SERVED);
+        all.iter().position(|t| is_stale(t.value)).is_some_and(|at| at + 1 < all.len())
+    });
+    let kept = receiver.kept();
+    assert_eq!(kept.faults, Vec::<String>::new());
+    assert!(kept.repeated > before, "what it had is sent again, the same");
+}
