--- a/crates/gateway/src/commands/load.rs
+++ b/crates/gateway/src/commands/load.rs
@@ -89,7 +89,7 @@
         announce(&format!("the gateway's own answers (ServerLive): {front:.0} a second at the same load"))?;
         if through < front * WORKERS_BOUND {
             announce(&format!(
-                "calls come to {:.0}% of that: lanes, cores and work of the workers bound this figure, not the gateway",
+                "calls come to {:.1}% of that: lanes, cores and work of the workers bound this figure, not the gateway",
                 100.0 * through / front.max(1e-9)
             ))?;
         }
