Administration: comments say what is kept of keys; reasons by their names

Cause: a last reading. A comment said that a proven key is remembered by a digest, while its secret is, in memory alone; two reasons of admission were counted by bare numbers.

Change: the comments are true, the reasons are counted by their names. Behaviour is the same.

Result: the program's unit tests and the nine whole-path tests of the administration pass.

--- a/crates/gateway/src/admin/keys.rs
+++ b/crates/gateway/src/admin/keys.rs
@@ -1,5 +1,5 @@
 //! Bearer keys: a name and a secret, `NAME.SECRET`; the settings hold the secret's argon2 hash. A proof costs
-//! milliseconds, so that one that held is remembered by a digest, and those that fail are rationed.
+//! milliseconds, so that a secret that held is remembered, in memory alone, and those that fail are rationed.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -19,7 +19,7 @@
 /// All keys.
 pub struct Keys {
     keys: BTreeMap<String, AdminKey>,
-    /// The token that proved a key last.
+    /// The secret that proved a key last.
     proven: BTreeMap<String, String>,
     failures: Gcra,
     start: Instant,
--- a/crates/gateway/src/admin/mod.rs
+++ b/crates/gateway/src/admin/mod.rs
@@ -101,7 +101,7 @@
         Ok(Self { local: None, book, told, shown: Arc::default(), ender, thread: Some(thread) })
     }
 
-    /// Opens the store and listens. A damaged store is told and set aside by nobody: the last good snapshot
+    /// Opens the store and listens. A damaged store is told and left as it is: the last good snapshot
     /// serves, and nothing can be changed until an operator has restored it.
     fn own(
         listen: SocketAddr,
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -206,15 +206,16 @@
             if self.anonymous {
                 return Ok(None);
             }
-            self.turned[0] += 1;
+            self.turned[Why::Unknown as usize] += 1;
             return Err(denied("this call names no tenant: send the metadata nettleferry-tenant".to_owned()));
         };
         let Some(place) = self.names.get(name).copied() else {
-            self.turned[0] += 1;
+            self.turned[Why::Unknown as usize] += 1;
             return Err(denied(format!("there is no tenant {name}")));
         };
         if !self.places[place].spec.may_call(model) {
-            self.turned[1] += 1;
+            // A tenant without the right is counted with those that may not call at all.
+            self.turned[Why::Inactive as usize] += 1;
             return Err(denied(format!("tenant {name} has no right to call {model}")));
         }
         let mut hasher = DefaultHasher::new();
