--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -64,7 +64,7 @@
             let seed = fields.whole(2, "salt")?;
             let info = parts.get(3).filter(|v| v.is_object()).ok_or("ENLIST: no object in info")?;
             let mut names = wire::Names::default();
-            let settings = wire::settings(info, &mut names)?;
+            let settings = names.settings(info)?;
             let controller = Controller::new(settings, seed).map_err(|e| format!("ENLIST: {e}"))?;
             instances.insert(id, Instance { controller, names });
         }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -4,6 +4,7 @@
 use std::fmt::Write;
 
 use nettleferry::*;
+pub use nettleferry_settings::micros;
 use serde_json::Value;
 
 /// Names of the wire, as the small numbers that the library uses.
@@ -17,17 +18,22 @@
     pub lenient: bool,
 }
 
+impl Names {
+    /// Takes in a controller's settings; its zone is numbered among the list's.
+    pub fn settings(&mut self, info: &Value) -> Result<Settings, String> {
+        let site = nettleferry_settings::read(info).map_err(|e| format!("ENLIST: {e}"))?;
+        let places = |names: Vec<String>| names.into_iter().enumerate().map(|(at, name)| (name, at)).collect();
+        (self.classes, self.tenants) = (places(site.classes), places(site.tenants));
+        let zone = site.zone.map(|zone| ZoneId(number(&mut self.zones, &zone)));
+        Ok(Settings { zone, ..site.settings })
+    }
+}
+
 fn number(map: &mut BTreeMap<String, u32>, name: &str) -> u32 {
     let next = map.len() as u32;
     *map.entry(name.to_string()).or_insert(next)
 }
 
-/// Milliseconds on the wire to whole microseconds.
-pub fn micros(value: &Value) -> Option<Micros> {
-    let ms = value.as_f64()?;
-    (ms.is_finite() && ms < 1e15).then(|| (ms.max(0.0) * 1000.0).round() as Micros)
-}
-
 /// The values of one event.
 pub struct Fields<'a> {
     /// Its name.
@@ -102,103 +108,6 @@
     }
 }
 
-/// The settings object of an instance's first message. What is absent takes its documented meaning.
-pub fn settings(info: &Value, names: &mut Names) -> Result<Settings, String> {
-    let at = |path: &str| path.split('.').try_fold(info, |v, key| v.get(key)).filter(|v| !v.is_null());
-    let span = |path: &str| at(path).and_then(micros).unwrap_or(0);
-    let real = |path: &str| at(path).and_then(Value::as_f64).unwrap_or(0.0);
-    let yes = |path: &str| at(path).and_then(Value::as_bool).unwrap_or(false);
-    let word = |path: &str| at(path).and_then(Value::as_str).unwrap_or("");
-    let list = |path: &str| at(path).and_then(Value::as_array).map(Vec::as_slice).unwrap_or(&[]);
-    let whole = |path: &str| at(path).and_then(Value::as_u64);
-    let mut classes = Vec::new();
-    for value in list("classes") {
-        let key = |name: &str| value.get(name).filter(|v| !v.is_null());
-        let name = key("name").and_then(Value::as_str).ok_or("ENLIST: a class has no name")?;
-        let time = |name: &str| key(name).and_then(micros);
-        let deadline = time("deadline_ms").ok_or("ENLIST: a class has no deadline_ms")?;
-        names.classes.insert(name.to_string(), classes.len());
-        let group = match key("key_scope").and_then(Value::as_str) {
-            Some("zone") => Group::Zone,
-            Some("cell") => Group::Cell,
-            _ => Group::All,
-        };
-        let effect = match key("effect").and_then(Value::as_str) {
-            Some("free") => Effect::Safe,
-            Some("guarded") => Effect::Keyed { group, window: time("repeat_window_ms").unwrap_or(0) },
-            _ => Effect::Unsafe,
-        };
-        classes.push(Class {
-            aim: time("goal_time_ms").unwrap_or(deadline),
-            deadline,
-            effect,
-            worth: key("points").and_then(Value::as_f64).unwrap_or(1.0),
-            late_share: key("late_share").and_then(Value::as_f64).unwrap_or(0.0),
-            stream: key("stream").and_then(Value::as_bool).unwrap_or(false),
-        });
-    }
-    let mut tenants = Vec::new();
-    for value in list("accounts") {
-        let name = value.get("name").and_then(Value::as_str).ok_or("ENLIST: a tenant has no name")?;
-        names.tenants.insert(name.to_string(), tenants.len());
-        tenants.push(Tenant { quota_per_s: value.get("quota_per_s").and_then(Value::as_f64) });
-    }
-    let small = |value: Option<u64>, none: u32| value.map_or(none, |n| n.min(u64::from(u32::MAX)) as u32);
-    Ok(Settings {
-        me: small(whole("me"), 0),
-        controllers: small(whole("n_instances"), 1),
-        zone: at("zone").and_then(Value::as_str).map(|zone| ZoneId(number(&mut names.zones, zone))),
-        classes,
-        tenants,
-        over_quota_worth: at("over_share_worth").and_then(Value::as_f64).unwrap_or(1.0),
-        discovery: if word("discovery") == "ask" { Discovery::Ask } else { Discovery::Push },
-        reports: match word("stats.how") {
-            "answers" => Reports::Answers,
-            "probe" => Reports::Probe,
-            _ => Reports::None,
-        },
-        weights: match word("weights") {
-            "nominal" => Weights::Nominal,
-            "rough" => Weights::Rough,
-            "live" => Weights::Live,
-            _ => Weights::None,
-        },
-        loading: Loading {
-            when_absent: match word("family_info.when_absent") {
-                "miss" => WhenAbsent::Miss,
-                _ => WhenAbsent::Load,
-            },
-            keep_alive: span("family_info.linger_idle_ms"),
-            orders: yes("family_info.orders"),
-            order_timeout: span("family_info.order_timeout_ms"),
-            notes: yes("family_info.warm_notes"),
-            crowd: yes("family_info.counts_alike"),
-            ration_window: span("family_info.load_period_ms"),
-            ration_floor: real("family_info.load_floor"),
-            ration_share: real("family_info.load_share"),
-            memory_price: real("family_info.memory_price"),
-        },
-        limits: Limits {
-            max_attempts: small(whole("limits.max_attempts"), u32::MAX),
-            parallel: yes("limits.parallel_tries"),
-            probes: yes("limits.probes"),
-            cancel: yes("limits.cancel"),
-            retry_after: yes("limits.retry_after").then(|| span("limits.max_retry_after_ms")),
-            connect_timeout: span("limits.connect_timeout_ms"),
-        },
-        rules: Rules {
-            answer_grace: span("obligations.grace_to_answer_ms"),
-            drain_grace: span("obligations.stop_sending_within_ms"),
-            must_ask_in: span("obligations.must_ask_in_ms"),
-            start_capacity: at("obligations.start_capacity").and_then(Value::as_f64).unwrap_or(1.0),
-            cold: span("obligations.cold_ms"),
-            overload_factor: at("obligations.overload_factor").and_then(Value::as_f64).unwrap_or(1.0),
-            fall: span("obligations.fall_ms"),
-        },
-        step: span("step_ms"),
-    })
-}
-
 /// One event of the wire as the library's.
 pub fn event(f: &Fields, names: &mut Names) -> Result<Event, String> {
     Ok(match f.name {
--- a/crates/gateway/src/admin/mod.rs
+++ b/crates/gateway/src/admin/mod.rs
@@ -23,7 +23,7 @@
 
 pub use keys::make as make_key;
 
-use crate::clock;
+use nettleferry_net::clock;
 
 /// What the controller is told.
 #[derive(Debug)]
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -16,7 +16,7 @@
 use tracing::{debug, info, warn};
 
 use crate::admin::{Desk, Told};
-use crate::clock::Clock;
+use nettleferry_net::clock::Clock;
 use crate::front::{Around, Front};
 use crate::links::{LinkLimits, Links};
 use crate::list::{ListFile, News, members};
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -5,12 +5,12 @@
 //!
 //! * [`controller`]: the loop. [`front`]: towards clients. [`links`]: towards workers. [`list`]: who they are.
 //! * [`tenants`]: admission in a front's words. [`admin`]: the administration's thread.
-//! * [`commands`]: one file a subcommand. [`observe`]: figures. [`push`]: remote write. [`logs`], [`clock`].
+//! * [`commands`]: one file a subcommand. [`observe`]: figures. [`push`]: remote write. [`logs`].
 
 #![forbid(unsafe_code)]
 
 mod admin;
-mod clock;
+
 mod commands;
 mod controller;
 mod front;
--- a/crates/gateway/src/push.rs
+++ b/crates/gateway/src/push.rs
@@ -25,7 +25,7 @@
 use nettleferry_spool::{FolderDisk, Limits as SpoolLimits, Position, Spool, SpoolError};
 use tracing::{info, warn};
 
-use crate::clock::{Clock, wall};
+use nettleferry_net::clock::{Clock, wall};
 
 type Sample = nettleferry_push::Sample<Value>;
 type Batch = nettleferry_push::Batch<Value>;
--- /dev/null
+++ b/crates/net/src/clock.rs
@@ -0,0 +1,28 @@
+//! The program's clock: microseconds since 1970 at the start, monotonic from there on, so that times told by
+//! others and our own can be compared and no step of the wall clock reaches a decision.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: u64,
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts it.
+    pub fn start() -> Self {
+        Self { base: wall(), start: Instant::now() }
+    }
+
+    /// Now, in microseconds.
+    pub fn now(&self) -> u64 {
+        self.base + self.start.elapsed().as_micros() as u64
+    }
+}
+
+/// The wall clock as it stands, in microseconds: it may step.
+pub fn wall() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_micros() as u64
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,10 +11,12 @@
 //! * [`http1`]: a small HTTP/1.1 server for side listeners.
 //! * [`post`]: an HTTP/1.1 client for pushing.
 //! * [`framing`]: length-prefixed messages. [`grpc`]: status, time-outs, percent and base64 headers.
+//! * [`tcp`]: plain connections, for protocols other than HTTP/2. [`clock`]: the time.
 //! * [`limits`]: every bound, and its counter.
 
 #![forbid(unsafe_code)]
 
+pub mod clock;
 pub mod framing;
 pub mod grpc;
 pub mod http1;
@@ -22,6 +24,7 @@
 pub mod io;
 pub mod limits;
 pub mod post;
+pub mod tcp;
 mod wake;
 
 pub use hub::{Closing, ConnKey, Hub, ListenerKey, NetEvent, StreamError, StreamKey};
--- /dev/null
+++ b/crates/net/src/tcp.rs
@@ -0,0 +1,650 @@
+//! Plain TCP connections under one mio poll: accept, connect, read, write, alarms; every buffer bounded.
+//!
+//! The owner parses what stands in a connection's input and queues bytes for it; what happened comes out as
+//! [`TcpEvent`]s. Nothing here knows a protocol. A connection ends with exactly one [`TcpEvent::Closed`],
+//! unless its owner closed it with [`Tcp::close`].
+
+use std::collections::{BTreeSet, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, BytesMut};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Registry, Token};
+use slab::Slab;
+
+/// A plain connection, unique in its owner's life until 2^32 of them were made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TcpKey(u64);
+
+impl TcpKey {
+    fn new(generation: u32, index: usize) -> Self {
+        Self(u64::from(generation) << 32 | index as u64)
+    }
+    fn index(self) -> usize {
+        (self.0 & 0xffff_ffff) as usize
+    }
+}
+
+/// Bounds of plain connections.
+#[derive(Clone, Debug)]
+pub struct TcpLimits {
+    /// Accepted connections at once; one more is closed at once.
+    pub accepted: usize,
+    /// Connections made at once; one more is not begun.
+    pub made: usize,
+    /// Bytes read from a connection and not yet taken by the owner; more waits in the kernel.
+    pub input: usize,
+    /// Bytes queued for a connection; one whose peer takes too little is closed.
+    pub output: usize,
+    /// Bytes read from one connection before the others have their turn.
+    pub turn: usize,
+    /// A connection that does not come about within this span has failed.
+    pub connect_timeout: Duration,
+    /// After [`Tcp::finish`] what still comes is thrown away for this long, so that the peer gets our last words
+    /// rather than a reset.
+    pub linger: Duration,
+}
+
+impl Default for TcpLimits {
+    fn default() -> Self {
+        Self {
+            accepted: 1024,
+            made: 256,
+            input: 64 << 10,
+            output: 1 << 20,
+            turn: 64 << 10,
+            connect_timeout: Duration::from_millis(250),
+            linger: Duration::from_millis(200),
+        }
+    }
+}
+
+/// What came, went and hit a bound.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TcpCounters {
+    /// Connections accepted.
+    pub accepted: u64,
+    /// Connections begun by us.
+    pub begun: u64,
+    /// [`TcpLimits::accepted`].
+    pub over_accepted: u64,
+    /// [`TcpLimits::made`].
+    pub over_made: u64,
+    /// Accepting rested because the process had no handle left.
+    pub over_handles: u64,
+    /// [`TcpLimits::output`].
+    pub over_output: u64,
+    /// [`TcpLimits::connect_timeout`], and connections refused.
+    pub connect_failures: u64,
+}
+
+/// Why a connection is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gone {
+    /// It never came about: refused, unreachable or not in time.
+    NotConnected,
+    /// The peer closed it.
+    Ended,
+    /// It was reset or broke.
+    Broken,
+    /// [`TcpLimits::output`].
+    Slow,
+}
+
+/// What happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TcpEvent {
+    /// A peer connected.
+    Accepted(TcpKey),
+    /// A connection that we make has come about.
+    Connected(TcpKey),
+    /// Bytes stand in its input.
+    Data(TcpKey),
+    /// An alarm came due.
+    Alarm(TcpKey),
+    /// It is gone. What stood in its input was told before.
+    Closed(TcpKey, Gone),
+    /// A source that the owner registered under [`Tcp::source_token`] is ready.
+    Source(usize),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Connecting,
+    Open,
+    /// Our side is ended: input is thrown away.
+    Lingering,
+}
+
+struct Conn {
+    key: TcpKey,
+    socket: TcpStream,
+    stage: Stage,
+    accepted: bool,
+    readable: bool,
+    writable: bool,
+    /// The peer sends no more.
+    ended: Option<Gone>,
+    resting: bool,
+    ready: bool,
+    dirty: bool,
+    input: BytesMut,
+    output: BytesMut,
+    queued: u64,
+    written: u64,
+    alarm: Option<Instant>,
+    /// Own deadline: for connecting and lingering.
+    limit: Option<Instant>,
+}
+
+const LISTENERS: usize = 1 << 40;
+const SOURCES: usize = 1 << 41;
+/// How long accepting rests after the system said that it has no handle or memory for a connection.
+const ACCEPT_REST: Duration = Duration::from_millis(50);
+/// Bytes kept for reuse in an empty buffer: an idle connection holds next to none.
+const KEPT: usize = 4 << 10;
+
+/// Owner of plain connections.
+pub struct Tcp {
+    poll: Poll,
+    events: Events,
+    conns: Slab<Conn>,
+    accepted: usize,
+    listeners: Vec<TcpListener>,
+    alarms: BTreeSet<(Instant, TcpKey)>,
+    ready: VecDeque<TcpKey>,
+    dirty: Vec<TcpKey>,
+    /// Ended by their peers, and told: to be taken off.
+    parting: Vec<TcpKey>,
+    accept_at: Option<Instant>,
+    generation: u32,
+    limits: TcpLimits,
+    counters: TcpCounters,
+    out: Vec<TcpEvent>,
+    scratch: Vec<u8>,
+    now: Instant,
+}
+
+impl Tcp {
+    /// An owner without connections.
+    pub fn new(limits: TcpLimits) -> io::Result<Self> {
+        Ok(Self {
+            poll: Poll::new()?,
+            events: Events::with_capacity(512),
+            conns: Slab::new(),
+            accepted: 0,
+            listeners: Vec::new(),
+            alarms: BTreeSet::new(),
+            ready: VecDeque::new(),
+            dirty: Vec::new(),
+            parting: Vec::new(),
+            accept_at: None,
+            generation: 0,
+            limits,
+            counters: TcpCounters::default(),
+            out: Vec::new(),
+            scratch: vec![0; 16 << 10],
+            now: Instant::now(),
+        })
+    }
+
+    /// For sources of the owner, such as signals and datagrams.
+    pub fn registry(&self) -> &Registry {
+        self.poll.registry()
+    }
+
+    /// The token under which a source is told as [`TcpEvent::Source`].
+    pub fn source_token(&self, number: usize) -> Token {
+        Token(SOURCES + number)
+    }
+
+    /// What came, went and hit a bound.
+    pub fn counters(&self) -> TcpCounters {
+        self.counters
+    }
+
+    /// Accepted connections that stand.
+    pub fn accepted(&self) -> usize {
+        self.accepted
+    }
+
+    /// Connections of ours that stand or are being made.
+    pub fn made(&self) -> usize {
+        self.conns.len() - self.accepted
+    }
+
+    /// Listens; port 0 lets the system choose.
+    pub fn listen(&mut self, address: SocketAddr) -> io::Result<SocketAddr> {
+        let mut socket = TcpListener::bind(address)?;
+        let local = socket.local_addr()?;
+        let token = Token(LISTENERS + self.listeners.len());
+        self.poll.registry().register(&mut socket, token, Interest::READABLE)?;
+        self.listeners.push(socket);
+        Ok(local)
+    }
+
+    /// Closes all listening sockets.
+    pub fn stop_listening(&mut self) {
+        for socket in &mut self.listeners {
+            let _ = self.poll.registry().deregister(socket);
+        }
+        self.listeners.clear();
+    }
+
+    /// Begins to connect. `None`: [`TcpLimits::made`], or the system would not even try.
+    pub fn connect(&mut self, address: SocketAddr) -> Option<TcpKey> {
+        if self.made() >= self.limits.made {
+            self.counters.over_made += 1;
+            return None;
+        }
+        let Ok(socket) = TcpStream::connect(address) else {
+            self.counters.connect_failures += 1;
+            return None;
+        };
+        self.counters.begun += 1;
+        self.add(socket, false)
+    }
+
+    fn add(&mut self, mut socket: TcpStream, accepted: bool) -> Option<TcpKey> {
+        let _ = socket.set_nodelay(true);
+        self.generation = self.generation.wrapping_add(1);
+        let entry = self.conns.vacant_entry();
+        let (index, key) = (entry.key(), TcpKey::new(self.generation, entry.key()));
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut socket, Token(index), interest).ok()?;
+        let limit = (!accepted).then(|| self.now + self.limits.connect_timeout);
+        entry.insert(Conn {
+            key,
+            socket,
+            stage: if accepted { Stage::Open } else { Stage::Connecting },
+            accepted,
+            readable: accepted,
+            writable: accepted,
+            ended: None,
+            resting: false,
+            ready: false,
+            dirty: false,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            queued: 0,
+            written: 0,
+            alarm: None,
+            limit,
+        });
+        if accepted {
+            self.accepted += 1;
+            self.make_ready(index);
+        }
+        if let Some(at) = limit {
+            self.alarms.insert((at, key));
+        }
+        Some(key)
+    }
+
+    fn get(&self, key: TcpKey) -> Option<&Conn> {
+        self.conns.get(key.index()).filter(|c| c.key == key)
+    }
+
+    fn get_mut(&mut self, key: TcpKey) -> Option<&mut Conn> {
+        self.conns.get_mut(key.index()).filter(|c| c.key == key)
+    }
+
+    /// What was read and not taken yet. The owner takes bytes off its front.
+    pub fn input(&mut self, key: TcpKey) -> Option<&mut BytesMut> {
+        self.get_mut(key).filter(|c| c.stage == Stage::Open).map(|c| &mut c.input)
+    }
+
+    /// Queues bytes; they leave at the end of the turn. Gives the place of their end among all bytes queued
+    /// there, to be held against [`Tcp::written`]. `None`: the connection is gone, or goes as
+    /// [`Gone::Slow`].
+    pub fn send(&mut self, key: TcpKey, bytes: &[u8]) -> Option<u64> {
+        let most = self.limits.output;
+        let conn = self.get_mut(key).filter(|c| c.stage != Stage::Lingering && c.ended.is_none())?;
+        if conn.output.len() + bytes.len() > most {
+            self.counters.over_output += 1;
+            self.end(key, Some(Gone::Slow));
+            return None;
+        }
+        conn.output.extend_from_slice(bytes);
+        conn.queued += bytes.len() as u64;
+        let queued = conn.queued;
+        if !conn.dirty {
+            conn.dirty = true;
+            self.dirty.push(key);
+        }
+        Some(queued)
+    }
+
+    /// Bytes handed to the system so far.
+    pub fn written(&self, key: TcpKey) -> u64 {
+        self.get(key).map_or(0, |c| c.written)
+    }
+
+    /// Bytes queued that the system has not taken.
+    pub fn unsent(&self, key: TcpKey) -> usize {
+        self.get(key).map_or(0, |c| c.output.len())
+    }
+
+    /// Does it stand?
+    pub fn is_open(&self, key: TcpKey) -> bool {
+        self.get(key).is_some_and(|c| c.stage == Stage::Open && c.ended.is_none())
+    }
+
+    /// Reads nothing more for now, or goes on.
+    pub fn rest(&mut self, key: TcpKey, resting: bool) {
+        let Some(conn) = self.get_mut(key) else { return };
+        if conn.resting != resting {
+            conn.resting = resting;
+            if !resting {
+                self.make_ready(key.index());
+            }
+        }
+    }
+
+    /// Sets the connection's one alarm, or takes it off.
+    pub fn alarm(&mut self, key: TcpKey, at: Option<Instant>) {
+        let Some(conn) = self.get_mut(key) else { return };
+        let old = std::mem::replace(&mut conn.alarm, at);
+        let limit = conn.limit;
+        if let Some(old) = old.filter(|old| Some(*old) != limit) {
+            self.alarms.remove(&(old, key));
+        }
+        if let Some(at) = at {
+            self.alarms.insert((at, key));
+        }
+    }
+
+    /// Closes at once; what is queued is lost and no event follows.
+    pub fn close(&mut self, key: TcpKey) {
+        self.end(key, None);
+    }
+
+    /// Sends what is queued, ends our side, throws away what still comes for [`TcpLimits::linger`], and closes.
+    /// No event follows.
+    pub fn finish(&mut self, key: TcpKey) {
+        let until = self.now + self.limits.linger;
+        self.alarm(key, None);
+        let Some(conn) = self.get_mut(key) else { return };
+        if conn.stage != Stage::Open || conn.ended.is_some() {
+            return self.close(key);
+        }
+        flush(conn);
+        let _ = conn.socket.shutdown(Shutdown::Write);
+        conn.stage = Stage::Lingering;
+        conn.input = BytesMut::new();
+        conn.output = BytesMut::new();
+        conn.limit = Some(until);
+        self.alarms.insert((until, key));
+        self.make_ready(key.index());
+    }
+
+    fn end(&mut self, key: TcpKey, why: Option<Gone>) {
+        if self.get(key).is_none() {
+            return;
+        }
+        let mut conn = self.conns.remove(key.index());
+        for at in [conn.alarm, conn.limit].into_iter().flatten() {
+            self.alarms.remove(&(at, key));
+        }
+        let _ = self.poll.registry().deregister(&mut conn.socket);
+        if conn.accepted {
+            self.accepted -= 1;
+        }
+        if let Some(why) = why.filter(|_| conn.stage != Stage::Lingering) {
+            self.out.push(TcpEvent::Closed(key, why));
+        }
+    }
+
+    fn make_ready(&mut self, index: usize) {
+        if let Some(conn) = self.conns.get_mut(index).filter(|c| !c.ready) {
+            conn.ready = true;
+            self.ready.push_back(conn.key);
+        }
+    }
+
+    /// One round: what is queued leaves, the kernel is asked (waiting at most `wait` where nothing is due), what
+    /// came is read. Appends what happened to `out`.
+    pub fn turn(&mut self, wait: Option<Duration>, out: &mut Vec<TcpEvent>) -> io::Result<()> {
+        self.now = Instant::now();
+        for key in std::mem::take(&mut self.parting) {
+            self.end(key, None);
+        }
+        self.flush_all();
+        let busy = !self.out.is_empty() || !self.ready.is_empty();
+        let wait = if busy { Some(Duration::ZERO) } else { self.shorter(wait) };
+        match self.poll.poll(&mut self.events, wait) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        self.now = Instant::now();
+        self.read_events();
+        self.ring();
+        for _ in 0..self.ready.len() {
+            let Some(key) = self.ready.pop_front() else { break };
+            self.work(key);
+        }
+        out.append(&mut self.out);
+        Ok(())
+    }
+
+    /// Hands what is queued to the system now.
+    pub fn flush_all(&mut self) {
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(conn) = self.get_mut(key) else { continue };
+            conn.dirty = false;
+            flush(conn);
+            if conn.readable {
+                self.make_ready(key.index());
+            }
+        }
+    }
+
+    fn shorter(&self, wait: Option<Duration>) -> Option<Duration> {
+        let alarm = self.alarms.first().map(|(at, _)| *at);
+        let next = [alarm, self.accept_at].into_iter().flatten().min();
+        let next = next.map(|at| at.saturating_duration_since(self.now));
+        match (wait, next) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    fn read_events(&mut self) {
+        let mut accept = Vec::new();
+        let mut ready = Vec::new();
+        for event in &self.events {
+            let token = event.token().0;
+            if token >= SOURCES {
+                self.out.push(TcpEvent::Source(token - SOURCES));
+            } else if token >= LISTENERS {
+                accept.push(token - LISTENERS);
+            } else if let Some(conn) = self.conns.get_mut(token) {
+                conn.readable |= event.is_readable() || event.is_read_closed() || event.is_error();
+                conn.writable |= event.is_writable() || event.is_write_closed() || event.is_error();
+                ready.push(token);
+            }
+        }
+        for token in ready {
+            self.make_ready(token);
+        }
+        if self.accept_at.is_some_and(|at| at <= self.now) {
+            self.accept_at = None;
+            accept.extend(0..self.listeners.len());
+        }
+        for index in accept {
+            self.accept(index);
+        }
+    }
+
+    fn accept(&mut self, index: usize) {
+        loop {
+            let Some(listener) = self.listeners.get(index) else { return };
+            match listener.accept() {
+                Ok((socket, _)) if self.accepted >= self.limits.accepted => {
+                    self.counters.over_accepted += 1;
+                    drop(socket);
+                }
+                Ok((socket, _)) => {
+                    self.counters.accepted += 1;
+                    if let Some(key) = self.add(socket, true) {
+                        self.out.push(TcpEvent::Accepted(key));
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => {
+                    self.counters.over_handles += 1;
+                    self.accept_at = Some(self.now + ACCEPT_REST);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn ring(&mut self) {
+        while let Some(&(at, key)) = self.alarms.first() {
+            if at > self.now {
+                return;
+            }
+            self.alarms.pop_first();
+            let Some(conn) = self.get_mut(key) else { continue };
+            if conn.alarm == Some(at) {
+                conn.alarm = None;
+                self.out.push(TcpEvent::Alarm(key));
+            }
+            let Some(conn) = self.get_mut(key) else { continue };
+            if conn.limit == Some(at) {
+                conn.limit = None;
+                if conn.stage == Stage::Connecting {
+                    self.counters.connect_failures += 1;
+                    self.end(key, Some(Gone::NotConnected));
+                } else if conn.stage == Stage::Lingering {
+                    self.end(key, None);
+                }
+            }
+        }
+    }
+
+    fn work(&mut self, key: TcpKey) {
+        let (most, turn) = (self.limits.input, self.limits.turn);
+        let mut scratch = std::mem::take(&mut self.scratch);
+        let Some(conn) = self.get_mut(key) else {
+            self.scratch = scratch;
+            return;
+        };
+        conn.ready = false;
+        if conn.stage == Stage::Connecting && conn.writable {
+            match established(&conn.socket) {
+                None => conn.writable = false,
+                Some(true) => {
+                    conn.stage = Stage::Open;
+                    if let Some(at) = conn.limit.take()
+                        && conn.alarm != Some(at)
+                    {
+                        self.alarms.remove(&(at, key));
+                    }
+                    self.out.push(TcpEvent::Connected(key));
+                }
+                Some(false) => {
+                    self.counters.connect_failures += 1;
+                    self.end(key, Some(Gone::NotConnected));
+                }
+            }
+        }
+        if let Some(conn) = self.get_mut(key).filter(|c| c.stage != Stage::Connecting && c.ended.is_none()) {
+            flush(conn);
+            let more = read(conn, &mut scratch, most, turn);
+            let data = !conn.input.is_empty() && conn.stage == Stage::Open;
+            match more {
+                Err(gone) => {
+                    conn.ended = Some(gone);
+                    let told = conn.stage == Stage::Open;
+                    if data {
+                        self.out.push(TcpEvent::Data(key));
+                    }
+                    if told {
+                        self.out.push(TcpEvent::Closed(key, gone));
+                    }
+                    // The owner takes the last bytes from this turn's events: it is taken off in the next.
+                    self.parting.push(key);
+                }
+                Ok(again) => {
+                    if again {
+                        self.make_ready(key.index());
+                    }
+                    if data {
+                        self.out.push(TcpEvent::Data(key));
+                    }
+                }
+            }
+        }
+        self.scratch = scratch;
+    }
+}
+
+/// Has a connection come about (`None`: not yet)?
+fn established(socket: &TcpStream) -> Option<bool> {
+    if !matches!(socket.take_error(), Ok(None)) {
+        return Some(false);
+    }
+    match socket.peer_addr() {
+        Ok(_) => Some(true),
+        Err(e) if e.kind() == io::ErrorKind::NotConnected => None,
+        Err(_) => Some(false),
+    }
+}
+
+/// Hands over what is queued. An error is left for reading to find: what came before it is still to be taken.
+fn flush(conn: &mut Conn) {
+    while conn.writable && !conn.output.is_empty() && conn.stage != Stage::Connecting {
+        match conn.socket.write(&conn.output) {
+            Ok(n) => {
+                conn.written += n as u64;
+                conn.output.advance(n);
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => {
+                conn.writable = false;
+                conn.readable |= e.kind() != io::ErrorKind::WouldBlock;
+            }
+        }
+    }
+    if conn.output.is_empty() && conn.output.capacity() > KEPT {
+        conn.output = BytesMut::new();
+    }
+}
+
+/// Reads what came, within the bounds. `Ok(true)`: there may be more.
+fn read(conn: &mut Conn, scratch: &mut [u8], most: usize, turn: usize) -> Result<bool, Gone> {
+    if conn.input.is_empty() && conn.input.capacity() > KEPT {
+        conn.input = BytesMut::new();
+    }
+    let mut taken = 0;
+    while conn.readable && !conn.resting {
+        let room = if conn.stage == Stage::Lingering { scratch.len() } else { most - conn.input.len().min(most) };
+        let room = room.min(scratch.len());
+        if room == 0 || taken >= turn {
+            return Ok(true);
+        }
+        match conn.socket.read(&mut scratch[..room]) {
+            Ok(0) => return Err(Gone::Ended),
+            Ok(n) => {
+                taken += n;
+                if conn.stage == Stage::Open {
+                    conn.input.extend_from_slice(&scratch[..n]);
+                }
+                // A short read took all there was: the next event tells of more.
+                if n < room {
+                    conn.readable = false;
+                }
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => conn.readable = false,
+            Err(_) => return Err(Gone::Broken),
+        }
+    }
+    Ok(false)
+}
