--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -22,7 +22,8 @@
     /// Takes in a controller's settings; its zone is numbered among the list's.
     pub fn settings(&mut self, info: &Value) -> Result<Settings, String> {
         let site = nettleferry_settings::read(info).map_err(|e| format!("ENLIST: {e}"))?;
-        let places = |names: Vec<String>| names.into_iter().enumerate().map(|(at, name)| (name, at)).collect();
+        let places =
+            |names: Vec<String>| names.into_iter().enumerate().map(|(at, name)| (name, at)).collect();
         (self.classes, self.tenants) = (places(site.classes), places(site.tenants));
         let zone = site.zone.map(|zone| ZoneId(number(&mut self.zones, &zone)));
         Ok(Settings { zone, ..site.settings })
--- a/crates/engine/src/outcome.rs
+++ b/crates/engine/src/outcome.rs
@@ -27,6 +27,8 @@
     MarkedMiss,
     /// The worker's trailers mark that the load it waited for failed.
     MarkedLoadFailed,
+    /// The worker answered that the request was over when it came: it never ran (the platform's `nobody`).
+    Unwanted,
     /// Any other failing status.
     Status {
         /// Its name and words, for people.
@@ -53,6 +55,7 @@
             Self::NotConnected | Self::NotWritten => Outcome::ConnectFailed,
             Self::NoRoom | Self::RefusedStream | Self::GoneAway | Self::MarkedFull => Outcome::Full,
             Self::MarkedMiss | Self::MarkedLoadFailed => Outcome::Miss,
+            Self::Unwanted => Outcome::Moot,
             Self::Status { .. } | Self::Reset => Outcome::Error,
             Self::Broken => Outcome::Reset,
             Self::TimedOut => Outcome::Timeout,
@@ -62,7 +65,7 @@
 
     /// Does it prove that the attempt never ran?
     pub fn never_ran(&self) -> bool {
-        matches!(self.outcome(), Outcome::ConnectFailed | Outcome::Full | Outcome::Miss)
+        matches!(self.outcome(), Outcome::ConnectFailed | Outcome::Full | Outcome::Miss | Outcome::Moot)
     }
 
     /// For people: a client's message, a log line.
@@ -78,6 +81,7 @@
             Self::MarkedFull => "the worker is full".to_owned(),
             Self::MarkedMiss => "the worker does not hold the model".to_owned(),
             Self::MarkedLoadFailed => "the worker could not load the model".to_owned(),
+            Self::Unwanted => "the request was over when the worker got it".to_owned(),
             Self::Status { message } => message.clone(),
             Self::Reset => "the worker reset the stream".to_owned(),
             Self::Broken => "the connection to the worker broke".to_owned(),
@@ -105,6 +109,7 @@
             (Ended::MarkedFull, Outcome::Full, true),
             (Ended::MarkedMiss, Outcome::Miss, true),
             (Ended::MarkedLoadFailed, Outcome::Miss, true),
+            (Ended::Unwanted, Outcome::Moot, true),
             (status("UNAVAILABLE: bare"), Outcome::Error, false),
             (status("INTERNAL"), Outcome::Error, false),
             (Ended::Reset, Outcome::Error, false),
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod day;
 mod demo;
 mod load;
+mod node;
 mod serve;
 mod top;
 mod worker;
@@ -42,6 +43,8 @@
     Demo(demo::Demo),
     /// Run a controller
     Serve(serve::Serve),
+    /// Run a controller on the platform
+    Node(node::NodeCommand),
     /// Check a settings file and say all that is wrong with it
     Check(serve::Check),
     /// Make one inference call
@@ -77,6 +80,9 @@
     /// The controller failed.
     #[error("{0}")]
     Controller(#[from] ControllerError),
+    /// The controller on the platform failed.
+    #[error("{0}")]
+    Node(#[from] nettleferry_node::NodeError),
     /// A file is not what it should be.
     #[error("{0}")]
     File(String),
@@ -107,6 +113,7 @@
             Self::Read { .. } | Self::Unsound(_) | Self::File(_) => 3,
             Self::Controller(ControllerError::Settings(_)) => 3,
             Self::Controller(_) | Self::System { .. } | Self::Day(_) => 4,
+            Self::Node(error) => node::code(error),
             Self::Api(_) => 1,
         }
     }
@@ -122,6 +129,7 @@
     match arguments.command {
         Command::Demo(demo) => demo.run(),
         Command::Serve(serve) => serve.run(),
+        Command::Node(node) => node.run(),
         Command::Check(check) => check.run(),
         Command::Call(call) => call.run(),
         Command::Load(load) => load.run(),
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -16,13 +16,13 @@
 use tracing::{debug, info, warn};
 
 use crate::admin::{Desk, Told};
-use nettleferry_net::clock::Clock;
 use crate::front::{Around, Front};
 use crate::links::{LinkLimits, Links};
 use crate::list::{ListFile, News, members};
 use crate::observe::{Observer, Scrape};
 use crate::push::Pusher;
 use crate::tenants::Tenants;
+use nettleferry_net::clock::Clock;
 
 /// Why a controller could not start or go on.
 #[derive(Debug, thiserror::Error)]
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,7 +10,6 @@
 #![forbid(unsafe_code)]
 
 mod admin;
-
 mod commands;
 mod controller;
 mod front;
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -624,7 +624,8 @@
     }
     let mut taken = 0;
     while conn.readable && !conn.resting {
-        let room = if conn.stage == Stage::Lingering { scratch.len() } else { most - conn.input.len().min(most) };
+        let room =
+            if conn.stage == Stage::Lingering { scratch.len() } else { most - conn.input.len().min(most) };
         let room = room.min(scratch.len());
         if room == 0 || taken >= turn {
             return Ok(true);
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,410 @@
+//! Towards clients: frames in, answers out. Which call each stream is, and whose answer is owed.
+//!
+//! What a client sends amiss is answered or its connection closed; nothing here decides on a sound request.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use nettleferry::ClassId;
+use nettleferry_engine::{CallId, End};
+use nettleferry_net::tcp::{Tcp, TcpKey};
+use nettleferry_platform::frames::{self, Code, Frame, Reader, kind};
+use nettleferry_platform::request::Request;
+
+use crate::limits::*;
+
+/// A sound request, to be opened.
+pub struct Taken {
+    /// The front's mark.
+    pub mark: u64,
+    /// Its class.
+    pub class: ClassId,
+    /// Its function.
+    pub row: Arc<str>,
+    /// Time until the client gives up, microseconds.
+    pub left: u64,
+    /// Lanes of a copy.
+    pub lanes: u32,
+    /// Usual time of a load, microseconds.
+    pub load_time: Option<u64>,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What clients did.
+pub enum Heard {
+    /// A request came.
+    Request(Taken),
+    /// A client waits no longer.
+    Gone(CallId),
+}
+
+/// What a link must know of a call.
+pub struct Call {
+    conn: TcpKey,
+    stream: u32,
+    id: u64,
+    bytes: usize,
+    call: Option<CallId>,
+    /// Its id as the client gave it.
+    pub name: Arc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// Its function.
+    pub row: Arc<str>,
+}
+
+struct Client {
+    reader: Reader,
+    /// Open streams and the marks of their calls.
+    streams: BTreeMap<u32, u64>,
+    last: u32,
+    faults: u32,
+    came: Instant,
+    /// Something that can be used has come.
+    known: bool,
+    /// When the frame in hand began.
+    began: Option<Instant>,
+    quiet: Instant,
+}
+
+/// The front.
+pub struct Front {
+    classes: BTreeMap<String, ClassId>,
+    /// A client waits for no longer than its class's deadline, milliseconds.
+    deadlines: Vec<f64>,
+    bounds: Bounds,
+    clients: BTreeMap<TcpKey, Client>,
+    calls: BTreeMap<u64, Call>,
+    marks: BTreeMap<CallId, u64>,
+    ids: HashSet<u64>,
+    bytes: usize,
+    next: u64,
+    /// No new requests are asked for.
+    leaving: bool,
+    buffer: Vec<u8>,
+}
+
+/// A deadline in milliseconds may be this much over its class's: figures are rounded on the way.
+const DEADLINE_SLACK: f64 = 1.0;
+
+impl Front {
+    /// A front for these classes and their deadlines in milliseconds.
+    pub fn new(classes: &[String], deadlines: Vec<f64>, bounds: Bounds) -> Self {
+        Self {
+            classes: classes.iter().enumerate().map(|(at, name)| (name.clone(), ClassId(at))).collect(),
+            deadlines,
+            bounds,
+            clients: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            ids: HashSet::new(),
+            bytes: 0,
+            next: 0,
+            leaving: false,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Is this a client's connection?
+    pub fn owns(&self, key: TcpKey) -> bool {
+        self.clients.contains_key(&key)
+    }
+
+    /// Clients connected.
+    pub fn clients(&self) -> usize {
+        self.clients.len()
+    }
+
+    /// A client connected.
+    pub fn accepted(&mut self, tcp: &mut Tcp, key: TcpKey, count: &mut Counters) {
+        let now = Instant::now();
+        if self.clients.len() >= self.bounds.clients {
+            // One that has sent nothing makes room: those who wait for answers are not for it to push out.
+            count.over_clients += 1;
+            let unknown = self.clients.iter().filter(|(_, c)| !c.known).min_by_key(|(_, c)| c.came);
+            let idle =
+                || self.clients.iter().filter(|(_, c)| c.streams.is_empty()).min_by_key(|(_, c)| c.quiet);
+            match unknown.or_else(idle).map(|(key, _)| *key) {
+                Some(old) => {
+                    self.clients.remove(&old);
+                    tcp.close(old);
+                }
+                None => return tcp.close(key),
+            }
+        }
+        let client = Client {
+            reader: Reader::default(),
+            streams: BTreeMap::new(),
+            last: 0,
+            faults: 0,
+            came: now,
+            known: false,
+            began: None,
+            quiet: now,
+        };
+        self.clients.insert(key, client);
+        tcp.alarm(key, Some(now + FIRST_FRAME));
+    }
+
+    /// Bytes came from a client.
+    pub fn data(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+        loop {
+            let Some(client) = self.clients.get_mut(&key) else { return };
+            let Some(input) = tcp.input(key) else { return };
+            match client.reader.next(input) {
+                Ok(Some(frame)) => {
+                    client.began = None;
+                    self.frame(tcp, key, frame, heard, count);
+                }
+                Ok(None) => {
+                    let within = client.reader.within(input);
+                    client.began = if within { client.began.or_else(|| Some(Instant::now())) } else { None };
+                    return self.set_alarm(tcp, key);
+                }
+                Err(error) => {
+                    count.bad_frames += 1;
+                    return self.expel(tcp, key, &error.to_string(), heard, count);
+                }
+            }
+        }
+    }
+
+    fn frame(
+        &mut self,
+        tcp: &mut Tcp,
+        key: TcpKey,
+        frame: Frame,
+        heard: &mut Vec<Heard>,
+        count: &mut Counters,
+    ) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        match frame {
+            Frame::Whole { kind: kind::REQUEST, stream, payload } => {
+                if stream == 0 || stream <= client.last {
+                    count.bad_frames += 1;
+                    return self.expel(tcp, key, "a request's stream is not new", heard, count);
+                }
+                client.last = stream;
+                if client.streams.len() >= CLIENT_STREAMS {
+                    count.bad_frames += 1;
+                    return self.expel(tcp, key, "more than 32 requests are open", heard, count);
+                }
+                match self.take(key, stream, &payload, count) {
+                    Ok(taken) => {
+                        count.requests += 1;
+                        heard.push(Heard::Request(taken));
+                    }
+                    Err((code, words)) => {
+                        self.say(tcp, key, stream, code, words.as_bytes());
+                        self.fault(tcp, key, heard, count);
+                    }
+                }
+            }
+            Frame::Whole { kind: kind::CANCEL, stream, .. } => {
+                if let Some(mark) = client.streams.remove(&stream) {
+                    client.quiet = Instant::now();
+                    heard.extend(self.close_call(mark).map(Heard::Gone));
+                }
+            }
+            Frame::Whole { kind: kind::READY, stream, .. } => {
+                client.known = true;
+                client.quiet = Instant::now();
+                self.buffer.clear();
+                frames::ready(&mut self.buffer, stream, !self.leaving);
+                tcp.send(key, &self.buffer);
+            }
+            Frame::TooLong { kind: kind::REQUEST, stream } => {
+                client.last = client.last.max(stream);
+                count.bad_requests += 1;
+                self.say(tcp, key, stream, Code::Failed, b"a request is too long");
+                self.fault(tcp, key, heard, count);
+            }
+            Frame::Whole { .. } | Frame::TooLong { .. } => {
+                count.bad_frames += 1;
+                self.say(tcp, key, 0, Code::Failed, b"a client sends no such frame");
+                self.fault(tcp, key, heard, count);
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        key: TcpKey,
+        stream: u32,
+        payload: &[u8],
+        count: &mut Counters,
+    ) -> Result<Taken, (Code, String)> {
+        let bad = |count: &mut Counters, words: String| {
+            count.bad_requests += 1;
+            (Code::Failed, words)
+        };
+        let request = Request::read(payload).map_err(|e| bad(count, e.to_string()))?;
+        let class = self.classes.get(request.op).copied();
+        let class = class.ok_or_else(|| bad(count, "there is no such class".to_owned()))?;
+        let most = self.deadlines.get(class.0).copied().unwrap_or(0.0) + DEADLINE_SLACK;
+        if request.ttl_ms > most {
+            return Err(bad(count, "ttl is longer than the class's deadline".to_owned()));
+        }
+        let id = u64::from_str_radix(request.call, 16).map_err(|e| bad(count, e.to_string()))?;
+        if self.ids.contains(&id) {
+            count.ids_open += 1;
+            return Err((Code::Refused, "this id is open already".to_owned()));
+        }
+        if self.bytes + request.body.len() > self.bounds.body_bytes {
+            count.over_bodies += 1;
+            return Err((Code::Refused, "too many bytes are held".to_owned()));
+        }
+        self.next += 1;
+        let mark = self.next;
+        self.ids.insert(id);
+        self.bytes += request.body.len();
+        let row: Arc<str> = request.row.into();
+        let call = Call {
+            conn: key,
+            stream,
+            id,
+            bytes: request.body.len(),
+            call: None,
+            name: request.call.into(),
+            class,
+            row: Arc::clone(&row),
+        };
+        self.calls.insert(mark, call);
+        if let Some(client) = self.clients.get_mut(&key) {
+            client.streams.insert(stream, mark);
+            client.known = true;
+        }
+        let micros = |ms: f64| (ms * 1000.0) as u64;
+        Ok(Taken {
+            mark,
+            class,
+            row,
+            left: micros(request.ttl_ms),
+            lanes: request.lanes.unwrap_or(1),
+            load_time: request.load_ms.map(micros),
+            body: Bytes::copy_from_slice(request.body),
+        })
+    }
+
+    /// The engine's number of a call, as soon as it is known.
+    pub fn opened(&mut self, mark: u64, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&mark) {
+            call.call = Some(id);
+            self.marks.insert(id, mark);
+        }
+    }
+
+    /// What a link must know of a call.
+    pub fn call(&self, id: CallId) -> Option<&Call> {
+        self.calls.get(self.marks.get(&id)?)
+    }
+
+    /// A call has its final answer.
+    pub fn end(&mut self, tcp: &mut Tcp, mark: u64, end: &End) {
+        let Some(call) = self.calls.get(&mark) else { return };
+        let (key, stream) = (call.conn, call.stream);
+        self.close_call(mark);
+        if let Some(client) = self.clients.get_mut(&key) {
+            client.streams.remove(&stream);
+            client.quiet = Instant::now();
+        }
+        match end {
+            End::Served { last } => {
+                self.say(tcp, key, stream, Code::Served, last.as_deref().unwrap_or_default());
+            }
+            End::Refused { .. } => {
+                self.say(tcp, key, stream, Code::Refused, b"refused: a new try does no harm")
+            }
+            End::Rejected { message } | End::Failed { message, .. } => {
+                self.say(tcp, key, stream, Code::Failed, message.as_bytes());
+            }
+        }
+        self.set_alarm(tcp, key);
+    }
+
+    /// Takes a call off the book.
+    fn close_call(&mut self, mark: u64) -> Option<CallId> {
+        let call = self.calls.remove(&mark)?;
+        self.ids.remove(&call.id);
+        self.bytes -= call.bytes;
+        let id = call.call?;
+        self.marks.remove(&id);
+        Some(id)
+    }
+
+    fn say(&mut self, tcp: &mut Tcp, key: TcpKey, stream: u32, code: Code, body: &[u8]) {
+        self.buffer.clear();
+        frames::answer(&mut self.buffer, stream, code, body);
+        tcp.send(key, &self.buffer);
+    }
+
+    /// Counts what a connection sent amiss, and closes it when it goes on.
+    fn fault(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        client.faults += 1;
+        if client.faults > CLIENT_FAULTS {
+            self.expel(tcp, key, "too much that can't be used", heard, count);
+        }
+    }
+
+    /// Says why on stream 0 and closes: no one waits for what is open there.
+    fn expel(&mut self, tcp: &mut Tcp, key: TcpKey, why: &str, heard: &mut Vec<Heard>, count: &mut Counters) {
+        count.closed_for_faults += 1;
+        self.say(tcp, key, 0, Code::Failed, why.as_bytes());
+        self.forget(key, heard);
+        tcp.finish(key);
+    }
+
+    fn forget(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
+        let Some(client) = self.clients.remove(&key) else { return };
+        for mark in client.streams.into_values() {
+            heard.extend(self.close_call(mark).map(Heard::Gone));
+        }
+    }
+
+    /// A client's connection is gone.
+    pub fn closed(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
+        self.forget(key, heard);
+    }
+
+    fn set_alarm(&self, tcp: &mut Tcp, key: TcpKey) {
+        let Some(client) = self.clients.get(&key) else { return };
+        let frame = client.began.map(|began| began + WHOLE_FRAME);
+        let first = (!client.known).then(|| client.came + FIRST_FRAME);
+        let idle = client.streams.is_empty().then(|| client.quiet + CLIENT_IDLE);
+        tcp.alarm(key, [frame, first, idle].into_iter().flatten().min());
+    }
+
+    /// A connection's alarm came due.
+    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+        let Some(client) = self.clients.get(&key) else { return };
+        let now = Instant::now();
+        let slow = client.began.is_some_and(|began| now >= began + WHOLE_FRAME);
+        let silent = !client.known && now >= client.came + FIRST_FRAME;
+        if slow || silent {
+            count.closed_for_silence += 1;
+            self.say(tcp, key, 0, Code::Failed, b"nothing whole came in time");
+            self.forget(key, heard);
+            tcp.finish(key);
+        } else if client.streams.is_empty() && now >= client.quiet + CLIENT_IDLE {
+            count.closed_idle += 1;
+            self.forget(key, heard);
+            tcp.finish(key);
+        } else {
+            self.set_alarm(tcp, key);
+        }
+    }
+
+    /// Asks clients for no new requests on the connections that stand. What comes all the same is served.
+    pub fn go_away(&mut self, tcp: &mut Tcp) {
+        self.leaving = true;
+        let mut word = Vec::new();
+        frames::go_away(&mut word);
+        for key in self.clients.keys() {
+            tcp.send(*key, &word);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,18 @@
-//! x
+//! The real controller on the platform: what `run` in `deploy/balancer.toml` starts.
+//!
+//! May know: `platform` (the wire), `net` (plain TCP), `engine`. Must not know: HTTP/2, administration,
+//! decisions. One thread, one poll.
+//!
+//! * [`node`]: the loop and the wiring. [`front`]: towards clients. [`links`]: towards invokers.
+//! * [`directory`]: asks for the list of invokers. [`limits`]: every bound, and its counter.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+pub mod directory;
+pub mod front;
+pub mod limits;
+pub mod links;
+pub mod node;
+
+pub use node::{Node, NodeError};
--- /dev/null
+++ b/crates/node/src/limits.rs
@@ -0,0 +1,91 @@
+//! Every bound of the node by name, and the counter that tells when it was hit.
+
+use std::time::Duration;
+
+use nettleferry_platform::config;
+
+/// A connection on which nothing that can be used came within this span of its coming is closed: the platform
+/// owes such a client an answer or a close within 3 s.
+pub const FIRST_FRAME: Duration = Duration::from_millis(2_000);
+/// A frame must come whole within this span of its first byte.
+pub const WHOLE_FRAME: Duration = Duration::from_millis(2_000);
+/// A client's connection without open requests is closed after this span. Clients close theirs after 4 s.
+pub const CLIENT_IDLE: Duration = Duration::from_millis(6_000);
+/// Requests open at once on a client's connection: the platform's figure.
+pub const CLIENT_STREAMS: usize = 32;
+/// Requests and frames that can't be used on one connection; with one more it is closed.
+pub const CLIENT_FAULTS: u32 = 8;
+/// After SIGTERM the node goes on for this long at the least, and after the last request that came.
+pub const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
+/// The directory is asked this often; what it tells is current by so much and its answer's way.
+pub const ASK_EVERY: Duration = Duration::from_millis(250);
+/// An answer of the directory that has not come by then is taken for lost.
+pub const ASK_WAIT: Duration = Duration::from_millis(400);
+
+/// Bounds that follow from what the machine gives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Accepted connections; at one more, one that has sent nothing goes, else the new one.
+    pub clients: usize,
+    /// Connections to invokers.
+    pub links: usize,
+    /// Connections to one invoker.
+    pub links_each: usize,
+    /// Requests open.
+    pub open_calls: usize,
+    /// Bytes of bodies of open requests.
+    pub body_bytes: usize,
+    /// Functions remembered by name.
+    pub functions: usize,
+}
+
+impl Bounds {
+    /// Of this machine. Clients may hold a third of the descriptors: half of them are theirs here, a third is for
+    /// invokers, the rest for what the process itself needs.
+    pub fn of(limits: &config::Limits, open_calls: Option<u64>) -> Self {
+        let sockets = usize::try_from(limits.sockets).unwrap_or(usize::MAX).clamp(64, 1 << 20);
+        let megabytes = usize::try_from(limits.memory_mb).unwrap_or(usize::MAX).clamp(16, 1 << 20);
+        let open = open_calls.and_then(|n| usize::try_from(n).ok()).unwrap_or(usize::MAX);
+        Self {
+            clients: sockets / 2,
+            links: sockets / 3,
+            links_each: (sockets / 16).max(4),
+            open_calls: open.min(megabytes * 256),
+            body_bytes: megabytes << 18,
+            functions: megabytes * 128,
+        }
+    }
+}
+
+/// How often each bound was hit, and what else is worth counting.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests taken.
+    pub requests: u64,
+    /// Requests that could not be used.
+    pub bad_requests: u64,
+    /// Frames that could not be read, or that a client may not send.
+    pub bad_frames: u64,
+    /// Connections closed for [`CLIENT_FAULTS`], unreadable frames or [`CLIENT_STREAMS`].
+    pub closed_for_faults: u64,
+    /// [`FIRST_FRAME`] and [`WHOLE_FRAME`].
+    pub closed_for_silence: u64,
+    /// [`CLIENT_IDLE`].
+    pub closed_idle: u64,
+    /// [`Bounds::clients`].
+    pub over_clients: u64,
+    /// [`Bounds::body_bytes`].
+    pub over_bodies: u64,
+    /// Requests whose id was open already.
+    pub ids_open: u64,
+    /// Answers of invokers that could not be read.
+    pub bad_answers: u64,
+    /// Answers that belonged to nothing open.
+    pub stray_answers: u64,
+    /// [`Bounds::links`] and [`Bounds::links_each`].
+    pub over_links: u64,
+    /// Answers of the directory that could not be used.
+    pub bad_lists: u64,
+    /// Queries to the directory without an answer.
+    pub lost_lists: u64,
+}
--- /dev/null
+++ b/crates/node/src/links.rs
@@ -0,0 +1,464 @@
+//! Towards invokers: attempts, orders and probes on RESP connections, and how each of them ended, as a fact.
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use nettleferry::{LoadNote, Report, WorkerId};
+use nettleferry_engine::{AttemptId, Ended, ErrandId, Event, News};
+use nettleferry_net::tcp::{Gone, Tcp, TcpKey};
+use nettleferry_platform::answer::{self, Note, Told, Word};
+use nettleferry_platform::resp;
+
+use crate::limits::{Bounds, Counters};
+
+/// Ids that ended on a connection and are remembered: an answer that comes twice must not be taken for that of
+/// a later attempt.
+const REMEMBERED: usize = 512;
+
+/// Whose answer is awaited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Owed {
+    Attempt(AttemptId),
+    Order(ErrandId),
+    Probe(ErrandId),
+}
+
+struct Item {
+    owed: Owed,
+    /// Where its command ends among the bytes queued there; `None`: it waits for the connection.
+    end: Option<u64>,
+}
+
+struct Link {
+    worker: WorkerId,
+    up: bool,
+    items: BTreeMap<String, Item>,
+    waiting: VecDeque<(String, Vec<u8>)>,
+    ended: HashSet<String>,
+    ended_order: VecDeque<String>,
+    /// Takes nothing new: it closes after its last answer.
+    leaving: bool,
+}
+
+impl Link {
+    fn over(&mut self, tag: String) {
+        if self.ended.insert(tag.clone()) {
+            self.ended_order.push_back(tag);
+        }
+        if self.ended_order.len() > REMEMBERED
+            && let Some(old) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&old);
+        }
+    }
+}
+
+struct Worker {
+    address: SocketAddr,
+    listed: bool,
+    links: Vec<TcpKey>,
+}
+
+/// The links.
+pub struct Links {
+    workers: BTreeMap<WorkerId, Worker>,
+    links: BTreeMap<TcpKey, Link>,
+    attempts: BTreeMap<AttemptId, (TcpKey, String)>,
+    errands: BTreeMap<ErrandId, (TcpKey, String)>,
+    bounds: Bounds,
+    streams: usize,
+    /// A connection without anything open is closed after this span, before its other end would.
+    idle: Option<Duration>,
+    reports: bool,
+    buffer: Vec<u8>,
+}
+
+/// What an attempt sends.
+pub struct Attempt<'a> {
+    /// Which.
+    pub id: AttemptId,
+    /// The call's id as the client gave it.
+    pub name: &'a str,
+    /// The class.
+    pub sort: &'a str,
+    /// The function.
+    pub asset: &'a str,
+    /// How long we wait, milliseconds.
+    pub patience_ms: u64,
+    /// The body.
+    pub body: &'a Bytes,
+}
+
+impl Links {
+    /// No links yet. `streams`: what one connection carries at once; `idle`: after what span invokers close one;
+    /// `reports`: probes ask for a load report.
+    pub fn new(bounds: Bounds, streams: usize, idle: Option<Duration>, reports: bool) -> Self {
+        Self {
+            workers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            errands: BTreeMap::new(),
+            bounds,
+            streams: streams.max(1),
+            idle: idle.map(|idle| idle * 3 / 4),
+            reports,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Is this an invoker's connection?
+    pub fn owns(&self, key: TcpKey) -> bool {
+        self.links.contains_key(&key)
+    }
+
+    /// The list: every invoker that may be sent anything, and where.
+    pub fn list(&mut self, tcp: &mut Tcp, listed: &BTreeMap<WorkerId, SocketAddr>) {
+        for worker in self.workers.values_mut() {
+            worker.listed = false;
+        }
+        for (id, address) in listed {
+            let fresh = || Worker { address: *address, listed: true, links: Vec::new() };
+            let worker = self.workers.entry(*id).or_insert_with(fresh);
+            worker.listed = true;
+            if worker.address != *address {
+                worker.address = *address;
+                for key in &worker.links {
+                    if let Some(link) = self.links.get_mut(key) {
+                        link.leaving = true;
+                    }
+                }
+            }
+        }
+        let gone = self.workers.values().filter(|w| !w.listed).flat_map(|w| w.links.iter().copied());
+        for key in gone.collect::<Vec<_>>() {
+            if let Some(link) = self.links.get_mut(&key) {
+                link.leaving = true;
+            }
+            self.settle(tcp, key);
+        }
+        self.workers.retain(|_, w| w.listed || !w.links.is_empty());
+    }
+
+    /// Begins an attempt.
+    pub fn start(
+        &mut self,
+        tcp: &mut Tcp,
+        worker: WorkerId,
+        attempt: &Attempt,
+        out: &mut Vec<Event>,
+        count: &mut Counters,
+    ) {
+        let ended = |how| Event::Ended { attempt: attempt.id, how, news: News::default() };
+        match self.choose(tcp, worker, attempt.name, count) {
+            Ok(key) => {
+                let mut bytes = std::mem::take(&mut self.buffer);
+                bytes.clear();
+                let Attempt { name, sort, asset, patience_ms, body, .. } = attempt;
+                resp::call(&mut bytes, name, sort, asset, *patience_ms, body);
+                self.attempts.insert(attempt.id, (key, (*name).to_owned()));
+                self.put(tcp, key, name, Owed::Attempt(attempt.id), &bytes);
+                self.buffer = bytes;
+            }
+            Err(how) => out.push(ended(how)),
+        }
+    }
+
+    /// Sends an order to load.
+    pub fn load(
+        &mut self,
+        tcp: &mut Tcp,
+        worker: WorkerId,
+        errand: ErrandId,
+        (asset, instances): (&str, u32),
+        out: &mut Vec<Event>,
+        count: &mut Counters,
+    ) {
+        let tag = format!("o{}", errand.0);
+        match self.choose(tcp, worker, &tag, count) {
+            Ok(key) => {
+                let mut bytes = Vec::new();
+                resp::load(&mut bytes, &tag, asset, instances);
+                self.errands.insert(errand, (key, tag.clone()));
+                self.put(tcp, key, &tag, Owed::Order(errand), &bytes);
+            }
+            Err(how) => out.push(Event::Loaded { errand, how, copies: 0 }),
+        }
+    }
+
+    /// Sends word to unload; nothing comes back.
+    pub fn unload(&mut self, tcp: &mut Tcp, worker: WorkerId, asset: &str) {
+        let links = self.workers.get(&worker).map(|w| w.links.as_slice()).unwrap_or_default();
+        let up = links.iter().find(|key| self.links.get(key).is_some_and(|l| l.up && !l.leaving));
+        if let Some(key) = up {
+            let mut bytes = Vec::new();
+            resp::unload(&mut bytes, asset);
+            tcp.send(*key, &bytes);
+        }
+    }
+
+    /// Probes an invoker.
+    pub fn probe(
+        &mut self,
+        tcp: &mut Tcp,
+        worker: WorkerId,
+        errand: ErrandId,
+        out: &mut Vec<Event>,
+        count: &mut Counters,
+    ) {
+        let tag = format!("p{}", errand.0);
+        match self.choose(tcp, worker, &tag, count) {
+            Ok(key) => {
+                let mut bytes = Vec::new();
+                resp::probe(&mut bytes, &tag, self.reports);
+                self.errands.insert(errand, (key, tag.clone()));
+                self.put(tcp, key, &tag, Owed::Probe(errand), &bytes);
+            }
+            Err(how) => out.push(Event::Probed { errand, how, report: None }),
+        }
+    }
+
+    /// A connection to the invoker with room for one more: one that stands, else one that is being made, else a
+    /// new one.
+    fn choose(
+        &mut self,
+        tcp: &mut Tcp,
+        id: WorkerId,
+        tag: &str,
+        count: &mut Counters,
+    ) -> Result<TcpKey, Ended> {
+        let Some(worker) = self.workers.get_mut(&id) else { return Err(Ended::NotConnected) };
+        let room = |key: &&TcpKey| {
+            self.links.get(key).is_some_and(|l| {
+                let taken = l.items.contains_key(tag) || l.ended.contains(tag);
+                !l.leaving && l.items.len() < self.streams && !taken
+            })
+        };
+        let load = |key: &&TcpKey| self.links.get(key).map(|l| (!l.up, l.items.len()));
+        if let Some(key) = worker.links.iter().filter(room).min_by_key(load) {
+            return Ok(*key);
+        }
+        if worker.links.len() >= self.bounds.links_each {
+            count.over_links += 1;
+            return Err(Ended::NoRoom);
+        }
+        let before = tcp.counters().over_made;
+        let Some(key) = tcp.connect(worker.address) else {
+            if tcp.counters().over_made > before {
+                count.over_links += 1;
+                return Err(Ended::NoRoom);
+            }
+            return Err(Ended::NotConnected);
+        };
+        worker.links.push(key);
+        let link = Link {
+            worker: id,
+            up: false,
+            items: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            ended: HashSet::new(),
+            ended_order: VecDeque::new(),
+            leaving: false,
+        };
+        self.links.insert(key, link);
+        Ok(key)
+    }
+
+    fn put(&mut self, tcp: &mut Tcp, key: TcpKey, tag: &str, owed: Owed, bytes: &[u8]) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        let end = if link.up {
+            tcp.alarm(key, None);
+            // A connection that is just ending takes nothing: its end is told, and finds this not written.
+            Some(tcp.send(key, bytes).unwrap_or(u64::MAX))
+        } else {
+            link.waiting.push_back((tag.to_owned(), bytes.to_vec()));
+            None
+        };
+        link.items.insert(tag.to_owned(), Item { owed, end });
+    }
+
+    /// A connection came about: what waited for it leaves.
+    pub fn connected(&mut self, tcp: &mut Tcp, key: TcpKey) {
+        let Some(link) = self.links.get_mut(&key) else { return };
+        link.up = true;
+        for (tag, bytes) in std::mem::take(&mut link.waiting) {
+            if let Some(item) = link.items.get_mut(&tag) {
+                item.end = Some(tcp.send(key, &bytes).unwrap_or(u64::MAX));
+            }
+        }
+        self.settle(tcp, key);
+    }
+
+    /// Stops an attempt: nothing about it is wanted any more.
+    pub fn withdraw(&mut self, tcp: &mut Tcp, attempt: AttemptId) {
+        let Some((key, tag)) = self.attempts.remove(&attempt) else { return };
+        let Some(link) = self.links.get_mut(&key) else { return };
+        let sent = link.items.remove(&tag).is_some_and(|item| item.end.is_some());
+        if sent {
+            let mut bytes = Vec::new();
+            resp::cancel(&mut bytes, &tag);
+            tcp.send(key, &bytes);
+        } else {
+            link.waiting.retain(|(waits, _)| *waits != tag);
+        }
+        link.over(tag);
+        self.settle(tcp, key);
+    }
+
+    /// An order or a probe ran out of time: nothing about it is wanted any more.
+    pub fn forget(&mut self, tcp: &mut Tcp, errand: ErrandId) {
+        let Some((key, tag)) = self.errands.remove(&errand) else { return };
+        let Some(link) = self.links.get_mut(&key) else { return };
+        link.items.remove(&tag);
+        link.waiting.retain(|(waits, _)| *waits != tag);
+        link.over(tag);
+        self.settle(tcp, key);
+    }
+
+    /// Bytes came from an invoker.
+    pub fn data(&mut self, tcp: &mut Tcp, key: TcpKey, out: &mut Vec<Event>, count: &mut Counters) {
+        loop {
+            let Some(input) = tcp.input(key) else { return };
+            let answer = match resp::next(input) {
+                Ok(Some(answer)) => answer,
+                Ok(None) => break,
+                Err(_) => {
+                    count.bad_answers += 1;
+                    tcp.close(key);
+                    return self.broken(key, out, |_| Ended::Broken);
+                }
+            };
+            let Some(link) = self.links.get_mut(&key) else { return };
+            let word = Word::read(&answer.word).zip(Told::read(&answer.fields));
+            let Some((word, told)) = word else {
+                count.bad_answers += 1;
+                tcp.close(key);
+                return self.broken(key, out, |_| Ended::Broken);
+            };
+            let Some(item) = link.items.remove(&answer.id) else {
+                count.stray_answers += 1;
+                continue;
+            };
+            link.over(answer.id);
+            self.answered(item.owed, word, &told, answer.body, out);
+        }
+        self.settle(tcp, key);
+    }
+
+    fn answered(&mut self, owed: Owed, word: Word, told: &Told, body: Bytes, out: &mut Vec<Event>) {
+        let report = told.report.map(report);
+        match owed {
+            Owed::Attempt(attempt) => {
+                self.attempts.remove(&attempt);
+                let news = News { note: told.note.map(note), crowd: None, report };
+                if word == Word::Served {
+                    out.push(Event::Part { attempt, payload: body, last: true });
+                }
+                out.push(Event::Ended { attempt, how: ended(word, told), news });
+            }
+            Owed::Order(errand) => {
+                self.errands.remove(&errand);
+                let copies = told.instances.unwrap_or(0);
+                out.push(Event::Loaded { errand, how: ended(word, told), copies });
+            }
+            Owed::Probe(errand) => {
+                self.errands.remove(&errand);
+                let how = if word == Word::Green { Ended::Served } else { ended(word, told) };
+                out.push(Event::Probed { errand, how, report });
+            }
+        }
+    }
+
+    /// A connection is gone: what was open on it has ended as far as was written.
+    pub fn closed(&mut self, tcp: &Tcp, key: TcpKey, why: Gone, out: &mut Vec<Event>) {
+        let written = tcp.written(key);
+        self.broken(key, out, |item| match (why, item.end) {
+            (Gone::NotConnected, _) | (_, None) => Ended::NotConnected,
+            (Gone::Slow, _) => Ended::Broken,
+            (_, Some(end)) if end > written => Ended::NotWritten,
+            _ => Ended::Broken,
+        });
+    }
+
+    fn broken(&mut self, key: TcpKey, out: &mut Vec<Event>, how: impl Fn(&Item) -> Ended) {
+        let Some(link) = self.links.remove(&key) else { return };
+        if let Some(worker) = self.workers.get_mut(&link.worker) {
+            worker.links.retain(|other| *other != key);
+            if !worker.listed && worker.links.is_empty() {
+                self.workers.remove(&link.worker);
+            }
+        }
+        for item in link.items.into_values() {
+            let how = how(&item);
+            match item.owed {
+                Owed::Attempt(attempt) => {
+                    self.attempts.remove(&attempt);
+                    out.push(Event::Ended { attempt, how, news: News::default() });
+                }
+                Owed::Order(errand) => {
+                    self.errands.remove(&errand);
+                    out.push(Event::Loaded { errand, how, copies: 0 });
+                }
+                Owed::Probe(errand) => {
+                    self.errands.remove(&errand);
+                    out.push(Event::Probed { errand, how, report: None });
+                }
+            }
+        }
+    }
+
+    /// A connection with nothing open is closed, at once or when it has been idle.
+    fn settle(&mut self, tcp: &mut Tcp, key: TcpKey) {
+        let Some(link) = self.links.get(&key).filter(|l| l.items.is_empty()) else { return };
+        if link.leaving {
+            self.drop_link(tcp, key);
+        } else {
+            tcp.alarm(key, self.idle.map(|idle| Instant::now() + idle));
+        }
+    }
+
+    /// A connection's alarm came due: it was idle.
+    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey) {
+        if self.links.get(&key).is_some_and(|l| l.items.is_empty()) {
+            self.drop_link(tcp, key);
+        }
+    }
+
+    fn drop_link(&mut self, tcp: &mut Tcp, key: TcpKey) {
+        tcp.finish(key);
+        self.broken(key, &mut Vec::new(), |_| Ended::Broken);
+    }
+}
+
+/// What a word proves of a request; see the engine's table.
+fn ended(word: Word, told: &Told) -> Ended {
+    match word {
+        Word::Served => Ended::Served,
+        Word::NotHere if told.note == Some(Note::Failed) => Ended::MarkedLoadFailed,
+        Word::NotHere => Ended::MarkedMiss,
+        Word::Overload => Ended::MarkedFull,
+        Word::Crashed => Ended::Status { message: "the invoker failed it".to_owned() },
+        Word::Nobody => Ended::Unwanted,
+        Word::Green | Word::Red => Ended::Status { message: "the invoker is not in service".to_owned() },
+    }
+}
+
+fn note(note: Note) -> LoadNote {
+    match note {
+        Note::Warm => LoadNote::Warm,
+        Note::Began => LoadNote::Began,
+        Note::Waited => LoadNote::Waited,
+        Note::Failed => LoadNote::Failed,
+    }
+}
+
+fn report(told: answer::Report) -> Report {
+    Report {
+        inflight: told.inflight,
+        queue: told.queue,
+        util: told.util,
+        memory_held: told.memory_held,
+        loads: told.loads,
+    }
+}
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -58,10 +58,12 @@
             return Err(RequestError::Body);
         }
         let want = |name| fields.get(name).ok_or(RequestError::Missing(name));
-        let id = |name| Some(want(name)).transpose().and_then(|value| match value {
-            Some(value) if is_id(value) => Ok(value),
-            _ => Err(RequestError::NotId(name)),
-        });
+        let id = |name| {
+            Some(want(name)).transpose().and_then(|value| match value {
+                Some(value) if is_id(value) => Ok(value),
+                _ => Err(RequestError::NotId(name)),
+            })
+        };
         let ttl_ms = figure("ttl", want("ttl")?, MOST_MS)?;
         let mut request = Self {
             op: want("op")?,
