--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -327,6 +327,11 @@
         self.get(key).map_or(0, |c| c.output.len())
     }
 
+    /// Bytes queued for accepted connections that the system has not taken.
+    pub fn unsent_to_peers(&self) -> usize {
+        self.conns.iter().filter(|(_, c)| c.accepted).map(|(_, c)| c.output.len()).sum()
+    }
+
     /// Does it stand?
     pub fn is_open(&self, key: TcpKey) -> bool {
         self.get(key).is_some_and(|c| c.stage == Stage::Open && c.ended.is_none())
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -171,7 +171,8 @@
     pub fn done(&self) -> bool {
         self.leaving.is_some_and(|since| {
             let quiet = Instant::now() >= since.max(self.last_request) + LAST_REQUESTS;
-            quiet && self.engine.open_calls() == 0
+            // An answer is given when the system has it, not when it is queued.
+            quiet && self.engine.open_calls() == 0 && self.tcp.unsent_to_peers() == 0
         })
     }
 
