--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -12,6 +12,7 @@
 use nettleferry_net::tcp::{Tcp, TcpKey};
 use nettleferry_platform::frames::{self, Code, Frame, Reader, kind};
 use nettleferry_platform::request::Request;
+use tracing::debug;
 
 use crate::limits::*;
 
@@ -198,6 +199,7 @@
                         heard.push(Heard::Request(taken));
                     }
                     Err((code, words)) => {
+                        debug!(words, "a request can't be used");
                         self.say(tcp, key, stream, code, words.as_bytes());
                         self.fault(tcp, key, heard, count);
                     }
@@ -259,6 +261,15 @@
         }
         self.next += 1;
         let mark = self.next;
+        debug!(
+            stream,
+            id = request.call,
+            op = request.op,
+            row = request.row,
+            ttl = request.ttl_ms,
+            bytes = request.body.len(),
+            "taken"
+        );
         self.ids.insert(id);
         self.bytes += request.body.len();
         let row: Arc<str> = request.row.into();
@@ -305,12 +316,13 @@
     /// A call has its final answer.
     pub fn end(&mut self, tcp: &mut Tcp, mark: u64, end: &End) {
         let Some(call) = self.calls.get(&mark) else { return };
-        let (key, stream) = (call.conn, call.stream);
+        let (key, stream, name) = (call.conn, call.stream, Arc::clone(&call.name));
         self.close_call(mark);
         if let Some(client) = self.clients.get_mut(&key) {
             client.streams.remove(&stream);
             client.quiet = Instant::now();
         }
+        debug!(id = %name, stream, served = matches!(end, End::Served { .. }), "ended");
         match end {
             End::Served { last } => {
                 self.say(tcp, key, stream, Code::Served, last.as_deref().unwrap_or_default());
@@ -353,6 +365,7 @@
     /// Says why on stream 0 and closes: no one waits for what is open there.
     fn expel(&mut self, tcp: &mut Tcp, key: TcpKey, why: &str, heard: &mut Vec<Heard>, count: &mut Counters) {
         count.closed_for_faults += 1;
+        debug!(why, "a client's connection is closed");
         self.say(tcp, key, 0, Code::Failed, why.as_bytes());
         self.forget(key, heard);
         tcp.finish(key);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -15,6 +15,8 @@
 pub const CLIENT_STREAMS: usize = 32;
 /// Requests and frames that can't be used on one connection; with one more it is closed.
 pub const CLIENT_FAULTS: u32 = 8;
+/// An answer must come whole within this span of its first byte: invokers write theirs at once.
+pub const WHOLE_ANSWER: Duration = Duration::from_millis(500);
 /// After SIGTERM the node goes on for this long at the least, and after the last request that came.
 pub const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
 /// The directory is asked this often; what it tells is current by so much and its answer's way.
@@ -29,8 +31,6 @@
     pub clients: usize,
     /// Connections to invokers.
     pub links: usize,
-    /// Connections to one invoker.
-    pub links_each: usize,
     /// Requests open.
     pub open_calls: usize,
     /// Bytes of bodies of open requests.
@@ -49,7 +49,6 @@
         Self {
             clients: sockets / 2,
             links: sockets / 3,
-            links_each: (sockets / 16).max(4),
             open_calls: open.min(megabytes * 256),
             body_bytes: megabytes << 18,
             functions: megabytes * 128,
@@ -82,7 +81,7 @@
     pub bad_answers: u64,
     /// Answers that belonged to nothing open.
     pub stray_answers: u64,
-    /// [`Bounds::links`] and [`Bounds::links_each`].
+    /// [`Bounds::links`], of which each invoker has an equal part.
     pub over_links: u64,
     /// Answers of the directory that could not be used.
     pub bad_lists: u64,
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -10,8 +10,9 @@
 use nettleferry_net::tcp::{Gone, Tcp, TcpKey};
 use nettleferry_platform::answer::{self, Note, Told, Word};
 use nettleferry_platform::resp;
+use tracing::debug;
 
-use crate::limits::{Bounds, Counters};
+use crate::limits::{Bounds, Counters, WHOLE_ANSWER};
 
 /// Ids that ended on a connection and are remembered: an answer that comes twice must not be taken for that of
 /// a later attempt.
@@ -27,6 +28,7 @@
 
 struct Item {
     owed: Owed,
+    since: Instant,
     /// Where its command ends among the bytes queued there; `None`: it waits for the connection.
     end: Option<u64>,
 }
@@ -40,6 +42,10 @@
     ended_order: VecDeque<String>,
     /// Takes nothing new: it closes after its last answer.
     leaving: bool,
+    /// A probe sent there was not answered, and nothing has come since.
+    suspect: bool,
+    /// When the answer in hand began.
+    partial: Option<Instant>,
 }
 
 impl Link {
@@ -208,7 +214,7 @@
         count: &mut Counters,
     ) {
         let tag = format!("p{}", errand.0);
-        match self.choose(tcp, worker, &tag, count) {
+        match self.choose_for_probe(tcp, worker, &tag, count) {
             Ok(key) => {
                 let mut bytes = Vec::new();
                 resp::probe(&mut bytes, &tag, self.reports);
@@ -219,8 +225,28 @@
         }
     }
 
-    /// A connection to the invoker with room for one more: one that stands, else one that is being made, else a
-    /// new one.
+    /// A probe asks where an answer has been owed longest: its own silence then tells of that connection.
+    fn choose_for_probe(
+        &mut self,
+        tcp: &mut Tcp,
+        id: WorkerId,
+        tag: &str,
+        count: &mut Counters,
+    ) -> Result<TcpKey, Ended> {
+        let links = self.workers.get(&id).map(|w| w.links.as_slice()).unwrap_or_default();
+        let owing = links.iter().filter_map(|key| {
+            let link = self.links.get(key).filter(|l| l.up && !l.leaving && !l.suspect)?;
+            let attempts = link.items.values().filter(|item| matches!(item.owed, Owed::Attempt(_)));
+            Some((attempts.map(|item| item.since).min()?, *key))
+        });
+        match owing.min() {
+            Some((_, key)) => Ok(key),
+            None => self.choose(tcp, id, tag, count),
+        }
+    }
+
+    /// A connection to the invoker with room for one more: one that is idle, else a new one, else the one with
+    /// the least open. What a connection carries is lost with it: so each carries one while there are enough.
     fn choose(
         &mut self,
         tcp: &mut Tcp,
@@ -228,18 +254,24 @@
         tag: &str,
         count: &mut Counters,
     ) -> Result<TcpKey, Ended> {
+        let each = (self.bounds.links / self.workers.len().max(1)).max(2);
         let Some(worker) = self.workers.get_mut(&id) else { return Err(Ended::NotConnected) };
         let room = |key: &&TcpKey| {
             self.links.get(key).is_some_and(|l| {
                 let taken = l.items.contains_key(tag) || l.ended.contains(tag);
-                !l.leaving && l.items.len() < self.streams && !taken
+                !l.leaving && !l.suspect && l.items.len() < self.streams && !taken
             })
         };
         let load = |key: &&TcpKey| self.links.get(key).map(|l| (!l.up, l.items.len()));
-        if let Some(key) = worker.links.iter().filter(room).min_by_key(load) {
+        let idle = |key: &&TcpKey| self.links.get(key).is_some_and(|l| l.up && l.items.is_empty());
+        if let Some(key) = worker.links.iter().filter(room).find(idle) {
+            return Ok(*key);
+        }
+        let full = worker.links.len() >= each || tcp.made() >= self.bounds.links;
+        if let Some(key) = worker.links.iter().filter(room).min_by_key(load).filter(|_| full) {
             return Ok(*key);
         }
-        if worker.links.len() >= self.bounds.links_each {
+        if full {
             count.over_links += 1;
             return Err(Ended::NoRoom);
         }
@@ -260,6 +292,8 @@
             ended: HashSet::new(),
             ended_order: VecDeque::new(),
             leaving: false,
+            suspect: false,
+            partial: None,
         };
         self.links.insert(key, link);
         Ok(key)
@@ -268,14 +302,16 @@
     fn put(&mut self, tcp: &mut Tcp, key: TcpKey, tag: &str, owed: Owed, bytes: &[u8]) {
         let Some(link) = self.links.get_mut(&key) else { return };
         let end = if link.up {
-            tcp.alarm(key, None);
+            if link.partial.is_none() {
+                tcp.alarm(key, None);
+            }
             // A connection that is just ending takes nothing: its end is told, and finds this not written.
             Some(tcp.send(key, bytes).unwrap_or(u64::MAX))
         } else {
             link.waiting.push_back((tag.to_owned(), bytes.to_vec()));
             None
         };
-        link.items.insert(tag.to_owned(), Item { owed, end });
+        link.items.insert(tag.to_owned(), Item { owed, since: Instant::now(), end });
     }
 
     /// A connection came about: what waited for it leaves.
@@ -310,7 +346,9 @@
     pub fn forget(&mut self, tcp: &mut Tcp, errand: ErrandId) {
         let Some((key, tag)) = self.errands.remove(&errand) else { return };
         let Some(link) = self.links.get_mut(&key) else { return };
-        link.items.remove(&tag);
+        let item = link.items.remove(&tag);
+        // Cleared by the next byte that comes there.
+        link.suspect |= item.is_some_and(|item| matches!(item.owed, Owed::Probe(_)) && item.end.is_some());
         link.waiting.retain(|(waits, _)| *waits != tag);
         link.over(tag);
         self.settle(tcp, key);
@@ -318,12 +356,22 @@
 
     /// Bytes came from an invoker.
     pub fn data(&mut self, tcp: &mut Tcp, key: TcpKey, out: &mut Vec<Event>, count: &mut Counters) {
+        if let Some(link) = self.links.get_mut(&key) {
+            link.suspect = false;
+        }
         loop {
             let Some(input) = tcp.input(key) else { return };
             let answer = match resp::next(input) {
                 Ok(Some(answer)) => answer,
-                Ok(None) => break,
-                Err(_) => {
+                Ok(None) if input.is_empty() => break,
+                Ok(None) => {
+                    let Some(link) = self.links.get_mut(&key) else { return };
+                    let since = *link.partial.get_or_insert_with(Instant::now);
+                    tcp.alarm(key, Some(since + WHOLE_ANSWER));
+                    return;
+                }
+                Err(error) => {
+                    debug!(%error, "an answer can't be read");
                     count.bad_answers += 1;
                     tcp.close(key);
                     return self.broken(key, out, |_| Ended::Broken);
@@ -340,12 +388,33 @@
                 count.stray_answers += 1;
                 continue;
             };
+            if word == Word::Crashed {
+                debug!(worker = link.worker.0, tag = answer.id, fields = answer.fields, "crashed");
+            }
             link.over(answer.id);
+            if link.partial.take().is_some() {
+                tcp.alarm(key, None);
+            }
+            let worker = link.worker;
+            if matches!(item.owed, Owed::Probe(_)) {
+                self.give_up_suspects(tcp, worker, out);
+            }
             self.answered(item.owed, word, &told, answer.body, out);
         }
         self.settle(tcp, key);
     }
 
+    /// The invoker answers here: where it did not answer a probe before, the connection is of no further use.
+    fn give_up_suspects(&mut self, tcp: &mut Tcp, worker: WorkerId, out: &mut Vec<Event>) {
+        let links = self.workers.get(&worker).map(|w| w.links.clone()).unwrap_or_default();
+        for key in links {
+            if self.links.get(&key).is_some_and(|l| l.suspect) {
+                tcp.close(key);
+                self.broken(key, out, |_| Ended::TimedOut);
+            }
+        }
+    }
+
     fn answered(&mut self, owed: Owed, word: Word, told: &Told, body: Bytes, out: &mut Vec<Event>) {
         let report = told.report.map(report);
         match owed {
@@ -383,14 +452,25 @@
 
     fn broken(&mut self, key: TcpKey, out: &mut Vec<Event>, how: impl Fn(&Item) -> Ended) {
         let Some(link) = self.links.remove(&key) else { return };
+        if !link.items.is_empty() {
+            debug!(
+                worker = link.worker.0,
+                open = link.items.len(),
+                "a connection ended under what was open on it"
+            );
+        }
         if let Some(worker) = self.workers.get_mut(&link.worker) {
             worker.links.retain(|other| *other != key);
             if !worker.listed && worker.links.is_empty() {
                 self.workers.remove(&link.worker);
             }
         }
-        for item in link.items.into_values() {
+        // Probes first: what is told of the connection is known before what was lost with it.
+        let (probes, others): (Vec<_>, Vec<_>) =
+            link.items.into_iter().partition(|(_, item)| matches!(item.owed, Owed::Probe(_)));
+        for (tag, item) in probes.into_iter().chain(others) {
             let how = how(&item);
+            debug!(worker = link.worker.0, tag, ?how, "ended with its connection");
             match item.owed {
                 Owed::Attempt(attempt) => {
                     self.attempts.remove(&attempt);
@@ -418,9 +498,15 @@
         }
     }
 
-    /// A connection's alarm came due: it was idle.
-    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey) {
-        if self.links.get(&key).is_some_and(|l| l.items.is_empty()) {
+    /// A connection's alarm came due: it was idle, or an answer did not come whole.
+    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, out: &mut Vec<Event>, count: &mut Counters) {
+        let Some(link) = self.links.get(&key) else { return };
+        if link.partial.is_some_and(|since| Instant::now() >= since + WHOLE_ANSWER) {
+            debug!(worker = link.worker.0, "an answer stopped short");
+            count.bad_answers += 1;
+            tcp.close(key);
+            self.broken(key, out, |_| Ended::Broken);
+        } else if link.items.is_empty() {
             self.drop_link(tcp, key);
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -216,7 +216,7 @@
             TcpEvent::Alarm(key) if self.front.owns(key) => {
                 self.front.alarm(tcp, key, &mut self.heard, count)
             }
-            TcpEvent::Alarm(key) => self.links.alarm(tcp, key),
+            TcpEvent::Alarm(key) => self.links.alarm(tcp, key, &mut self.told, count),
             TcpEvent::Closed(key, _) if self.front.owns(key) => self.front.closed(key, &mut self.heard),
             TcpEvent::Closed(key, why) => self.links.closed(tcp, key, why, &mut self.told),
             TcpEvent::Source(SIGNALS) => self.signalled(),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -373,6 +373,7 @@
         let bound = warm && worker.busy >= function.lanes;
         // Drains: nothing new from the moment it is told.
         worker.entry.state == WorkerState::On
+            && !worker.doubt
             && self.effect_permits(call, worker)
             && (!barred || desperate)
             && !bound
@@ -709,18 +710,44 @@
             Outcome::Ok => self.count(flight.worker, false, flight.trial),
             Outcome::Miss | Outcome::Full => worker.heard = self.now,
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
+            // What no worker ever served may itself be at fault: its errors tell nothing of the worker.
+            Outcome::Error if !self.served_before(flight.function) => {}
+            Outcome::Reset if self.settings.limits.probes => self.doubt(flight.worker, flight.trial),
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
                 if refused || outcome == Outcome::Reset {
-                    // Its process died: when it answers again it has started anew, whatever the list says.
-                    worker.born = Some(self.now);
-                    self.forget_copies(flight.worker);
-                    self.bar(flight.worker, "it is down", true);
+                    self.died(flight.worker);
                 }
                 self.count(flight.worker, true, flight.trial);
             }
         }
     }
 
+    fn served_before(&self, id: FunctionId) -> bool {
+        self.functions.get(&id).is_some_and(|f| !f.latencies.is_empty() || !f.warm.is_empty())
+    }
+
+    /// Its process died: when it answers again it has started anew, whatever the list says.
+    fn died(&mut self, id: WorkerId) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        worker.born = Some(self.now);
+        self.forget_copies(id);
+        self.bar(id, "it is down", true);
+    }
+
+    /// A connection that broke, or on which nothing comes, may have failed alone: a probe tells it from a
+    /// process that died. What breaks together counts once. Harm: a process that restarts faster than the
+    /// probe comes passes for one that lived, until the list tells of its start.
+    fn doubt(&mut self, id: WorkerId, trial: bool) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if !std::mem::replace(&mut worker.doubt, true) {
+            if worker.probed.is_none() {
+                worker.probed = Some(self.now);
+                self.out.push(Action::Probe { worker: id });
+            }
+            self.count(id, true, trial);
+        }
+    }
+
     fn count(&mut self, id: WorkerId, failed: bool, trial: bool) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
         if !failed {
@@ -760,6 +787,7 @@
         }
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let since = worker.probed.take();
+        let doubted = std::mem::take(&mut worker.doubt);
         if outcome == Outcome::Ok {
             worker.heard = self.now;
             if worker.down {
@@ -770,14 +798,20 @@
             }
             self.watch(id);
         } else {
-            let dead = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset) || worker.down;
+            let broke = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
+            let dead = outcome == Outcome::ConnectFailed || worker.down;
             // A probe that waits in a queue and times out tells of a crowd; silence is told by what is owed.
             self.strained(id, STRAIN_FULL);
             let worker = &self.workers[&id];
             let owed = since.is_some_and(|t| worker.heard <= t)
                 && self.flights.values().any(|f| self.overdue(id, worker, f));
-            if dead || owed {
+            if broke && doubted {
+                self.died(id);
+            } else if dead || owed && doubted {
                 self.bar_silent(id);
+            } else if owed || broke {
+                // Its connection may have failed alone: asked once more.
+                self.doubt(id, false);
             }
         }
         self.release(None);
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,6 +23,8 @@
     pub(crate) heard: Micros,
     pub(crate) watched: Option<Micros>,
     pub(crate) probed: Option<Micros>,
+    /// A connection to it failed: the probe under way tells whether its process did.
+    pub(crate) doubt: bool,
     /// Strain told by its last answer, and when.
     pub(crate) strained: (f64, Micros),
     /// Its last report, and when it came.
