Module: only a refused connection proves a death; lost calls and orders go again

Checked with a log of every attempt, order and probe and a trace of each held call: (1) workers barred as down and cold though their processes answered; connections reset while new came as 'not connected' within a millisecond, and a probe that was reset counted as a second proof; (2) two thirds of all load orders ended with their connections after half a second of silence, and each barred its function from that worker for half a load though the order stands; (3) in seconds 5 to 16 about one attempt in six was never answered, at every worker, on connections that answered the next: held calls saw each worker at the design's bound (busy 8 of 8) while its reports told of idle cores. Ruled out: age or idleness of connections (resets 9% at every age), single functions, single workers, our parser (no unreadable answer).

At fault: tcp::established (a reset counted as not connected), the engine's row for NotWritten (ConnectFailed), judge and probed (a reset as death, full weight), loaded (shun after a lost order), silent (looked at the worker's silence, never at one call's), links (a connection whose call was withdrawn was used again).

Change: Outcome::Unsent, a connection that broke before all had left; death is a quick refusal alone; a break counts half of a failure, and a probe that breaks is sent again; lost orders are given again once a probe has answered; a safe call late by six means or half an aim, while its worker answers others and is not crowded, is withdrawn and goes elsewhere; withdrawn calls take their connection with them.

--- a/crates/engine/src/outcome.rs
+++ b/crates/engine/src/outcome.rs
@@ -52,7 +52,8 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             Self::Served | Self::Rejected(_) => Outcome::Ok,
-            Self::NotConnected | Self::NotWritten => Outcome::ConnectFailed,
+            Self::NotConnected => Outcome::ConnectFailed,
+            Self::NotWritten => Outcome::Unsent,
             Self::NoRoom | Self::RefusedStream | Self::GoneAway | Self::MarkedFull => Outcome::Full,
             Self::MarkedMiss | Self::MarkedLoadFailed => Outcome::Miss,
             Self::Unwanted => Outcome::Moot,
@@ -65,7 +66,10 @@
 
     /// Does it prove that the attempt never ran?
     pub fn never_ran(&self) -> bool {
-        matches!(self.outcome(), Outcome::ConnectFailed | Outcome::Full | Outcome::Miss | Outcome::Moot)
+        matches!(
+            self.outcome(),
+            Outcome::ConnectFailed | Outcome::Unsent | Outcome::Full | Outcome::Miss | Outcome::Moot
+        )
     }
 
     /// For people: a client's message, a log line.
@@ -102,7 +106,7 @@
             (Ended::Served, Outcome::Ok, false),
             (Ended::Rejected("shape".to_owned()), Outcome::Ok, false),
             (Ended::NotConnected, Outcome::ConnectFailed, true),
-            (Ended::NotWritten, Outcome::ConnectFailed, true),
+            (Ended::NotWritten, Outcome::Unsent, true),
             (Ended::NoRoom, Outcome::Full, true),
             (Ended::RefusedStream, Outcome::Full, true),
             (Ended::GoneAway, Outcome::Full, true),
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -150,7 +150,7 @@
         Some(Outcome::Error) => 1,
         Some(Outcome::Full) => 2,
         Some(Outcome::Timeout) => 3,
-        Some(Outcome::ConnectFailed) => 4,
+        Some(Outcome::ConnectFailed | Outcome::Unsent) => 4,
         Some(Outcome::Reset) => 5,
         Some(Outcome::Cancelled) => 6,
         Some(Outcome::Moot) => 7,
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -83,7 +83,9 @@
 /// Why a connection is gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Gone {
-    /// It never came about: refused, unreachable or not in time.
+    /// Nobody listens there.
+    Refused,
+    /// It never came about: unreachable, or not in time.
     NotConnected,
     /// The peer closed it.
     Ended,
@@ -543,8 +545,8 @@
         conn.ready = false;
         if conn.stage == Stage::Connecting && conn.writable {
             match established(&conn.socket) {
-                None => conn.writable = false,
-                Some(true) => {
+                Ok(false) => conn.writable = false,
+                Ok(true) => {
                     conn.stage = Stage::Open;
                     if let Some(at) = conn.limit.take()
                         && conn.alarm != Some(at)
@@ -553,9 +555,9 @@
                     }
                     self.out.push(TcpEvent::Connected(key));
                 }
-                Some(false) => {
+                Err(gone) => {
                     self.counters.connect_failures += 1;
-                    self.end(key, Some(Gone::NotConnected));
+                    self.end(key, Some(gone));
                 }
             }
         }
@@ -590,15 +592,23 @@
     }
 }
 
-/// Has a connection come about (`None`: not yet)?
-fn established(socket: &TcpStream) -> Option<bool> {
-    if !matches!(socket.take_error(), Ok(None)) {
-        return Some(false);
+/// Has a connection come about? One that was reset had come about: somebody listens there.
+fn established(socket: &TcpStream) -> Result<bool, Gone> {
+    let gone = |e: io::Error| match e.kind() {
+        io::ErrorKind::ConnectionRefused => Gone::Refused,
+        io::ErrorKind::ConnectionReset | io::ErrorKind::ConnectionAborted | io::ErrorKind::BrokenPipe => {
+            Gone::Broken
+        }
+        _ => Gone::NotConnected,
+    };
+    match socket.take_error() {
+        Ok(Some(e)) | Err(e) => return Err(gone(e)),
+        Ok(None) => {}
     }
     match socket.peer_addr() {
-        Ok(_) => Some(true),
-        Err(e) if e.kind() == io::ErrorKind::NotConnected => None,
-        Err(_) => Some(false),
+        Ok(_) => Ok(true),
+        Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(false),
+        Err(e) => Err(gone(e)),
     }
 }
 
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -163,6 +163,7 @@
                 bytes.clear();
                 let Attempt { name, sort, asset, patience_ms, body, .. } = attempt;
                 resp::call(&mut bytes, name, sort, asset, *patience_ms, body);
+                debug!(worker = worker.0, name, asset, number = attempt.id.number, ?key, "an attempt");
                 self.attempts.insert(attempt.id, (key, (*name).to_owned()));
                 self.put(tcp, key, name, Owed::Attempt(attempt.id), &bytes);
                 self.buffer = bytes;
@@ -186,6 +187,7 @@
             Ok(key) => {
                 let mut bytes = Vec::new();
                 resp::load(&mut bytes, &tag, asset, instances);
+                debug!(worker = worker.0, tag, asset, ?key, "an order");
                 self.errands.insert(errand, (key, tag.clone()));
                 self.put(tcp, key, &tag, Owed::Order(errand), &bytes);
             }
@@ -284,6 +286,7 @@
             return Err(Ended::NotConnected);
         };
         worker.links.push(key);
+        debug!(worker = id.0, tag, ?key, links = worker.links.len(), "a new connection");
         let link = Link {
             worker: id,
             up: false,
@@ -335,6 +338,8 @@
             let mut bytes = Vec::new();
             resp::cancel(&mut bytes, &tag);
             tcp.send(key, &bytes);
+            // Its answer was awaited and did not come: whether any other would is not known.
+            link.leaving = true;
         } else {
             link.waiting.retain(|(waits, _)| *waits != tag);
         }
@@ -388,9 +393,7 @@
                 count.stray_answers += 1;
                 continue;
             };
-            if word == Word::Crashed {
-                debug!(worker = link.worker.0, tag = answer.id, fields = answer.fields, "crashed");
-            }
+            debug!(worker = link.worker.0, tag = answer.id, ?word, fields = answer.fields, age = ?item.since.elapsed(), "answered");
             link.over(answer.id);
             if link.partial.take().is_some() {
                 tcp.alarm(key, None);
@@ -443,7 +446,8 @@
     pub fn closed(&mut self, tcp: &Tcp, key: TcpKey, why: Gone, out: &mut Vec<Event>) {
         let written = tcp.written(key);
         self.broken(key, out, |item| match (why, item.end) {
-            (Gone::NotConnected, _) | (_, None) => Ended::NotConnected,
+            (Gone::Refused | Gone::NotConnected, _) => Ended::NotConnected,
+            (_, None) => Ended::NotWritten,
             (Gone::Slow, _) => Ended::Broken,
             (_, Some(end)) if end > written => Ended::NotWritten,
             _ => Ended::Broken,
@@ -470,7 +474,7 @@
             link.items.into_iter().partition(|(_, item)| matches!(item.owed, Owed::Probe(_)));
         for (tag, item) in probes.into_iter().chain(others) {
             let how = how(&item);
-            debug!(worker = link.worker.0, tag, ?how, "ended with its connection");
+            debug!(worker = link.worker.0, tag, ?key, age = ?item.since.elapsed(), ?how, "ended with its connection");
             match item.owed {
                 Owed::Attempt(attempt) => {
                     self.attempts.remove(&attempt);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,14 +29,20 @@
 /// Weight of one outcome in a worker's failing share, and the share that bars it: two failures in a row.
 const FAIL_WEIGHT: f64 = 0.3;
 const FAIL_BAR: f64 = 0.5;
+/// Weight of a connection that broke while its worker's process lived: many, and none served between, bar it.
+const BROKE_WEIGHT: f64 = 0.15;
+/// How long a worker in doubt is left alone when the probe's connection broke as well.
+const DOUBT_WAIT: Micros = 100_000;
 /// Weights of one load in a load's usual time, and of one answer in a class's work.
 const LOAD_WEIGHT: f64 = 0.3;
 const WORK_WEIGHT: f64 = 0.05;
 /// First span of a bar, doubled at each failed trial up to the longest: a process restarts in seconds.
 const BAR_FIRST: Micros = 500_000;
 const BAR_LONGEST: Micros = 4_000_000;
-/// A worker that owes answers for this many mean latencies, and an aim at the least, is silent.
+/// A worker that owes answers for this many mean latencies, and this share of an aim at the least, is silent:
+/// a call that was lost can still be answered within its aim elsewhere.
 const SILENT_LATENCIES: f64 = 6.0;
+const SILENT_AIMS: f64 = 0.5;
 /// Part of the cold allowance that is used: what is in flight between controllers is not seen.
 const COLD_MARGIN: f64 = 0.7;
 /// Strain is what answers tell of others at a worker: calls of the function over its lanes, or latency over
@@ -503,7 +509,7 @@
         }
         self.flights.insert(
             (id, number),
-            Flight { worker: to, function: fid, class, sent: self.now, loading: !warm, trial },
+            Flight { worker: to, function: fid, class, sent: self.now, loading: !warm, trial, asked: false },
         );
         self.watch(to);
         self.out.push(Action::Send { request: id, worker: to, timeout: None });
@@ -513,7 +519,8 @@
     fn watch(&mut self, id: WorkerId) {
         let Some(worker) = self.workers.get(&id) else { return };
         let owed = self.flights.values().filter(|f| f.worker == id);
-        let Some(at) = owed.map(|f| f.sent.max(worker.heard) + self.silence(f)).min() else { return };
+        let since = |f: &Flight| if f.asked { f.sent.max(worker.heard) } else { f.sent };
+        let Some(at) = owed.map(|f| since(f) + self.silence(f)).min() else { return };
         let bar = if worker.barred { worker.barred_until } else { 0 };
         let at = at.max(bar).max(self.now + self.tick());
         if worker.watched.is_none_or(|set| at < set) {
@@ -529,7 +536,7 @@
     fn silence(&self, flight: &Flight) -> Micros {
         let Some(function) = self.functions.get(&flight.function) else { return Micros::MAX / 4 };
         let load = if flight.loading { self.load_span(function) * STUCK_LOADS } else { 0.0 };
-        let least = self.settings.classes[flight.class].aim as f64;
+        let least = self.settings.classes[flight.class].aim as f64 * SILENT_AIMS;
         ((function.mean() * SILENT_LATENCIES).max(least) + load) as Micros
     }
 
@@ -567,7 +574,8 @@
             self.finish(id);
         } else if let Some(call) = self.calls.get_mut(&id) {
             call.out = call.out.filter(|out| *out != number);
-            if !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss) {
+            let unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Unsent | Outcome::Moot);
+            if !unsent && !matches!(outcome, Outcome::Full | Outcome::Miss) {
                 call.ran = call.ran.or(Some((at, flight.sent)));
             }
             if outcome != Outcome::Miss {
@@ -707,17 +715,21 @@
         let Some(worker) = self.workers.get_mut(&flight.worker) else { return };
         let refused = outcome == Outcome::ConnectFailed && elapsed < self.settings.limits.connect_timeout / 2;
         match outcome {
-            Outcome::Ok => self.count(flight.worker, false, flight.trial),
+            Outcome::Ok => self.count(flight.worker, None, flight.trial),
             Outcome::Miss | Outcome::Full => worker.heard = self.now,
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
             // What no worker ever served may itself be at fault: its errors tell nothing of the worker.
             Outcome::Error if !self.served_before(flight.function) => {}
-            Outcome::Reset if self.settings.limits.probes => self.doubt(flight.worker, flight.trial),
-            Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
+            Outcome::Reset | Outcome::Unsent if self.settings.limits.probes => {
+                if self.doubt(flight.worker) {
+                    self.count(flight.worker, Some(BROKE_WEIGHT), flight.trial);
+                }
+            }
+            Outcome::Error | Outcome::ConnectFailed | Outcome::Reset | Outcome::Unsent => {
                 if refused || outcome == Outcome::Reset {
                     self.died(flight.worker);
                 }
-                self.count(flight.worker, true, flight.trial);
+                self.count(flight.worker, Some(FAIL_WEIGHT), flight.trial);
             }
         }
     }
@@ -735,25 +747,33 @@
     }
 
     /// A connection that broke, or on which nothing comes, may have failed alone: a probe tells it from a
-    /// process that died. What breaks together counts once. Harm: a process that restarts faster than the
-    /// probe comes passes for one that lived, until the list tells of its start.
-    fn doubt(&mut self, id: WorkerId, trial: bool) {
-        let Some(worker) = self.workers.get_mut(&id) else { return };
-        if !std::mem::replace(&mut worker.doubt, true) {
-            if worker.probed.is_none() {
-                worker.probed = Some(self.now);
-                self.out.push(Action::Probe { worker: id });
-            }
-            self.count(id, true, trial);
+    /// process that died, and nothing new goes there until then. What breaks together counts once: true for
+    /// the first. Harm: a process that restarts faster than the probe comes passes for one that lived, until
+    /// the list tells of its start.
+    fn doubt(&mut self, id: WorkerId) -> bool {
+        let Some(worker) = self.workers.get_mut(&id) else { return false };
+        let first = !std::mem::replace(&mut worker.doubt, true);
+        if first {
+            self.probe(id);
+        }
+        first
+    }
+
+    fn probe(&mut self, id: WorkerId) {
+        if let Some(worker) = self.workers.get_mut(&id).filter(|w| w.probed.is_none()) {
+            worker.probed = Some(self.now);
+            self.out.push(Action::Probe { worker: id });
         }
     }
 
-    fn count(&mut self, id: WorkerId, failed: bool, trial: bool) {
+    /// One outcome in a worker's failing share: a failure of this weight, or `None`, an answer.
+    fn count(&mut self, id: WorkerId, failure: Option<f64>, trial: bool) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
+        let failed = failure.is_some();
         if !failed {
             worker.heard = self.now;
         }
-        worker.failing += (f64::from(u8::from(failed)) - worker.failing) * FAIL_WEIGHT;
+        worker.failing += (f64::from(u8::from(failed)) - worker.failing) * failure.unwrap_or(FAIL_WEIGHT);
         // A bar lifts well below where it falls: one good answer of a worker that fails half is no recovery.
         if worker.barred && worker.failing < FAIL_BAR / 2.0 {
             (worker.barred, worker.bar) = (false, BAR_FIRST);
@@ -787,7 +807,8 @@
         }
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let since = worker.probed.take();
-        let doubted = std::mem::take(&mut worker.doubt);
+        let (doubted, again) = (std::mem::take(&mut worker.doubt), std::mem::take(&mut worker.unanswered));
+        let quick = since.is_some_and(|t| self.now < t + self.settings.limits.connect_timeout / 2);
         if outcome == Outcome::Ok {
             worker.heard = self.now;
             if worker.down {
@@ -796,27 +817,47 @@
                     worker.born = Some(self.now);
                 }
             }
-            self.watch(id);
+            for function in std::mem::take(&mut worker.lost) {
+                self.load_over(function, id);
+                self.order_copy(function, id);
+            }
+        } else if outcome == Outcome::ConnectFailed && quick {
+            self.died(id);
         } else {
-            let broke = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
-            let dead = outcome == Outcome::ConnectFailed || worker.down;
-            // A probe that waits in a queue and times out tells of a crowd; silence is told by what is owed.
-            self.strained(id, STRAIN_FULL);
+            let broke = matches!(outcome, Outcome::Reset | Outcome::Unsent);
+            if !broke {
+                // One that waits in a queue and times out tells of a crowd; silence is told by what is owed.
+                self.strained(id, STRAIN_FULL);
+            }
             let worker = &self.workers[&id];
             let owed = since.is_some_and(|t| worker.heard <= t)
                 && self.flights.values().any(|f| self.overdue(id, worker, f));
-            if broke && doubted {
-                self.died(id);
-            } else if dead || owed && doubted {
+            let asked = self.flights.values().any(|f| f.worker == id && f.asked);
+            if outcome == Outcome::ConnectFailed || worker.down || owed && again {
                 self.bar_silent(id);
-            } else if owed || broke {
-                // Its connection may have failed alone: asked once more.
-                self.doubt(id, false);
+            } else if broke {
+                // It tells nothing: asked once more in a while.
+                self.doubt_again(id);
+            } else if (owed || asked || doubted) && !again {
+                // Its connection may have failed alone: asked at once on another.
+                self.probe(id);
+                let worker = self.workers.get_mut(&id).expect("just seen");
+                (worker.unanswered, worker.doubt) = (true, owed || doubted);
             }
         }
+        self.watch(id);
         self.release(None);
     }
 
+    fn doubt_again(&mut self, id: WorkerId) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        worker.doubt = true;
+        let at = self.now + DOUBT_WAIT;
+        let set = worker.watched.replace(at);
+        self.due.remove(&(set.unwrap_or(0), Due::Silence(id)));
+        self.due.insert((at, Due::Silence(id)));
+    }
+
     /// After a miss one copy is ordered there, within the ration.
     fn order_copy(&mut self, id: FunctionId, at: WorkerId) {
         let on = self.workers.get(&at).is_some_and(|w| w.entry.state == WorkerState::On);
@@ -859,6 +900,16 @@
         if !self.functions.get(&id).is_some_and(|f| f.loading.contains_key(&at)) {
             return;
         }
+        let broke = matches!(outcome, Outcome::Reset | Outcome::Unsent | Outcome::Timeout)
+            && self.settings.limits.probes
+            && elapsed < self.settings.loading.order_timeout;
+        if broke && let Some(worker) = self.workers.get_mut(&at).filter(|w| w.entry.state == WorkerState::On)
+        {
+            // It stands if it came whole: given again once a probe has shown that its process lives.
+            worker.lost.insert(id);
+            self.doubt(at);
+            return;
+        }
         self.load_over(id, at);
         if outcome == Outcome::Ok || copies > 0 {
             self.functions.get_mut(&id).expect("just seen").warm.insert(at, self.now);
@@ -934,13 +985,26 @@
         worker.watched = None;
         let on = worker.entry.state == WorkerState::On;
         let worker = &self.workers[&id];
-        if !worker.down && !self.flights.values().any(|f| self.overdue(id, worker, f)) {
+        let (down, doubt, idle) = (worker.down, worker.doubt, worker.probed.is_none());
+        let overdue = self.flights.values().any(|f| self.overdue(id, worker, f));
+        let late = |f: &Flight| f.worker == id && !f.asked && self.now >= f.sent + self.silence(f);
+        let late: Vec<_> = self.flights.iter().filter(|(_, f)| late(f)).map(|(key, _)| *key).collect();
+        for key in &late {
+            self.flights.get_mut(key).expect("just seen").asked = true;
+            // Others that went there were answered since, and it is not crowded: this one is lost.
+            let flight = &self.flights[key];
+            let eased = |f| self.strain(f, id, flight.class) < 1.0;
+            let eased = self.functions.get(&flight.function).is_some_and(eased);
+            if flight.sent < self.workers[&id].heard && !flight.loading && eased {
+                self.recall(*key);
+            }
+        }
+        if !down && !doubt && !overdue && late.is_empty() {
             self.watch(id);
-        } else if self.settings.limits.probes && on && worker.probed.is_none() {
+        } else if self.settings.limits.probes && on {
             // A probe tells a machine that is silent from one that is slow.
-            self.workers.get_mut(&id).expect("just seen").probed = Some(self.now);
-            self.out.push(Action::Probe { worker: id });
-        } else if worker.probed.is_none() {
+            self.probe(id);
+        } else if idle && (down || overdue) {
             self.bar_silent(id);
         }
     }
@@ -949,16 +1013,21 @@
         flight.worker == id && self.now >= flight.sent.max(worker.heard) + self.silence(flight)
     }
 
+    /// Withdraws a safe attempt, so that its call may go elsewhere. Harm: work that was only slow is done twice.
+    fn recall(&mut self, (request, attempt): (RequestId, u32)) {
+        let Some(call) = self.calls.get(&request) else { return };
+        let safe = self.settings.classes[call.class].effect == Effect::Safe;
+        let room = call.attempts < self.settings.limits.max_attempts;
+        if safe && room && call.out == Some(attempt) && !call.streaming && self.settings.limits.cancel {
+            self.out.push(Action::Cancel { request, attempt });
+        }
+    }
+
     fn bar_silent(&mut self, id: WorkerId) {
         let Some(worker) = self.workers.get(&id) else { return };
         let owed = self.flights.iter().filter(|(_, f)| self.overdue(id, worker, f)).map(|(key, _)| *key);
-        for (request, attempt) in owed.collect::<Vec<_>>() {
-            let Some(call) = self.calls.get(&request) else { continue };
-            let safe = self.settings.classes[call.class].effect == Effect::Safe;
-            let room = call.attempts < self.settings.limits.max_attempts;
-            if safe && room && call.out == Some(attempt) && !call.streaming && self.settings.limits.cancel {
-                self.out.push(Action::Cancel { request, attempt });
-            }
+        for key in owed.collect::<Vec<_>>() {
+            self.recall(key);
         }
         let worker = self.workers.get_mut(&id).expect("just seen");
         worker.failing = worker.failing.max(FAIL_BAR);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -341,6 +341,8 @@
     Timeout,
     /// No connection came about.
     ConnectFailed,
+    /// The connection came about but broke before all of it had left; it never ran.
+    Unsent,
     /// The connection broke; it may have run.
     Reset,
     /// Withdrawn; it may have run.
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,10 @@
     pub(crate) probed: Option<Micros>,
     /// A connection to it failed: the probe under way tells whether its process did.
     pub(crate) doubt: bool,
+    /// The probe before the one under way was not answered.
+    pub(crate) unanswered: bool,
+    /// Functions whose orders were lost with their connections.
+    pub(crate) lost: BTreeSet<FunctionId>,
     /// Strain told by its last answer, and when.
     pub(crate) strained: (f64, Micros),
     /// Its last report, and when it came.
@@ -81,6 +85,8 @@
     pub(crate) sent: Micros,
     pub(crate) loading: bool,
     pub(crate) trial: bool,
+    /// A probe was sent because it is late.
+    pub(crate) asked: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -151,6 +157,7 @@
         }
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.loads = 0;
+            worker.lost.clear();
         }
     }
 
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -70,6 +70,22 @@
     assert_eq!(sent(&moved), Some(3 - home));
 }
 
+#[test]
+fn a_call_that_was_lost_among_answered_ones_goes_elsewhere() {
+    let mut stand = Stand::new(settings(), 2);
+    let home = stand.warm(1, 9, 4);
+    assert_eq!(sent(&stand.ask(2, 0, 9, 4)), Some(home));
+    assert_eq!(sent(&stand.ask(3, 1, 9, 4)), Some(home));
+    assert_eq!(sent(&stand.ask(4, 0, 9, 4)), Some(home));
+    stand.pass(100 * MS);
+    stand.end(4, 0, home, Outcome::Ok, Some(LoadNote::Warm));
+    let waited = stand.pass(300 * MS);
+    assert!(cancels(&waited, 2) && !cancels(&waited, 3), "the safe one alone: {waited:?}");
+    assert_eq!(probes(&waited), 1, "and the worker is asked about the other");
+    stand.end(2, 0, home, Outcome::Cancelled, None);
+    assert!(!waited.iter().any(|a| matches!(a, Action::Log(_))), "nobody is barred");
+}
+
 #[test]
 fn a_slow_worker_that_answers_its_probe_is_not_barred() {
     let mut stand = Stand::new(settings(), 2);
