--- a/src/state.rs
+++ b/src/state.rs
@@ -46,7 +46,8 @@
     pub(crate) load_time: Option<f64>,
     pub(crate) warm: BTreeMap<WorkerId, Micros>,
     pub(crate) loading: BTreeMap<WorkerId, Micros>,
-    pub(crate) shun: BTreeMap<WorkerId, Micros>,
+    /// Workers that turned its copy away: left alone until when, and how often in a row.
+    pub(crate) shun: BTreeMap<WorkerId, (Micros, u32)>,
     pub(crate) out: BTreeMap<WorkerId, u32>,
     /// Calls of it over its lanes, as last told by each worker and when.
     pub(crate) told: BTreeMap<WorkerId, (f64, Micros)>,
