--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -114,14 +114,17 @@
     Some(parts)
 }
 
+/// Lines of the list: id, address, draining.
+type Lines = Vec<(String, SocketAddr, bool)>;
+
 /// A directory whose list can be changed.
 pub struct Directory {
     pub address: SocketAddr,
-    list: Arc<Mutex<(u32, Vec<(String, SocketAddr, bool)>)>>,
+    list: Arc<Mutex<(u32, Lines)>>,
 }
 
 impl Directory {
-    pub fn start(list: Vec<(String, SocketAddr, bool)>) -> Self {
+    pub fn start(list: Lines) -> Self {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
         let address = socket.local_addr().expect("an address");
         let list = Arc::new(Mutex::new((1, list)));
@@ -138,7 +141,7 @@
     }
 
     /// The next event: the list is this now.
-    pub fn change(&self, list: Vec<(String, SocketAddr, bool)>) {
+    pub fn change(&self, list: Lines) {
         let mut held = self.list.lock().expect("no panic holds it");
         *held = (held.0 + 1, list);
     }
