--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,8 +39,7 @@
 /// First span of a bar, doubled at each failed trial up to the longest: a process restarts in seconds.
 const BAR_FIRST: Micros = 500_000;
 const BAR_LONGEST: Micros = 4_000_000;
-/// A worker that owes answers for this many mean latencies, and this share of an aim at the least, is silent:
-/// a call that was lost can still be answered within its aim elsewhere.
+/// An answer owed for this many mean latencies, and this share of an aim at the least, is late.
 const SILENT_LATENCIES: f64 = 6.0;
 const SILENT_AIMS: f64 = 0.5;
 /// Part of the cold allowance that is used: what is in flight between controllers is not seen.
@@ -64,8 +63,7 @@
 const CORES: f64 = 8.0;
 /// A worker where a load failed or found no room is left alone by that function for this share of a load.
 const SHUN_LOADS: f64 = 0.5;
-/// One that turned a function's copy away so often in a row is its home no more for a while; a load that
-/// failed counts as so many.
+/// One that did so this often in a row is no home for a while; a load that failed counts as so many.
 const TURNED_AWAY: u32 = 3;
 /// Waits before asking a list that failed again: the first, doubled up to a share of `must_ask_in`.
 const ASK_FIRST: Micros = 200_000;
@@ -262,25 +260,34 @@
         }
         if worker.probed.is_none() && call.probes < NEWS_PROBES {
             call.probes += 1;
-            worker.probed = Some(self.now);
-            self.out.push(Action::Probe { worker: at });
+            self.probe(at);
+            return false;
         }
         worker.probed.is_none_or(|since| (self.now - since) as f64 > aim * NEWS_WAIT)
     }
 
     fn hold(&mut self, id: RequestId) {
+        let asks = self.settings.limits.probes && self.settings.reports != Reports::None;
         let Some(call) = self.calls.get_mut(&id) else { return };
         if !call.held {
-            let mean = self.functions.get(&call.function).map_or(0.0, Function::mean) as Micros;
-            let hope = call.arrived + self.settings.classes[call.class].aim.saturating_sub(mean);
+            let (aim, function) = (self.settings.classes[call.class].aim, call.function);
+            let mean = self.functions.get(&function).map_or(0.0, Function::mean) as Micros;
+            let hope = call.arrived + aim.saturating_sub(mean);
             call.priority.0 = self.now >= hope;
             if !call.priority.0 {
                 self.due.insert((hope, Due::Late(id)));
             }
             call.held = true;
             self.held.insert(call.priority, id);
-            if let Some(function) = self.functions.get_mut(&call.function) {
+            if let Some(function) = self.functions.get_mut(&function) {
                 function.held += 1;
+                // Others' calls fill the bound where its copy stands: asked whether the cores are idle.
+                let old = |w: &Worker| w.told.is_some_and(|(_, at)| at + aim < self.now);
+                let full = |w: &Worker| w.busy >= function.lanes && old(w);
+                let home = |id: &&WorkerId| self.workers.get(id).is_some_and(full);
+                if let Some(at) = function.warm.keys().find(home).copied().filter(|_| asks) {
+                    self.probe(at);
+                }
             }
         }
         self.tick_on();
@@ -334,8 +341,7 @@
             let first = along().filter(|w| fits(w)).take(ABSENT).find(|w| strain(*w) < 1.0);
             first.or_else(|| along().find(|w| fits(w)))
         };
-        // Where only orders load, a full home is waited for: a copy elsewhere is one more load, for one more
-        // place in memory, and the other controllers look for it at home.
+        // Where only orders load, a full home is waited for: others would not look for a copy elsewhere.
         let turned = |w: WorkerId| function.shun.get(&w).is_some_and(|(_, turned)| *turned >= TURNED_AWAY);
         let home = |w: &&WorkerId| self.sound(**w) && strain(**w) < STRAIN_MOST && !turned(**w);
         let home = || function.order.iter().find(home).copied();
@@ -388,7 +394,7 @@
             worker.barred && (self.now < worker.barred_until || worker.down || worker.trial || unsafe_call);
         // The design's bound. Calls that wait for a load use no core: they count for their own function only.
         // One call starts a load; the others wait here, not in the worker's slots.
-        let bound = warm && worker.busy >= function.lanes;
+        let bound = warm && worker.busy >= function.lanes && !self.idle(worker, call.class);
         // Drains: nothing new from the moment it is told.
         worker.entry.state == WorkerState::On
             && !worker.doubt
@@ -401,6 +407,12 @@
             && self.cold_room(worker, call.class)
     }
 
+    /// Its report, no older than an aim, tells of idle cores: others' calls there do not fill the bound.
+    fn idle(&self, worker: &Worker, class: usize) -> bool {
+        let since = self.now.saturating_sub(self.settings.classes[class].aim);
+        worker.told.is_some_and(|(r, at)| at >= since && r.util.is_some_and(|u| u < UTIL_ROOM))
+    }
+
     /// Keyed and unsafe calls that may have run stay where, and while, a repeat is dropped.
     fn effect_permits(&self, call: &Call, worker: &Worker) -> bool {
         let Some((first, _)) = call.ran else { return true };
@@ -758,10 +770,9 @@
         self.bar(id, "it is down", true);
     }
 
-    /// A connection that broke, or on which nothing comes, may have failed alone: a probe tells it from a
-    /// process that died, and nothing new goes there until then. What breaks together counts once: true for
-    /// the first. Harm: a process that restarts faster than the probe comes passes for one that lived, until
-    /// the list tells of its start.
+    /// A connection that broke, or on which nothing comes, may have failed alone: nothing new goes there until
+    /// a probe has told. What breaks together counts once: true for the first. Harm: a process that restarts
+    /// before the probe comes passes for one that lived, until the list tells of its start.
     fn doubt(&mut self, id: WorkerId) -> bool {
         let Some(worker) = self.workers.get_mut(&id) else { return false };
         let first = !std::mem::replace(&mut worker.doubt, true);
@@ -849,7 +860,12 @@
                 self.bar_silent(id);
             } else if broke {
                 // It tells nothing: asked once more in a while.
-                self.doubt_again(id);
+                let at = self.now + DOUBT_WAIT;
+                let worker = self.workers.get_mut(&id).expect("just seen");
+                worker.doubt = true;
+                let set = worker.watched.replace(at);
+                self.due.remove(&(set.unwrap_or(0), Due::Silence(id)));
+                self.due.insert((at, Due::Silence(id)));
             } else if (owed || asked || doubted) && !again {
                 // Its connection may have failed alone: asked at once on another.
                 self.probe(id);
@@ -861,15 +877,6 @@
         self.release(None);
     }
 
-    fn doubt_again(&mut self, id: WorkerId) {
-        let Some(worker) = self.workers.get_mut(&id) else { return };
-        worker.doubt = true;
-        let at = self.now + DOUBT_WAIT;
-        let set = worker.watched.replace(at);
-        self.due.remove(&(set.unwrap_or(0), Due::Silence(id)));
-        self.due.insert((at, Due::Silence(id)));
-    }
-
     /// After a miss one copy is ordered there, within the ration.
     fn order_copy(&mut self, id: FunctionId, at: WorkerId) {
         let on = self.workers.get(&at).is_some_and(|w| w.entry.state == WorkerState::On);
@@ -917,7 +924,7 @@
             && elapsed < self.settings.loading.order_timeout;
         if broke && let Some(worker) = self.workers.get_mut(&at).filter(|w| w.entry.state == WorkerState::On)
         {
-            // It stands if it came whole: given again once a probe has shown that its process lives.
+            // It stands if it came whole: given again once a probe was answered.
             worker.lost.insert(id);
             self.doubt(at);
             return;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -233,6 +233,32 @@
     assert_eq!(sends(&last), vec![(1, other.0)]);
 }
 
+#[test]
+fn idle_cores_take_a_call_whose_bound_others_fill() {
+    let mut set = settings();
+    set.reports = Reports::Probe;
+    let mut stand = Stand::new(set, 1);
+    let report = |stand: &mut Stand, util| {
+        let report = Some(Report { inflight: Some(8.0), util: Some(util), ..Report::default() });
+        stand.feed(Event::Probed { worker: WorkerId(1), outcome: Outcome::Ok, report })
+    };
+    for (id, function, lanes) in [(1, 8, 8), (2, 9, 4)] {
+        stand.ask(id, 0, function, lanes);
+        report(&mut stand, 0.1);
+        stand.end(id, 0, 1, Outcome::Ok, Some(LoadNote::Warm));
+    }
+    for id in 10..16 {
+        assert_eq!(sent(&stand.ask(id, 0, 8, 8)), Some(1));
+    }
+    let mut asked = stand.pass(700 * MS);
+    asked.extend(stand.ask(20, 0, 9, 4));
+    assert_eq!((sent(&asked), probes(&asked)), (None, 1), "six are out, over its four lanes: {asked:?}");
+    assert_eq!(sent(&report(&mut stand, 0.95)), None, "crowded");
+    stand.pass(700 * MS);
+    stand.ask(21, 0, 9, 4);
+    assert!(sends(&report(&mut stand, 0.2)).contains(&(20, 1)), "idle cores");
+}
+
 #[test]
 fn held_calls_do_not_begin_copies_everywhere() {
     let mut stand = Stand::new(settings(), 8);
