Module: a barred home is tried again once its bar is over

Checked: a trace of held calls: two or three of six workers barred at every node, their bars long over; the log shows a worker barred at second 4 that never served again. At fault: pick's home, which asked for a sound worker, and a barred one is never sound: with only orders loading, its copies forgotten, no call ever tried it. Change: one whose bar is over, not down and without a trial is a home as well; may_take then lets one call through.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -282,8 +282,8 @@
             if let Some(function) = self.functions.get_mut(&function) {
                 function.held += 1;
                 // Others' calls fill the bound where its copy stands: asked whether the cores are idle.
-                let old = |w: &Worker| w.told.is_some_and(|(_, at)| at + aim < self.now);
-                let full = |w: &Worker| w.busy >= function.lanes && old(w);
+                let full =
+                    |w: &Worker| w.busy >= function.lanes && w.told.is_some_and(|t| t.1 + aim < self.now);
                 let home = |id: &&WorkerId| self.workers.get(id).is_some_and(full);
                 if let Some(at) = function.warm.keys().find(home).copied().filter(|_| asks) {
                     self.probe(at);
@@ -343,12 +343,11 @@
         };
         // Where only orders load, a full home is waited for: others would not look for a copy elsewhere.
         let turned = |w: WorkerId| function.shun.get(&w).is_some_and(|(_, turned)| *turned >= TURNED_AWAY);
-        let home = |w: &&WorkerId| self.sound(**w) && strain(**w) < STRAIN_MOST && !turned(**w);
-        let home = || function.order.iter().find(home).copied();
-        let absent = || match self.settings.loading.when_absent {
-            WhenAbsent::Miss => home().map_or_else(first, |w| Some(w).filter(|w| fits(w))),
-            WhenAbsent::Load => first(),
-        };
+        let open = |w: &WorkerId| self.workers.get(w).is_some_and(|w| !self.shut(w) && !self.cold(w));
+        let home = |w: &&WorkerId| open(w) && strain(**w) < STRAIN_MOST && !turned(**w);
+        let only = self.settings.loading.when_absent == WhenAbsent::Miss;
+        let home = || function.order.iter().find(home).copied().filter(|_| only);
+        let absent = || home().map_or_else(first, |w| Some(w).filter(fits));
         let found = found
             .or_else(|| if closed { None } else { absent() })
             .or_else(|| call.avoid.filter(|w| strain(*w) < STRAIN_MOST && may(*w)));
@@ -390,8 +389,7 @@
         let there = function.out.get(&id).copied().unwrap_or(0);
         // Health: a barred worker takes one trial at a time once its bar is over, none of them unsafe.
         let unsafe_call = self.settings.classes[call.class].effect == Effect::Unsafe;
-        let barred =
-            worker.barred && (self.now < worker.barred_until || worker.down || worker.trial || unsafe_call);
+        let barred = self.shut(worker) || worker.barred && unsafe_call;
         // The design's bound. Calls that wait for a load use no core: they count for their own function only.
         // One call starts a load; the others wait here, not in the worker's slots.
         let bound = warm && worker.busy >= function.lanes && !self.idle(worker, call.class);
@@ -440,6 +438,10 @@
         function.warm.get(&worker).is_some_and(|&at| at + self.settings.loading.keep_alive > self.now)
     }
 
+    fn shut(&self, worker: &Worker) -> bool {
+        worker.barred && (self.now < worker.barred_until || worker.down || worker.trial)
+    }
+
     fn sound(&self, id: WorkerId) -> bool {
         let sound = |w: &Worker| w.entry.state == WorkerState::On && !w.barred && !self.cold(w);
         self.workers.get(&id).is_some_and(sound)
@@ -770,9 +772,8 @@
         self.bar(id, "it is down", true);
     }
 
-    /// A connection that broke, or on which nothing comes, may have failed alone: nothing new goes there until
-    /// a probe has told. What breaks together counts once: true for the first. Harm: a process that restarts
-    /// before the probe comes passes for one that lived, until the list tells of its start.
+    /// A connection that broke, or is silent, may have failed alone: nothing new goes there until a probe has
+    /// told. What breaks together counts once: true for the first. Harm: in `docs/design.md`.
     fn doubt(&mut self, id: WorkerId) -> bool {
         let Some(worker) = self.workers.get_mut(&id) else { return false };
         let first = !std::mem::replace(&mut worker.doubt, true);
@@ -922,8 +923,8 @@
         let broke = matches!(outcome, Outcome::Reset | Outcome::Unsent | Outcome::Timeout)
             && self.settings.limits.probes
             && elapsed < self.settings.loading.order_timeout;
-        if broke && let Some(worker) = self.workers.get_mut(&at).filter(|w| w.entry.state == WorkerState::On)
-        {
+        let on = |w: &&mut Worker| broke && w.entry.state == WorkerState::On;
+        if let Some(worker) = self.workers.get_mut(&at).filter(on) {
             // It stands if it came whole: given again once a probe was answered.
             worker.lost.insert(id);
             self.doubt(at);
@@ -1036,7 +1037,7 @@
         flight.worker == id && self.now >= flight.sent.max(worker.heard) + self.silence(flight)
     }
 
-    /// Withdraws a safe attempt, so that its call may go elsewhere. Harm: work that was only slow is done twice.
+    /// Withdraws a safe attempt, so that its call may go elsewhere. Harm: slow work is done twice.
     fn recall(&mut self, (request, attempt): (RequestId, u32)) {
         let Some(call) = self.calls.get(&request) else { return };
         let safe = self.settings.classes[call.class].effect == Effect::Safe;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -38,6 +38,22 @@
     assert_eq!(sent(&stand.ask(21, 0, 9, 4)), Some(home));
 }
 
+#[test]
+fn a_barred_home_is_tried_again_where_only_orders_load() {
+    let mut set = settings();
+    set.loading.when_absent = WhenAbsent::Miss;
+    let mut stand = Stand::new(set, 2);
+    let home = stand.warm(1, 9, 4);
+    for id in 10..13 {
+        if sent(&stand.ask(id, 1, 9, 4)) == Some(home) {
+            stand.end(id, 0, home, Outcome::Error, None);
+        }
+    }
+    stand.pass(20 * S);
+    assert_eq!(sent(&stand.ask(20, 0, 9, 4)), Some(home), "its copy is forgotten and its bar is over");
+    assert_ne!(sent(&stand.ask(21, 0, 8, 4)), Some(home), "one trial at a time");
+}
+
 #[test]
 fn all_suspects_at_once_still_serve() {
     let mut stand = Stand::new(settings(), 2);
