node: half-closed clients answered, over 32 refused one by one, broken SIGHUP files retried

Change: a client that ended its side is answered and closed after its last answer, and a connection given up for what it sent still gets the answers owed there; more than 32 open are refused on their streams; links' events go before clients' in a turn; signal handlers stand before the listener; a configuration that can't be read after SIGHUP is read again; the question of a DNS answer is checked; exit code 2 for a bad configuration; RUST_LOG.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -211,6 +211,12 @@
         self.calls.len()
     }
 
+    /// Things remembered in all, by the module and here: flat over a long life.
+    pub fn remembered(&self) -> usize {
+        let ours = self.calls.len() + self.flights.len() + self.errands.len() + self.timers.len();
+        self.module.remembered() + ours + self.listed.len() + self.names.models()
+    }
+
     /// Names and numbers.
     pub fn names(&self) -> &Names {
         &self.names
--- a/crates/gateway/src/commands/node.rs
+++ b/crates/gateway/src/commands/node.rs
@@ -28,6 +28,7 @@
 pub fn code(error: &NodeError) -> u8 {
     match error {
         NodeError::System { .. } => 4,
-        _ => 3,
+        // The platform's word for a configuration that can't be used.
+        _ => 2,
     }
 }
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -16,7 +16,7 @@
 #[derive(Args, Clone, Debug)]
 pub struct Logs {
     /// What is logged: a level (error, warn, info, debug, trace) or tracing's filter directives
-    #[arg(long, global = true, default_value = "info", value_name = "FILTER")]
+    #[arg(long, global = true, default_value = "info", value_name = "FILTER", env = "RUST_LOG")]
     pub log: String,
     /// How log lines look
     #[arg(long, global = true, default_value = "text", value_name = "FORMAT")]
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -87,8 +87,6 @@
     Refused,
     /// It never came about: unreachable, or not in time.
     NotConnected,
-    /// The peer closed it.
-    Ended,
     /// It was reset or broke.
     Broken,
     /// [`TcpLimits::output`].
@@ -106,6 +104,9 @@
     Data(TcpKey),
     /// An alarm came due.
     Alarm(TcpKey),
+    /// The peer sends no more; what stood in its input was told before. It may still take answers: the owner
+    /// ends the connection.
+    Ended(TcpKey),
     /// It is gone. What stood in its input was told before.
     Closed(TcpKey, Gone),
     /// A source that the owner registered under [`Tcp::source_token`] is ready.
@@ -128,6 +129,10 @@
     readable: bool,
     writable: bool,
     /// The peer sends no more.
+    halved: bool,
+    /// A write failed.
+    failed: bool,
+    /// It broke, and that was told.
     ended: Option<Gone>,
     resting: bool,
     ready: bool,
@@ -264,6 +269,8 @@
             accepted,
             readable: accepted,
             writable: accepted,
+            halved: false,
+            failed: false,
             ended: None,
             resting: false,
             ready: false,
@@ -566,7 +573,19 @@
             let more = read(conn, &mut scratch, most, turn);
             let data = !conn.input.is_empty() && conn.stage == Stage::Open;
             match more {
-                Err(gone) => {
+                Err(None) => {
+                    conn.halved = true;
+                    let told = conn.stage == Stage::Open;
+                    if data {
+                        self.out.push(TcpEvent::Data(key));
+                    }
+                    if told {
+                        self.out.push(TcpEvent::Ended(key));
+                    } else {
+                        self.parting.push(key);
+                    }
+                }
+                Err(Some(gone)) => {
                     conn.ended = Some(gone);
                     let told = conn.stage == Stage::Open;
                     if data {
@@ -623,7 +642,9 @@
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) => {
                 conn.writable = false;
-                conn.readable |= e.kind() != io::ErrorKind::WouldBlock;
+                let broke = e.kind() != io::ErrorKind::WouldBlock;
+                conn.readable |= broke;
+                conn.failed |= broke;
             }
         }
     }
@@ -632,8 +653,14 @@
     }
 }
 
-/// Reads what came, within the bounds. `Ok(true)`: there may be more.
-fn read(conn: &mut Conn, scratch: &mut [u8], most: usize, turn: usize) -> Result<bool, Gone> {
+/// Reads what came, within the bounds. `Ok(true)`: there may be more; `Err(None)`: the peer sends no more.
+fn read(conn: &mut Conn, scratch: &mut [u8], most: usize, turn: usize) -> Result<bool, Option<Gone>> {
+    if conn.halved {
+        // Nothing comes but word that it broke.
+        let broke = conn.failed || conn.readable && !matches!(conn.socket.take_error(), Ok(None));
+        conn.readable = false;
+        return if broke { Err(Some(Gone::Broken)) } else { Ok(false) };
+    }
     if conn.input.is_empty() && conn.input.capacity() > KEPT {
         conn.input = BytesMut::new();
     }
@@ -646,7 +673,7 @@
             return Ok(true);
         }
         match conn.socket.read(&mut scratch[..room]) {
-            Ok(0) => return Err(Gone::Ended),
+            Ok(0) => return Err(None),
             Ok(n) => {
                 taken += n;
                 if conn.stage == Stage::Open {
@@ -659,7 +686,7 @@
             }
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => conn.readable = false,
-            Err(_) => return Err(Gone::Broken),
+            Err(_) => return Err(Some(Gone::Broken)),
         }
     }
     Ok(false)
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -66,6 +66,8 @@
     came: Instant,
     /// Something that can be used has come.
     known: bool,
+    /// Nothing more is read; it closes after its last answer.
+    closing: bool,
     /// When the frame in hand began.
     began: Option<Instant>,
     quiet: Instant,
@@ -143,6 +145,7 @@
             faults: 0,
             came: now,
             known: false,
+            closing: false,
             began: None,
             quiet: now,
         };
@@ -155,6 +158,9 @@
         loop {
             let Some(client) = self.clients.get_mut(&key) else { return };
             let Some(input) = tcp.input(key) else { return };
+            if client.closing {
+                return input.clear();
+            }
             match client.reader.next(input) {
                 Ok(Some(frame)) => {
                     client.began = None;
@@ -190,8 +196,9 @@
                 }
                 client.last = stream;
                 if client.streams.len() >= CLIENT_STREAMS {
-                    count.bad_frames += 1;
-                    return self.expel(tcp, key, "more than 32 requests are open", heard, count);
+                    count.bad_requests += 1;
+                    self.say(tcp, key, stream, Code::Refused, b"more than 32 requests are open");
+                    return self.fault(tcp, key, heard, count);
                 }
                 match self.take(key, stream, &payload, count) {
                     Ok(taken) => {
@@ -207,6 +214,7 @@
             }
             Frame::Whole { kind: kind::CANCEL, stream, .. } => {
                 if let Some(mark) = client.streams.remove(&stream) {
+                    client.known = true;
                     client.quiet = Instant::now();
                     heard.extend(self.close_call(mark).map(Heard::Gone));
                 }
@@ -318,9 +326,11 @@
         let Some(call) = self.calls.get(&mark) else { return };
         let (key, stream, name) = (call.conn, call.stream, Arc::clone(&call.name));
         self.close_call(mark);
+        let mut over = false;
         if let Some(client) = self.clients.get_mut(&key) {
             client.streams.remove(&stream);
             client.quiet = Instant::now();
+            over = client.closing && client.streams.is_empty();
         }
         debug!(id = %name, stream, served = matches!(end, End::Served { .. }), "ended");
         match end {
@@ -334,6 +344,10 @@
                 self.say(tcp, key, stream, Code::Failed, message.as_bytes());
             }
         }
+        if over {
+            self.clients.remove(&key);
+            return tcp.finish(key);
+        }
         self.set_alarm(tcp, key);
     }
 
@@ -362,13 +376,25 @@
         }
     }
 
-    /// Says why on stream 0 and closes: no one waits for what is open there.
+    /// Says why on stream 0, reads nothing more and closes after the last answer that is owed there.
     fn expel(&mut self, tcp: &mut Tcp, key: TcpKey, why: &str, heard: &mut Vec<Heard>, count: &mut Counters) {
         count.closed_for_faults += 1;
         debug!(why, "a client's connection is closed");
         self.say(tcp, key, 0, Code::Failed, why.as_bytes());
-        self.forget(key, heard);
-        tcp.finish(key);
+        self.ended(tcp, key, heard);
+    }
+
+    /// Nothing more comes from a client, or nothing more is wanted: it closes after its last answer.
+    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        client.closing = true;
+        client.began = None;
+        if client.streams.is_empty() {
+            self.forget(key, heard);
+            tcp.finish(key);
+        } else {
+            tcp.alarm(key, None);
+        }
     }
 
     fn forget(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
@@ -384,7 +410,7 @@
     }
 
     fn set_alarm(&self, tcp: &mut Tcp, key: TcpKey) {
-        let Some(client) = self.clients.get(&key) else { return };
+        let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
         let frame = client.began.map(|began| began + WHOLE_FRAME);
         let first = (!client.known).then(|| client.came + FIRST_FRAME);
         let idle = client.streams.is_empty().then(|| client.quiet + CLIENT_IDLE);
@@ -400,8 +426,7 @@
         if slow || silent {
             count.closed_for_silence += 1;
             self.say(tcp, key, 0, Code::Failed, b"nothing whole came in time");
-            self.forget(key, heard);
-            tcp.finish(key);
+            self.ended(tcp, key, heard);
         } else if client.streams.is_empty() && now >= client.quiet + CLIENT_IDLE {
             count.closed_idle += 1;
             self.forget(key, heard);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,7 +11,7 @@
 use nettleferry::{ListForm, Reports, WorkerState};
 use nettleferry_engine::{Command, Engine, EngineLimits, Event, Member, Open};
 use nettleferry_net::clock::Clock;
-use nettleferry_net::tcp::{Tcp, TcpEvent, TcpLimits};
+use nettleferry_net::tcp::{Gone, Tcp, TcpEvent, TcpLimits};
 use nettleferry_platform::config::{Config, ConfigError};
 use nettleferry_platform::directory::{List, ListError, State};
 use nettleferry_platform::frames::MOST_PAYLOAD;
@@ -67,6 +67,8 @@
 
 const SIGNALS: usize = 0;
 const DIRECTORY: usize = 1;
+/// A configuration that could not be read is read again after this span: it may have been half written.
+const RELOAD_AGAIN: Duration = Duration::from_millis(200);
 /// How often counters are logged.
 const FIGURES_EVERY: Duration = Duration::from_secs(5);
 
@@ -86,6 +88,8 @@
     /// Since SIGTERM, and when the last request came.
     leaving: Option<Instant>,
     last_request: Instant,
+    /// When the configuration is to be read again.
+    reload_at: Option<Instant>,
     next_figures: Instant,
     happened: Vec<TcpEvent>,
     heard: Vec<Heard>,
@@ -109,8 +113,9 @@
             ..TcpLimits::default()
         };
         let mut tcp = Tcp::new(limits).map_err(NodeError::system("a poll"))?;
-        let local = tcp.listen(config.listen).map_err(NodeError::system("listening"))?;
+        // Signals first: from the moment in which clients can connect, none of them ends the node.
         let signals = if signals { Some(watch_signals(&tcp)?) } else { None };
+        let local = tcp.listen(config.listen).map_err(NodeError::system("listening"))?;
         let deadlines = site.settings.classes.iter().map(|c| c.deadline as f64 / 1000.0).collect();
         let idle = (site.idle > 0).then(|| Duration::from_micros(site.idle));
         let reports = site.settings.reports != Reports::None;
@@ -138,6 +143,7 @@
             count: Counters::default(),
             leaving: None,
             last_request: now,
+            reload_at: None,
             next_figures: now + FIGURES_EVERY,
             happened: Vec::new(),
             heard: Vec::new(),
@@ -182,10 +188,19 @@
         let wait = most.map_or(wait, |most| most.min(wait));
         let mut happened = std::mem::take(&mut self.happened);
         self.tcp.turn(Some(wait), &mut happened).map_err(NodeError::system("the poll"))?;
-        for event in happened.drain(..) {
-            self.take(event);
+        // Links first: what has just broken is not written to.
+        for links in [true, false] {
+            for event in &happened {
+                if self.of_links(event) == links {
+                    self.take(*event);
+                }
+            }
         }
+        happened.clear();
         self.happened = happened;
+        if self.reload_at.is_some_and(|at| Instant::now() >= at) {
+            self.reload();
+        }
         self.asker.turn(self.tcp.registry(), &mut self.count);
         self.tell(Event::Tick);
         self.work();
@@ -196,12 +211,27 @@
         Ok(())
     }
 
+    fn of_links(&self, event: &TcpEvent) -> bool {
+        match event {
+            TcpEvent::Accepted(_) | TcpEvent::Source(_) => false,
+            TcpEvent::Connected(key)
+            | TcpEvent::Data(key)
+            | TcpEvent::Alarm(key)
+            | TcpEvent::Ended(key)
+            | TcpEvent::Closed(key, _) => self.links.owns(*key),
+        }
+    }
+
     fn wait(&self) -> Duration {
         let now = Instant::now();
         let timer =
             self.engine.next_timer().map(|at| Duration::from_micros(at.saturating_sub(self.clock.now())));
-        let others =
-            [Some(self.asker.due()), Some(self.next_figures), self.leaving.map(|_| now + LAST_REQUESTS / 8)];
+        let others = [
+            Some(self.asker.due()),
+            Some(self.next_figures),
+            self.reload_at,
+            self.leaving.map(|_| now + LAST_REQUESTS / 8),
+        ];
         let others = others.into_iter().flatten().map(|at| at.saturating_duration_since(now));
         others.chain(timer).min().unwrap_or(FIGURES_EVERY)
     }
@@ -217,6 +247,11 @@
                 self.front.alarm(tcp, key, &mut self.heard, count)
             }
             TcpEvent::Alarm(key) => self.links.alarm(tcp, key, &mut self.told, count),
+            TcpEvent::Ended(key) if self.front.owns(key) => self.front.ended(tcp, key, &mut self.heard),
+            TcpEvent::Ended(key) => {
+                self.links.closed(tcp, key, Gone::Broken, &mut self.told);
+                tcp.close(key);
+            }
             TcpEvent::Closed(key, _) if self.front.owns(key) => self.front.closed(key, &mut self.heard),
             TcpEvent::Closed(key, why) => self.links.closed(tcp, key, why, &mut self.told),
             TcpEvent::Source(SIGNALS) => self.signalled(),
@@ -358,11 +393,17 @@
         }
     }
 
-    /// A new configuration: the directory's address counts; the rest stands until the next start.
-    fn reload(&mut self) {
+    /// A new configuration, as after SIGHUP: the directory's address counts; the rest stands until the next start.
+    pub fn reload(&mut self) {
         match read(&self.path) {
-            Ok(config) => self.asker.moved(self.tcp.registry(), config.resolver),
-            Err(error) => warn!(%error, "the new configuration is not used"),
+            Ok(config) => {
+                self.reload_at = None;
+                self.asker.moved(self.tcp.registry(), config.resolver);
+            }
+            Err(error) => {
+                warn!(%error, "the new configuration is not used yet");
+                self.reload_at = Some(Instant::now() + RELOAD_AGAIN);
+            }
         }
     }
 
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -182,9 +182,15 @@
     }
     let mut client = rig.client();
     client.socket.write_all(&twice).expect("written");
-    while let Some((kind, ..)) = client.frame() {
-        assert_eq!(kind, frames::kind::ANSWER);
-    }
+    assert!(matches!(client.frame(), Some((frames::kind::ANSWER, 1, _))));
+    assert!(matches!(client.frame(), Some((frames::kind::ANSWER, 0, _))));
+    assert_eq!(client.frame(), None);
+    // One that ends its side after a whole request is answered all the same.
+    let mut halved = rig.client();
+    let stream = halved.ask("safe", 6, 2, b"ab");
+    halved.socket.shutdown(std::net::Shutdown::Write).expect("open");
+    assert_eq!(halved.answer(stream), (SERVED, b"ba".to_vec()));
+    assert_eq!(halved.frame(), None, "closed after the last answer");
     // One that sends nothing, and one that stops within a frame.
     let mut silent = rig.client();
     let mut halfway = rig.client();
@@ -198,6 +204,37 @@
     assert_eq!((count.bad_requests, count.closed_for_faults, count.closed_for_silence), (7, 5, 2));
 }
 
+#[test]
+fn more_than_may_be_open_is_refused_and_the_open_ones_are_answered() {
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let invoker = Invoker::start(move |told| {
+        if told.word() == "CALL" && told.parts[3] == b"slow" {
+            wait.lock().expect("no panic holds it").recv_timeout(PATIENCE).expect("released");
+        }
+        good(told)
+    });
+    let rig = Rig::start(&[&invoker]);
+    let mut client = rig.client();
+    let streams: Vec<u32> = (1..=32).map(|id| client.ask("safe", id, id, b"slow")).collect();
+    for id in 33..=50 {
+        let stream = client.ask("safe", id, id, b"slow");
+        if id <= 40 {
+            assert_eq!(client.answer(stream).0, REFUSED);
+        }
+    }
+    for _ in 0..64 {
+        let _ = release.send(());
+    }
+    // The connection is given up for what it went on to send; what was taken is answered.
+    for stream in streams {
+        assert_eq!(client.answer(stream).0, SERVED, "{stream}");
+    }
+    while let Some((_, stream, _)) = client.frame() {
+        assert!(stream == 0 || stream > 32, "{stream}");
+    }
+}
+
 #[test]
 fn the_last_answers_leave_before_the_end() {
     let (release, wait) = mpsc::channel::<()>();
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -92,6 +92,9 @@
     if packet.id() != id || !packet.has_flags(PacketFlag::RESPONSE) {
         return Err(ListError::Other);
     }
+    if packet.questions.iter().any(|q| q.qname.to_string() != LIST_NAME) {
+        return Err(ListError::Other);
+    }
     if packet.has_flags(PacketFlag::TRUNCATION) {
         return Err(ListError::Cut);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -151,6 +151,19 @@
         })
     }
 
+    /// Things remembered in all, so that an owner can show that they stay bounded.
+    pub fn remembered(&self) -> usize {
+        let of = |f: &Function| {
+            let maps = f.warm.len() + f.loading.len() + f.shun.len() + f.out.len() + f.told.len();
+            1 + maps + f.arrivals.len() + f.latencies.len() + f.order.len()
+        };
+        let functions: usize = self.functions.values().map(of).sum();
+        let workers: usize = self.workers.values().map(|w| 1 + w.cold_sends.len() + w.lost.len()).sum();
+        let calls = self.calls.len() + self.held.len() + self.flights.len() + self.due.len();
+        let tenants: usize = self.tenant_taken.values().map(VecDeque::len).sum();
+        functions + workers + calls + tenants + self.orders.len() + self.taken.len()
+    }
+
     pub(crate) fn forget_copies(&mut self, id: WorkerId) {
         for function in self.functions.values_mut() {
             function.warm.remove(&id);
