Read again: one way to begin, leave and wait; four faults of the node mended

Said twice and now once: links' start, load and probe (begin), the two registers of what is owed (one, by Owed), the ends without an answer (Owed::ended), the way a link leaves; the hub's and Tcp's wait (clock::shorter); a worker's check for silence, set in three places (check_at); the module's LoadNote and Report instead of platform twins; the tests' gated invoker. Dead and taken out: parameters of the front, Tcp's rest, is_open, unsent, accepted, stop_listening, cores and name of the configuration. Links' events go first by a stable sort.

Faults found by reading: Tcp::finish dropped what the system had not taken yet (last answers of a slow client); a stray answer in two pieces left its clock running and ended a sound connection after 500 ms; a request withdrawn by the same bytes was opened all the same and held its worker's bound until its deadline; idle links to an invoker's old address were not closed. The first three have tests that fail without them; net::tcp has tests of its own.

--- a/crates/net/src/hub/mod.rs
+++ b/crates/net/src/hub/mod.rs
@@ -25,6 +25,7 @@
 use mio::{Events, Interest, Poll, Registry, Token};
 use slab::Slab;
 
+use crate::clock::shorter;
 use crate::framing::FrameError;
 use crate::limits::{NetCounters, NetLimits};
 use crate::wake::{Due, DueQueue};
@@ -503,7 +504,8 @@
         self.now = Instant::now();
         self.run_due();
         let busy = !self.out.is_empty() || !self.due.is_empty();
-        let wait = if busy { Some(Duration::ZERO) } else { self.shorter(wait) };
+        let alarm = self.alarms.first().map(|(at, _)| *at);
+        let wait = if busy { Some(Duration::ZERO) } else { shorter(wait, self.now, [alarm, self.accept_at]) };
         match self.poll.poll(&mut self.events, wait) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
             _ => {}
@@ -517,16 +519,6 @@
         Ok(())
     }
 
-    fn shorter(&self, wait: Option<Duration>) -> Option<Duration> {
-        let alarm = self.alarms.first().map(|(at, _)| *at);
-        let next = [alarm, self.accept_at].into_iter().flatten().min();
-        let next = next.map(|at| at.saturating_duration_since(self.now));
-        match (wait, next) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
-    }
-
     fn read_events(&mut self) {
         let mut accept = Vec::new();
         for event in &self.events {
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -14,6 +14,8 @@
 use mio::{Events, Interest, Poll, Registry, Token};
 use slab::Slab;
 
+use crate::clock::shorter;
+
 /// A plain connection, unique in its owner's life until 2^32 of them were made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TcpKey(u64);
@@ -113,6 +115,17 @@
     Source(usize),
 }
 
+impl TcpEvent {
+    /// Whose it is; a source's is no connection's.
+    pub fn key(&self) -> Option<TcpKey> {
+        match self {
+            Self::Accepted(key) | Self::Connected(key) | Self::Data(key) => Some(*key),
+            Self::Alarm(key) | Self::Ended(key) | Self::Closed(key, _) => Some(*key),
+            Self::Source(_) => None,
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
     Connecting,
@@ -133,8 +146,7 @@
     /// A write failed.
     failed: bool,
     /// It broke, and that was told.
-    ended: Option<Gone>,
-    resting: bool,
+    ended: bool,
     ready: bool,
     dirty: bool,
     input: BytesMut,
@@ -212,11 +224,6 @@
         self.counters
     }
 
-    /// Accepted connections that stand.
-    pub fn accepted(&self) -> usize {
-        self.accepted
-    }
-
     /// Connections of ours that stand or are being made.
     pub fn made(&self) -> usize {
         self.conns.len() - self.accepted
@@ -232,14 +239,6 @@
         Ok(local)
     }
 
-    /// Closes all listening sockets.
-    pub fn stop_listening(&mut self) {
-        for socket in &mut self.listeners {
-            let _ = self.poll.registry().deregister(socket);
-        }
-        self.listeners.clear();
-    }
-
     /// Begins to connect. `None`: [`TcpLimits::made`], or the system would not even try.
     pub fn connect(&mut self, address: SocketAddr) -> Option<TcpKey> {
         if self.made() >= self.limits.made {
@@ -271,8 +270,7 @@
             writable: accepted,
             halved: false,
             failed: false,
-            ended: None,
-            resting: false,
+            ended: false,
             ready: false,
             dirty: false,
             input: BytesMut::new(),
@@ -310,7 +308,7 @@
     /// [`Gone::Slow`].
     pub fn send(&mut self, key: TcpKey, bytes: &[u8]) -> Option<u64> {
         let most = self.limits.output;
-        let conn = self.get_mut(key).filter(|c| c.stage != Stage::Lingering && c.ended.is_none())?;
+        let conn = self.get_mut(key).filter(|c| c.stage != Stage::Lingering && !c.ended)?;
         if conn.output.len() + bytes.len() > most {
             self.counters.over_output += 1;
             self.end(key, Some(Gone::Slow));
@@ -331,32 +329,11 @@
         self.get(key).map_or(0, |c| c.written)
     }
 
-    /// Bytes queued that the system has not taken.
-    pub fn unsent(&self, key: TcpKey) -> usize {
-        self.get(key).map_or(0, |c| c.output.len())
-    }
-
     /// Bytes queued for accepted connections that the system has not taken.
     pub fn unsent_to_peers(&self) -> usize {
         self.conns.iter().filter(|(_, c)| c.accepted).map(|(_, c)| c.output.len()).sum()
     }
 
-    /// Does it stand?
-    pub fn is_open(&self, key: TcpKey) -> bool {
-        self.get(key).is_some_and(|c| c.stage == Stage::Open && c.ended.is_none())
-    }
-
-    /// Reads nothing more for now, or goes on.
-    pub fn rest(&mut self, key: TcpKey, resting: bool) {
-        let Some(conn) = self.get_mut(key) else { return };
-        if conn.resting != resting {
-            conn.resting = resting;
-            if !resting {
-                self.make_ready(key.index());
-            }
-        }
-    }
-
     /// Sets the connection's one alarm, or takes it off.
     pub fn alarm(&mut self, key: TcpKey, at: Option<Instant>) {
         let Some(conn) = self.get_mut(key) else { return };
@@ -375,20 +352,18 @@
         self.end(key, None);
     }
 
-    /// Sends what is queued, ends our side, throws away what still comes for [`TcpLimits::linger`], and closes.
-    /// No event follows.
+    /// Sends what is queued, ends our side then, throws away what still comes, and closes after
+    /// [`TcpLimits::linger`] at the latest. No event follows.
     pub fn finish(&mut self, key: TcpKey) {
         let until = self.now + self.limits.linger;
         self.alarm(key, None);
         let Some(conn) = self.get_mut(key) else { return };
-        if conn.stage != Stage::Open || conn.ended.is_some() {
+        if conn.stage != Stage::Open || conn.ended {
             return self.close(key);
         }
-        flush(conn);
-        let _ = conn.socket.shutdown(Shutdown::Write);
         conn.stage = Stage::Lingering;
         conn.input = BytesMut::new();
-        conn.output = BytesMut::new();
+        flush(conn);
         conn.limit = Some(until);
         self.alarms.insert((until, key));
         self.make_ready(key.index());
@@ -427,7 +402,8 @@
         }
         self.flush_all();
         let busy = !self.out.is_empty() || !self.ready.is_empty();
-        let wait = if busy { Some(Duration::ZERO) } else { self.shorter(wait) };
+        let alarm = self.alarms.first().map(|(at, _)| *at);
+        let wait = if busy { Some(Duration::ZERO) } else { shorter(wait, self.now, [alarm, self.accept_at]) };
         match self.poll.poll(&mut self.events, wait) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
             _ => {}
@@ -455,16 +431,6 @@
         }
     }
 
-    fn shorter(&self, wait: Option<Duration>) -> Option<Duration> {
-        let alarm = self.alarms.first().map(|(at, _)| *at);
-        let next = [alarm, self.accept_at].into_iter().flatten().min();
-        let next = next.map(|at| at.saturating_duration_since(self.now));
-        match (wait, next) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
-    }
-
     fn read_events(&mut self) {
         let mut accept = Vec::new();
         let mut ready = Vec::new();
@@ -568,41 +534,27 @@
                 }
             }
         }
-        if let Some(conn) = self.get_mut(key).filter(|c| c.stage != Stage::Connecting && c.ended.is_none()) {
+        if let Some(conn) = self.get_mut(key).filter(|c| c.stage != Stage::Connecting && !c.ended) {
             flush(conn);
             let more = read(conn, &mut scratch, most, turn);
-            let data = !conn.input.is_empty() && conn.stage == Stage::Open;
+            let told = conn.stage == Stage::Open;
+            let data = told && !conn.input.is_empty();
+            if let Err(gone) = &more {
+                (conn.halved, conn.ended) = (true, gone.is_some());
+            }
+            if data {
+                self.out.push(TcpEvent::Data(key));
+            }
             match more {
-                Err(None) => {
-                    conn.halved = true;
-                    let told = conn.stage == Stage::Open;
-                    if data {
-                        self.out.push(TcpEvent::Data(key));
-                    }
-                    if told {
-                        self.out.push(TcpEvent::Ended(key));
-                    } else {
-                        self.parting.push(key);
-                    }
-                }
-                Err(Some(gone)) => {
-                    conn.ended = Some(gone);
-                    let told = conn.stage == Stage::Open;
-                    if data {
-                        self.out.push(TcpEvent::Data(key));
-                    }
+                Ok(true) => self.make_ready(key.index()),
+                Ok(false) => {}
+                Err(gone) => {
                     if told {
-                        self.out.push(TcpEvent::Closed(key, gone));
+                        self.out.push(gone.map_or(TcpEvent::Ended(key), |gone| TcpEvent::Closed(key, gone)));
                     }
                     // The owner takes the last bytes from this turn's events: it is taken off in the next.
-                    self.parting.push(key);
-                }
-                Ok(again) => {
-                    if again {
-                        self.make_ready(key.index());
-                    }
-                    if data {
-                        self.out.push(TcpEvent::Data(key));
+                    if gone.is_some() || !told {
+                        self.parting.push(key);
                     }
                 }
             }
@@ -651,6 +603,9 @@
     if conn.output.is_empty() && conn.output.capacity() > KEPT {
         conn.output = BytesMut::new();
     }
+    if conn.output.is_empty() && conn.stage == Stage::Lingering {
+        let _ = conn.socket.shutdown(Shutdown::Write);
+    }
 }
 
 /// Reads what came, within the bounds. `Ok(true)`: there may be more; `Err(None)`: the peer sends no more.
@@ -665,7 +620,7 @@
         conn.input = BytesMut::new();
     }
     let mut taken = 0;
-    while conn.readable && !conn.resting {
+    while conn.readable {
         let room =
             if conn.stage == Stage::Lingering { scratch.len() } else { most - conn.input.len().min(most) };
         let room = room.min(scratch.len());
--- /dev/null
+++ b/crates/net/tests/tcp.rs
@@ -0,0 +1,108 @@
+//! Plain TCP on loopback.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+use nettleferry_net::tcp::{Gone, Tcp, TcpEvent, TcpKey, TcpLimits};
+
+/// No wait of these tests is longer; each is for an event.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Turns until an event is one that is wanted.
+fn until<T>(tcp: &mut Tcp, mut wanted: impl FnMut(&mut Tcp, TcpEvent) -> Option<T>) -> T {
+    let (end, mut out) = (std::time::Instant::now() + PATIENCE, Vec::new());
+    while std::time::Instant::now() < end {
+        tcp.turn(Some(Duration::from_millis(20)), &mut out).expect("a turn");
+        for event in std::mem::take(&mut out) {
+            if let Some(found) = wanted(tcp, event) {
+                return found;
+            }
+        }
+    }
+    panic!("the event did not come");
+}
+
+fn accepted(tcp: &mut Tcp) -> TcpKey {
+    until(tcp, |_, event| if let TcpEvent::Accepted(key) = event { Some(key) } else { None })
+}
+
+#[test]
+fn all_that_is_queued_leaves_before_our_side_ends() {
+    // More than the system's buffers hold at once.
+    let most = 64 << 20;
+    let limits = TcpLimits { output: most, linger: PATIENCE, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    assert_eq!(tcp.send(key, &vec![7; most]), Some(most as u64));
+    tcp.finish(key);
+    assert!(tcp.unsent_to_peers() > 0, "the test wants more than the buffers hold");
+    let reader = std::thread::spawn(move || {
+        let mut all = Vec::new();
+        client.read_to_end(&mut all).map(|_| all.len())
+    });
+    let mut out = Vec::new();
+    while !reader.is_finished() {
+        tcp.turn(Some(Duration::from_millis(5)), &mut out).expect("a turn");
+    }
+    assert_eq!(reader.join().expect("no panic").expect("ended in order"), most);
+    assert_eq!(out, [], "no event follows");
+}
+
+#[test]
+fn a_peer_that_ends_its_side_is_told_after_its_last_bytes_and_still_takes_answers() {
+    let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    client.write_all(b"last").expect("written");
+    client.shutdown(Shutdown::Write).expect("open");
+    let mut seen = Vec::new();
+    let key = until(&mut tcp, |tcp, event| match event {
+        TcpEvent::Data(key) => {
+            seen.extend_from_slice(&tcp.input(key).expect("open").split());
+            None
+        }
+        TcpEvent::Ended(key) => Some(key),
+        _ => None,
+    });
+    assert_eq!(seen, b"last");
+    tcp.send(key, b"answer").expect("it takes answers");
+    tcp.finish(key);
+    tcp.flush_all();
+    let mut answer = Vec::new();
+    client.read_to_end(&mut answer).expect("ended in order");
+    assert_eq!(answer, b"answer");
+}
+
+#[test]
+fn a_refused_connection_is_told_from_others() {
+    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
+    let key = tcp.connect(free).expect("tried");
+    let why = until(&mut tcp, |_, event| match event {
+        TcpEvent::Closed(closed, why) if closed == key => Some(why),
+        _ => None,
+    });
+    assert_eq!(why, Gone::Refused);
+    assert_eq!(tcp.written(key), 0);
+}
+
+#[test]
+fn bounds_are_counted_when_they_are_hit() {
+    let limits = TcpLimits { accepted: 1, output: 10, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let _first = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    let mut second = TcpStream::connect(address).expect("it listens");
+    let mut out = Vec::new();
+    while tcp.counters().over_accepted == 0 {
+        tcp.turn(Some(Duration::from_millis(5)), &mut out).expect("a turn");
+    }
+    assert_eq!(second.read(&mut [0; 1]).expect("closed in order"), 0);
+    assert_eq!(tcp.send(key, b"more than ten"), None);
+    let why = until(&mut tcp, |_, event| if let TcpEvent::Closed(_, why) = event { Some(why) } else { None });
+    assert_eq!((why, tcp.counters().over_output, tcp.counters().over_accepted), (Gone::Slow, 1, 1));
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -23,7 +23,7 @@
     /// The query in hand, and when it is taken for lost.
     out: Option<(u16, Instant)>,
     next: Instant,
-    serial: Option<u32>,
+    serial: u32,
     buffer: Vec<u8>,
 }
 
@@ -36,7 +36,7 @@
             token,
             out: None,
             next: Instant::now(),
-            serial: Some(serial),
+            serial,
             buffer: vec![0; MOST_ANSWER + 1],
         }
     }
@@ -122,8 +122,8 @@
             match directory::answer(id, bytes) {
                 Ok(list) => {
                     self.out = None;
-                    if self.serial.is_none_or(|known| list.serial > known) {
-                        self.serial = Some(list.serial);
+                    if list.serial > self.serial {
+                        self.serial = list.serial;
                         newest = Some(list);
                     }
                 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -173,7 +173,7 @@
                 }
                 Err(error) => {
                     count.bad_frames += 1;
-                    return self.expel(tcp, key, &error.to_string(), heard, count);
+                    return self.expel(tcp, key, &error.to_string(), count);
                 }
             }
         }
@@ -192,13 +192,13 @@
             Frame::Whole { kind: kind::REQUEST, stream, payload } => {
                 if stream == 0 || stream <= client.last {
                     count.bad_frames += 1;
-                    return self.expel(tcp, key, "a request's stream is not new", heard, count);
+                    return self.expel(tcp, key, "a request's stream is not new", count);
                 }
                 client.last = stream;
                 if client.streams.len() >= CLIENT_STREAMS {
                     count.bad_requests += 1;
                     self.say(tcp, key, stream, Code::Refused, b"more than 32 requests are open");
-                    return self.fault(tcp, key, heard, count);
+                    return self.fault(tcp, key, count);
                 }
                 match self.take(key, stream, &payload, count) {
                     Ok(taken) => {
@@ -208,7 +208,7 @@
                     Err((code, words)) => {
                         debug!(words, "a request can't be used");
                         self.say(tcp, key, stream, code, words.as_bytes());
-                        self.fault(tcp, key, heard, count);
+                        self.fault(tcp, key, count);
                     }
                 }
             }
@@ -230,12 +230,12 @@
                 client.last = client.last.max(stream);
                 count.bad_requests += 1;
                 self.say(tcp, key, stream, Code::Failed, b"a request is too long");
-                self.fault(tcp, key, heard, count);
+                self.fault(tcp, key, count);
             }
             Frame::Whole { .. } | Frame::TooLong { .. } => {
                 count.bad_frames += 1;
                 self.say(tcp, key, 0, Code::Failed, b"a client sends no such frame");
-                self.fault(tcp, key, heard, count);
+                self.fault(tcp, key, count);
             }
         }
     }
@@ -308,6 +308,11 @@
         })
     }
 
+    /// Does a client still wait for it? One may withdraw with the very bytes that bring its request.
+    pub fn waits(&self, mark: u64) -> bool {
+        self.calls.contains_key(&mark)
+    }
+
     /// The engine's number of a call, as soon as it is known.
     pub fn opened(&mut self, mark: u64, id: CallId) {
         if let Some(call) = self.calls.get_mut(&mark) {
@@ -368,47 +373,43 @@
     }
 
     /// Counts what a connection sent amiss, and closes it when it goes on.
-    fn fault(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+    fn fault(&mut self, tcp: &mut Tcp, key: TcpKey, count: &mut Counters) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.faults += 1;
         if client.faults > CLIENT_FAULTS {
-            self.expel(tcp, key, "too much that can't be used", heard, count);
+            self.expel(tcp, key, "too much that can't be used", count);
         }
     }
 
     /// Says why on stream 0, reads nothing more and closes after the last answer that is owed there.
-    fn expel(&mut self, tcp: &mut Tcp, key: TcpKey, why: &str, heard: &mut Vec<Heard>, count: &mut Counters) {
+    fn expel(&mut self, tcp: &mut Tcp, key: TcpKey, why: &str, count: &mut Counters) {
         count.closed_for_faults += 1;
         debug!(why, "a client's connection is closed");
         self.say(tcp, key, 0, Code::Failed, why.as_bytes());
-        self.ended(tcp, key, heard);
+        self.ended(tcp, key);
     }
 
     /// Nothing more comes from a client, or nothing more is wanted: it closes after its last answer.
-    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>) {
+    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.closing = true;
         client.began = None;
         if client.streams.is_empty() {
-            self.forget(key, heard);
+            self.clients.remove(&key);
             tcp.finish(key);
         } else {
             tcp.alarm(key, None);
         }
     }
 
-    fn forget(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
+    /// A client's connection is gone.
+    pub fn closed(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
         let Some(client) = self.clients.remove(&key) else { return };
         for mark in client.streams.into_values() {
             heard.extend(self.close_call(mark).map(Heard::Gone));
         }
     }
 
-    /// A client's connection is gone.
-    pub fn closed(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
-        self.forget(key, heard);
-    }
-
     fn set_alarm(&self, tcp: &mut Tcp, key: TcpKey) {
         let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
         let frame = client.began.map(|began| began + WHOLE_FRAME);
@@ -418,7 +419,7 @@
     }
 
     /// A connection's alarm came due.
-    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, count: &mut Counters) {
         let Some(client) = self.clients.get(&key) else { return };
         let now = Instant::now();
         let slow = client.began.is_some_and(|began| now >= began + WHOLE_FRAME);
@@ -426,11 +427,10 @@
         if slow || silent {
             count.closed_for_silence += 1;
             self.say(tcp, key, 0, Code::Failed, b"nothing whole came in time");
-            self.ended(tcp, key, heard);
+            self.ended(tcp, key);
         } else if client.streams.is_empty() && now >= client.quiet + CLIENT_IDLE {
             count.closed_idle += 1;
-            self.forget(key, heard);
-            tcp.finish(key);
+            self.ended(tcp, key);
         } else {
             self.set_alarm(tcp, key);
         }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use nettleferry::{LoadNote, Report, WorkerId};
+use nettleferry::{LoadNote, WorkerId};
 use nettleferry_engine::{AttemptId, Ended, ErrandId, Event, News};
 use nettleferry_net::tcp::{Gone, Tcp, TcpKey};
-use nettleferry_platform::answer::{self, Note, Told, Word};
+use nettleferry_platform::answer::{Told, Word};
 use nettleferry_platform::resp;
 use tracing::debug;
 
@@ -19,11 +19,23 @@
 const REMEMBERED: usize = 512;
 
 /// Whose answer is awaited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Owed {
+    // In this order where a connection ends: what is told of it is known before what was lost with it.
+    Probe(ErrandId),
     Attempt(AttemptId),
     Order(ErrandId),
-    Probe(ErrandId),
+}
+
+impl Owed {
+    /// It ended without an answer.
+    fn ended(self, how: Ended) -> Event {
+        match self {
+            Self::Attempt(attempt) => Event::Ended { attempt, how, news: News::default() },
+            Self::Order(errand) => Event::Loaded { errand, how, copies: 0 },
+            Self::Probe(errand) => Event::Probed { errand, how, report: None },
+        }
+    }
 }
 
 struct Item {
@@ -71,8 +83,8 @@
 pub struct Links {
     workers: BTreeMap<WorkerId, Worker>,
     links: BTreeMap<TcpKey, Link>,
-    attempts: BTreeMap<AttemptId, (TcpKey, String)>,
-    errands: BTreeMap<ErrandId, (TcpKey, String)>,
+    /// Where each answer is awaited, and under which id.
+    owed: BTreeMap<Owed, (TcpKey, String)>,
     bounds: Bounds,
     streams: usize,
     /// A connection without anything open is closed after this span, before its other end would.
@@ -104,8 +116,7 @@
         Self {
             workers: BTreeMap::new(),
             links: BTreeMap::new(),
-            attempts: BTreeMap::new(),
-            errands: BTreeMap::new(),
+            owed: BTreeMap::new(),
             bounds,
             streams: streams.max(1),
             idle: idle.map(|idle| idle * 3 / 4),
@@ -121,24 +132,20 @@
 
     /// The list: every invoker that may be sent anything, and where.
     pub fn list(&mut self, tcp: &mut Tcp, listed: &BTreeMap<WorkerId, SocketAddr>) {
-        for worker in self.workers.values_mut() {
-            worker.listed = false;
+        let mut leaving = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let address = listed.get(id);
+            worker.listed = address.is_some();
+            if address != Some(&worker.address) {
+                worker.address = address.copied().unwrap_or(worker.address);
+                leaving.extend(worker.links.iter().copied());
+            }
         }
         for (id, address) in listed {
             let fresh = || Worker { address: *address, listed: true, links: Vec::new() };
-            let worker = self.workers.entry(*id).or_insert_with(fresh);
-            worker.listed = true;
-            if worker.address != *address {
-                worker.address = *address;
-                for key in &worker.links {
-                    if let Some(link) = self.links.get_mut(key) {
-                        link.leaving = true;
-                    }
-                }
-            }
+            self.workers.entry(*id).or_insert_with(fresh);
         }
-        let gone = self.workers.values().filter(|w| !w.listed).flat_map(|w| w.links.iter().copied());
-        for key in gone.collect::<Vec<_>>() {
+        for key in leaving {
             if let Some(link) = self.links.get_mut(&key) {
                 link.leaving = true;
             }
@@ -156,20 +163,13 @@
         out: &mut Vec<Event>,
         count: &mut Counters,
     ) {
-        let ended = |how| Event::Ended { attempt: attempt.id, how, news: News::default() };
-        match self.choose(tcp, worker, attempt.name, count) {
-            Ok(key) => {
-                let mut bytes = std::mem::take(&mut self.buffer);
-                bytes.clear();
-                let Attempt { name, sort, asset, patience_ms, body, .. } = attempt;
-                resp::call(&mut bytes, name, sort, asset, *patience_ms, body);
-                debug!(worker = worker.0, name, asset, number = attempt.id.number, ?key, "an attempt");
-                self.attempts.insert(attempt.id, (key, (*name).to_owned()));
-                self.put(tcp, key, name, Owed::Attempt(attempt.id), &bytes);
-                self.buffer = bytes;
-            }
-            Err(how) => out.push(ended(how)),
-        }
+        let Attempt { id, name, sort, asset, patience_ms, body } = attempt;
+        let mut bytes = std::mem::take(&mut self.buffer);
+        bytes.clear();
+        resp::call(&mut bytes, name, sort, asset, *patience_ms, body);
+        let link = self.choose(tcp, worker, name, count);
+        self.begin(tcp, link, name, Owed::Attempt(*id), &bytes, out);
+        self.buffer = bytes;
     }
 
     /// Sends an order to load.
@@ -183,16 +183,10 @@
         count: &mut Counters,
     ) {
         let tag = format!("o{}", errand.0);
-        match self.choose(tcp, worker, &tag, count) {
-            Ok(key) => {
-                let mut bytes = Vec::new();
-                resp::load(&mut bytes, &tag, asset, instances);
-                debug!(worker = worker.0, tag, asset, ?key, "an order");
-                self.errands.insert(errand, (key, tag.clone()));
-                self.put(tcp, key, &tag, Owed::Order(errand), &bytes);
-            }
-            Err(how) => out.push(Event::Loaded { errand, how, copies: 0 }),
-        }
+        let mut bytes = Vec::new();
+        resp::load(&mut bytes, &tag, asset, instances);
+        let link = self.choose(tcp, worker, &tag, count);
+        self.begin(tcp, link, &tag, Owed::Order(errand), &bytes, out);
     }
 
     /// Sends word to unload; nothing comes back.
@@ -216,15 +210,10 @@
         count: &mut Counters,
     ) {
         let tag = format!("p{}", errand.0);
-        match self.choose_for_probe(tcp, worker, &tag, count) {
-            Ok(key) => {
-                let mut bytes = Vec::new();
-                resp::probe(&mut bytes, &tag, self.reports);
-                self.errands.insert(errand, (key, tag.clone()));
-                self.put(tcp, key, &tag, Owed::Probe(errand), &bytes);
-            }
-            Err(how) => out.push(Event::Probed { errand, how, report: None }),
-        }
+        let mut bytes = Vec::new();
+        resp::probe(&mut bytes, &tag, self.reports);
+        let link = self.choose_for_probe(tcp, worker, &tag, count);
+        self.begin(tcp, link, &tag, Owed::Probe(errand), &bytes, out);
     }
 
     /// A probe asks where an answer has been owed longest: its own silence then tells of that connection.
@@ -302,8 +291,22 @@
         Ok(key)
     }
 
-    fn put(&mut self, tcp: &mut Tcp, key: TcpKey, tag: &str, owed: Owed, bytes: &[u8]) {
+    /// Begins what is owed on the connection that was chosen, or tells why there is none.
+    fn begin(
+        &mut self,
+        tcp: &mut Tcp,
+        link: Result<TcpKey, Ended>,
+        tag: &str,
+        owed: Owed,
+        bytes: &[u8],
+        out: &mut Vec<Event>,
+    ) {
+        let key = match link {
+            Ok(key) => key,
+            Err(how) => return out.push(owed.ended(how)),
+        };
         let Some(link) = self.links.get_mut(&key) else { return };
+        debug!(worker = link.worker.0, tag, ?owed, ?key, "begun");
         let end = if link.up {
             if link.partial.is_none() {
                 tcp.alarm(key, None);
@@ -315,6 +318,7 @@
             None
         };
         link.items.insert(tag.to_owned(), Item { owed, since: Instant::now(), end });
+        self.owed.insert(owed, (key, tag.to_owned()));
     }
 
     /// A connection came about: what waited for it leaves.
@@ -331,7 +335,7 @@
 
     /// Stops an attempt: nothing about it is wanted any more.
     pub fn withdraw(&mut self, tcp: &mut Tcp, attempt: AttemptId) {
-        let Some((key, tag)) = self.attempts.remove(&attempt) else { return };
+        let Some((key, tag)) = self.owed.remove(&Owed::Attempt(attempt)) else { return };
         let Some(link) = self.links.get_mut(&key) else { return };
         let sent = link.items.remove(&tag).is_some_and(|item| item.end.is_some());
         if sent {
@@ -349,7 +353,8 @@
 
     /// An order or a probe ran out of time: nothing about it is wanted any more.
     pub fn forget(&mut self, tcp: &mut Tcp, errand: ErrandId) {
-        let Some((key, tag)) = self.errands.remove(&errand) else { return };
+        let order = self.owed.remove(&Owed::Order(errand));
+        let Some((key, tag)) = order.or_else(|| self.owed.remove(&Owed::Probe(errand))) else { return };
         let Some(link) = self.links.get_mut(&key) else { return };
         let item = link.items.remove(&tag);
         // Cleared by the next byte that comes there.
@@ -383,6 +388,10 @@
                 }
             };
             let Some(link) = self.links.get_mut(&key) else { return };
+            // It came whole, whoever's it is.
+            if link.partial.take().is_some() {
+                tcp.alarm(key, None);
+            }
             let word = Word::read(&answer.word).zip(Told::read(&answer.fields));
             let Some((word, told)) = word else {
                 count.bad_answers += 1;
@@ -395,9 +404,6 @@
             };
             debug!(worker = link.worker.0, tag = answer.id, ?word, fields = answer.fields, age = ?item.since.elapsed(), "answered");
             link.over(answer.id);
-            if link.partial.take().is_some() {
-                tcp.alarm(key, None);
-            }
             let worker = link.worker;
             if matches!(item.owed, Owed::Probe(_)) {
                 self.give_up_suspects(tcp, worker, out);
@@ -419,25 +425,22 @@
     }
 
     fn answered(&mut self, owed: Owed, word: Word, told: &Told, body: Bytes, out: &mut Vec<Event>) {
-        let report = told.report.map(report);
+        self.owed.remove(&owed);
         match owed {
             Owed::Attempt(attempt) => {
-                self.attempts.remove(&attempt);
-                let news = News { note: told.note.map(note), crowd: None, report };
+                let news = News { note: told.note, crowd: None, report: told.report };
                 if word == Word::Served {
                     out.push(Event::Part { attempt, payload: body, last: true });
                 }
                 out.push(Event::Ended { attempt, how: ended(word, told), news });
             }
             Owed::Order(errand) => {
-                self.errands.remove(&errand);
                 let copies = told.instances.unwrap_or(0);
                 out.push(Event::Loaded { errand, how: ended(word, told), copies });
             }
             Owed::Probe(errand) => {
-                self.errands.remove(&errand);
                 let how = if word == Word::Green { Ended::Served } else { ended(word, told) };
-                out.push(Event::Probed { errand, how, report });
+                out.push(Event::Probed { errand, how, report: told.report });
             }
         }
     }
@@ -469,26 +472,13 @@
                 self.workers.remove(&link.worker);
             }
         }
-        // Probes first: what is told of the connection is known before what was lost with it.
-        let (probes, others): (Vec<_>, Vec<_>) =
-            link.items.into_iter().partition(|(_, item)| matches!(item.owed, Owed::Probe(_)));
-        for (tag, item) in probes.into_iter().chain(others) {
+        let mut items: Vec<_> = link.items.into_iter().collect();
+        items.sort_by_key(|(_, item)| item.owed);
+        for (tag, item) in items {
             let how = how(&item);
             debug!(worker = link.worker.0, tag, ?key, age = ?item.since.elapsed(), ?how, "ended with its connection");
-            match item.owed {
-                Owed::Attempt(attempt) => {
-                    self.attempts.remove(&attempt);
-                    out.push(Event::Ended { attempt, how, news: News::default() });
-                }
-                Owed::Order(errand) => {
-                    self.errands.remove(&errand);
-                    out.push(Event::Loaded { errand, how, copies: 0 });
-                }
-                Owed::Probe(errand) => {
-                    self.errands.remove(&errand);
-                    out.push(Event::Probed { errand, how, report: None });
-                }
-            }
+            self.owed.remove(&item.owed);
+            out.push(item.owed.ended(how));
         }
     }
 
@@ -525,7 +515,7 @@
 fn ended(word: Word, told: &Told) -> Ended {
     match word {
         Word::Served => Ended::Served,
-        Word::NotHere if told.note == Some(Note::Failed) => Ended::MarkedLoadFailed,
+        Word::NotHere if told.note == Some(LoadNote::Failed) => Ended::MarkedLoadFailed,
         Word::NotHere => Ended::MarkedMiss,
         Word::Overload => Ended::MarkedFull,
         Word::Crashed => Ended::Status { message: "the invoker failed it".to_owned() },
@@ -533,22 +523,3 @@
         Word::Green | Word::Red => Ended::Status { message: "the invoker is not in service".to_owned() },
     }
 }
-
-fn note(note: Note) -> LoadNote {
-    match note {
-        Note::Warm => LoadNote::Warm,
-        Note::Began => LoadNote::Began,
-        Note::Waited => LoadNote::Waited,
-        Note::Failed => LoadNote::Failed,
-    }
-}
-
-fn report(told: answer::Report) -> Report {
-    Report {
-        inflight: told.inflight,
-        queue: told.queue,
-        util: told.util,
-        memory_held: told.memory_held,
-        loads: told.loads,
-    }
-}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -189,14 +189,10 @@
         let mut happened = std::mem::take(&mut self.happened);
         self.tcp.turn(Some(wait), &mut happened).map_err(NodeError::system("the poll"))?;
         // Links first: what has just broken is not written to.
-        for links in [true, false] {
-            for event in &happened {
-                if self.of_links(event) == links {
-                    self.take(*event);
-                }
-            }
+        happened.sort_by_key(|event| !event.key().is_some_and(|key| self.links.owns(key)));
+        for event in happened.drain(..) {
+            self.take(event);
         }
-        happened.clear();
         self.happened = happened;
         if self.reload_at.is_some_and(|at| Instant::now() >= at) {
             self.reload();
@@ -211,17 +207,6 @@
         Ok(())
     }
 
-    fn of_links(&self, event: &TcpEvent) -> bool {
-        match event {
-            TcpEvent::Accepted(_) | TcpEvent::Source(_) => false,
-            TcpEvent::Connected(key)
-            | TcpEvent::Data(key)
-            | TcpEvent::Alarm(key)
-            | TcpEvent::Ended(key)
-            | TcpEvent::Closed(key, _) => self.links.owns(*key),
-        }
-    }
-
     fn wait(&self) -> Duration {
         let now = Instant::now();
         let timer =
@@ -238,22 +223,22 @@
 
     fn take(&mut self, event: TcpEvent) {
         let (tcp, count) = (&mut self.tcp, &mut self.count);
+        let (heard, told) = (&mut self.heard, &mut self.told);
+        let client = event.key().is_some_and(|key| self.front.owns(key));
         match event {
             TcpEvent::Accepted(key) => self.front.accepted(tcp, key, count),
+            TcpEvent::Data(key) if client => self.front.data(tcp, key, heard, count),
+            TcpEvent::Alarm(key) if client => self.front.alarm(tcp, key, count),
+            TcpEvent::Ended(key) if client => self.front.ended(tcp, key),
+            TcpEvent::Closed(key, _) if client => self.front.closed(key, heard),
             TcpEvent::Connected(key) => self.links.connected(tcp, key),
-            TcpEvent::Data(key) if self.front.owns(key) => self.front.data(tcp, key, &mut self.heard, count),
-            TcpEvent::Data(key) => self.links.data(tcp, key, &mut self.told, count),
-            TcpEvent::Alarm(key) if self.front.owns(key) => {
-                self.front.alarm(tcp, key, &mut self.heard, count)
-            }
-            TcpEvent::Alarm(key) => self.links.alarm(tcp, key, &mut self.told, count),
-            TcpEvent::Ended(key) if self.front.owns(key) => self.front.ended(tcp, key, &mut self.heard),
+            TcpEvent::Data(key) => self.links.data(tcp, key, told, count),
+            TcpEvent::Alarm(key) => self.links.alarm(tcp, key, told, count),
             TcpEvent::Ended(key) => {
-                self.links.closed(tcp, key, Gone::Broken, &mut self.told);
+                self.links.closed(tcp, key, Gone::Broken, told);
                 tcp.close(key);
             }
-            TcpEvent::Closed(key, _) if self.front.owns(key) => self.front.closed(key, &mut self.heard),
-            TcpEvent::Closed(key, why) => self.links.closed(tcp, key, why, &mut self.told),
+            TcpEvent::Closed(key, why) => self.links.closed(tcp, key, why, told),
             TcpEvent::Source(SIGNALS) => self.signalled(),
             TcpEvent::Source(_) => {
                 if let Some(list) = self.asker.ready(count) {
@@ -288,6 +273,9 @@
     fn open(&mut self, taken: crate::front::Taken) {
         self.last_request = Instant::now();
         let mark = taken.mark;
+        if !self.front.waits(mark) {
+            return;
+        }
         let open = Open {
             front: mark,
             class: taken.class,
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -18,6 +18,19 @@
     }
 }
 
+/// As [`good`], but each call with the body "slow" waits until it is released.
+fn gated() -> (Invoker, mpsc::Sender<()>) {
+    let (release, wait) = mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let invoker = Invoker::start(move |told| {
+        if told.word() == "CALL" && told.parts[3] == b"slow" {
+            wait.lock().expect("no panic holds it").recv_timeout(PATIENCE).expect("released");
+        }
+        good(told)
+    });
+    (invoker, release)
+}
+
 #[test]
 fn a_call_comes_back_with_the_body_that_the_invoker_gave() {
     let invoker = Invoker::start(good);
@@ -206,14 +219,7 @@
 
 #[test]
 fn more_than_may_be_open_is_refused_and_the_open_ones_are_answered() {
-    let (release, wait) = mpsc::channel::<()>();
-    let wait = std::sync::Mutex::new(wait);
-    let invoker = Invoker::start(move |told| {
-        if told.word() == "CALL" && told.parts[3] == b"slow" {
-            wait.lock().expect("no panic holds it").recv_timeout(PATIENCE).expect("released");
-        }
-        good(told)
-    });
+    let (invoker, release) = gated();
     let rig = Rig::start(&[&invoker]);
     let mut client = rig.client();
     let streams: Vec<u32> = (1..=32).map(|id| client.ask("safe", id, id, b"slow")).collect();
@@ -236,17 +242,69 @@
 }
 
 #[test]
-fn the_last_answers_leave_before_the_end() {
-    let (release, wait) = mpsc::channel::<()>();
-    let wait = std::sync::Mutex::new(wait);
+fn what_is_withdrawn_with_the_bytes_that_bring_it_never_starts() {
+    let invoker = Invoker::start(good);
+    let rig = Rig::start(&[&invoker]);
+    let mut client = rig.client();
+    let mut both = Vec::new();
+    let fields = [("op", "safe"), ("call", "00000000000000aa"), ("ttl", "3000"), ("row", "0000000000000009")];
+    for stream in 1..=20 {
+        frames::request(&mut both, stream, &fields, b"ab");
+        frames::bare(&mut both, frames::kind::CANCEL, stream);
+    }
+    frames::request(&mut both, 21, &fields, b"ab");
+    client.socket.write_all(&both).expect("written");
+    assert_eq!(client.answer(21), (SERVED, b"ba".to_vec()));
+    assert_eq!(invoker.got().iter().filter(|g| g.starts_with("CALL")).count(), 1, "{:?}", invoker.got());
+}
+
+#[test]
+fn a_stray_answer_in_two_pieces_does_not_end_its_connection() {
+    let mut stray = Vec::new();
+    resp::command(&mut stray, &[b"ffffffffffffffff", b"served", b"-", b"of nobody"]);
+    let (first, rest) = (stray[..20].to_vec(), stray[20..].to_vec());
     let invoker = Invoker::start(move |told| {
-        if told.word() == "CALL" && told.parts[3] == b"slow" {
-            wait.lock().expect("no panic holds it").recv_timeout(PATIENCE).expect("released");
+        let mut out = Vec::new();
+        match (told.word(), told.parts.get(3).map(Vec::as_slice)) {
+            ("CALL", Some(b"split")) => {
+                resp::command(&mut out, &[&told.parts[1], b"served", b"n=w", b"1"]);
+                out.extend_from_slice(&first);
+                Does::Writes(out)
+            }
+            ("CALL", Some(b"rest")) => {
+                out.extend_from_slice(&rest);
+                resp::command(
+                    &mut out,
+                    &[&told.parts[1], b"served", b"n=w", told.connection.to_string().as_bytes()],
+                );
+                Does::Writes(out)
+            }
+            ("CALL", Some(b"late")) => Does::Says("served", "n=w", told.connection.to_string().into_bytes()),
+            _ => good(told),
         }
-        good(told)
     });
     let mut rig = Rig::start(&[&invoker]);
     let mut client = rig.client();
+    let split = client.ask("safe", 1, 9, b"split");
+    assert_eq!(client.answer(split).0, SERVED);
+    let rest = client.ask("safe", 2, 9, b"rest");
+    let (_, one) = client.answer(rest);
+    // Beyond the time in which an answer must have come whole.
+    let until = std::time::Instant::now() + nettleferry_node::limits::WHOLE_ANSWER * 2;
+    let mut id = 3;
+    while std::time::Instant::now() < until {
+        let late = client.ask("safe", id, 9, b"late");
+        assert_eq!(client.answer(late), (SERVED, one.clone()), "on the same connection");
+        id += 1;
+    }
+    assert_eq!(rig.stop().bad_answers, 0);
+}
+
+#[test]
+fn the_last_answers_leave_before_the_end() {
+    let (invoker, release) = gated();
+    let mut rig = Rig::start(&[&invoker]);
+    let mut client = rig.client();
     let first = client.ask("safe", 1, 9, b"fine");
     assert_eq!(client.answer(first).0, SERVED);
     let slow = client.ask("safe", 2, 9, b"slow");
--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -1,5 +1,7 @@
 //! What an invoker's answer says: its word, its note, its report.
 
+use nettleferry::{LoadNote, Report};
+
 /// Words of answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Word {
@@ -35,39 +37,11 @@
     }
 }
 
-/// What an answer tells of loaded copies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Note {
-    /// A copy stood loaded.
-    Warm,
-    /// This request began a load.
-    Began,
-    /// It waited for a load begun earlier.
-    Waited,
-    /// The load failed.
-    Failed,
-}
-
-/// Values of a load report, as told.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Report {
-    /// Requests in work.
-    pub inflight: Option<f64>,
-    /// Requests waiting.
-    pub queue: Option<f64>,
-    /// Share of the cores in use.
-    pub util: Option<f64>,
-    /// Share of memory that can't be freed.
-    pub memory_held: Option<f64>,
-    /// Loads under way or waiting.
-    pub loads: Option<f64>,
-}
-
 /// An answer's fields.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Told {
     /// Of loaded copies.
-    pub note: Option<Note>,
+    pub note: Option<LoadNote>,
     /// Copies that stand, after an order.
     pub instances: Option<u32>,
     /// The load report.
@@ -86,10 +60,10 @@
             match name {
                 "n" => {
                     told.note = Some(match value {
-                        "w" => Note::Warm,
-                        "c" => Note::Began,
-                        "j" => Note::Waited,
-                        "f" => Note::Failed,
+                        "w" => LoadNote::Warm,
+                        "c" => LoadNote::Began,
+                        "j" => LoadNote::Waited,
+                        "f" => LoadNote::Failed,
                         _ => return None,
                     });
                 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -9,9 +9,6 @@
 /// The configuration. What a controller does not use is not read.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
-    /// Its name, the same after a restart.
-    #[serde(default)]
-    pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Seed for random numbers: hex digits, new with each start.
@@ -33,8 +30,6 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default)]
 pub struct Limits {
-    /// Cores.
-    pub cores: f64,
     /// Memory, MB.
     pub memory_mb: u64,
     /// File descriptors of a process.
@@ -44,7 +39,7 @@
 impl Default for Limits {
     /// The least that the platform speaks of.
     fn default() -> Self {
-        Self { cores: 0.5, memory_mb: 32, sockets: 256 }
+        Self { memory_mb: 32, sockets: 256 }
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,6 +1,6 @@
 //! The platform's protocol, without I/O: bytes in, types out, and back.
 //!
-//! May know: bytes. Must not know: sockets, the clock, the engine, decisions.
+//! May know: bytes, the module's types. Must not know: sockets, the clock, the engine, decisions.
 //!
 //! * [`frames`]: what clients and controllers say to each other. [`request`]: a request's fields, checked.
 //! * [`resp`]: commands to invokers and their answers. [`answer`]: an answer's fields.
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -1,7 +1,8 @@
 //! The codecs against whatever may come: any bytes, in any pieces, never panic and stay within their bounds.
 
 use bytes::BytesMut;
-use nettleferry_platform::answer::{Note, Told, Word};
+use nettleferry::LoadNote;
+use nettleferry_platform::answer::{Told, Word};
 use nettleferry_platform::config::Config;
 use nettleferry_platform::directory::{self, ListError, State};
 use nettleferry_platform::frames::{self, Code, Frame, FrameError, MOST_PAYLOAD, Reader, kind};
@@ -163,7 +164,7 @@
 #[test]
 fn fields_of_answers_tell_note_copies_and_report() {
     let told = Told::read("n=j,instances=2,l=inflight:7;util:0.61").expect("sound");
-    assert_eq!((told.note, told.instances), (Some(Note::Waited), Some(2)));
+    assert_eq!((told.note, told.instances), (Some(LoadNote::Waited), Some(2)));
     let report = told.report.expect("told");
     assert_eq!((report.inflight, report.util), (Some(7.0), Some(0.61)));
     assert_eq!(Told::read("-"), Some(Told::default()));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -550,11 +550,7 @@
         let bar = if worker.barred { worker.barred_until } else { 0 };
         let at = at.max(bar).max(self.now + self.tick());
         if worker.watched.is_none_or(|set| at < set) {
-            if let Some(set) = worker.watched {
-                self.due.remove(&(set, Due::Silence(id)));
-            }
-            self.due.insert((at, Due::Silence(id)));
-            self.workers.get_mut(&id).expect("just seen").watched = Some(at);
+            self.check_at(id, at);
         }
     }
 
@@ -819,9 +815,8 @@
         worker.barred_until = self.now + worker.bar;
         worker.bar = (worker.bar * 2).min(BAR_LONGEST);
         if worker.down {
-            let set = worker.watched.replace(worker.barred_until);
-            self.due.remove(&(set.unwrap_or(0), Due::Silence(id)));
-            self.due.insert((worker.barred_until, Due::Silence(id)));
+            let at = worker.barred_until;
+            self.check_at(id, at);
         }
     }
 
@@ -861,12 +856,8 @@
                 self.bar_silent(id);
             } else if broke {
                 // It tells nothing: asked once more in a while.
-                let at = self.now + DOUBT_WAIT;
-                let worker = self.workers.get_mut(&id).expect("just seen");
-                worker.doubt = true;
-                let set = worker.watched.replace(at);
-                self.due.remove(&(set.unwrap_or(0), Due::Silence(id)));
-                self.due.insert((at, Due::Silence(id)));
+                self.workers.get_mut(&id).expect("just seen").doubt = true;
+                self.check_at(id, self.now + DOUBT_WAIT);
             } else if (owed || asked || doubted) && !again {
                 // Its connection may have failed alone: asked at once on another.
                 self.probe(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -175,6 +175,15 @@
         }
     }
 
+    /// Sets a worker's one check for silence, in place of one that is set.
+    pub(crate) fn check_at(&mut self, id: WorkerId, at: Micros) {
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if let Some(set) = worker.watched.replace(at) {
+            self.due.remove(&(set, Due::Silence(id)));
+        }
+        self.due.insert((at, Due::Silence(id)));
+    }
+
     /// Keeps a worker's report; what is no number counts as not told.
     pub(crate) fn news(&mut self, at: WorkerId, report: Report) {
         let sane = |x: Option<f64>| x.filter(|x| x.is_finite() && *x >= 0.0);
