net: a lingering connection ends its side once and does not keep the poll awake

At fault: flush ended our side of a lingering connection each time it ran; each shutdown wakes the poll, and the next flush follows. Change: once. A test counts the turns.

--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -143,6 +143,8 @@
     writable: bool,
     /// The peer sends no more.
     halved: bool,
+    /// Our side is ended.
+    shut: bool,
     /// A write failed.
     failed: bool,
     /// It broke, and that was told.
@@ -269,6 +271,7 @@
             readable: accepted,
             writable: accepted,
             halved: false,
+            shut: false,
             failed: false,
             ended: false,
             ready: false,
@@ -603,7 +606,9 @@
     if conn.output.is_empty() && conn.output.capacity() > KEPT {
         conn.output = BytesMut::new();
     }
-    if conn.output.is_empty() && conn.stage == Stage::Lingering {
+    // Once: each shutdown wakes the poll, and would be followed by the next.
+    if conn.output.is_empty() && conn.stage == Stage::Lingering && !conn.shut {
+        conn.shut = true;
         let _ = conn.socket.shutdown(Shutdown::Write);
     }
 }
--- a/crates/net/tests/tcp.rs
+++ b/crates/net/tests/tcp.rs
@@ -76,6 +76,22 @@
     assert_eq!(answer, b"answer");
 }
 
+#[test]
+fn a_lingering_connection_does_not_keep_the_poll_awake() {
+    let limits = TcpLimits { linger: PATIENCE, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let _client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    tcp.finish(key);
+    let (end, mut turns, mut out) = (std::time::Instant::now() + Duration::from_millis(300), 0, Vec::new());
+    while std::time::Instant::now() < end {
+        tcp.turn(Some(Duration::from_millis(50)), &mut out).expect("a turn");
+        turns += 1;
+    }
+    assert!(turns < 30, "{turns} turns in 300 ms");
+}
+
 #[test]
 fn a_refused_connection_is_told_from_others() {
     let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
