Tests of node as a process: bad configuration, SIGHUP with a half-written file, SIGTERM

Change: the program started as the platform starts it: a missing or unsound file is one line and exit code 2; three SIGHUPs with half a file do not end it, and the whole file counts without a further signal; SIGTERM, with a SIGHUP after it, tells clients and ends with 0. Unknown keys are in the configuration.

--- /dev/null
+++ b/crates/gateway/tests/node.rs
@@ -0,0 +1,121 @@
+//! `nettleferry node` as a process: its configuration, SIGHUP and SIGTERM. What it does on its sockets is tested in
+//! `crates/node`.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use nettleferry_platform::frames::{self, kind};
+
+/// No wait of these tests is longer; each is for an event.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Ends with the test, whatever comes.
+struct Node(Child);
+
+impl Node {
+    fn start(config: &Path) -> Self {
+        let node = Command::new(env!("CARGO_BIN_EXE_nettleferry"))
+            .arg("node")
+            .env("PROXY_CONFIG", config)
+            .env_remove("RUST_LOG")
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn();
+        Self(node.expect("the program is there"))
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([&format!("-{name}"), &self.0.id().to_string()]).status();
+        assert!(done.expect("kill runs").success());
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn directory() -> (UdpSocket, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    socket.set_read_timeout(Some(PATIENCE)).expect("set");
+    let address = socket.local_addr().expect("an address");
+    (socket, address)
+}
+
+fn config(resolver: SocketAddr) -> String {
+    serde_json::json!({
+        "listen": "127.0.0.1:0", "seed": "1f", "resolver": resolver.to_string(), "unknown": {"to": "us"},
+        "settings": {
+            "classes": [{"name": "safe", "deadline_ms": 4000, "effect": "free", "unknown": 1}],
+            "n_instances": 1, "limits": {"max_attempts": 3, "connect_timeout_ms": 250}, "unknown": [],
+        },
+    })
+    .to_string()
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_is_one_line_and_exit_code_2() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("config.json");
+    for text in [None, Some("{\"listen\":"), Some("{}"), Some("[]")] {
+        if let Some(text) = text {
+            std::fs::write(&path, text).expect("written");
+        }
+        let mut node = Node::start(&path);
+        let mut said = String::new();
+        node.0.stderr.take().expect("piped").read_to_string(&mut said).expect("text");
+        assert_eq!(node.0.wait().expect("ours").code(), Some(2), "{text:?}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+}
+
+#[test]
+fn sighup_moves_to_another_directory_once_its_file_is_whole_and_sigterm_ends_in_order() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("config.json");
+    let ((first, one), (second, two)) = (directory(), directory());
+    std::fs::write(&path, config(one)).expect("written");
+    let mut node = Node::start(&path);
+    let mut said = BufReader::new(node.0.stdout.take().expect("piped"));
+    let mut line = String::new();
+    said.read_line(&mut line).expect("text");
+    let address = line.trim_end().strip_prefix("listening frames ").expect("it listens");
+    let mut buffer = [0; 512];
+    first.recv_from(&mut buffer).expect("the first directory is asked");
+
+    std::fs::write(&path, &config(two)[..40]).expect("written");
+    for _ in 0..3 {
+        node.signal("HUP");
+    }
+    let mut logs = BufReader::new(node.0.stderr.take().expect("piped"));
+    let mut line = String::new();
+    while !line.contains("not used yet") {
+        line.clear();
+        assert!(logs.read_line(&mut line).expect("text") > 0, "it goes on");
+    }
+    std::fs::write(&path, config(two)).expect("written");
+    second.recv_from(&mut buffer).expect("read again without a further signal");
+
+    let mut client = TcpStream::connect(address).expect("it listens");
+    client.set_read_timeout(Some(PATIENCE)).expect("set");
+    let mut word = Vec::new();
+    frames::bare(&mut word, kind::READY, 0);
+    client.write_all(&word).expect("written");
+    let mut answer = [0; 11];
+    client.read_exact(&mut answer).expect("answered");
+    assert_eq!(answer[4], kind::READY_ANSWER);
+    node.signal("TERM");
+    node.signal("HUP");
+    let mut answer = [0; 9];
+    client.read_exact(&mut answer).expect("told");
+    assert_eq!(answer[4], kind::GO_AWAY);
+    // Its pipe is read to the end, so that it is never held up by its own log.
+    let mut rest = Vec::new();
+    logs.read_to_end(&mut rest).expect("text");
+    assert_eq!(node.0.wait().expect("ours").code(), Some(0));
+}
