node: an attempt's end leaves before its call goes on, or its connection is cut

Seen: the standing test's full run failed, once in 45 minutes of the soak (2211.96 s): a request got a second copy.

Checked and ruled out: client-side repeats (ids are new, a request that crosses a close was never read), broken and suspect connections (all closed before the next flush: stands=true with nothing left is the turn of their end), commands withdrawn before they left (1 in 540 s, a client's), module and engine (one Cancelled for one Cancel).

At fault: Links::withdraw, which queued CANCEL and left it to settle and the turn's flush. Now CANCEL is handed to the system at once; where the system does not take it, the connection is closed at once, and what shared it ends as broken or not written, by what had left. Counted as cut_to_withdraw.

Tests: two over real sockets, an invoker that reads nothing; both fail without the change.

--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -422,6 +422,17 @@
         Ok(())
     }
 
+    /// Hands what is queued there to the system now. True: it has taken all of it.
+    pub fn flush(&mut self, key: TcpKey) -> bool {
+        let Some(conn) = self.get_mut(key) else { return false };
+        flush(conn);
+        let all = conn.output.is_empty();
+        if conn.readable {
+            self.make_ready(key.index());
+        }
+        all
+    }
+
     /// Hands what is queued to the system now.
     pub fn flush_all(&mut self) {
         for key in std::mem::take(&mut self.dirty) {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -81,6 +81,8 @@
     pub bad_answers: u64,
     /// Answers that belonged to nothing open.
     pub stray_answers: u64,
+    /// Connections to invokers that were cut, as the end of a withdrawn request could not be told there at once.
+    pub cut_to_withdraw: u64,
     /// [`Bounds::links`], of which each invoker has an equal part.
     pub over_links: u64,
     /// Answers of the directory that could not be used.
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -333,15 +333,32 @@
         self.settle(tcp, key);
     }
 
-    /// Stops an attempt: nothing about it is wanted any more.
-    pub fn withdraw(&mut self, tcp: &mut Tcp, attempt: AttemptId) {
+    /// Stops an attempt: nothing about it is wanted any more. Its call may go elsewhere with the next bytes that
+    /// leave: so the word that ends it leaves first, or its connection ends now and takes with it what else is
+    /// open there.
+    pub fn withdraw(
+        &mut self,
+        tcp: &mut Tcp,
+        attempt: AttemptId,
+        out: &mut Vec<Event>,
+        count: &mut Counters,
+    ) {
         let Some((key, tag)) = self.owed.remove(&Owed::Attempt(attempt)) else { return };
         let Some(link) = self.links.get_mut(&key) else { return };
         let sent = link.items.remove(&tag).is_some_and(|item| item.end.is_some());
         if sent {
             let mut bytes = Vec::new();
             resp::cancel(&mut bytes, &tag);
-            tcp.send(key, &bytes);
+            if tcp.send(key, &bytes).is_none() || !tcp.flush(key) {
+                debug!(worker = link.worker.0, tag, ?key, "its end can't be told: the connection ends");
+                count.cut_to_withdraw += 1;
+                let written = tcp.written(key);
+                tcp.close(key);
+                return self.broken(key, out, |item| match item.end {
+                    Some(end) if end <= written => Ended::Broken,
+                    _ => Ended::NotWritten,
+                });
+            }
             // Its answer was awaited and did not come: whether any other would is not known.
             link.leaving = true;
         } else {
@@ -523,3 +540,130 @@
         Word::Green | Word::Red => Ended::Status { message: "the invoker is not in service".to_owned() },
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    use std::io::Read;
+    use std::net::{TcpListener, TcpStream};
+
+    use nettleferry_engine::CallId;
+    use nettleferry_net::tcp::{TcpEvent, TcpLimits};
+
+    const W: WorkerId = WorkerId(7);
+
+    /// Links to one invoker that accepts and reads nothing, over one or two connections.
+    struct Rig {
+        tcp: Tcp,
+        links: Links,
+        peer: TcpListener,
+        sockets: Vec<TcpStream>,
+        told: Vec<Event>,
+        count: Counters,
+        next: u64,
+    }
+
+    impl Rig {
+        fn new() -> Self {
+            let peer = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
+            let bounds = Bounds { clients: 1, links: 2, open_calls: 9, body_bytes: 9, functions: 9 };
+            let mut links = Links::new(bounds, 10_000, None, false);
+            links.list(&mut tcp, &BTreeMap::from([(W, peer.local_addr().expect("bound"))]));
+            Self { tcp, links, peer, sockets: Vec::new(), told: Vec::new(), count: Counters::default(), next: 0 }
+        }
+
+        fn start(&mut self, bytes: usize) -> AttemptId {
+            self.next += 1;
+            let id = AttemptId { call: CallId(self.next), number: 0 };
+            let (name, body) = (format!("{:016x}", self.next), Bytes::from(vec![b'x'; bytes]));
+            let attempt = Attempt { id, name: &name, sort: "safe", asset: "f", patience_ms: 9, body: &body };
+            self.links.start(&mut self.tcp, W, &attempt, &mut self.told, &mut self.count);
+            id
+        }
+
+        fn turn(&mut self) {
+            let mut events = Vec::new();
+            self.tcp.turn(Some(Duration::from_millis(1)), &mut events).expect("a poll");
+            for event in events {
+                if let TcpEvent::Connected(key) = event {
+                    self.links.connected(&mut self.tcp, key);
+                    self.sockets.push(self.peer.accept().expect("connected").0);
+                }
+            }
+        }
+
+        fn at(&self, id: AttemptId) -> (TcpKey, Option<u64>) {
+            let (key, tag) = self.links.owed.get(&Owed::Attempt(id)).expect("it is out");
+            (*key, self.links.links[key].items[tag].end)
+        }
+
+        fn left(&self, id: AttemptId) -> bool {
+            let (key, end) = self.at(id);
+            end.is_some_and(|end| end <= self.tcp.written(key))
+        }
+
+        fn withdraw(&mut self, id: AttemptId) {
+            self.links.withdraw(&mut self.tcp, id, &mut self.told, &mut self.count);
+        }
+    }
+
+    #[test]
+    fn the_word_that_ends_an_attempt_leaves_before_anything_that_follows() {
+        let mut rig = Rig::new();
+        // Three on two connections: one of them carries two.
+        let all: Vec<AttemptId> = (0..3).map(|_| rig.start(10)).collect();
+        while !all.iter().all(|id| rig.left(*id)) {
+            rig.turn();
+        }
+        let shared = all.iter().find(|id| rig.links.links[&rig.at(**id).0].items.len() == 2).expect("shared");
+        let key = rig.at(*shared).0;
+        let before = rig.tcp.written(key);
+        rig.withdraw(*shared);
+        assert!(rig.tcp.written(key) > before, "it has left, without a turn");
+        assert_eq!((rig.count.cut_to_withdraw, rig.told.len()), (0, 0), "what shares its connection goes on");
+    }
+
+    #[test]
+    fn where_an_attempt_s_end_can_t_be_told_its_connection_ends_before_its_call_goes_on() {
+        let mut rig = Rig::new();
+        let first = rig.start(10);
+        while !rig.left(first) {
+            rig.turn();
+        }
+        let key = rig.at(first).0;
+        let mut there = vec![first];
+        // Until the system takes no more of what is sent there.
+        for _ in 0..20_000 {
+            let id = rig.start(16 << 10);
+            if rig.at(id).0 == key {
+                there.push(id);
+            }
+            rig.turn();
+            if !there.iter().all(|id| rig.left(*id)) {
+                break;
+            }
+        }
+        let unsent: Vec<AttemptId> = there.iter().copied().filter(|id| !rig.left(*id)).collect();
+        assert!(!unsent.is_empty() && rig.left(first), "the connection takes no more, and the first has left");
+        rig.withdraw(first);
+        assert_eq!(rig.count.cut_to_withdraw, 1);
+        assert!(!rig.links.owns(key) && rig.tcp.input(key).is_none(), "the connection is gone at once");
+        let mut ends = BTreeMap::new();
+        for event in &rig.told {
+            if let Event::Ended { attempt, how, .. } = event {
+                assert!(ends.insert(*attempt, how.clone()).is_none(), "one end each");
+            }
+        }
+        assert_eq!(ends.len(), there.len() - 1, "all that shared it have ended, the withdrawn one in silence");
+        for id in &there[1..] {
+            let how = if unsent.contains(id) { Ended::NotWritten } else { Ended::Broken };
+            assert_eq!(ends.get(id), Some(&how));
+        }
+        // Its invoker sees the end as soon as it looks.
+        let mut seen = Vec::new();
+        let _ = rig.sockets[0].read_to_end(&mut seen);
+        assert!(!seen.is_empty());
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -318,7 +318,7 @@
                     };
                     self.links.start(tcp, worker, &begin, &mut self.told, count);
                 }
-                Command::Withdraw { attempt } => self.links.withdraw(tcp, attempt),
+                Command::Withdraw { attempt } => self.links.withdraw(tcp, attempt, &mut self.told, count),
                 Command::End { front, end, .. } => self.front.end(tcp, front, &end),
                 Command::Load { errand, worker, model, copies, .. } => {
                     self.links.load(tcp, worker, errand, (&model, copies), &mut self.told, count);
