Module: sends before a restart spare no controller its turn at the cold worker

At fault: cold_room. Where a controller's share of a fall span is less than a call, controllers begin one after another (`early`), but only those whose list of sends to the worker is empty: it is not emptied when the worker restarts. Whoever had ever called it in its earlier life went first, all at once. Change: a send counts as one only if it came after the start.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -482,7 +482,8 @@
         // Less than one call in a span: the span is stretched, and controllers begin one after another.
         let span = (rules.fall as f64).max(work / rate);
         let turn = span * f64::from(self.settings.me) / f64::from(self.settings.controllers);
-        let early = worker.cold_sends.is_empty() && span > rules.fall as f64 && (age as f64) < turn;
+        let first = worker.cold_sends.back().is_none_or(|(t, _)| *t < born);
+        let early = first && span > rules.fall as f64 && (age as f64) < turn;
         let sent: f64 = worker
             .cold_sends
             .iter()
