--- a/src/choice.rs
+++ b/src/choice.rs
@@ -347,7 +347,8 @@
         let home = |w: &&WorkerId| open(w) && strain(**w) < STRAIN_MOST && !turned(**w);
         let only = self.settings.loading.when_absent == WhenAbsent::Miss;
         let home = || function.order.iter().find(home).copied().filter(|_| only);
-        let absent = || home().map_or_else(first, |w| Some(w).filter(fits));
+        let awaited = |w: &WorkerId| self.workers.get(w).is_some_and(|w| w.loads > 0);
+        let absent = || home().filter(awaited).map_or_else(first, |w| Some(w).filter(fits));
         let found = found
             .or_else(|| if closed { None } else { absent() })
             .or_else(|| call.avoid.filter(|w| strain(*w) < STRAIN_MOST && may(*w)));
