--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -571,7 +571,15 @@
             let bounds = Bounds { clients: 1, links: 2, open_calls: 9, body_bytes: 9, functions: 9 };
             let mut links = Links::new(bounds, 10_000, None, false);
             links.list(&mut tcp, &BTreeMap::from([(W, peer.local_addr().expect("bound"))]));
-            Self { tcp, links, peer, sockets: Vec::new(), told: Vec::new(), count: Counters::default(), next: 0 }
+            Self {
+                tcp,
+                links,
+                peer,
+                sockets: Vec::new(),
+                told: Vec::new(),
+                count: Counters::default(),
+                next: 0,
+            }
         }
 
         fn start(&mut self, bytes: usize) -> AttemptId {
@@ -646,7 +654,10 @@
             }
         }
         let unsent: Vec<AttemptId> = there.iter().copied().filter(|id| !rig.left(*id)).collect();
-        assert!(!unsent.is_empty() && rig.left(first), "the connection takes no more, and the first has left");
+        assert!(
+            !unsent.is_empty() && rig.left(first),
+            "the connection takes no more, and the first has left"
+        );
         rig.withdraw(first);
         assert_eq!(rig.count.cut_to_withdraw, 1);
         assert!(!rig.links.owns(key) && rig.tcp.input(key).is_none(), "the connection is gone at once");
@@ -656,7 +667,11 @@
                 assert!(ends.insert(*attempt, how.clone()).is_none(), "one end each");
             }
         }
-        assert_eq!(ends.len(), there.len() - 1, "all that shared it have ended, the withdrawn one in silence");
+        assert_eq!(
+            ends.len(),
+            there.len() - 1,
+            "all that shared it have ended, the withdrawn one in silence"
+        );
         for id in &there[1..] {
             let how = if unsent.contains(id) { Ended::NotWritten } else { Ended::Broken };
             assert_eq!(ends.get(id), Some(&how));
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -54,6 +54,41 @@
     assert_ne!(sent(&stand.ask(21, 0, 8, 4)), Some(home), "one trial at a time");
 }
 
+#[test]
+fn a_full_home_is_waited_for_while_our_own_loads_fill_it_and_not_for_others() {
+    for ours in [true, false] {
+        let mut set = settings();
+        set.loading.when_absent = WhenAbsent::Miss;
+        let mut stand = Stand::new(set, 2);
+        let home = sent(&stand.ask(99, 0, 9, 4)).expect("sent");
+        stand.end(99, 0, home, Outcome::Ok, Some(LoadNote::Warm));
+        // A function of the same home, whose load is under way there, where it is ours that fills it.
+        let other = (10..40).find(|f| {
+            let at = sent(&stand.ask(100 + f, 0, *f, 4)).expect("sent");
+            stand.end(100 + f, 0, at, Outcome::Ok, Some(LoadNote::Warm));
+            at == home
+        });
+        let other = other.expect("one of thirty has this home");
+        // All copies have been idle for too long.
+        stand.pass(11 * S);
+        assert_eq!(sent(&stand.ask(1, 0, 9, 4)), Some(home));
+        if ours {
+            stand.ask(2, 0, other, 4);
+            assert_eq!(loads(&stand.end(2, 0, home, Outcome::Miss, None)), 1);
+        }
+        assert_eq!(loads(&stand.end(1, 0, home, Outcome::Miss, None)), 1);
+        let turned = Event::Loaded {
+            worker: WorkerId(home),
+            function: FunctionId(9),
+            outcome: Outcome::Full,
+            copies: 0,
+            elapsed: MS,
+        };
+        let went = sends(&stand.feed(turned)).into_iter().find(|(id, _)| *id == 1);
+        assert_eq!(went, (!ours).then_some((1, 3 - home)), "ours fill it: {ours}");
+    }
+}
+
 #[test]
 fn all_suspects_at_once_still_serve() {
     let mut stand = Stand::new(settings(), 2);
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -142,6 +142,12 @@
 fn a_home_without_room_is_waited_for_and_given_up_when_it_stays_full() {
     let mut stand = Stand::new(missing(), 4);
     let home = sent(&stand.ask(1, 0, 9, 2)).unwrap();
+    // A load of ours is under way there all the while: it fills home, and it ends.
+    let fills = (100..200).find(|f| {
+        let at = sent(&stand.ask(*f, 0, *f, 2)).unwrap();
+        at == home && loads(&stand.end(*f, 0, at, Outcome::Miss, None)) == 1
+    });
+    assert!(fills.is_some());
     let mut after = order_ends(&mut stand, 1, 0, home, Outcome::Full);
     for id in 2..4 {
         assert_eq!(sent(&after), None, "a copy elsewhere would be one load more");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -137,6 +137,26 @@
     assert!(later <= 3, "{later} more in half a second");
 }
 
+#[test]
+fn who_called_a_worker_before_its_restart_waits_its_turn_like_the_others() {
+    // So many that a share of a fall span is far less than a call: each begins in its turn.
+    let mut first_after_start = Vec::new();
+    for me in [0, 60, 120, 180] {
+        let mut stand = Stand::new(Settings { controllers: 200, me, ..settings() }, 1);
+        stand.warm(1, 9, 8);
+        stand.pass(10 * S);
+        let born = stand.now;
+        stand.change(1, WorkerState::On, Some(born));
+        let mut at = sent(&stand.ask(2, SAFE, 9, 8)).map(|_| 0);
+        while at.is_none() && stand.now < born + 3 * S {
+            at = sent(&stand.pass(10 * MS)).map(|_| stand.now - born);
+        }
+        first_after_start.push(at.unwrap_or(3 * S));
+    }
+    let at_once = first_after_start.iter().filter(|at| **at < 500 * MS).count();
+    assert!(at_once <= 1, "times of the first call after the start: {first_after_start:?}");
+}
+
 #[test]
 fn our_own_restart_does_not_forget_what_may_just_have_been_sent() {
     let controller = Controller::new(settings(), 3).unwrap();
