--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -95,16 +95,35 @@
     fn drain(&mut self, worker: &str, drained: bool) -> bool;
     /// Controllers.
     fn controllers(&self) -> Vec<Running>;
-    /// A controller that follows has asked for what comes after a revision: it runs that one.
-    fn follows(&mut self, controller: u32, revision: Revision);
+    /// A controller that follows has told which book it holds: it runs that one.
+    fn follows(&mut self, controller: u32, holds: Holds);
+    /// May the book be given and changed? Else why not, for people.
+    fn serving(&self) -> Result<(), String>;
+    /// What the fleet is known to run and hold.
+    fn fleet(&self) -> Value;
+    /// An operator's word on which book is to stand: `own`, or a controller's number.
+    fn recover(&mut self, take: &str, dry_run: bool) -> Result<Value, Problem>;
+}
+
+/// Which book a controller holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holds {
+    /// The store; empty: it holds none.
+    pub store: String,
+    /// The store's epoch.
+    pub epoch: u64,
+    /// The revision.
+    pub revision: Revision,
+    /// The book's checksum.
+    pub sum: u32,
 }
 
 /// The API over a book.
 pub struct Api<K> {
     book: Book,
     keep: K,
-    /// The store's own name.
-    store: String,
+    /// The store's own name, and its epoch.
+    store: (String, u64),
     /// Why nothing may be changed: the store is damaged.
     read_only: Option<String>,
 }
@@ -167,7 +186,7 @@
 
 impl<K: Keep> Api<K> {
     /// An API over what a store of this name held at its start.
-    pub fn new(book: Book, keep: K, store: String, read_only: Option<String>) -> Self {
+    pub fn new(book: Book, keep: K, store: (String, u64), read_only: Option<String>) -> Self {
         Self { book, keep, store, read_only }
     }
 
@@ -176,6 +195,21 @@
         &self.book
     }
 
+    /// Puts another book and store in the place of what was there.
+    pub fn adopt(&mut self, book: Book, keep: K, store: (String, u64)) {
+        *self = Self::new(book, keep, store, None);
+    }
+
+    /// The store's own name, and its epoch.
+    pub fn store(&self) -> (&str, u64) {
+        (&self.store.0, self.store.1)
+    }
+
+    /// What is kept, for its owner.
+    pub fn keep(&mut self) -> &mut K {
+        &mut self.keep
+    }
+
     /// Changes after a revision, in order.
     pub fn entries(&self, after: Revision) -> Result<Vec<Entry>, String> {
         self.keep.audit(after, usize::MAX, None)
@@ -290,7 +324,16 @@
                 return told(200, &json!({ "controllers": live.controllers(), "revision": revision }));
             }
             Operation::ReadSnapshot => {
-                return told(200, &json!({ "store": self.store, "book": self.book }));
+                follows(query, live)?;
+                serving(live)?;
+                let (store, epoch) = &self.store;
+                let sum = self.book.sum();
+                return told(200, &json!({ "store": store, "epoch": epoch, "sum": sum, "book": self.book }));
+            }
+            Operation::ReadFleet => return told(200, &live.fleet()),
+            Operation::Recover => {
+                let take = query.text("take").unwrap_or("");
+                return told(200, &live.recover(take, query.dry_run()?)?);
             }
             Operation::ReadDocument => return told(200, &openapi::document()),
             Operation::Watch => return Err(internal("a watch is answered elsewhere".to_owned())),
@@ -309,6 +352,8 @@
             Operation::SuspendTenant => Change::Suspend { name: name() },
             Operation::ResumeTenant => Change::Resume { name: name() },
         };
+        serving(live)
+            .map_err(|p| Problem { detail: format!("nothing can be changed: {}", p.detail), ..p })?;
         if let Some(why) = &self.read_only {
             return Err(Problem::new(503, "read-only", format!("nothing can be changed: {why}")));
         }
@@ -381,11 +426,10 @@
         let after = query.number("after", 0, u64::MAX, 0)?;
         let rows = query.rows()?;
         let wait = Duration::from_millis(query.number("wait_ms", 0, MOST_WAIT, 0)?);
-        if query.text("controller").is_some() {
-            let number = query.number("controller", 0, u64::from(u32::MAX), 0)?;
-            live.follows(u32::try_from(number).unwrap_or(u32::MAX), after);
-        }
-        if query.text("store").is_some_and(|store| store != self.store) {
+        follows(query, live)?;
+        serving(live)?;
+        let epoch = query.number("epoch", 0, u64::MAX, self.store.1)?;
+        if query.text("store").is_some_and(|store| store != self.store.0) || epoch != self.store.1 {
             return Err(Problem::new(410, "another-store", "this is another store: take the snapshot"));
         }
         if after > self.book.revision() {
@@ -405,6 +449,28 @@
     }
 }
 
+/// A controller that asks tells which book it holds.
+fn follows(query: &Query, live: &mut impl Live) -> Result<(), Problem> {
+    if query.text("controller").is_none() {
+        return Ok(());
+    }
+    let number = query.number("controller", 0, u64::from(u32::MAX), 0)?;
+    let holds = Holds {
+        store: query.text("store").unwrap_or("").to_owned(),
+        epoch: query.number("epoch", 0, u64::MAX, 0)?,
+        revision: query.number("after", 0, u64::MAX, 0)?,
+        sum: query.number("sum", 0, u64::from(u32::MAX), 0)? as u32,
+    };
+    live.follows(u32::try_from(number).unwrap_or(u32::MAX), holds);
+    Ok(())
+}
+
+/// Neither books nor changes while it is open which book stands.
+fn serving(live: &impl Live) -> Result<(), Problem> {
+    let wait = |why| Problem { retry_after: Some(1), ..Problem::new(503, "recovering", why) };
+    live.serving().map_err(wait)
+}
+
 /// What the next page begins after: the last row's key, where the page is full.
 fn next<T, N>(page: &[T], rows: usize, key: impl Fn(&T) -> N) -> Option<N> {
     (page.len() == rows).then(|| page.last().map(key)).flatten()
--- a/crates/admin/src/openapi.rs
+++ b/crates/admin/src/openapi.rs
@@ -109,10 +109,20 @@
         "WorkerPage": { "type": "object", "required": ["workers"], "properties": { "workers": list("Worker") } },
         "Controller": object(&["controller", "revision", "seen_ms_ago"], controller),
         "ControllerPage": { "type": "object", "required": ["controllers"], "properties": { "controllers": list("Controller"), "revision": whole("the book's") } },
-        "Snapshot": { "type": "object", "required": ["store", "book"], "properties": {
-            "store": text("the store's own name: one that was restored has another"),
+        "Snapshot": { "type": "object", "required": ["store", "epoch", "sum", "book"], "properties": {
+            "store": text("the store's own name, kept by its restores"), "epoch": whole("raised by each restore"), "sum": whole("the book's CRC-32"),
             "book": { "type": "object", "required": ["revision", "tenants"], "properties": { "revision": whole("the last"), "tenants": { "type": "object", "additionalProperties": of("Tenant") } } },
         } },
+        "Fleet": { "type": "object", "required": ["controller", "step", "controllers"], "properties": {
+            "controller": whole("who answers"), "step": text("serving, or waiting: it is open which book stands"),
+            "cause": { "type": ["string", "null"], "description": "damaged, empty, behind or disagreed" },
+            "holds": { "type": ["object", "null"], "description": "the stamp of its book: store, epoch, revision, sum" },
+            "controllers": { "type": "array", "items": { "type": "object" } },
+        } },
+        "Recovery": { "type": "object", "required": ["take", "done", "others"], "properties": {
+            "take": text("own, or a controller's number"), "done": { "type": "boolean", "description": "false: it was shown, and nothing was done" },
+            "others": { "type": "array", "items": { "type": "object" }, "description": "by controller, what its book holds otherwise" },
+        } },
         "Document": { "type": "object" },
         "Problem": { "type": "object", "required": ["type", "title", "status", "detail"], "properties": {
             "type": text("/problems/ and a word for the kind"), "title": text("for people"), "status": whole("the HTTP status"),
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -49,6 +49,8 @@
     ListControllers,
     Watch,
     ReadSnapshot,
+    ReadFleet,
+    Recover,
     ReadDocument,
 }
 
@@ -83,6 +85,13 @@
     ("after", "names after this one; the `next` of the page before"),
     ("limit", "at most so many, 1 to 1000"),
 ];
+const HOLDS: &[(&str, &str)] = &[
+    ("controller", "its number, where a controller asks"),
+    ("store", "of the book that it holds"),
+    ("epoch", "of that store"),
+    ("after", "the revision of that book"),
+    ("sum", "its checksum"),
+];
 const DRY: (&str, &str) = ("dry_run", "true: the answer as it would be; nothing is changed");
 
 macro_rules! route {
@@ -110,8 +119,10 @@
     route!("POST" "/v1/workers/{name}/drain" Operator DrainWorker "drainWorker" "Nothing new to it from this controller, whatever the list says", 200 "Worker"),
     route!("POST" "/v1/workers/{name}/undrain" Operator UndrainWorker "undrainWorker" "What the list says of it holds again", 200 "Worker"),
     route!("GET" "/v1/controllers" Viewer ListControllers "listControllers" "Which revision each controller runs", 200 "ControllerPage"),
-    route!("GET" "/v1/watch" Controller Watch "watch" "Changes after a revision; waits for one (long poll)", 200 "AuditPage", query: &[("after", "changes after this revision"), ("limit", "at most so many, 1 to 1000"), ("wait_ms", "wait so long for the first, 0 to 60000"), ("store", "the store that the revision is of; 410 where this is another"), ("controller", "its number, where a controller asks: it runs the revision it asks after")]),
-    route!("GET" "/v1/snapshot" Controller ReadSnapshot "readSnapshot" "All tenants with their revision", 200 "Snapshot"),
+    route!("GET" "/v1/watch" Controller Watch "watch" "Changes after a revision; waits for one (long poll)", 200 "AuditPage", query: &[("after", "changes after this revision"), ("limit", "at most so many, 1 to 1000"), ("wait_ms", "wait so long for the first, 0 to 60000"), ("store", "the store that the revision is of; 410 where this is another"), ("epoch", "the store's epoch; 410 where this is another"), ("sum", "the checksum of the book that it holds"), ("controller", "its number, where a controller asks: it runs the revision it asks after")]),
+    route!("GET" "/v1/snapshot" Controller ReadSnapshot "readSnapshot" "All tenants with their revision; 503 while it is open which book stands", 200 "Snapshot", query: HOLDS),
+    route!("GET" "/v1/fleet" Viewer ReadFleet "readFleet" "Which book and step each controller is in, and why one waits", 200 "Fleet"),
+    route!("POST" "/v1/fleet/recover" Admin Recover "recoverFleet" "Decide which book stands after a loss; shows the difference", 200 "Recovery", query: &[("take", "own, or the number of the controller whose book is to stand"), DRY]),
     route!("GET" "/v1/openapi.json" Viewer ReadDocument "readDocument" "This document", 200 "Document"),
 ];
 
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use nettleferry_admin::api::{Api, Keep, Live, Running, Usage, Worker};
-use nettleferry_admin::{Answer, Caller, Request, Response, Role, openapi, routes};
+use nettleferry_admin::api::{Api, Holds, Keep, Live, Running, Usage, Worker};
+use nettleferry_admin::{Answer, Caller, Problem, Request, Response, Role, openapi, routes};
 use nettleferry_tenancy::{Book, Entry, Once, Revision, Tenant};
 use serde_json::{Value, json};
 
@@ -38,6 +38,8 @@
 struct Running1 {
     drained: bool,
     follows: Vec<(u32, Revision)>,
+    /// Why it is open which book stands.
+    open: Option<String>,
 }
 
 impl Live for Running1 {
@@ -65,8 +67,20 @@
         Vec::new()
     }
 
-    fn follows(&mut self, controller: u32, revision: Revision) {
-        self.follows.push((controller, revision));
+    fn follows(&mut self, controller: u32, holds: Holds) {
+        self.follows.push((controller, holds.revision));
+    }
+
+    fn serving(&self) -> Result<(), String> {
+        self.open.clone().map_or(Ok(()), Err)
+    }
+
+    fn fleet(&self) -> Value {
+        json!({ "controllers": [] })
+    }
+
+    fn recover(&mut self, take: &str, _: bool) -> Result<Value, Problem> {
+        Ok(json!({ "take": take }))
     }
 }
 
@@ -79,7 +93,7 @@
 impl Side {
     fn new() -> Self {
         Self {
-            api: Api::new(Book::default(), Kept::default(), "s1".to_owned(), None),
+            api: Api::new(Book::default(), Kept::default(), ("s1".to_owned(), 1), None),
             live: Running1::default(),
             role: Role::Admin,
         }
@@ -240,12 +254,12 @@
 fn what_is_not_kept_has_not_happened_and_a_damaged_store_refuses() {
     let mut side = Side::new();
     let kept = Kept { fails: true, ..Kept::default() };
-    side.api = Api::new(Book::default(), kept, "s1".to_owned(), None);
+    side.api = Api::new(Book::default(), kept, ("s1".to_owned(), 1), None);
     assert_eq!((side.create(json!({"name": "a"}), None).status, side.api.book().revision()), (503, 0));
     side.api = Api::new(
         Book::default(),
         Kept::default(),
-        "s1".to_owned(),
+        ("s1".to_owned(), 1),
         Some("the tenant store is damaged".to_owned()),
     );
     let (status, problem) = read(&side.create(json!({"name": "a"}), None));
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -40,6 +40,27 @@
     pub figures: Figures,
     /// Administration; `None`: tenants are those of the settings, and nothing listens.
     pub admin: Option<Admin>,
+    /// What is done first after a restart.
+    pub recovery: Recovery,
+}
+
+/// What is done first after a restart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Recovery {
+    /// When calls that can't be answered in time are refused as they come.
+    pub gate: GateWhen,
+}
+
+/// When the gate judges calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum GateWhen {
+    /// Never.
+    Never,
+    /// After a start that found an earlier life's worker list.
+    #[default]
+    Restart,
+    /// After every start.
+    Always,
 }
 
 /// Where and how figures are given.
@@ -77,6 +98,10 @@
         store: PathBuf,
         /// Who may ask.
         keys: Vec<AdminKey>,
+        /// Controllers that are asked which book they hold, where it is open which one stands.
+        peers: Vec<SocketAddr>,
+        /// File of the key to ask them with.
+        peer_key: Option<PathBuf>,
     },
     /// Those of another controller's administration.
     Follow {
@@ -86,6 +111,10 @@
         key_file: PathBuf,
         /// File of the book as it was last, for a start without the other.
         kept: PathBuf,
+        /// Where it gives its book to others who lack one, and to whom.
+        window: Option<(SocketAddr, Vec<AdminKey>)>,
+        /// Controllers that are asked for a book where none was kept and the administration is silent.
+        peers: Vec<SocketAddr>,
     },
 }
 
@@ -285,6 +314,7 @@
     let (limits, edge) = limits(&mut top);
     let figures = figures(&mut top);
     let admin = top.sub("admin").and_then(admin);
+    let recovery = recovery(&mut top);
     top.end();
     let settings = Settings {
         me,
@@ -315,6 +345,7 @@
         edge,
         figures,
         admin,
+        recovery,
     });
     source.finish(value)
 }
@@ -543,11 +574,32 @@
     figures
 }
 
+fn recovery(top: &mut Form) -> Recovery {
+    let mut form = top.group("recovery");
+    let words = [("never", GateWhen::Never), ("restart", GateWhen::Restart), ("always", GateWhen::Always)];
+    let gate = form.word_or("gate", &words, GateWhen::Restart);
+    form.end();
+    Recovery { gate }
+}
+
 fn admin(mut form: Form) -> Option<Admin> {
     let desk = match form.get::<SocketAddr>("follow") {
         Some(to) => {
             let (key_file, kept) = (form.must::<String>("key-file"), form.must::<String>("kept"));
-            key_file.zip(kept).map(|(k, f)| Desk::Follow { to, key_file: k.into(), kept: f.into() })
+            let (listen, keys, peers) =
+                (form.get::<SocketAddr>("listen"), admin_keys(&mut form), peers(&mut form));
+            if listen.is_some() == keys.is_empty() {
+                form.fault("(listen ...) and (key NAME ROLE HASH) go together: who may have the book");
+            }
+            let window = listen.map(|listen| (listen, keys));
+            let follow = |(k, f): (String, String)| Desk::Follow {
+                to,
+                key_file: k.into(),
+                kept: f.into(),
+                window,
+                peers,
+            };
+            key_file.zip(kept).map(follow)
         }
         None => own_desk(&mut form),
     };
@@ -556,8 +608,41 @@
     Some(Admin { desk: desk?, anonymous, places })
 }
 
+/// Most peers that one controller names: of a larger fleet a part is enough.
+const MOST_PEERS: usize = 64;
+
+fn peers(form: &mut Form) -> Vec<SocketAddr> {
+    let mut all = Vec::new();
+    for mut peer in form.all("peer") {
+        all.extend(peer.want::<SocketAddr>("its address"));
+        peer.end();
+    }
+    if all.len() > MOST_PEERS {
+        form.fault(format!("{} peers: at most {MOST_PEERS}", all.len()));
+    }
+    all.dedup();
+    all
+}
+
 fn own_desk(form: &mut Form) -> Option<Desk> {
     let (listen, store) = (form.must("listen"), form.must::<String>("store"));
+    let (keys, peers) = (admin_keys(form), peers(form));
+    let peer_key: Option<String> = form.get("peer-key-file");
+    if peers.is_empty() != peer_key.is_none() {
+        form.fault(
+            "(peer ...) and (peer-key-file ...) go together: a key of role controller that the peers know",
+        );
+    }
+    if keys.is_empty() {
+        form.fault(
+            "no (key NAME ROLE HASH): nothing listens that nobody may ask; nettleferry admin key NAME ROLE makes one",
+        );
+    }
+    let peer_key = peer_key.map(PathBuf::from);
+    Some(Desk::Own { listen: listen?, store: store?.into(), keys, peers, peer_key })
+}
+
+fn admin_keys(form: &mut Form) -> Vec<AdminKey> {
     let mut keys: Vec<AdminKey> = Vec::new();
     for mut key in form.all("key") {
         let name: Option<String> = key.want("its name");
@@ -577,12 +662,7 @@
         }
         key.end();
     }
-    if keys.is_empty() {
-        form.fault(
-            "no (key NAME ROLE HASH): nothing listens that nobody may ask; nettleferry admin key NAME ROLE makes one",
-        );
-    }
-    Some(Desk::Own { listen: listen?, store: store?.into(), keys })
+    keys
 }
 
 fn push(mut form: Form) -> Option<Push> {
--- /dev/null
+++ b/crates/gateway/src/admin/desk.rs
@@ -0,0 +1,546 @@
+//! The administration that keeps the store: its thread, the API on its listener, and, after a loss, which book it
+//! gives. Whether it may is decided by `nettleferry-fleet`; what is answered, by `nettleferry-admin`.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use nettleferry_admin::api::{Api, Holds, Keep, Live, MOST_BODY, Running, Usage, Worker};
+use nettleferry_admin::{Answer, Problem, Request};
+use nettleferry_config::settings::AdminKey;
+use nettleferry_fleet::authority::{Authority, Duty, Step};
+use nettleferry_fleet::stamp::Stamp;
+use nettleferry_net::clock;
+use nettleferry_net::http1::{self, Http1, Http1Limits, Stop, Turn};
+use nettleferry_tenancy::{Book, Entry, Once, Revision, Tenant};
+use nettleferry_tenant_store::store::Origin;
+use nettleferry_tenant_store::{Snapshot, Store};
+use serde_json::{Value, json};
+use tracing::{error, info, warn};
+
+use super::peers::{Peers, Whole};
+use super::{MOST_FOLLOWERS, SNAPSHOT_EVERY, Shown, Told, keys, lock, reply, snapshot_path};
+
+/// Peers are asked again after this span while it is open which book stands.
+const ASK_PEERS_EVERY: Duration = Duration::from_millis(500);
+/// Names of a difference that are shown; more are counted.
+const MOST_SHOWN: usize = 100;
+
+/// What the administration is given beside its listener and store.
+pub struct Rest<'a> {
+    pub number: u32,
+    pub waker: Arc<mio::Waker>,
+    pub peers: &'a [SocketAddr],
+    pub peer_key: Option<&'a Path>,
+}
+
+/// What runs.
+pub struct Started {
+    pub local: SocketAddr,
+    /// `None`: neither the store nor its snapshot could be read.
+    pub book: Option<Book>,
+    pub shown: Arc<Mutex<Shown>>,
+    pub stop: Stop,
+    pub thread: JoinHandle<()>,
+}
+
+/// Opens the store and listens. A damaged store is told and left as it is: the last good snapshot serves its own
+/// calls, and neither changes nor books are given until it has caught up or an operator has decided.
+pub fn start(
+    listen: SocketAddr,
+    store: &Path,
+    keys: &[AdminKey],
+    rest: Rest,
+    telling: Sender<Told>,
+) -> io::Result<Started> {
+    let Rest { number, waker, peers, peer_key } = rest;
+    let (beside, path) = (snapshot_path(store), store.to_owned());
+    let (store, book, read_only) = match Store::open(store) {
+        Ok((store, book)) => (Some(store), Some(book), None),
+        Err(why) => {
+            error!(%why, "the tenant store can't be used: the last good snapshot serves, changes are refused");
+            let book = match Snapshot::read(&beside) {
+                Ok(snapshot) => Some(snapshot.book()),
+                Err(none) => {
+                    error!(%none, "there is no good snapshot either: no tenant is known until a book is taken over");
+                    None
+                }
+            };
+            (None, book, Some(why.to_string()))
+        }
+    };
+    let held = book.clone();
+    let book = book.unwrap_or_default();
+    let origin = store.as_ref().and_then(|s| s.origin().ok());
+    let own = origin.as_ref().map(|origin| stamp(origin, &book));
+    let origin = origin.unwrap_or_else(|| Origin { store: "damaged".to_owned(), epoch: 0 });
+    info!(revision = book.revision(), tenants = book.tenants().len(), epoch = origin.epoch, "tenants");
+    let limits = Http1Limits { body_bytes: MOST_BODY, ..Http1Limits::default() };
+    let mut server = Http1::bind(listen, limits)?;
+    let (local, stop) = (server.local()?, server.stop());
+    let token = match peer_key {
+        Some(file) => std::fs::read_to_string(file)?.trim().to_owned(),
+        None => String::new(),
+    };
+    let wake = stop.clone();
+    let peers = Peers::start(peers, token, number, move || wake.wake())?;
+    let shown = Arc::new(Mutex::new(Shown::default()));
+    let start = Instant::now();
+    let mut work = Work {
+        api: Api::new(book.clone(), Kept(store), (origin.store, origin.epoch), read_only),
+        keys: keys::Keys::new(keys),
+        around: Around {
+            number,
+            shown: Arc::clone(&shown),
+            telling,
+            waker,
+            drained: BTreeSet::new(),
+            followers: HashMap::new(),
+            authority: Authority::new(0, own, peers.count()),
+            offers: BTreeMap::new(),
+            decided: None,
+            take: None,
+            mine: book.clone(),
+            start,
+        },
+        path,
+        beside,
+        written: book.revision(),
+        write_at: None,
+        told: book.revision(),
+        wake: stop.clone(),
+        asking: 0,
+        ask_at: start,
+        peers,
+        duty: None,
+    };
+    work.say_duty();
+    let thread = std::thread::Builder::new().name("admin".to_owned()).spawn(move || {
+        let work = std::cell::RefCell::new(&mut work);
+        let ended = server.run_waiting(
+            |request, waited| work.borrow_mut().answer(request, waited),
+            || work.borrow_mut().tick(),
+        );
+        work.borrow_mut().write_snapshot();
+        if let Err(error) = ended {
+            warn!(%error, "the administration has ended");
+        }
+    })?;
+    Ok(Started { local, book: held, shown, stop, thread })
+}
+
+fn stamp(origin: &Origin, book: &Book) -> Stamp {
+    let (revision, sum) = (book.revision(), book.sum());
+    Stamp { store: origin.store.clone(), epoch: origin.epoch, revision, sum }
+}
+
+/// The store, or none where it is damaged.
+struct Kept(Option<Store>);
+
+impl Keep for Kept {
+    fn commit(&mut self, entry: &Entry, once: Option<(&str, &Once)>) -> Result<(), String> {
+        let store = self.0.as_mut().ok_or("the tenant store can't be used")?;
+        store.commit(entry, once).map_err(|e| e.to_string())
+    }
+
+    fn once(&self, key: &str) -> Result<Option<Once>, String> {
+        let Some(store) = &self.0 else { return Ok(None) };
+        store.once(key).map_err(|e| e.to_string())
+    }
+
+    fn audit(&self, after: Revision, most: usize, of: Option<&str>) -> Result<Vec<Entry>, String> {
+        let store = self.0.as_ref().ok_or("the tenant store can't be used: its audit trail can't be read")?;
+        store.audit(after, most, of).map_err(|e| e.to_string())
+    }
+}
+
+struct Around {
+    number: u32,
+    shown: Arc<Mutex<Shown>>,
+    telling: Sender<Told>,
+    waker: Arc<mio::Waker>,
+    drained: BTreeSet<String>,
+    followers: HashMap<u32, (Revision, Instant)>,
+    authority: Authority,
+    /// Books that peers gave, while it is open which one stands: by the peer's number. As many as there are peers.
+    offers: BTreeMap<u32, Whole>,
+    /// An operator's word, to be carried out after the answer.
+    decided: Option<(Book, Origin)>,
+    /// The book that is to be taken without one.
+    take: Option<(u32, Stamp)>,
+    /// Its own book, for the difference.
+    mine: Book,
+    start: Instant,
+}
+
+impl Around {
+    fn tell(&self, told: Told) {
+        // A controller that has ended wants to know nothing more.
+        let _ = self.telling.send(told);
+        let _ = self.waker.wake();
+    }
+}
+
+impl Live for Around {
+    fn usage(&self, tenant: &Tenant) -> Usage {
+        let none = || Usage { tenant: tenant.name.clone(), uid: tenant.uid, ..Usage::default() };
+        lock(&self.shown).usage.get(&tenant.uid).cloned().unwrap_or_else(none)
+    }
+
+    fn workers(&self) -> Vec<Worker> {
+        let mut workers = lock(&self.shown).workers.clone();
+        for worker in &mut workers {
+            worker.drained = self.drained.contains(&worker.name);
+        }
+        workers
+    }
+
+    fn drain(&mut self, worker: &str, drained: bool) -> bool {
+        if !lock(&self.shown).workers.iter().any(|w| w.name == worker) {
+            return false;
+        }
+        let changed =
+            if drained { self.drained.insert(worker.to_owned()) } else { self.drained.remove(worker) };
+        if changed {
+            self.tell(Told::Drained(self.drained.clone()));
+        }
+        true
+    }
+
+    fn controllers(&self) -> Vec<Running> {
+        let ours = Running { controller: self.number, revision: lock(&self.shown).revision, seen_ms_ago: 0 };
+        let others = self.followers.iter().map(|(number, (revision, seen))| Running {
+            controller: *number,
+            revision: *revision,
+            seen_ms_ago: seen.elapsed().as_millis() as u64,
+        });
+        let mut all: Vec<Running> = others.chain([ours]).collect();
+        all.sort_by_key(|r| r.controller);
+        all
+    }
+
+    fn follows(&mut self, controller: u32, holds: Holds) {
+        if self.followers.len() < MOST_FOLLOWERS || self.followers.contains_key(&controller) {
+            self.followers.insert(controller, (holds.revision, Instant::now()));
+        }
+        let Holds { store, epoch, revision, sum } = holds;
+        // One that says nothing of its book asks as earlier versions did, or has none.
+        let stamp = (!store.is_empty() && epoch > 0).then_some(Stamp { store, epoch, revision, sum });
+        if stamp.is_some() {
+            self.holds(controller, stamp);
+        }
+    }
+
+    fn serving(&self) -> Result<(), String> {
+        match self.authority.duty().0 {
+            Duty::Serving => Ok(()),
+            Duty::Waiting(cause) => {
+                let (heard, of) = (self.authority.heard().count(), self.authority.expected());
+                Err(format!(
+                    "it is open which book stands ({}; {heard} controllers heard, {of} awaited): see GET /v1/fleet",
+                    cause.word()
+                ))
+            }
+        }
+    }
+
+    fn fleet(&self) -> Value {
+        let (duty, since) = self.authority.duty();
+        let now = self.now();
+        let own = self.authority.own();
+        let rows: Vec<Value> = self
+            .authority
+            .heard()
+            .map(|(controller, stamp, at)| {
+                let standing = stamp.zip(own).map(|(told, own)| told.against(own).word());
+                json!({ "controller": controller, "holds": stamp, "standing": standing, "seen_ms_ago": now.saturating_sub(at) })
+            })
+            .collect();
+        let (step, cause) = match duty {
+            Duty::Serving => ("serving", None),
+            Duty::Waiting(cause) => ("waiting", Some(cause.word())),
+        };
+        json!({
+            "controller": self.number, "role": "administration", "step": step, "cause": cause,
+            "since_ms": now.saturating_sub(since), "holds": own, "awaited": self.authority.expected(),
+            "controllers": rows,
+        })
+    }
+
+    fn recover(&mut self, take: &str, dry_run: bool) -> Result<Value, Problem> {
+        let unknown = |what: String| Problem::field("take", what);
+        let (book, from) = match take {
+            "own" if self.authority.own().is_none() && self.mine.revision() == 0 => {
+                return Err(unknown("its own book can't be read, and there is no snapshot of it".to_owned()));
+            }
+            "own" => (self.mine.clone(), self.number),
+            number => {
+                let number: u32 =
+                    number.parse().map_err(|_| unknown("own, or a controller's number".to_owned()))?;
+                let offer = self.offers.get(&number).ok_or_else(|| {
+                    unknown(format!(
+                        "controller {number} has given no book; peers are asked while one is open"
+                    ))
+                })?;
+                (offer.book.clone(), number)
+            }
+        };
+        let mut others: Vec<Value> = Vec::new();
+        let all = self.offers.iter().map(|(n, w)| (*n, &w.book)).chain([(self.number, &self.mine)]);
+        for (number, other) in all.filter(|(n, _)| *n != from) {
+            others.push(difference(number, &book, other));
+        }
+        let (store, least) =
+            self.authority.over_all().ok_or_else(|| unknown("no book is known at all".to_owned()))?;
+        let origin = Origin { store, epoch: least.max(clock::wall() / 1000) };
+        let told = json!({
+            "take": take, "controller": from, "revision": book.revision(), "tenants": book.tenants().len(),
+            "epoch": origin.epoch, "others": others, "done": !dry_run,
+        });
+        if !dry_run {
+            self.decided = Some((book, origin));
+        }
+        Ok(told)
+    }
+}
+
+impl Around {
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn holds(&mut self, controller: u32, stamp: Option<Stamp>) {
+        if let Step::Take(who, stamp) = self.authority.told(self.now(), controller, stamp) {
+            self.take = Some((who, stamp));
+        }
+    }
+}
+
+/// What the others would give up, or get, if this book stands.
+fn difference(number: u32, taken: &Book, other: &Book) -> Value {
+    let mut names: Vec<Value> = Vec::new();
+    let mut count = 0;
+    let mut say = |tenant: &str, what: &str| {
+        count += 1;
+        if names.len() < MOST_SHOWN {
+            names.push(json!({ "tenant": tenant, "what": what }));
+        }
+    };
+    for tenant in other.tenants() {
+        match taken.get(&tenant.name) {
+            None => say(&tenant.name, "would be gone"),
+            Some(kept) if kept != tenant => say(&tenant.name, "would be another"),
+            Some(_) => {}
+        }
+    }
+    for tenant in taken.tenants().filter(|t| other.get(&t.name).is_none()) {
+        say(&tenant.name, "would be there again");
+    }
+    json!({ "controller": number, "revision": other.revision(), "differences": count, "tenants": names })
+}
+
+struct Work {
+    api: Api<Kept>,
+    keys: keys::Keys,
+    around: Around,
+    path: PathBuf,
+    beside: PathBuf,
+    /// The revision of the snapshot beside the store, and when the next one is due.
+    written: Revision,
+    write_at: Option<Instant>,
+    /// The revision that the controller was told.
+    told: Revision,
+    wake: Stop,
+    peers: Peers,
+    /// Peers whose answers are out, and when they are asked next.
+    asking: usize,
+    ask_at: Instant,
+    /// What was said last of its duty.
+    duty: Option<Duty>,
+}
+
+impl Work {
+    fn answer(&mut self, request: &http1::Request<'_>, waited: Duration) -> Turn {
+        let caller = match self.keys.prove(request.header("authorization")) {
+            Ok(caller) => caller,
+            Err(problem) => return Turn::Reply(reply(problem.response())),
+        };
+        let kind = request.header("content-type").map(|k| k.split(';').next().unwrap_or("").trim());
+        let asked = Request {
+            method: request.method,
+            target: request.target,
+            kind,
+            if_match: request.header("if-match"),
+            once: request.header("idempotency-key"),
+            body: request.body,
+        };
+        let now = clock::wall() / 1000;
+        let answer = self.api.answer(&asked, &caller, &mut self.around, now, waited);
+        self.recover();
+        self.spread();
+        match answer {
+            Answer::Now(response) => Turn::Reply(reply(response)),
+            Answer::Later(span) => Turn::Wait(span),
+        }
+    }
+
+    /// Tells the controller, and those who wait, what has changed.
+    fn spread(&mut self) {
+        if self.told == self.api.book().revision() {
+            return;
+        }
+        let (store, epoch) = self.api.store();
+        let origin = Origin { store: store.to_owned(), epoch };
+        let now = self.around.now();
+        self.around.mine = self.api.book().clone();
+        self.around.authority.stands(now, stamp(&origin, self.api.book()), false);
+        match self.api.entries(self.told) {
+            Ok(entries) => {
+                for entry in entries {
+                    info!(revision = entry.revision, who = %entry.who, action = ?entry.action, tenant = %entry.tenant, "tenants changed");
+                    self.told = entry.revision;
+                    self.around.tell(Told::Changed(Box::new(entry)));
+                }
+            }
+            Err(why) => warn!(%why, "changes can't be read back"),
+        }
+        self.wake.wake();
+        self.write_at.get_or_insert_with(|| Instant::now() + SNAPSHOT_EVERY);
+    }
+
+    /// What is due; when it wants to be asked again.
+    fn tick(&mut self) -> Option<Duration> {
+        let now = clock::wall() / 1000;
+        self.peers_told();
+        self.recover();
+        // Graces end where the book may change.
+        if self.around.authority.duty().0 == Duty::Serving {
+            self.api.sweep(now);
+        }
+        self.spread();
+        if self.write_at.is_some_and(|at| at <= Instant::now()) {
+            self.write_snapshot();
+        }
+        let grace = self.api.book().next_due().map(|at| Duration::from_millis(at.saturating_sub(now).max(1)));
+        let grace = grace.filter(|_| self.around.authority.duty().0 == Duty::Serving);
+        let write = self.write_at.map(|at| at.saturating_duration_since(Instant::now()));
+        let ask = self.ask_peers();
+        [grace, write, ask].into_iter().flatten().min()
+    }
+
+    /// While it is open which book stands, peers are asked in rounds; when the next is due.
+    fn ask_peers(&mut self) -> Option<Duration> {
+        if self.peers.count() == 0 || self.around.authority.duty().0 == Duty::Serving {
+            return None;
+        }
+        if self.asking == 0 && Instant::now() >= self.ask_at {
+            self.ask_at = Instant::now() + ASK_PEERS_EVERY;
+            self.asking = self.peers.count();
+            (0..self.peers.count()).for_each(|peer| self.peers.ask(peer));
+        }
+        (self.asking == 0).then(|| self.ask_at.saturating_duration_since(Instant::now()))
+    }
+
+    fn peers_told(&mut self) {
+        for told in self.peers.told() {
+            self.asking = self.asking.saturating_sub(1);
+            let Some(number) = told.controller else { continue };
+            match told.whole {
+                Ok(Some(whole)) => {
+                    let stamp = whole.stamp();
+                    self.around.offers.insert(number, whole);
+                    self.around.holds(number, Some(stamp));
+                }
+                Ok(None) => self.around.holds(number, None),
+                Err(_) => {}
+            }
+        }
+        self.say_duty();
+    }
+
+    fn say_duty(&mut self) {
+        let (duty, _) = self.around.authority.duty();
+        if self.duty.replace(duty) == Some(duty) {
+            return;
+        }
+        match duty {
+            Duty::Serving => info!("the book stands: it is given and changed"),
+            Duty::Waiting(cause) => warn!(
+                cause = cause.word(),
+                awaited = self.around.authority.expected(),
+                "it is open which book stands: none is given and nothing is changed; nettleferry fleet status, nettleferry fleet recover"
+            ),
+        }
+        self.wake.wake();
+    }
+
+    /// Takes over the book that all agree on, or that an operator has decided on.
+    fn recover(&mut self) {
+        let decided = self.around.decided.take();
+        let taken = self.around.take.take().and_then(|(who, stamp)| {
+            let whole = self.around.offers.get(&who).filter(|whole| whole.stamp() == stamp)?;
+            let epoch = (stamp.epoch.saturating_add(1)).max(clock::wall() / 1000);
+            Some((whole.book.clone(), Origin { store: stamp.store.clone(), epoch }))
+        });
+        if let Some((book, origin)) = decided.or(taken) {
+            match self.adopt(&book, &origin) {
+                Ok(()) => {
+                    let (now, revision) = (self.around.now(), book.revision());
+                    info!(revision, epoch = origin.epoch, store = %origin.store, "a book was taken over: it stands now");
+                    self.around.authority.stands(now, stamp(&origin, &book), true);
+                    self.around.offers.clear();
+                    self.around.mine = book.clone();
+                    self.told = revision;
+                    self.around.tell(Told::Began(book));
+                    self.written = Revision::MAX;
+                    self.write_at = Some(Instant::now());
+                    self.wake.wake();
+                }
+                Err(why) => error!(%why, "the book that is to stand can't be kept: it is not taken"),
+            }
+        }
+        self.say_duty();
+    }
+
+    /// Durable when this returns. A store that can't be used is put aside, and a new one made.
+    fn adopt(&mut self, book: &Book, origin: &Origin) -> Result<(), String> {
+        let mut store = match self.api.keep().0.take() {
+            Some(store) => store,
+            None => {
+                let aside = self.path.with_extension(format!("damaged-{}", clock::wall() / 1000));
+                if self.path.exists() {
+                    std::fs::rename(&self.path, &aside).map_err(|e| e.to_string())?;
+                    warn!(file = %aside.display(), "the damaged store was put aside");
+                }
+                Store::open(&self.path).map_err(|e| e.to_string())?.0
+            }
+        };
+        let kept = store.adopt(book, origin).map_err(|e| e.to_string());
+        if let Err(why) = kept {
+            self.api.keep().0 = Some(store);
+            return Err(why);
+        }
+        self.api.adopt(book.clone(), Kept(Some(store)), (origin.store.clone(), origin.epoch));
+        Ok(())
+    }
+
+    fn write_snapshot(&mut self) {
+        self.write_at = None;
+        let book = self.api.book();
+        // A snapshot of a book that is not the store's own would put the last good one out of the way.
+        if book.revision() == self.written || self.around.authority.own().is_none() {
+            return;
+        }
+        let (store, epoch) = self.api.store();
+        let origin = Origin { store: store.to_owned(), epoch };
+        match Snapshot::of(book, Some(origin)).write(&self.beside) {
+            Ok(()) => self.written = book.revision(),
+            Err(error) => warn!(%error, "the snapshot beside the store can't be written"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/admin/mirror.rs
@@ -0,0 +1,87 @@
+//! A follower's own listener: gives the book that it has in force to others who lack one, and says which that is.
+//! It answers at once from memory and asks nobody, so that two who recover never wait for each other.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::PoisonError;
+use std::thread::JoinHandle;
+
+use nettleferry_config::settings::AdminKey;
+use nettleferry_net::http1::{Http1, Http1Limits, Reply, Request, Stop};
+use serde_json::{Value, json};
+
+use super::keys::Keys;
+use super::peers::Mirror;
+use super::reply;
+
+/// Bytes of a request's body: none is read.
+const MOST_BODY: usize = 1 << 10;
+
+/// The listener; it ends when this is dropped.
+pub struct Window {
+    /// Where it listens.
+    pub local: SocketAddr,
+    stop: Stop,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Window {
+    /// Listens.
+    pub fn start(listen: SocketAddr, keys: &[AdminKey], number: u32, mirror: Mirror) -> io::Result<Self> {
+        let mut server =
+            Http1::bind(listen, Http1Limits { body_bytes: MOST_BODY, ..Http1Limits::default() })?;
+        let (local, stop, mut keys) = (server.local()?, server.stop(), Keys::new(keys));
+        let thread = std::thread::Builder::new().name("window".to_owned()).spawn(move || {
+            if let Err(error) = server.run(|request| answer(request, &mut keys, number, &mirror)) {
+                tracing::warn!(%error, "the book is no longer given to peers");
+            }
+        })?;
+        Ok(Self { local, stop, thread: Some(thread) })
+    }
+}
+
+impl Drop for Window {
+    fn drop(&mut self) {
+        self.stop.stop();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn answer(request: &Request<'_>, keys: &mut Keys, number: u32, mirror: &Mirror) -> Reply {
+    if let Err(problem) = keys.prove(request.header("authorization")) {
+        return reply(problem.response());
+    }
+    let path = request.target.split('?').next().unwrap_or("");
+    let held = mirror.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    match (request.method, path, held) {
+        ("GET", "/v1/snapshot", Some(whole)) => {
+            let sum = whole.book.sum();
+            let body = json!({ "controller": number, "store": whole.store, "epoch": whole.epoch, "sum": sum, "book": whole.book });
+            json_reply(200, &body)
+        }
+        ("GET", "/v1/snapshot", None) => json_reply(
+            503,
+            &json!({ "type": "/problems/no-book", "status": 503, "controller": number, "detail": "no book is in force here" }),
+        ),
+        ("GET", "/v1/fleet", held) => {
+            let holds = held.map(|whole| json!(whole.stamp()));
+            json_reply(200, &json!({ "controller": number, "role": "follows", "holds": holds }))
+        }
+        _ => json_reply(
+            404,
+            &json!({ "type": "/problems/no-such-path", "status": 404, "detail": "a controller that follows gives /v1/snapshot and /v1/fleet" }),
+        ),
+    }
+}
+
+fn json_reply(status: u16, body: &Value) -> Reply {
+    Reply {
+        status,
+        kind: "application/json",
+        headers: Vec::new(),
+        body: body.to_string().into_bytes(),
+        cut: None,
+    }
+}
--- a/crates/gateway/src/commands/admin/mod.rs
+++ b/crates/gateway/src/commands/admin/mod.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 
 use super::{CommandError, announce, read};
-pub use client::{Api, Client};
+pub use client::{Api, Client, escaped};
 
 /// Administer tenants, limits, workers and the audit trail of a running controller.
 #[derive(Args)]
@@ -298,7 +298,7 @@
         return Err(CommandError::File(what));
     }
     let (mut store, _) = Store::open(store).map_err(|e| told(&e))?;
-    store.restore(&snapshot).map_err(|e| told(&e))?;
+    store.restore(&snapshot, nettleferry_net::clock::wall() / 1000).map_err(|e| told(&e))?;
     announce(&format!("{} tenants at revision {}", snapshot.tenants.len(), snapshot.revision))?;
     Ok(0)
 }
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod call;
 mod day;
 mod demo;
+mod fleet;
 mod load;
 mod node;
 mod serve;
@@ -57,6 +58,8 @@
     Alerts(alerts::Alerts),
     /// Administer tenants, limits, workers and the audit trail of a running controller
     Admin(admin::Admin),
+    /// See which book of tenants each controller holds, and decide which one stands after a loss
+    Fleet(fleet::Fleet),
     /// Show tenants, classes, workers and held calls, live; q ends it
     Top(top::Top),
     /// Run one stand-in worker
@@ -135,6 +138,7 @@
         Command::Load(load) => load.run(),
         Command::Day(day) => day.run(&arguments.logs.log),
         Command::Admin(admin) => admin.run(),
+        Command::Fleet(fleet) => fleet.run(),
         Command::Top(top) => top.run(),
         Command::Alerts(alerts) => alerts.run(),
         Command::Worker(worker) => worker.run(),
--- a/crates/gateway/src/commands/serve.rs
+++ b/crates/gateway/src/commands/serve.rs
@@ -39,7 +39,10 @@
     }
     if let Some(admin) = &mut config.admin {
         match &mut admin.desk {
-            Desk::Own { store, .. } => *store = beside.join(&*store),
+            Desk::Own { store, peer_key, .. } => {
+                *store = beside.join(&*store);
+                *peer_key = peer_key.take().map(|file| beside.join(file));
+            }
             Desk::Follow { key_file, kept, .. } => {
                 (*key_file, *kept) = (beside.join(&*key_file), beside.join(&*kept));
             }
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use mio::Interest;
-use nettleferry::{Micros, WorkerState};
+use nettleferry::{ListForm, Micros, WorkerState};
+use nettleferry_config::settings::GateWhen;
 use nettleferry_config::{Config, Worker};
 use nettleferry_engine::{Command, Engine, EngineLimits, Event};
+use nettleferry_fleet::gate::{Gate, Step, Terms};
 use nettleferry_net::{Hub, NetEvent, NetLimits};
 use signal_hook_mio::v1_0::Signals;
 use tracing::{debug, info, warn};
@@ -72,6 +74,9 @@
     scrape: Option<Scrape>,
     /// Pushes until it is dropped, with last words.
     pusher: Option<Pusher>,
+    /// How many calls are taken after a restart, where that is judged.
+    gate: Option<Gate>,
+    gate_said: Option<Step>,
     /// Tenants of the administration, and the administration.
     tenants: Option<Tenants>,
     desk: Option<Desk>,
@@ -146,7 +151,10 @@
             let started = Desk::start(admin, config.settings.me, hub.waker()).map_err(failed)?;
             let (base, of) = (config.tenants.len(), config.settings.controllers);
             let mut all = Tenants::new(base, &config.classes, admin.anonymous, admin.places, of);
-            all.begin(&started.book);
+            match &started.book {
+                Some(book) => all.begin(book),
+                None => all.blind(),
+            }
             engine.take_phases();
             (tenants, desk) = (Some(all), Some(started));
         }
@@ -162,6 +170,8 @@
             observer,
             scrape,
             pusher,
+            gate: None,
+            gate_said: None,
             tenants,
             desk,
             drained: BTreeSet::new(),
@@ -173,7 +183,16 @@
             draining: None,
             config,
         };
-        for news in controller.lists.first() {
+        let first = controller.lists.first();
+        let again = first.iter().any(|news| news.form == ListForm::Restored);
+        let judged = match controller.config.recovery.gate {
+            GateWhen::Never => false,
+            GateWhen::Restart => again,
+            GateWhen::Always => true,
+        };
+        let now = controller.clock.now() / 1000;
+        controller.gate = judged.then(|| Gate::new(Terms::default(), now));
+        for news in first {
             controller.listed(news);
         }
         Ok(controller)
@@ -234,6 +253,7 @@
     }
 
     fn refresh(&mut self) {
+        self.gate_steps();
         let (net, front) = (self.hub.counters(), self.front.counters());
         self.observer.refresh(&self.engine, &net, &front, self.links.no_room);
         if let (Some(tenants), Some(desk)) = (&mut self.tenants, &self.desk) {
@@ -247,6 +267,26 @@
         }
     }
 
+    /// Says each step of the return; a gate that is whole is taken away.
+    fn gate_steps(&mut self) {
+        let Some(gate) = &mut self.gate else { return };
+        gate.count(self.clock.now() / 1000, self.engine.counters().served);
+        let (step, since) = gate.step();
+        if self.gate_said.replace(step) != Some(step) {
+            let refused = gate.counters();
+            info!(
+                step = step.word(),
+                at_ms = since,
+                rate = gate.rate(),
+                ?refused,
+                "the return from a restart"
+            );
+        }
+        if step == Step::Whole {
+            self.gate = None;
+        }
+    }
+
     /// Tells admission what became of calls.
     fn steps(&mut self) {
         if let Some(tenants) = &mut self.tenants {
@@ -285,7 +325,7 @@
                 }
                 Told::Drained(drained) => {
                     self.drained = drained;
-                    let (form, workers) = (nettleferry::ListForm::Complete, self.listed.clone());
+                    let (form, workers) = (ListForm::Complete, self.listed.clone());
                     self.listed(News { form, workers });
                 }
             }
@@ -334,6 +374,7 @@
             engine: &mut self.engine,
             commands: &mut self.commands,
             tenants: self.tenants.as_mut(),
+            gate: self.gate.as_mut(),
             now,
         };
         work(&mut self.front, &mut around)
@@ -395,7 +436,7 @@
 
     fn listed(&mut self, mut news: News) {
         let now = self.clock.now();
-        if news.form != nettleferry::ListForm::Failed {
+        if news.form != ListForm::Failed {
             self.listed.clone_from(&news.workers);
             self.list_changed = true;
             // Drained by hand: the module is told what it would be told by the list.
@@ -405,7 +446,7 @@
                 }
             }
         }
-        if news.form == nettleferry::ListForm::Failed {
+        if news.form == ListForm::Failed {
             self.engine.handle(
                 now,
                 Event::Workers { form: news.form, members: Vec::new() },
@@ -420,6 +461,10 @@
             .map(|w: &Worker| (self.engine.worker_id(&w.name), w.address))
             .collect();
         self.links.listed(&addresses);
+        if let Some(gate) = &mut self.gate {
+            let on = news.workers.iter().filter(|w| w.state == WorkerState::On).count();
+            gate.listed(now / 1000, on as u32, news.form != ListForm::Restored);
+        }
         self.front.ready = news.workers.iter().any(|w| w.state == WorkerState::On);
         let told = Event::Workers { form: news.form, members: members(&news.workers) };
         self.engine.handle(now, told, &mut self.commands);
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -15,6 +15,7 @@
 use nettleferry::{Micros, TenantId};
 use nettleferry_config::Config;
 use nettleferry_engine::{CallId, Command, End, Engine, Event, Open};
+use nettleferry_fleet::gate::{Asked, Gate, Verdict};
 use nettleferry_net::framing::FrameError;
 use nettleferry_net::grpc::{Code, Status};
 use nettleferry_net::{Hub, NetEvent, StreamKey};
@@ -33,6 +34,8 @@
     pub commands: &'a mut Vec<Command>,
     /// Tenants of the administration, where there is one.
     pub tenants: Option<&'a mut Tenants>,
+    /// How many calls are taken after a restart, while that is judged.
+    pub gate: Option<&'a mut Gate>,
     /// The time.
     pub now: Micros,
 }
@@ -80,6 +83,8 @@
     pub unknown_model: u64,
     /// Calls that admission turned away.
     pub turned_away: u64,
+    /// Calls refused at once after a restart, as too many would have waited.
+    pub at_gate: u64,
     /// Streams made to wait because of `calls-per-stream`.
     pub over_calls_per_stream: u64,
     /// Streams whose client did not take its answers, so that their workers were made to wait.
@@ -256,6 +261,11 @@
             let what = format!("no model {:?}{version} is served here", head.model);
             return self.fail_call(around, stream, &head.id, &Failure::of(Code::NotFound, what));
         };
+        if let Some(wait) = self.at_gate(around, stream, model.class.0) {
+            self.counters.at_gate += 1;
+            let what = "this controller has just come back: more would wait than can be answered in time";
+            return self.fail_call(around, stream, &head.id, &Failure::refused(what, wait));
+        }
         let Some(rpc) = self.rpcs.get(&stream) else { return };
         let most = self.config.settings.classes[model.class.0].deadline;
         let left = rpc.due.map_or(most, |due| due.saturating_sub(around.now).min(most));
@@ -313,6 +323,23 @@
         }
     }
 
+    /// After a restart: is a call refused at once, and until when?
+    fn at_gate(&self, around: &mut Around, stream: StreamKey, class: usize) -> Option<Duration> {
+        let gate = around.gate.as_mut()?;
+        let classes = &self.config.settings.classes;
+        let class = classes.get(class)?;
+        let due = self.rpcs.get(&stream).and_then(|rpc| rpc.due);
+        let left = due.map_or(class.deadline, |due| due.saturating_sub(around.now).min(class.deadline));
+        let dearest = classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
+        let careful = class.effect != nettleferry::Effect::Safe;
+        let asked = Asked { left: left / 1000, worth: class.worth / dearest, careful };
+        let (held, served) = (around.engine.held_calls(), around.engine.counters().served);
+        match gate.ask(around.now / 1000, &asked, held, served, rand::random()) {
+            Verdict::Take => None,
+            Verdict::Refuse(wait) => Some(Duration::from_millis(wait)),
+        }
+    }
+
     /// Over a limit: another try is harmless, after a while. Without a right: none will do.
     fn turned(&self, turned: &Turned) -> Failure {
         if turned.denied {
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -31,6 +31,9 @@
     ends: BTreeMap<&'static str, u64>,
 }
 
+/// Where no book is held yet, a client is to come back after this span.
+const BLIND_WAIT: Micros = 500_000;
+
 /// A call of a tenant.
 struct InHand {
     place: usize,
@@ -55,6 +58,8 @@
     gone: Vec<Revision>,
     /// The revision that is in force.
     revision: Revision,
+    /// No book is held: who may call is not known.
+    blind: bool,
     /// Calls turned away, by reason in the order of `WHY`.
     turned: [u64; nettleferry_admission::admission::WHY.len()],
 }
@@ -87,6 +92,7 @@
             touched: BTreeSet::new(),
             gone: Vec::new(),
             revision: 0,
+            blind: false,
             turned: Default::default(),
         }
     }
@@ -96,12 +102,18 @@
         self.revision
     }
 
+    /// Until a book is told, nobody's rights are known: calls are refused, and not denied.
+    pub fn blind(&mut self) {
+        self.blind = true;
+    }
+
     /// Begins with a book.
     pub fn begin(&mut self, book: &Book) {
         for tenant in book.tenants() {
             self.put(tenant);
         }
         self.revision = book.revision();
+        self.blind = false;
     }
 
     /// Puts a change in force. `Some`: this tenant is gone, and its calls are to be ended before
@@ -210,6 +222,10 @@
             return Err(denied("this call names no tenant: send the metadata nettleferry-tenant".to_owned()));
         };
         let Some(place) = self.names.get(name).copied() else {
+            if self.blind {
+                let message = "which tenants there are is not known here yet: try again".to_owned();
+                return Err(Turned { denied: false, message, wait: Some(BLIND_WAIT) });
+            }
             self.turned[Why::Unknown as usize] += 1;
             return Err(denied(format!("there is no tenant {name}")));
         };
--- a/crates/gateway/tests/admin.rs
+++ b/crates/gateway/tests/admin.rs
@@ -1,129 +1,17 @@
 //! Tenants on whole paths: the administration over HTTP while calls flow.
 
 mod common;
+use common::desk::*;
 use common::*;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::Write;
+use std::net::TcpStream;
 use std::process::Command;
 
 use nettleferry_net::grpc::Code;
 use nettleferry_standin::{Fault, Seen};
 use serde_json::{Value, json};
 
-/// A key of each role, made by the program.
-fn key(name: &str, role: &str) -> (String, String) {
-    let out = Command::new(PROGRAM).args(["admin", "key", name, role]).output().expect("it runs");
-    let text = String::from_utf8_lossy(&out.stdout).into_owned();
-    let line = |start: &str| text.lines().find_map(|l| l.strip_prefix(start)).expect("told").to_owned();
-    (line("token: "), line("settings: "))
-}
-
-/// The administration as a client sees it.
-#[derive(Clone)]
-struct Http {
-    api: SocketAddr,
-    token: String,
-}
-
-struct Desk {
-    program: Program,
-    http: Http,
-}
-
-impl std::ops::Deref for Desk {
-    type Target = Http;
-
-    fn deref(&self) -> &Http {
-        &self.http
-    }
-}
-
-fn desk(fleet: &Fleet) -> Desk {
-    let dir = tempfile::tempdir().expect("a folder");
-    std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
-    let (token, line) = key("ada", "admin");
-    start(dir, token, &line)
-}
-
-fn start(dir: tempfile::TempDir, token: String, key: &str) -> Desk {
-    start_at("127.0.0.1:0", dir, token, key)
-}
-
-fn start_at(listen: &str, dir: tempfile::TempDir, token: String, key: &str) -> Desk {
-    std::fs::write(dir.path().join("key"), key).expect("written");
-    let settings = format!("{SETTINGS}(admin (listen \"{listen}\") (store \"tenants.redb\") {key})");
-    let program = serve_in(dir, &settings, None);
-    let api = program.line("listening admin ");
-    Desk { program, http: Http { api, token } }
-}
-
-impl Http {
-    fn raw(&self, request: &str) -> (u16, String, String) {
-        let mut socket = TcpStream::connect(self.api).expect("connects");
-        socket.set_read_timeout(Some(PATIENCE)).expect("set");
-        socket.write_all(request.as_bytes()).expect("sent");
-        let mut text = String::new();
-        let _ = socket.read_to_string(&mut text);
-        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
-        (status, head.to_owned(), body.to_owned())
-    }
-
-    fn ask(&self, method: &str, target: &str, headers: &str, body: &str) -> (u16, Value) {
-        let kind = if method == "PATCH" { "application/merge-patch+json" } else { "application/json" };
-        let request = format!(
-            "{method} {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer {}\r\nContent-Type: {kind}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
-            self.token,
-            body.len()
-        );
-        let (status, _, body) = self.raw(&request);
-        (status, serde_json::from_str(&body).unwrap_or(Value::Null))
-    }
-
-    fn get(&self, target: &str) -> Value {
-        self.ask("GET", target, "", "").1
-    }
-
-    #[track_caller]
-    fn create(&self, tenant: Value) {
-        let (status, told) = self.ask("POST", "/v1/tenants", "", &tenant.to_string());
-        assert_eq!(status, 201, "{told}");
-        self.in_force();
-    }
-
-    #[track_caller]
-    fn change(&self, method: &str, target: &str, body: &str) -> Value {
-        let (status, told) = self.ask(method, target, "If-Match: *\r\n", body);
-        assert!((200..300).contains(&status), "{told}");
-        self.in_force();
-        told
-    }
-
-    /// Waits until the controller runs the last revision.
-    #[track_caller]
-    fn in_force(&self) {
-        eventually("the change is in force", || {
-            let told = self.get("/v1/controllers");
-            told["controllers"][0]["revision"] == told["revision"]
-        });
-    }
-}
-
-fn call(caller: &mut Caller, tenant: Option<&str>, model: &str) -> u64 {
-    let headers = tenant.map(|t| ("nettleferry-tenant".to_owned(), t.to_owned())).into_iter().collect();
-    let ask = nettleferry_day::client::Ask { headers, ..ask("ModelInfer", &echo(model, "u", 64)) };
-    caller.ask(ask)
-}
-
-fn code(caller: &mut Caller, tenant: Option<&str>, model: &str) -> (Code, String) {
-    let rpc = call(caller, tenant, model);
-    let (status, trailers) = caller.status(rpc);
-    let pushback =
-        trailers.get("grpc-retry-pushback-ms").and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
-    (status.code, pushback)
-}
-
 #[test]
 fn a_tenant_s_rights_limits_and_states_hold_from_the_next_call_on() {
     let fleet = Fleet::new(2, SPEC);
@@ -445,15 +333,6 @@
     assert_eq!(offline(&["restore", &path(&file), &path(&other)]), Some(3), "not over what is there");
 }
 
-/// The folder of a controller that is to start again: what it left, without what is in it of the old process.
-fn left(program: Program, names: &[&str]) -> tempfile::TempDir {
-    let dir = tempfile::tempdir().expect("a folder");
-    for name in names {
-        std::fs::copy(program.dir.path().join(name), dir.path().join(name)).expect("copied");
-    }
-    dir
-}
-
 #[test]
 fn controllers_that_follow_have_each_change_and_go_on_alone() {
     let fleet = Fleet::new(1, SPEC);
@@ -511,12 +390,21 @@
     let desk = start_at(&api, store, token.clone(), &keys);
     desk.change("POST", "/v1/tenants/later/suspend", "");
     eventually("both catch up", || [&one, &two].iter().all(|p| takes(p, "later") == Code::PermissionDenied));
-    // It begins anew with another store: its truth is theirs.
+    // It begins anew with another store: that is nobody's truth until an operator says so.
     desk.program.signal("KILL");
     let Desk { program, .. } = desk;
     let anew = left(program, &["workers.sexp", "key"]);
     let desk = start_at(&api, anew, token, &keys);
     desk.create(json!({"name": "other"}));
+    eventually("both say that they hold another store's book", || {
+        let fleet = desk.get("/v1/fleet");
+        let rows = fleet["controllers"].as_array().expect("rows").clone();
+        rows.len() == 2 && rows.iter().all(|row| row["standing"] == "foreign")
+    });
+    assert!([&one, &two].iter().all(|p| takes(p, "early") == Code::Ok));
+    let (status, shown) = desk.ask("POST", "/v1/fleet/recover?take=own&dry_run=true", "", "");
+    assert_eq!((status, &shown["done"]), (200, &json!(false)), "{shown}");
+    assert_eq!(desk.ask("POST", "/v1/fleet/recover?take=own", "", "").0, 200);
     eventually("they follow the new store", || {
         [&one, &two]
             .iter()
--- /dev/null
+++ b/crates/gateway/tests/common/desk.rs
@@ -0,0 +1,132 @@
+//! The administration as its clients see it.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+
+use nettleferry_net::grpc::Code;
+use serde_json::Value;
+
+use super::*;
+
+/// A key of each role, made by the program.
+pub fn key(name: &str, role: &str) -> (String, String) {
+    let out = Command::new(PROGRAM).args(["admin", "key", name, role]).output().expect("it runs");
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    let line = |start: &str| text.lines().find_map(|l| l.strip_prefix(start)).expect("told").to_owned();
+    (line("token: "), line("settings: "))
+}
+
+/// The administration as a client sees it.
+#[derive(Clone)]
+pub struct Http {
+    pub api: SocketAddr,
+    pub token: String,
+}
+
+pub struct Desk {
+    pub program: Program,
+    pub http: Http,
+}
+
+impl std::ops::Deref for Desk {
+    type Target = Http;
+
+    fn deref(&self) -> &Http {
+        &self.http
+    }
+}
+
+pub fn desk(fleet: &Fleet) -> Desk {
+    let dir = tempfile::tempdir().expect("a folder");
+    std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+    let (token, line) = key("ada", "admin");
+    start(dir, token, &line)
+}
+
+pub fn start(dir: tempfile::TempDir, token: String, key: &str) -> Desk {
+    start_at("127.0.0.1:0", dir, token, key)
+}
+
+pub fn start_at(listen: &str, dir: tempfile::TempDir, token: String, key: &str) -> Desk {
+    std::fs::write(dir.path().join("key"), key).expect("written");
+    let settings = format!("{SETTINGS}(admin (listen \"{listen}\") (store \"tenants.redb\") {key})");
+    let program = serve_in(dir, &settings, None);
+    let api = program.line("listening admin ");
+    Desk { program, http: Http { api, token } }
+}
+
+impl Http {
+    pub fn raw(&self, request: &str) -> (u16, String, String) {
+        let mut socket = TcpStream::connect(self.api).expect("connects");
+        socket.set_read_timeout(Some(PATIENCE)).expect("set");
+        socket.write_all(request.as_bytes()).expect("sent");
+        let mut text = String::new();
+        let _ = socket.read_to_string(&mut text);
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        (status, head.to_owned(), body.to_owned())
+    }
+
+    pub fn ask(&self, method: &str, target: &str, headers: &str, body: &str) -> (u16, Value) {
+        let kind = if method == "PATCH" { "application/merge-patch+json" } else { "application/json" };
+        let request = format!(
+            "{method} {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer {}\r\nContent-Type: {kind}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            self.token,
+            body.len()
+        );
+        let (status, _, body) = self.raw(&request);
+        (status, serde_json::from_str(&body).unwrap_or(Value::Null))
+    }
+
+    pub fn get(&self, target: &str) -> Value {
+        self.ask("GET", target, "", "").1
+    }
+
+    #[track_caller]
+    pub fn create(&self, tenant: Value) {
+        let (status, told) = self.ask("POST", "/v1/tenants", "", &tenant.to_string());
+        assert_eq!(status, 201, "{told}");
+        self.in_force();
+    }
+
+    #[track_caller]
+    pub fn change(&self, method: &str, target: &str, body: &str) -> Value {
+        let (status, told) = self.ask(method, target, "If-Match: *\r\n", body);
+        assert!((200..300).contains(&status), "{told}");
+        self.in_force();
+        told
+    }
+
+    /// Waits until the controller runs the last revision.
+    #[track_caller]
+    pub fn in_force(&self) {
+        eventually("the change is in force", || {
+            let told = self.get("/v1/controllers");
+            told["controllers"][0]["revision"] == told["revision"]
+        });
+    }
+}
+
+pub fn call(caller: &mut Caller, tenant: Option<&str>, model: &str) -> u64 {
+    let headers = tenant.map(|t| ("nettleferry-tenant".to_owned(), t.to_owned())).into_iter().collect();
+    let ask = nettleferry_day::client::Ask { headers, ..ask("ModelInfer", &echo(model, "u", 64)) };
+    caller.ask(ask)
+}
+
+pub fn code(caller: &mut Caller, tenant: Option<&str>, model: &str) -> (Code, String) {
+    let rpc = call(caller, tenant, model);
+    let (status, trailers) = caller.status(rpc);
+    let pushback =
+        trailers.get("grpc-retry-pushback-ms").and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+    (status.code, pushback)
+}
+
+/// The folder of a controller that is to start again: what it left, without what is in it of the old process.
+pub fn left(program: Program, names: &[&str]) -> tempfile::TempDir {
+    let dir = tempfile::tempdir().expect("a folder");
+    for name in names {
+        std::fs::copy(program.dir.path().join(name), dir.path().join(name)).expect("copied");
+    }
+    dir
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -2,6 +2,9 @@
 //! proof; what is waited for is waited for with a generous limit.
 #![allow(dead_code)]
 
+pub mod desk;
+pub mod link;
+
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus, Stdio};
--- a/crates/tenancy/src/book.rs
+++ b/crates/tenancy/src/book.rs
@@ -133,6 +133,11 @@
 pub const MOST_TENANTS: usize = 20_000;
 
 impl Book {
+    /// Its checksum: CRC-32 of its JSON, in which tenants stand by name.
+    pub fn sum(&self) -> u32 {
+        crc32fast::hash(&serde_json::to_vec(self).unwrap_or_default())
+    }
+
     /// A book of what a store holds.
     pub fn of(revision: Revision, tenants: impl IntoIterator<Item = Tenant>) -> Self {
         Self { revision, tenants: tenants.into_iter().map(|t| (t.name.clone(), t)).collect() }
--- a/crates/tenant-store/src/lib.rs
+++ b/crates/tenant-store/src/lib.rs
@@ -18,4 +18,4 @@
 pub mod store;
 
 pub use snapshot::{Snapshot, SnapshotError};
-pub use store::{Store, StoreError};
+pub use store::{Origin, Store, StoreError};
--- a/crates/tenant-store/src/snapshot.rs
+++ b/crates/tenant-store/src/snapshot.rs
@@ -9,6 +9,8 @@
 use nettleferry_tenancy::{Book, Entry, Revision, Tenant};
 use serde::{Deserialize, Serialize};
 
+use crate::store::Origin;
+
 /// The format that is written.
 const FORMAT: u32 = 1;
 const KIND: &str = "nettleferry-tenants";
@@ -22,6 +24,8 @@
     pub tenants: Vec<Tenant>,
     /// The audit trail, or its end.
     pub audit: Vec<Entry>,
+    /// The store it is of; snapshots of earlier versions do not tell.
+    pub origin: Option<Origin>,
 }
 
 /// Why a snapshot can't be used.
@@ -54,6 +58,8 @@
     revision: Revision,
     tenants: usize,
     audit: usize,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    origin: Option<Origin>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -63,8 +69,9 @@
 
 impl Snapshot {
     /// A book without its audit trail: what a controller needs to go on.
-    pub fn of(book: &Book) -> Self {
-        Self { revision: book.revision(), tenants: book.tenants().cloned().collect(), audit: Vec::new() }
+    pub fn of(book: &Book, origin: Option<Origin>) -> Self {
+        let tenants = book.tenants().cloned().collect();
+        Self { revision: book.revision(), tenants, audit: Vec::new(), origin }
     }
 
     /// As a book.
@@ -76,7 +83,8 @@
     pub fn write(&self, path: &Path) -> Result<(), SnapshotError> {
         let io = |source| SnapshotError::Io { path: path.to_owned(), source };
         let (tenants, audit) = (self.tenants.len(), self.audit.len());
-        let head = Head { kind: KIND.to_owned(), format: FORMAT, revision: self.revision, tenants, audit };
+        let (kind, origin) = (KIND.to_owned(), self.origin.clone());
+        let head = Head { kind, format: FORMAT, revision: self.revision, tenants, audit, origin };
         let mut text = line(&head).map_err(io)?;
         for tenant in &self.tenants {
             text.push_str(&line(tenant).map_err(io)?);
@@ -134,7 +142,7 @@
         for at in head.tenants + 1..body.len() {
             audit.push(serde_json::from_str(read(at)).map_err(|e| unsound(at, e.to_string()))?);
         }
-        Ok(Self { revision: head.revision, tenants, audit })
+        Ok(Self { revision: head.revision, tenants, audit, origin: head.origin })
     }
 }
 
--- a/crates/tenant-store/src/store.rs
+++ b/crates/tenant-store/src/store.rs
@@ -9,6 +9,7 @@
 use redb::{
     Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, StorageBackend, TableDefinition,
 };
+use serde::{Deserialize, Serialize};
 
 /// The format that is written. 1 had values without checksums.
 pub const FORMAT: u64 = 2;
@@ -66,6 +67,15 @@
     move |source| StoreError::Database { what, source: Box::new(source.into()) }
 }
 
+/// Where a book comes from.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// The store's own name: 16 hex digits.
+    pub store: String,
+    /// Raised by each restore.
+    pub epoch: u64,
+}
+
 /// The store.
 pub struct Store {
     database: Database,
@@ -156,12 +166,37 @@
         write.commit().map_err(database("the tenant store's tables can't be made"))
     }
 
-    /// The store's own name: one that was made or restored anew has another.
-    pub fn identity(&self) -> Result<String, StoreError> {
+    /// The store's own name and its epoch: one that was made anew has another name, one that was restored has the
+    /// name of what it was restored from, and a higher epoch.
+    pub fn origin(&self) -> Result<Origin, StoreError> {
         let read = self.database.begin_read().map_err(database("the tenant store can't be read"))?;
         let meta = read.open_table(META).map_err(database("the tenant store can't be read"))?;
-        let found = meta.get("store").map_err(database("the tenant store can't be read"))?;
-        Ok(format!("{:016x}", found.map_or(0, |v| v.value())))
+        let get = |key| meta.get(key).map_err(database("the tenant store can't be read"));
+        let store = format!("{:016x}", get("store")?.map_or(0, |v| v.value()));
+        Ok(Origin { store, epoch: get("epoch")?.map_or(1, |v| v.value()) })
+    }
+
+    /// Puts a book in the place of all that is there, in one transaction: the audit trail and the answers that were
+    /// kept go with it. For a book that was taken over from elsewhere.
+    pub fn adopt(&mut self, book: &Book, origin: &Origin) -> Result<(), StoreError> {
+        let fail = || database::<redb::TableError>("the book can't be kept");
+        let storage = || database::<redb::StorageError>("the book can't be kept");
+        let write = self.database.begin_write().map_err(database("the book can't be kept"))?;
+        {
+            let mut tenants = write.open_table(TENANTS).map_err(fail())?;
+            tenants.retain(|_, _| false).map_err(storage())?;
+            write.open_table(AUDIT).map_err(fail())?.retain(|_, _| false).map_err(storage())?;
+            write.open_table(ONCE).map_err(fail())?.retain(|_, _| false).map_err(storage())?;
+            write.open_table(ONCE_ORDER).map_err(fail())?.retain(|_, _| false).map_err(storage())?;
+            for tenant in book.tenants() {
+                tenants.insert(tenant.name.as_str(), cell::write(tenant)?.as_slice()).map_err(storage())?;
+            }
+            let mut meta = write.open_table(META).map_err(fail())?;
+            meta.insert("revision", book.revision()).map_err(storage())?;
+            meta.insert("began", book.revision()).map_err(storage())?;
+            put_origin(&mut meta, origin)?;
+        }
+        write.commit().map_err(database("the book can't be kept"))
     }
 
     fn book(&self) -> Result<Book, StoreError> {
@@ -181,7 +216,9 @@
             all.push(tenant);
         }
         let audit = read.open_table(AUDIT).map_err(fail())?;
-        let last = audit.last().map_err(storage())?.map_or(0, |(k, _)| k.value());
+        // A store that began with a book of elsewhere has no trail of what came before.
+        let began = meta.get("began").map_err(storage())?.map_or(0, |v| v.value());
+        let last = audit.last().map_err(storage())?.map_or(began, |(k, _)| k.value());
         if last != revision {
             let what = format!("the audit trail ends at {last}, the tenants at {revision}");
             return Err(StoreError::Inconsistent(what));
@@ -261,11 +298,13 @@
     pub fn snapshot(&self) -> Result<Snapshot, StoreError> {
         let book = self.book()?;
         let audit = self.audit(0, usize::MAX, None)?;
-        Ok(Snapshot { revision: book.revision(), tenants: book.tenants().cloned().collect(), audit })
+        let origin = Some(self.origin()?);
+        Ok(Snapshot { revision: book.revision(), tenants: book.tenants().cloned().collect(), audit, origin })
     }
 
-    /// Fills an empty store with a snapshot, in one transaction.
-    pub fn restore(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
+    /// Fills an empty store with a snapshot, in one transaction. It takes the snapshot's store's name, and an epoch
+    /// above the snapshot's: `now_ms` at the least, so that two restores of one snapshot are told apart.
+    pub fn restore(&mut self, snapshot: &Snapshot, now_ms: u64) -> Result<(), StoreError> {
         let fail = || database::<redb::TableError>("the snapshot can't be kept");
         let storage = || database::<redb::StorageError>("the snapshot can't be kept");
         let write = self.database.begin_write().map_err(database("the snapshot can't be kept"))?;
@@ -277,6 +316,13 @@
                 ));
             }
             meta.insert("revision", snapshot.revision).map_err(storage())?;
+            if snapshot.audit.is_empty() {
+                meta.insert("began", snapshot.revision).map_err(storage())?;
+            }
+            if let Some(origin) = &snapshot.origin {
+                let epoch = now_ms.max(origin.epoch.saturating_add(1));
+                put_origin(&mut meta, &Origin { store: origin.store.clone(), epoch })?;
+            }
             let mut tenants = write.open_table(TENANTS).map_err(fail())?;
             for tenant in &snapshot.tenants {
                 tenants.insert(tenant.name.as_str(), cell::write(tenant)?.as_slice()).map_err(storage())?;
@@ -290,6 +336,15 @@
     }
 }
 
+fn put_origin(meta: &mut redb::Table<'_, &str, u64>, origin: &Origin) -> Result<(), StoreError> {
+    let unread = |_| StoreError::Inconsistent(format!("{:?} is no store's name", origin.store));
+    let store = u64::from_str_radix(&origin.store, 16).map_err(unread)?;
+    let storage = || database::<redb::StorageError>("the store's name can't be kept");
+    meta.insert("store", store).map_err(storage())?;
+    meta.insert("epoch", origin.epoch).map_err(storage())?;
+    Ok(())
+}
+
 /// The database may panic over pages that make no sense: that is a damaged file, not the end of the program.
 fn guarded<T>(
     work: impl FnOnce() -> Result<T, StoreError> + std::panic::UnwindSafe,
--- a/crates/tenant-store/tests/crash.rs
+++ b/crates/tenant-store/tests/crash.rs
@@ -205,9 +205,12 @@
     let back = Snapshot::read(&file).expect("sound");
     let (mut other, empty) = Store::open(&dir.path().join("b.redb")).expect("opens");
     assert_eq!(empty, Book::default());
-    other.restore(&back).expect("kept");
-    assert_eq!(other.snapshot().expect("read"), back);
-    assert!(other.restore(&back).is_err(), "not over what is there");
+    other.restore(&back, 5).expect("kept");
+    let now = other.snapshot().expect("read");
+    let (was, is) = (back.origin.clone().expect("told"), now.origin.clone().expect("told"));
+    assert_eq!((is.store, is.epoch), (was.store, 5), "the same store at a higher epoch");
+    assert_eq!(Snapshot { origin: back.origin.clone(), ..now }, back);
+    assert!(other.restore(&back, 5).is_err(), "not over what is there");
     drop(other);
     assert_eq!(Store::open(&dir.path().join("b.redb")).expect("opens").1, book);
     let text = std::fs::read_to_string(&file).expect("text");
--- a/examples/nettleferry.sexp
+++ b/examples/nettleferry.sexp
@@ -130,10 +130,17 @@
     (farewell 2s)))                 ; an ordered end tries so long to deliver the last samples (default 2s)
 
 ; A controller that follows another's administration has (follow "ADDR:PORT") (key-file "FILE") (kept "FILE") instead of
-; listen, store and key.
+; store, and (listen "ADDR:PORT") with (key NAME ROLE HASH) where it gives its book to peers that lack one.
 (admin                              ; tenants managed while calls flow: docs/tenants.md (default: none, nothing listens)
   (listen "127.0.0.1:8002")
   (store "tenants.redb")            ; its last good snapshot is beside it
   (key ada admin "$argon2id$v=19$m=19456,t=2,p=1$c29tZXNhbHRzb21lc2FsdA$Q0JNMFQxYjJlM2Q0YzViNmE3ODk5MDAxMTIyMzM0NDU")
+  (peer "127.0.0.1:8012")           ; a controller that is asked which book it holds, after a loss (default: none)
+  (peer "127.0.0.1:8022")
+  (peer-key-file "fleet.key")       ; the token to ask them with, of role controller
   (anonymous yes)                   ; calls that name no tenant are taken, without limits of admission (default no)
   (places 256))                     ; calls that wait before tenants share the places by weight (default 256)
+
+(recovery
+  (gate restart))                   ; calls that would wait too long are refused at once after a start that found an earlier
+                                    ; life's worker list: restart | always | never (default restart)
