--- a/src/choice.rs
+++ b/src/choice.rs
@@ -251,11 +251,15 @@
     fn known(&mut self, id: RequestId, at: WorkerId) -> bool {
         let Some(call) = self.calls.get_mut(&id) else { return true };
         let Some(worker) = self.workers.get_mut(&at) else { return true };
+        // Where only orders load, a worker without a copy says so at once, and costs no probe.
+        let there = |f: &Function| f.warm.contains_key(&at) || f.loading.contains_key(&at);
+        let miss = self.settings.loading.when_absent == WhenAbsent::Miss
+            && !self.functions.get(&call.function).is_some_and(there);
         let aim = self.settings.classes[call.class].aim as f64;
         let heard = worker.told.map_or(0, |t| t.1).max(worker.strained.1);
         let asks = self.settings.limits.probes && self.settings.reports != Reports::None;
         let blind = worker.told.is_some_and(|(report, _)| report.util.is_none());
-        if !asks || blind || worker.barred || (self.now - heard) as f64 <= aim * NEWS_AIMS {
+        if !asks || blind || miss || worker.barred || (self.now - heard) as f64 <= aim * NEWS_AIMS {
             return true;
         }
         if worker.probed.is_none() && call.probes < NEWS_PROBES {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -284,6 +284,20 @@
     assert_eq!(sends(&last), vec![(1, other.0)]);
 }
 
+#[test]
+fn a_worker_without_a_known_copy_is_not_probed_first_where_only_orders_load() {
+    let mut set = settings();
+    (set.reports, set.loading.when_absent) = (Reports::Probe, WhenAbsent::Miss);
+    let mut stand = Stand::new(set, 3);
+    let first = stand.ask(1, 0, 9, 2);
+    let home = sent(&first).expect("it goes at once: a miss tells as much");
+    assert_eq!(probes(&first), 0);
+    stand.end(1, 0, home, Outcome::Ok, Some(LoadNote::Warm));
+    stand.pass(S);
+    let known = stand.ask(2, 0, 9, 2);
+    assert!(probes(&known) == 1 && sends(&known).is_empty(), "where its copy stands, news are asked for");
+}
+
 #[test]
 fn idle_cores_take_a_call_whose_bound_others_fill() {
     let mut set = settings();
