--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -101,8 +101,8 @@
     fn serving(&self) -> Result<(), String>;
     /// What the fleet is known to run and hold.
     fn fleet(&self) -> Value;
-    /// An operator's word on which book is to stand: `own`, or a controller's number.
-    fn recover(&mut self, take: &str, dry_run: bool) -> Result<Value, Problem>;
+    /// An operator's word on which book is to stand: `own`, this one, or a controller's number.
+    fn recover(&mut self, own: &Book, take: &str, dry_run: bool) -> Result<Value, Problem>;
 }
 
 /// Which book a controller holds.
@@ -333,7 +333,7 @@
             Operation::ReadFleet => return told(200, &live.fleet()),
             Operation::Recover => {
                 let take = query.text("take").unwrap_or("");
-                return told(200, &live.recover(take, query.dry_run()?)?);
+                return told(200, &live.recover(&self.book, take, query.dry_run()?)?);
             }
             Operation::ReadDocument => return told(200, &openapi::document()),
             Operation::Watch => return Err(internal("a watch is answered elsewhere".to_owned())),
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -79,7 +79,7 @@
         json!({ "controllers": [] })
     }
 
-    fn recover(&mut self, take: &str, _: bool) -> Result<Value, Problem> {
+    fn recover(&mut self, _: &Book, take: &str, _: bool) -> Result<Value, Problem> {
         Ok(json!({ "take": take }))
     }
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -612,15 +612,16 @@
 const MOST_PEERS: usize = 64;
 
 fn peers(form: &mut Form) -> Vec<SocketAddr> {
-    let mut all = Vec::new();
+    let mut all: Vec<SocketAddr> = Vec::new();
     for mut peer in form.all("peer") {
-        all.extend(peer.want::<SocketAddr>("its address"));
+        let address: Option<SocketAddr> = peer.want("its address");
+        // One that is named twice is one: it is heard once.
+        all.extend(address.filter(|address| !all.contains(address)));
         peer.end();
     }
     if all.len() > MOST_PEERS {
         form.fault(format!("{} peers: at most {MOST_PEERS}", all.len()));
     }
-    all.dedup();
     all
 }
 
--- a/crates/fleet/src/seek.rs
+++ b/crates/fleet/src/seek.rs
@@ -3,6 +3,10 @@
 //! What is asked never waits for what the asked one waits for: a peer answers at once with the book that it has in
 //! force, or that it has none. So nobody waits in a circle, and one that hears nobody serves on what it has.
 
+use rand::seq::index;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 use crate::Millis;
 use crate::stamp::{Stamp, Standing};
 
@@ -39,7 +43,7 @@
     begun: Option<Millis>,
     not_before: Millis,
     wait: Millis,
-    random: u64,
+    random: ChaCha8Rng,
 }
 
 /// What a peer answered.
@@ -76,7 +80,7 @@
             begun: None,
             not_before: 0,
             wait: ROUND_FIRST,
-            random: seed | 1,
+            random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
@@ -90,19 +94,15 @@
         if !self.asked {
             self.asked = true;
             (self.best, self.forked) = (None, false);
-            let mut all: Vec<usize> = (0..self.peers).collect();
-            while all.len() > MOST_ASKED {
-                let out = self.chance() as usize % all.len();
-                all.swap_remove(out);
-            }
-            self.left = all;
+            // Controllers that lost power together ask different peers.
+            self.left = index::sample(&mut self.random, self.peers, self.peers.min(MOST_ASKED)).into_vec();
         }
         match self.left.pop() {
             Some(peer) => Step::Ask(peer),
             None => {
                 // The round is over; the next one comes later, and apart from those of others.
                 self.asked = false;
-                self.not_before = now + self.wait / 2 + self.chance() % (self.wait / 2 + 1);
+                self.not_before = now + self.random.random_range(self.wait / 2..=self.wait);
                 self.wait = (self.wait * 2).min(ROUND_MOST);
                 match (&self.best, self.forked) {
                     (_, true) => Step::Forked,
@@ -122,12 +122,4 @@
             Some(Standing::Forked | Standing::Foreign) => self.forked = true,
         }
     }
-
-    fn chance(&mut self) -> u64 {
-        // Xorshift: controllers that lost power together ask different peers.
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        self.random
-    }
 }
--- a/crates/fleet/src/trust.rs
+++ b/crates/fleet/src/trust.rs
@@ -114,8 +114,8 @@
 /// What was found of a thing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Held {
-    /// In what state: sound, older, unsealed, damaged, absent.
-    pub word: &'static str,
+    /// Something is there that can be read.
+    pub sound: bool,
     /// When it was kept, by the wall clock; `None`: nobody knows.
     pub at_ms: Option<Millis>,
 }
@@ -135,7 +135,7 @@
 /// Is it believed, at this time of the wall clock?
 pub fn judge(thing: Thing, held: &Held, now_ms: Millis) -> Verdict {
     let row = row(thing);
-    if matches!(held.word, "damaged" | "absent") {
+    if !held.sound {
         return Verdict::Not("there is none that is sound");
     }
     if row.belief == Belief::Never {
@@ -173,7 +173,7 @@
             assert_eq!(TABLE.iter().filter(|row| row.thing == thing).count(), 1, "{thing:?}");
             assert_eq!(row(thing).thing, thing);
         }
-        let held = Held { word: "sound", at_ms: Some(5) };
+        let held = Held { sound: true, at_ms: Some(5) };
         for thing in [Thing::OrdersGiven, Thing::WorkerStarts, Thing::KeyedWindows, Thing::RatesUsed] {
             assert!(matches!(judge(thing, &held, 5), Verdict::Not(_)), "{thing:?}");
         }
@@ -181,13 +181,13 @@
 
     #[test]
     fn ages_are_judged_by_a_clock_that_may_have_stepped() {
-        let list = |word, at_ms, now| judge(Thing::WorkerList, &Held { word, at_ms }, now);
+        let list = |sound, at_ms, now| judge(Thing::WorkerList, &Held { sound, at_ms }, now);
         let (at, most) = (10 * HOUR, HOUR);
-        assert_eq!(list("sound", Some(at), at + most), Verdict::Use(Belief::UntilNewer));
-        assert_eq!(list("older", Some(at), at), Verdict::Use(Belief::UntilNewer));
-        assert!(matches!(list("sound", Some(at), at + most + 1), Verdict::Not(_)));
-        assert!(matches!(list("sound", Some(at), at - CLOCK_SLACK - 1), Verdict::Not(_)));
-        assert!(matches!(list("unsealed", None, at), Verdict::Not(_)));
-        assert!(matches!(list("damaged", Some(at), at), Verdict::Not(_)));
+        assert_eq!(list(true, Some(at), at + most), Verdict::Use(Belief::UntilNewer));
+        assert_eq!(list(true, Some(at), at), Verdict::Use(Belief::UntilNewer));
+        assert!(matches!(list(true, Some(at), at + most + 1), Verdict::Not(_)));
+        assert!(matches!(list(true, Some(at), at - CLOCK_SLACK - 1), Verdict::Not(_)));
+        assert!(matches!(list(true, None, at), Verdict::Not(_)));
+        assert!(matches!(list(false, Some(at), at), Verdict::Not(_)));
     }
 }
--- a/crates/gateway/src/admin/desk.rs
+++ b/crates/gateway/src/admin/desk.rs
@@ -23,8 +23,8 @@
 use serde_json::{Value, json};
 use tracing::{error, info, warn};
 
-use super::peers::{Peers, Whole};
-use super::{MOST_FOLLOWERS, SNAPSHOT_EVERY, Shown, Told, keys, lock, reply, snapshot_path};
+use super::peers::{Asker, Peers, Whole, stamp};
+use super::{MOST_FOLLOWERS, SNAPSHOT_EVERY, Shown, Told, keys, lock, reply, snapshot_path, token};
 
 /// Peers are asked again after this span while it is open which book stands.
 const ASK_PEERS_EVERY: Duration = Duration::from_millis(500);
@@ -77,18 +77,16 @@
     let held = book.clone();
     let book = book.unwrap_or_default();
     let origin = store.as_ref().and_then(|s| s.origin().ok());
-    let own = origin.as_ref().map(|origin| stamp(origin, &book));
+    let own = origin.as_ref().map(|origin| stamp(&origin.store, origin.epoch, &book));
     let origin = origin.unwrap_or_else(|| Origin { store: "damaged".to_owned(), epoch: 0 });
     info!(revision = book.revision(), tenants = book.tenants().len(), epoch = origin.epoch, "tenants");
     let limits = Http1Limits { body_bytes: MOST_BODY, ..Http1Limits::default() };
     let mut server = Http1::bind(listen, limits)?;
     let (local, stop) = (server.local()?, server.stop());
-    let token = match peer_key {
-        Some(file) => std::fs::read_to_string(file)?.trim().to_owned(),
-        None => String::new(),
-    };
+    // Peers and their key are there together, or neither.
+    let token = peer_key.map(token).transpose()?.unwrap_or_default();
     let wake = stop.clone();
-    let peers = Peers::start(peers, token, number, move || wake.wake())?;
+    let peers = Asker::start(Peers::new(peers, &token, number)?, move || wake.wake())?;
     let shown = Arc::new(Mutex::new(Shown::default()));
     let start = Instant::now();
     let mut work = Work {
@@ -104,8 +102,6 @@
             authority: Authority::new(0, own, peers.count()),
             offers: BTreeMap::new(),
             decided: None,
-            take: None,
-            mine: book.clone(),
             start,
         },
         path,
@@ -134,11 +130,6 @@
     Ok(Started { local, book: held, shown, stop, thread })
 }
 
-fn stamp(origin: &Origin, book: &Book) -> Stamp {
-    let (revision, sum) = (book.revision(), book.sum());
-    Stamp { store: origin.store.clone(), epoch: origin.epoch, revision, sum }
-}
-
 /// The store, or none where it is damaged.
 struct Kept(Option<Store>);
 
@@ -169,12 +160,8 @@
     authority: Authority,
     /// Books that peers gave, while it is open which one stands: by the peer's number. As many as there are peers.
     offers: BTreeMap<u32, Whole>,
-    /// An operator's word, to be carried out after the answer.
+    /// The book that is to stand, by agreement or by an operator's word: to be taken over after the answer.
     decided: Option<(Book, Origin)>,
-    /// The book that is to be taken without one.
-    take: Option<(u32, Stamp)>,
-    /// Its own book, for the difference.
-    mine: Book,
     start: Instant,
 }
 
@@ -272,13 +259,13 @@
         })
     }
 
-    fn recover(&mut self, take: &str, dry_run: bool) -> Result<Value, Problem> {
+    fn recover(&mut self, mine: &Book, take: &str, dry_run: bool) -> Result<Value, Problem> {
         let unknown = |what: String| Problem::field("take", what);
         let (book, from) = match take {
-            "own" if self.authority.own().is_none() && self.mine.revision() == 0 => {
+            "own" if self.authority.own().is_none() && mine.revision() == 0 => {
                 return Err(unknown("its own book can't be read, and there is no snapshot of it".to_owned()));
             }
-            "own" => (self.mine.clone(), self.number),
+            "own" => (mine.clone(), self.number),
             number => {
                 let number: u32 =
                     number.parse().map_err(|_| unknown("own, or a controller's number".to_owned()))?;
@@ -291,13 +278,11 @@
             }
         };
         let mut others: Vec<Value> = Vec::new();
-        let all = self.offers.iter().map(|(n, w)| (*n, &w.book)).chain([(self.number, &self.mine)]);
+        let all = self.offers.iter().map(|(n, w)| (*n, &w.book)).chain([(self.number, mine)]);
         for (number, other) in all.filter(|(n, _)| *n != from) {
             others.push(difference(number, &book, other));
         }
-        let (store, least) =
-            self.authority.over_all().ok_or_else(|| unknown("no book is known at all".to_owned()))?;
-        let origin = Origin { store, epoch: least.max(clock::wall() / 1000) };
+        let origin = self.above_all().ok_or_else(|| unknown("no book is known at all".to_owned()))?;
         let told = json!({
             "take": take, "controller": from, "revision": book.revision(), "tenants": book.tenants().len(),
             "epoch": origin.epoch, "others": others, "done": !dry_run,
@@ -315,10 +300,19 @@
     }
 
     fn holds(&mut self, controller: u32, stamp: Option<Stamp>) {
-        if let Step::Take(who, stamp) = self.authority.told(self.now(), controller, stamp) {
-            self.take = Some((who, stamp));
+        let Step::Take(who, stamp) = self.authority.told(self.now(), controller, stamp) else { return };
+        // One that told its stamp by its ask gives its book when it is asked in turn.
+        let offer = self.offers.get(&who).filter(|whole| whole.stamp() == stamp);
+        if let Some((whole, origin)) = offer.zip(self.above_all()) {
+            self.decided.get_or_insert_with(|| (whole.book.clone(), origin));
         }
     }
+
+    /// Under which store and epoch a book stands above all that are held.
+    fn above_all(&self) -> Option<Origin> {
+        let (store, least) = self.authority.over_all()?;
+        Some(Origin { store, epoch: least.max(clock::wall() / 1000) })
+    }
 }
 
 /// What the others would give up, or get, if this book stands.
@@ -356,7 +350,7 @@
     /// The revision that the controller was told.
     told: Revision,
     wake: Stop,
-    peers: Peers,
+    peers: Asker,
     /// Peers whose answers are out, and when they are asked next.
     asking: usize,
     ask_at: Instant,
@@ -394,11 +388,8 @@
         if self.told == self.api.book().revision() {
             return;
         }
-        let (store, epoch) = self.api.store();
-        let origin = Origin { store: store.to_owned(), epoch };
-        let now = self.around.now();
-        self.around.mine = self.api.book().clone();
-        self.around.authority.stands(now, stamp(&origin, self.api.book()), false);
+        let ((store, epoch), now) = (self.api.store(), self.around.now());
+        self.around.authority.stands(now, stamp(store, epoch, self.api.book()), false);
         match self.api.entries(self.told) {
             Ok(entries) => {
                 for entry in entries {
@@ -447,7 +438,8 @@
     }
 
     fn peers_told(&mut self) {
-        for told in self.peers.told() {
+        let told: Vec<_> = self.peers.told().collect();
+        for told in told {
             self.asking = self.asking.saturating_sub(1);
             let Some(number) = told.controller else { continue };
             match told.whole {
@@ -460,7 +452,6 @@
                 Err(_) => {}
             }
         }
-        self.say_duty();
     }
 
     fn say_duty(&mut self) {
@@ -481,20 +472,13 @@
 
     /// Takes over the book that all agree on, or that an operator has decided on.
     fn recover(&mut self) {
-        let decided = self.around.decided.take();
-        let taken = self.around.take.take().and_then(|(who, stamp)| {
-            let whole = self.around.offers.get(&who).filter(|whole| whole.stamp() == stamp)?;
-            let epoch = (stamp.epoch.saturating_add(1)).max(clock::wall() / 1000);
-            Some((whole.book.clone(), Origin { store: stamp.store.clone(), epoch }))
-        });
-        if let Some((book, origin)) = decided.or(taken) {
+        if let Some((book, origin)) = self.around.decided.take() {
             match self.adopt(&book, &origin) {
                 Ok(()) => {
                     let (now, revision) = (self.around.now(), book.revision());
                     info!(revision, epoch = origin.epoch, store = %origin.store, "a book was taken over: it stands now");
-                    self.around.authority.stands(now, stamp(&origin, &book), true);
+                    self.around.authority.stands(now, stamp(&origin.store, origin.epoch, &book), true);
                     self.around.offers.clear();
-                    self.around.mine = book.clone();
                     self.told = revision;
                     self.around.tell(Told::Began(book));
                     self.written = Revision::MAX;
--- a/crates/gateway/src/admin/follow.rs
+++ b/crates/gateway/src/admin/follow.rs
@@ -4,15 +4,14 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use nettleferry_fleet::seek::{self, Seeker, Step};
 use nettleferry_fleet::stamp::{Stamp, Standing};
-use nettleferry_fleet::trust::{self, Held, Thing, Verdict};
-use nettleferry_keep::{Folder, Found, Keeper};
+use nettleferry_fleet::trust::Thing;
 use nettleferry_net::clock;
 use nettleferry_net::post::{Answer, PostError, Poster};
 use nettleferry_tenancy::follow::{Ask, Follower, Heard, News};
@@ -20,8 +19,9 @@
 use serde::Deserialize;
 use tracing::{info, warn};
 
-use super::Told;
-use super::peers::{Mirror, Peers, Whole};
+use super::peers::{Mirror, Peers, Whole, stamp};
+use super::{Told, token};
+use crate::kept::Kept;
 
 /// How long a watch may wait for a change, and how long an answer may take beyond.
 const WATCH: Duration = Duration::from_secs(20);
@@ -57,11 +57,10 @@
     given: Vec<(usize, Whole)>,
     token: String,
     number: u32,
-    keeper: Keeper,
+    kept: Kept,
     follower: Follower,
-    epoch: u64,
-    /// It has a book: one that was kept, or that was given.
-    holds: bool,
+    /// The epoch of the book that it holds, kept or given; `None`: it holds none.
+    epoch: Option<u64>,
     /// What was last refused: said once.
     refused: Option<(Stamp, Standing)>,
     mirror: Mirror,
@@ -72,35 +71,26 @@
 
 impl<T: Fn(Told)> Follow<T> {
     pub fn new(whom: &Whom, number: u32, mirror: Mirror, tell: T) -> io::Result<Self> {
-        let token = std::fs::read_to_string(whom.key_file)?.trim().to_owned();
-        let file = whom.kept.to_owned();
-        let keeper = open(&file)?;
-        let found = keeper.found(KEPT_WAIT)?;
-        if found.is_none() {
-            warn!(file = %file.display(), "the kept tenants can't be read in time and are not used");
-        }
-        let kept = found.and_then(|mut found| found.pop()).and_then(|found| read(&file, &found));
-        let epoch = kept.as_ref().map_or(0, |whole| whole.epoch);
-        let holds = kept.is_some();
-        *mirror.lock().unwrap_or_else(PoisonError::into_inner) = kept.clone().map(Arc::new);
-        let follower = Follower::new(kept.map(|whole| (whole.store, whole.book)), rand::random());
+        let token = token(whom.key_file)?;
+        let mut kept = Kept::open(whom.kept.to_owned(), "tenants' book", KEPT_WAIT);
+        let held = read(&mut kept);
+        let epoch = held.as_ref().map(|whole| whole.epoch);
+        *mirror.lock().unwrap_or_else(PoisonError::into_inner) = held.clone().map(Arc::new);
+        let follower = Follower::new(held.map(|whole| (whole.store, whole.book)), rand::random());
         let (revision, tenants) = (follower.book().revision(), follower.book().tenants().len());
-        info!(revision, tenants, epoch, holds, to = %whom.to, "tenants as they were kept; following the administration");
-        let watches = Poster::new(whom.to, 1, PATIENCE)?;
-        let waker = watches.waker();
-        let peers = Peers::start(whom.peers, token.clone(), number, move || _ = waker.wake())?;
+        info!(revision, tenants, epoch, to = %whom.to, "tenants as they were kept; following the administration");
+        let peers = Peers::new(whom.peers, &token, number)?;
         Ok(Self {
-            watches,
+            watches: Poster::new(whom.to, 1, PATIENCE)?,
             snapshots: Poster::new(whom.to, 1, SNAPSHOT)?,
             seeker: Seeker::new(peers.count(), rand::random()),
             given: Vec::new(),
             peers,
             token,
             number,
-            keeper,
+            kept,
             follower,
             epoch,
-            holds,
             refused: None,
             mirror,
             tell,
@@ -111,7 +101,7 @@
 
     /// The book that was kept.
     pub fn book(&self) -> Option<Book> {
-        self.holds.then(|| self.follower.book().clone())
+        self.epoch.map(|_| self.follower.book().clone())
     }
 
     pub fn ended(&self) -> Arc<AtomicBool> {
@@ -127,8 +117,7 @@
     }
 
     fn stamp(&self) -> Option<Stamp> {
-        let (store, book) = (self.follower.store().to_owned(), self.follower.book());
-        self.holds.then(|| Stamp { store, epoch: self.epoch, revision: book.revision(), sum: book.sum() })
+        Some(stamp(self.follower.store(), self.epoch?, self.follower.book()))
     }
 
     /// Runs until it is ended.
@@ -171,10 +160,13 @@
     /// Nothing is to be asked of the administration before this span is over: one without a book asks peers.
     fn rest(&mut self, wait: u64, news: &mut Vec<News>) -> io::Result<()> {
         let mut wait = wait;
-        if !self.holds {
+        if self.epoch.is_none() {
             match self.seeker.next(self.now()) {
                 Step::Wait(until) => wait = wait.min(until.saturating_sub(self.now())),
-                Step::Ask(peer) => return self.ask_peer(peer),
+                Step::Ask(peer) => {
+                    self.ask_peer(peer);
+                    return Ok(());
+                }
                 Step::Forked => {
                     warn!("peers hold different books of one revision: none of them is taken");
                     return Ok(());
@@ -183,9 +175,8 @@
                     if let Some(whole) = self.seeker_gave(peer) {
                         let Whole { store, book, epoch, .. } = whole;
                         info!(peer, %store, epoch, revision = book.revision(), "a peer's book is taken, as none was held and the administration is silent");
-                        (self.holds, self.epoch) = (true, epoch);
+                        self.epoch = Some(epoch);
                         self.follower.heard(self.now(), Heard::Snapshot { store, book }, news);
-                        self.mirror();
                     }
                     return Ok(());
                 }
@@ -194,28 +185,16 @@
         self.watches.turn(Some(Duration::from_millis(wait.max(1))), &mut Vec::new())
     }
 
-    fn ask_peer(&mut self, peer: usize) -> io::Result<()> {
-        self.peers.ask(peer);
-        let until = Instant::now() + super::peers::PATIENCE * 2;
-        // Its thread answers in time, whatever the peer does.
-        while Instant::now() < until && !self.ended.load(Ordering::Acquire) {
-            for told in self.peers.told() {
-                let heard = match told.whole {
-                    Ok(Some(whole)) => {
-                        let stamp = whole.stamp();
-                        self.given.push((told.peer, whole));
-                        seek::Heard::Has(stamp)
-                    }
-                    Ok(None) | Err(_) => seek::Heard::Nothing,
-                };
-                self.seeker.heard(told.peer, heard);
-                if told.peer == peer {
-                    return Ok(());
-                }
+    fn ask_peer(&mut self, peer: usize) {
+        let heard = match self.peers.ask(peer).whole {
+            Ok(Some(whole)) => {
+                let stamp = whole.stamp();
+                self.given.push((peer, whole));
+                seek::Heard::Has(stamp)
             }
-            self.watches.turn(Some(Duration::from_millis(20)), &mut Vec::new())?;
-        }
-        Ok(())
+            Ok(None) | Err(_) => seek::Heard::Nothing,
+        };
+        self.seeker.heard(peer, heard);
     }
 
     /// The book that a peer gave in this round; the others' are given up.
@@ -246,20 +225,19 @@
             (1.., 0) => info!("the administration is followed again"),
             _ => {}
         }
-        self.mirror();
     }
 
     /// The administration gave its whole book: is it one to take?
     fn given_book(&mut self, whole: Whole) -> Heard {
-        let given = whole.stamp();
-        match seek::takes(self.stamp().as_ref(), &given) {
+        let (given, held) = (whole.stamp(), self.stamp());
+        match seek::takes(held.as_ref(), &given) {
             Ok(_) => {
                 self.refused = None;
-                (self.holds, self.epoch) = (true, whole.epoch);
+                self.epoch = Some(whole.epoch);
                 Heard::Snapshot { store: whole.store, book: whole.book }
             }
             Err(standing) => {
-                let held = self.stamp().map(|s| s.to_string()).unwrap_or_default();
+                let held = held.map(|s| s.to_string()).unwrap_or_default();
                 if self.refused.as_ref() != Some(&(given.clone(), standing)) {
                     warn!(%given, held, standing = standing.word(), "the administration's book is not taken: the one that is held stands until it has caught up or an operator has decided");
                     self.refused = Some((given, standing));
@@ -270,83 +248,38 @@
     }
 
     fn put_in_force(&mut self, news: &mut Vec<News>) {
-        if news.is_empty() {
-            return;
-        }
         for one in news.drain(..) {
             (self.tell)(match one {
                 News::Changed(entry) => Told::Changed(entry),
                 News::Began(book) => Told::Began(book),
             });
         }
-        self.mirror();
-        self.keep();
-    }
-
-    fn whole(&self) -> Whole {
-        let (store, book) = (self.follower.store().to_owned(), self.follower.book().clone());
-        Whole { controller: None, store, epoch: self.epoch, book }
+        self.show_and_keep();
     }
 
-    /// Shows peers what is in force.
-    fn mirror(&self) {
+    /// What is held is shown to peers, and kept, once it is another: also where the epoch alone has changed.
+    fn show_and_keep(&self) {
+        let Some(epoch) = self.epoch else { return };
+        let (store, book) = (self.follower.store(), self.follower.book());
         let mut shown = self.mirror.lock().unwrap_or_else(PoisonError::into_inner);
-        let same = shown.as_ref().is_some_and(|whole| {
-            whole.epoch == self.epoch
-                && whole.store == self.follower.store()
-                && whole.book.revision() == self.follower.book().revision()
-        });
-        if self.holds && !same {
-            *shown = Some(Arc::new(self.whole()));
+        let same =
+            |w: &Arc<Whole>| w.epoch == epoch && w.store == store && w.book.revision() == book.revision();
+        if shown.as_ref().is_some_and(same) {
+            return;
         }
-    }
-
-    fn keep(&self) {
-        match serde_json::to_vec(&self.whole()) {
-            Ok(text) => self.keeper.put(self.keeper.place(0), text),
+        let whole = Arc::new(Whole { controller: None, store: store.to_owned(), epoch, book: book.clone() });
+        *shown = Some(Arc::clone(&whole));
+        drop(shown);
+        match serde_json::to_vec(&*whole) {
+            Ok(text) => self.kept.put(text),
             Err(error) => warn!(%error, "the tenants can't be kept for the next start"),
         }
     }
 }
 
-fn open(file: &Path) -> io::Result<Keeper> {
-    let name: PathBuf = file.to_owned();
-    let told = move |_, result: io::Result<u64>| {
-        if let Err(error) = result {
-            warn!(file = %name.display(), %error, "the tenants can't be kept for the next start");
-        }
-    };
-    Keeper::start(Folder, &[file.to_owned()], told)
-}
-
-fn read(file: &Path, found: &Found) -> Option<Whole> {
-    let file = file.display();
-    let payload = match found {
-        Found::Sound(record) => &record.payload,
-        Found::Older { record, flaw } => {
-            warn!(%file, %flaw, "the kept tenants are damaged: the version before is believed until a newer book is told");
-            &record.payload
-        }
-        // Of an earlier version of the program: taken whole or not at all.
-        Found::Unsealed(bytes) => bytes,
-        Found::Damaged(flaw) => {
-            warn!(%file, %flaw, "the kept tenants are not sound and are not used");
-            return None;
-        }
-        Found::Absent => return None,
-    };
-    let held = Held { word: found.word(), at_ms: None };
-    if let Verdict::Not(why) = trust::judge(Thing::Book, &held, clock::wall() / 1000) {
-        warn!(%file, why, "the kept tenants are not believed");
-        return None;
-    }
-    match serde_json::from_slice::<Whole>(payload) {
-        Ok(whole) => Some(whole),
-        Err(error) => {
-            warn!(%file, %error, "the kept tenants are not sound and are not used");
-            None
-        }
-    }
+fn read(kept: &mut Kept) -> Option<Whole> {
+    let payload = kept.take(Thing::Book, clock::wall() / 1000, |_| None)?;
+    serde_json::from_slice::<Whole>(&payload).inspect_err(|error| kept.unusable(error)).ok()
 }
 
 enum Meaning {
--- a/crates/gateway/src/admin/mirror.rs
+++ b/crates/gateway/src/admin/mirror.rs
@@ -4,49 +4,24 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::PoisonError;
-use std::thread::JoinHandle;
 
+use nettleferry_admin::Problem;
 use nettleferry_config::settings::AdminKey;
-use nettleferry_net::http1::{Http1, Http1Limits, Reply, Request, Stop};
+use nettleferry_net::http1::{Reply, Request};
 use serde_json::{Value, json};
 
 use super::keys::Keys;
 use super::peers::Mirror;
 use super::reply;
+use crate::endpoint::Endpoint;
 
 /// Bytes of a request's body: none is read.
 const MOST_BODY: usize = 1 << 10;
 
-/// The listener; it ends when this is dropped.
-pub struct Window {
-    /// Where it listens.
-    pub local: SocketAddr,
-    stop: Stop,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Window {
-    /// Listens.
-    pub fn start(listen: SocketAddr, keys: &[AdminKey], number: u32, mirror: Mirror) -> io::Result<Self> {
-        let mut server =
-            Http1::bind(listen, Http1Limits { body_bytes: MOST_BODY, ..Http1Limits::default() })?;
-        let (local, stop, mut keys) = (server.local()?, server.stop(), Keys::new(keys));
-        let thread = std::thread::Builder::new().name("window".to_owned()).spawn(move || {
-            if let Err(error) = server.run(|request| answer(request, &mut keys, number, &mirror)) {
-                tracing::warn!(%error, "the book is no longer given to peers");
-            }
-        })?;
-        Ok(Self { local, stop, thread: Some(thread) })
-    }
-}
-
-impl Drop for Window {
-    fn drop(&mut self) {
-        self.stop.stop();
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
+/// Listens.
+pub fn start(listen: SocketAddr, keys: &[AdminKey], number: u32, mirror: Mirror) -> io::Result<Endpoint> {
+    let mut keys = Keys::new(keys);
+    Endpoint::start(listen, MOST_BODY, "window", move |request| answer(request, &mut keys, number, &mirror))
 }
 
 fn answer(request: &Request<'_>, keys: &mut Keys, number: u32, mirror: &Mirror) -> Reply {
@@ -69,10 +44,10 @@
             let holds = held.map(|whole| json!(whole.stamp()));
             json_reply(200, &json!({ "controller": number, "role": "follows", "holds": holds }))
         }
-        _ => json_reply(
-            404,
-            &json!({ "type": "/problems/no-such-path", "status": 404, "detail": "a controller that follows gives /v1/snapshot and /v1/fleet" }),
-        ),
+        _ => {
+            let detail = "a controller that follows gives /v1/snapshot and /v1/fleet";
+            reply(Problem::new(404, "no-such-path", detail).response())
+        }
     }
 }
 
--- a/crates/gateway/src/admin/mod.rs
+++ b/crates/gateway/src/admin/mod.rs
@@ -23,6 +23,7 @@
 use nettleferry_tenancy::{Book, Entry, Revision};
 use tracing::warn;
 
+use crate::endpoint::Endpoint;
 pub use keys::make as make_key;
 
 /// What the controller is told.
@@ -62,7 +63,7 @@
     shown: Arc<Mutex<Shown>>,
     ender: Ender,
     thread: Option<JoinHandle<()>>,
-    _window: Option<mirror::Window>,
+    _window: Option<Endpoint>,
 }
 
 enum Ender {
@@ -97,8 +98,7 @@
         };
         let mirror = peers::Mirror::default();
         let mut work = follow::Follow::new(whom, number, Arc::clone(&mirror), tell)?;
-        let window =
-            window.map(|(listen, keys)| mirror::Window::start(*listen, keys, number, mirror)).transpose()?;
+        let window = window.map(|(listen, keys)| mirror::start(*listen, keys, number, mirror)).transpose()?;
         let (book, local) = (work.book(), window.as_ref().map(|window| window.local));
         let ender = Ender::Follow(work.ended(), work.waker());
         let thread = std::thread::Builder::new().name("follow".to_owned()).spawn(move || {
@@ -152,6 +152,11 @@
     what.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// The token of a key file.
+fn token(file: &Path) -> io::Result<String> {
+    Ok(std::fs::read_to_string(file)?.trim().to_owned())
+}
+
 fn reply(response: Response) -> Reply {
     let Response { status, kind, headers, body } = response;
     Reply { status, kind, headers, body: body.into_bytes(), cut: None }
--- a/crates/gateway/src/admin/peers.rs
+++ b/crates/gateway/src/admin/peers.rs
@@ -1,10 +1,10 @@
-//! Asks other controllers, one after the other, which book they have in force. On a thread of its own: whoever
-//! is silent holds up nobody but it. What follows from an answer is decided by `nettleferry-fleet`.
+//! Asks other controllers, one after the other, which book they have in force: on the asker's own thread, or, for
+//! one who may not wait, on a thread that whoever is silent holds up alone. What follows from an answer is decided by `nettleferry-fleet`.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender, SyncSender, channel, sync_channel};
+use std::sync::mpsc::{Receiver, Sender, channel, sync_channel};
 use std::time::Duration;
 
 use nettleferry_fleet::stamp::Stamp;
@@ -39,44 +39,84 @@
 impl Whole {
     /// Its stamp; the checksum is made anew from what came.
     pub fn stamp(&self) -> Stamp {
-        let (revision, sum) = (self.book.revision(), self.book.sum());
-        Stamp { store: self.store.clone(), epoch: self.epoch, revision, sum }
+        stamp(&self.store, self.epoch, &self.book)
     }
 }
 
+/// The stamp of a book of this store and epoch.
+pub fn stamp(store: &str, epoch: u64, book: &Book) -> Stamp {
+    Stamp { store: store.to_owned(), epoch, revision: book.revision(), sum: book.sum() }
+}
+
 /// Who a peer is and what it holds.
 pub struct Told {
-    /// Which of the peers.
-    pub peer: usize,
     /// Its book; `Ok(None)`: it says that it has none; `Err`: no answer.
     pub whole: Result<Option<Whole>, String>,
     /// Its number, where it told it.
     pub controller: Option<u32>,
 }
 
-/// The thread; it ends when this is dropped.
+/// Peers that are asked one at a time, by whoever may wait for an answer.
 pub struct Peers {
+    posters: Vec<Poster>,
+    bearer: String,
+    target: String,
+}
+
+impl Peers {
+    /// Those at these addresses. `number`: who asks.
+    pub fn new(peers: &[SocketAddr], token: &str, number: u32) -> io::Result<Self> {
+        let posters = peers.iter().map(|peer| Poster::new(*peer, 1, PATIENCE)).collect::<io::Result<_>>()?;
+        let (bearer, target) = (format!("Bearer {token}"), format!("/v1/snapshot?controller={number}"));
+        Ok(Self { posters, bearer, target })
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.posters.len()
+    }
+
+    /// Asks one of them, and waits as long as it has to answer.
+    pub fn ask(&mut self, peer: usize) -> Told {
+        let nothing = |why: String| Told { whole: Err(why), controller: None };
+        let Some(poster) = self.posters.get_mut(peer) else {
+            return nothing("there is no such peer".to_owned());
+        };
+        poster.send(0, "GET", &self.target, &[("Authorization", &self.bearer)], b"");
+        let mut heard = Vec::new();
+        while heard.is_empty() {
+            if let Err(error) = poster.turn(Some(PATIENCE), &mut heard) {
+                return nothing(error.to_string());
+            }
+        }
+        match heard.pop() {
+            Some((_, Ok(answer))) => read(&answer),
+            Some((_, Err(error))) => nothing(error.to_string()),
+            None => nothing("no answer came".to_owned()),
+        }
+    }
+}
+
+/// Peers that a thread asks, for one who may not wait; it ends when this is dropped.
+pub struct Asker {
     asks: Sender<usize>,
     told: Receiver<Told>,
     count: usize,
 }
 
-impl Peers {
+impl Asker {
     /// Starts it. `wake` is called after each answer.
-    pub fn start(
-        peers: &[SocketAddr],
-        token: String,
-        number: u32,
-        wake: impl Fn() + Send + 'static,
-    ) -> io::Result<Self> {
-        let mut posters = Vec::new();
-        for peer in peers {
-            posters.push(Poster::new(*peer, 1, PATIENCE)?);
-        }
-        let ((asks, asked), (telling, told)) = (channel(), sync_channel(WAITING));
-        let count = peers.len();
-        let work = move || answer(&mut posters, &asked, &telling, &token, number, wake);
-        std::thread::Builder::new().name("peers".to_owned()).spawn(work)?;
+    pub fn start(mut peers: Peers, wake: impl Fn() + Send + 'static) -> io::Result<Self> {
+        let ((asks, asked), (telling, told)) = (channel::<usize>(), sync_channel(WAITING));
+        let count = peers.count();
+        std::thread::Builder::new().name("peers".to_owned()).spawn(move || {
+            while let Ok(peer) = asked.recv() {
+                if telling.send(peers.ask(peer)).is_err() {
+                    return;
+                }
+                wake();
+            }
+        })?;
         Ok(Self { asks, told, count })
     }
 
@@ -91,60 +131,27 @@
     }
 
     /// What was told since the last time.
-    pub fn told(&self) -> Vec<Told> {
-        self.told.try_iter().collect()
-    }
-}
-
-fn answer(
-    posters: &mut [Poster],
-    asked: &Receiver<usize>,
-    telling: &SyncSender<Told>,
-    token: &str,
-    number: u32,
-    wake: impl Fn(),
-) {
-    let bearer = format!("Bearer {token}");
-    let mut heard = Vec::new();
-    while let Ok(peer) = asked.recv() {
-        let Some(poster) = posters.get_mut(peer) else { continue };
-        let target = format!("/v1/snapshot?controller={number}");
-        poster.send(0, "GET", &target, &[("Authorization", &bearer)], b"");
-        heard.clear();
-        while heard.is_empty() {
-            if poster.turn(Some(PATIENCE), &mut heard).is_err() {
-                break;
-            }
-        }
-        let result = heard.pop().map(|(_, result)| result);
-        let told = match result {
-            Some(Ok(answer)) => read(peer, &answer),
-            Some(Err(error)) => Told { peer, whole: Err(error.to_string()), controller: None },
-            None => Told { peer, whole: Err("the poll failed".to_owned()), controller: None },
-        };
-        if telling.send(told).is_err() {
-            return;
-        }
-        wake();
+    pub fn told(&self) -> impl Iterator<Item = Told> + '_ {
+        self.told.try_iter()
     }
 }
 
-fn read(peer: usize, answer: &Answer) -> Told {
+fn read(answer: &Answer) -> Told {
     #[derive(Deserialize)]
     struct Nothing {
         controller: Option<u32>,
     }
     match answer.status {
         200 => match serde_json::from_slice::<Whole>(&answer.body) {
-            Ok(whole) => Told { peer, controller: whole.controller, whole: Ok(Some(whole)) },
-            Err(error) => Told { peer, whole: Err(error.to_string()), controller: None },
+            Ok(whole) => Told { controller: whole.controller, whole: Ok(Some(whole)) },
+            Err(error) => Told { whole: Err(error.to_string()), controller: None },
         },
         // It has no book itself, and says who it is.
         503 => {
             let controller = serde_json::from_slice::<Nothing>(&answer.body).ok().and_then(|n| n.controller);
-            Told { peer, whole: Ok(None), controller }
+            Told { whole: Ok(None), controller }
         }
-        status => Told { peer, whole: Err(format!("status {status}")), controller: None },
+        status => Told { whole: Err(format!("status {status}")), controller: None },
     }
 }
 
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -18,10 +18,11 @@
 use tracing::{debug, info, warn};
 
 use crate::admin::{Desk, Told};
+use crate::endpoint::Endpoint;
 use crate::front::{Around, Front};
 use crate::links::{LinkLimits, Links};
 use crate::list::{Lists, News, members};
-use crate::observe::{Observer, Scrape};
+use crate::observe::{self, Observer};
 use crate::push::Pusher;
 use crate::tenants::Tenants;
 use nettleferry_net::clock::Clock;
@@ -71,7 +72,7 @@
     lists: Lists,
     signals: Option<Signals>,
     observer: Observer,
-    scrape: Option<Scrape>,
+    scrape: Option<Endpoint>,
     /// Pushes until it is dropped, with last words.
     pusher: Option<Pusher>,
     /// How many calls are taken after a restart, where that is judged.
@@ -135,7 +136,7 @@
         let observer = Observer::new(&config);
         let scrape = match config.figures.scrape {
             Some(address) => Some(
-                Scrape::start(address, observer.figures())
+                observe::scrape(address, observer.figures())
                     .map_err(|source| ControllerError::Listen { address, source })?,
             ),
             None => None,
--- /dev/null
+++ b/crates/gateway/src/kept.rs
@@ -0,0 +1,94 @@
+//! A kept file of the program: read and written by a keeper's thread, believed by the table of trust. Who keeps
+//! something decides neither how it survives a loss of power nor how far it is believed after one.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use nettleferry_fleet::Millis;
+use nettleferry_fleet::trust::{self, Held, Thing, Verdict};
+use nettleferry_keep::{Folder, Found, Keeper};
+use tracing::{info, warn};
+
+/// A kept file, and what it held at the start until that is taken.
+pub struct Kept {
+    /// `None`: it can't be kept, which was said.
+    keeper: Option<Keeper>,
+    found: Found,
+    file: PathBuf,
+    what: &'static str,
+}
+
+impl Kept {
+    /// Opens it; its disk is waited for so long and no longer. `what`: its name in the log.
+    pub fn open(file: PathBuf, what: &'static str, most: Duration) -> Self {
+        let shown = file.display().to_string();
+        let told = move |result: std::io::Result<u64>| {
+            if let Err(error) = result {
+                warn!(file = shown, %error, "the {what} can't be kept for the next start");
+            }
+        };
+        let opened = Keeper::start(Folder, &file, told)
+            .and_then(|keeper| keeper.found(most).map(|found| (keeper, found)));
+        let (keeper, found) = match opened {
+            Ok((keeper, Some(found))) => (Some(keeper), found),
+            Ok((keeper, None)) => {
+                warn!(file = %file.display(), "the kept {what} can't be read in time and is not used");
+                (Some(keeper), Found::Absent)
+            }
+            Err(error) => {
+                warn!(file = %file.display(), %error, "the {what} can't be kept");
+                (None, Found::Absent)
+            }
+        };
+        Self { keeper, found, file, what }
+    }
+
+    /// What was kept, where it is believed at this time of the wall clock; `at`: when it was kept, by its own word.
+    /// To be asked once.
+    pub fn take(
+        &mut self,
+        thing: Thing,
+        now_ms: Millis,
+        at: impl FnOnce(&[u8]) -> Option<Millis>,
+    ) -> Option<Vec<u8>> {
+        let (file, what) = (self.file.display(), self.what);
+        let found = std::mem::replace(&mut self.found, Found::Absent);
+        let word = found.word();
+        let payload = match found {
+            Found::Sound(record) => Some(record.payload),
+            Found::Older { record, flaw } => {
+                warn!(%file, %flaw, "the kept {what} is damaged: the one before it is looked at");
+                Some(record.payload)
+            }
+            // Of an earlier version of the program: whole or not, its owner finds out.
+            Found::Unsealed(bytes) => Some(bytes),
+            Found::Damaged(flaw) => {
+                warn!(%file, %flaw, "the kept {what} is damaged");
+                None
+            }
+            Found::Absent => return None,
+        };
+        let held = Held { sound: payload.is_some(), at_ms: payload.as_deref().and_then(at) };
+        match trust::judge(thing, &held, now_ms) {
+            Verdict::Use(belief) => info!(%file, word, ?belief, "the kept {what} is looked at"),
+            Verdict::Not(why) => {
+                warn!(%file, word, why, "the kept {what} is not believed");
+                return None;
+            }
+        }
+        payload
+    }
+
+    /// What can't be used after all, for the log.
+    pub fn unusable(&self, why: &impl std::fmt::Display) {
+        let (file, what) = (self.file.display(), self.what);
+        warn!(%file, %why, "the kept {what} is not sound and is not used");
+    }
+
+    /// Keeps this for the next start. Never waits for a disk.
+    pub fn put(&self, payload: Vec<u8>) {
+        if let Some(keeper) = &self.keeper {
+            keeper.put(payload);
+        }
+    }
+}
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -13,11 +13,12 @@
 use nettleferry::{ListForm, Micros, WorkerState};
 use nettleferry_config::{Worker, workers};
 use nettleferry_engine::Member;
-use nettleferry_fleet::trust::{self, Held, Thing, Verdict};
-use nettleferry_keep::{Folder, Found, Keeper, Place};
+use nettleferry_fleet::trust::Thing;
 use nettleferry_net::clock;
 use tracing::{info, warn};
 
+use crate::kept::Kept;
+
 /// What a source of membership tells.
 #[derive(Debug)]
 pub struct News {
@@ -139,14 +140,6 @@
     }
 }
 
-/// Where the last list is kept.
-struct Kept {
-    keeper: Keeper,
-    place: Place,
-    found: Found,
-    path: PathBuf,
-}
-
 /// A list file.
 struct ListFile {
     path: PathBuf,
@@ -161,40 +154,18 @@
 impl ListFile {
     /// A file that is looked at from now on.
     fn new(path: PathBuf, kept: Option<PathBuf>, refused: Arc<AtomicU64>) -> Self {
-        Self { path, kept: kept.and_then(open), last: None, refused }
+        let kept = kept.map(|file| Kept::open(file, "worker list", KEPT_WAIT));
+        Self { path, kept, last: None, refused }
     }
 
     /// The list of the last life, where one was kept, is sound and young enough to be believed.
     fn restored(&mut self, now_ms: u64) -> Option<News> {
-        let kept = self.kept.as_ref()?;
-        let file = kept.path.display();
-        let payload = match &kept.found {
-            Found::Sound(record) => &record.payload,
-            Found::Older { record, flaw } => {
-                warn!(%file, %flaw, "the kept worker list is damaged: the one before it is looked at");
-                &record.payload
-            }
-            Found::Unsealed(bytes) => bytes,
-            Found::Damaged(flaw) => {
-                warn!(%file, %flaw, "the kept worker list is damaged and is not used");
-                return None;
-            }
-            Found::Absent => return None,
-        };
-        let text = String::from_utf8_lossy(payload);
-        let at = text.lines().next().and_then(|l| l.strip_prefix(AT)).and_then(|at| at.trim().parse().ok());
-        let held = Held { word: kept.found.word(), at_ms: at };
-        if let Verdict::Not(why) = trust::judge(Thing::WorkerList, &held, now_ms) {
-            warn!(%file, %why, "the kept worker list is not believed");
-            return None;
-        }
-        match workers::read(&file.to_string(), &text) {
-            Ok(workers) => {
-                info!(workers = workers.len(), word = kept.found.word(), "worker list as it was kept");
-                Some(News { form: ListForm::Restored, workers })
-            }
+        let kept = self.kept.as_mut()?;
+        let payload = kept.take(Thing::WorkerList, now_ms, kept_at)?;
+        match workers::read("the kept list", &String::from_utf8_lossy(&payload)) {
+            Ok(workers) => Some(News { form: ListForm::Restored, workers }),
             Err(errors) => {
-                warn!(%errors, "the kept worker list is damaged and is not used");
+                kept.unusable(&errors);
                 None
             }
         }
@@ -240,33 +211,14 @@
     fn keep(&self, workers: &[Worker]) {
         let Some(kept) = &self.kept else { return };
         let text = format!("{AT}{}\n{}", clock::wall() / 1000, workers::write(workers));
-        kept.keeper.put(kept.place, text.into_bytes());
+        kept.put(text.into_bytes());
     }
 }
 
-fn open(path: PathBuf) -> Option<Kept> {
-    let file = path.clone();
-    let told = move |_, result: io::Result<u64>| {
-        if let Err(error) = result {
-            warn!(file = %file.display(), %error, "the worker list can't be kept");
-        }
-    };
-    let opened = Keeper::start(Folder, std::slice::from_ref(&path), told)
-        .and_then(|keeper| keeper.found(KEPT_WAIT).map(|found| (keeper, found)));
-    match opened {
-        Ok((keeper, found)) => {
-            if found.is_none() {
-                warn!(file = %path.display(), "the kept worker list can't be read in time and is not used");
-            }
-            let place = keeper.place(0);
-            let found = found.and_then(|mut found| found.pop()).unwrap_or(Found::Absent);
-            Some(Kept { keeper, place, found, path })
-        }
-        Err(error) => {
-            warn!(file = %path.display(), %error, "the worker list can't be kept");
-            None
-        }
-    }
+/// When a kept list was kept.
+fn kept_at(payload: &[u8]) -> Option<u64> {
+    let line = payload.split(|&b| b == b'\n').next()?;
+    std::str::from_utf8(line).ok()?.strip_prefix(AT)?.trim().parse().ok()
 }
 
 /// The list as the engine wants it. A worker without its state told twice alike is in the list once.
@@ -291,6 +243,8 @@
 mod tests {
     use std::path::Path;
 
+    use nettleferry_fleet::trust;
+
     use super::*;
 
     fn file(path: &Path, kept: &Path) -> ListFile {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -12,7 +12,9 @@
 mod admin;
 mod commands;
 mod controller;
+mod endpoint;
 mod front;
+mod kept;
 mod links;
 mod list;
 mod logs;
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -3,15 +3,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 
 use nettleferry::{LoadNote, Micros, Outcome, WorkerState};
 use nettleferry_config::Config;
 use nettleferry_engine::{EndKind, Engine, Note};
 use nettleferry_figures::{End, Figures, Slots};
 use nettleferry_net::NetCounters;
-use nettleferry_net::http1::{Http1, Http1Limits, Reply, Request, Stop};
+use nettleferry_net::http1::{Reply, Request};
 
+use crate::endpoint::Endpoint;
 use crate::front::FrontCounters;
 
 /// Names of limits whose hits are counted, in the order in which [`Observer::limits`] gives them.
@@ -158,35 +158,9 @@
     }
 }
 
-/// The scrape endpoint's thread; it ends when this is dropped.
-pub struct Scrape {
-    /// Where it listens.
-    pub local: SocketAddr,
-    stop: Stop,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Scrape {
-    /// Serves figures at `/metrics`.
-    pub fn start(address: SocketAddr, figures: Arc<Figures>) -> io::Result<Self> {
-        let mut server = Http1::bind(address, Http1Limits { body_bytes: 0, ..Http1Limits::default() })?;
-        let (local, stop) = (server.local()?, server.stop());
-        let thread = std::thread::Builder::new().name("scrape".to_owned()).spawn(move || {
-            if let Err(error) = server.run(|request| reply(request, &figures)) {
-                tracing::warn!(%error, "the scrape endpoint has ended");
-            }
-        })?;
-        Ok(Self { local, stop, thread: Some(thread) })
-    }
-}
-
-impl Drop for Scrape {
-    fn drop(&mut self) {
-        self.stop.stop();
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
+/// Serves figures at `/metrics`.
+pub fn scrape(address: SocketAddr, figures: Arc<Figures>) -> io::Result<Endpoint> {
+    Endpoint::start(address, 0, "scrape", move |request| reply(request, &figures))
 }
 
 /// Content type of the OpenMetrics text format, version 1.0.0.
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -95,7 +95,31 @@
         (0..2).map(|n| self.follower(self.dir(), n)).collect()
     }
 
-    /// The folder of one that was killed, without what is named.
+    /// An administration with peers, its followers, and these tenants in force everywhere and kept.
+    fn begun(&self, tenants: &[Value]) -> (Desk, Vec<Program>) {
+        let desk = self.administration(self.dir(), true);
+        let followers = self.followers();
+        eventually("nobody holds any book: the first may be made", || step(&self.http()).0 == "serving");
+        tenants.iter().for_each(|tenant| desk.create(tenant.clone()));
+        let last = tenants.last().and_then(|t| t["name"].as_str()).expect("a tenant with a name");
+        for program in &followers {
+            eventually("it follows", || takes(program, last) == Code::Ok);
+            kept(program, tenants.len() as u64);
+        }
+        (desk, followers)
+    }
+
+    /// Followers that lost power and have what they kept.
+    fn lost_power(&self, followers: Vec<Program>) -> Vec<tempfile::TempDir> {
+        followers.into_iter().map(|p| self.again(p, &["kept.json"])).collect()
+    }
+
+    /// And are back.
+    fn back(&self, dirs: Vec<tempfile::TempDir>) -> Vec<Program> {
+        dirs.into_iter().enumerate().map(|(n, dir)| self.follower(dir, n)).collect()
+    }
+
+    /// The folder of one that was killed, with what is named.
     fn again(&self, program: Program, files: &[&str]) -> tempfile::TempDir {
         program.signal("KILL");
         let dir = self.dir();
@@ -171,19 +195,11 @@
 #[test]
 fn one_bad_disk_does_not_empty_the_fleet_and_the_fleet_makes_it_good() {
     let rig = Rig::new("127.0.7.1");
-    let desk = rig.administration(rig.dir(), true);
-    let followers = rig.followers();
-    eventually("nobody holds any book: the first may be made", || step(&rig.http()).0 == "serving");
-    desk.create(json!({"name": "kalahari"}));
-    desk.create(json!({"name": "morava"}));
-    for program in &followers {
-        eventually("it follows", || takes(program, "morava") == Code::Ok);
-        kept(program, 2);
-    }
+    let (desk, followers) = rig.begun(&[json!({"name": "kalahari"}), json!({"name": "morava"})]);
     // Power is lost everywhere; the store and its snapshot are spoilt.
     let dir = rig.again(desk.program, &[]);
     std::fs::write(dir.path().join("tenants.redb"), vec![7; 20_000]).expect("written");
-    let dirs: Vec<_> = followers.into_iter().map(|p| rig.again(p, &["kept.json"])).collect();
+    let dirs = rig.lost_power(followers);
     let desk = rig.administration(dir, true);
     assert_eq!(step(&desk), (json!("waiting"), json!("damaged")));
     let refused = desk.ask("POST", "/v1/tenants", "", "{\"name\":\"new\"}");
@@ -195,7 +211,7 @@
         code(&mut Caller::new(desk.program.address), Some("kalahari"), "echo").0,
         Code::ResourceExhausted
     );
-    let followers: Vec<Program> = dirs.into_iter().enumerate().map(|(n, dir)| rig.follower(dir, n)).collect();
+    let followers = rig.back(dirs);
     for program in &followers {
         assert_eq!(takes(program, "kalahari"), Code::Ok, "from the first call on");
     }
@@ -216,13 +232,7 @@
 #[test]
 fn a_store_that_comes_back_older_undoes_no_acknowledged_change() {
     let rig = Rig::new("127.0.7.2");
-    let desk = rig.administration(rig.dir(), true);
-    let followers = rig.followers();
-    eventually("it serves", || step(&rig.http()).0 == "serving");
-    desk.create(json!({"name": "kalahari"}));
-    for program in &followers {
-        eventually("it follows", || takes(program, "kalahari") == Code::Ok);
-    }
+    let (desk, followers) = rig.begun(&[json!({"name": "kalahari"})]);
     // The disk as it was before the suspension: taken from a store at rest.
     let older = rig.again(desk.program, &["tenants.redb"]);
     let now = rig.dir();
@@ -235,9 +245,9 @@
     }
     desk.program.signal("KILL");
     drop(desk);
-    let dirs: Vec<_> = followers.into_iter().map(|p| rig.again(p, &["kept.json"])).collect();
+    let dirs = rig.lost_power(followers);
     let desk = rig.administration(older, true);
-    let followers: Vec<Program> = dirs.into_iter().enumerate().map(|(n, dir)| rig.follower(dir, n)).collect();
+    let followers = rig.back(dirs);
     eventually("the administration has what its followers hold", || {
         assert!(
             followers.iter().all(|p| takes(p, "kalahari") == Code::PermissionDenied),
@@ -295,24 +305,17 @@
 #[test]
 fn two_books_of_one_revision_are_left_to_an_operator() {
     let rig = Rig::new("127.0.7.4");
-    let desk = rig.administration(rig.dir(), true);
-    let followers = rig.followers();
-    eventually("it serves", || step(&rig.http()).0 == "serving");
-    desk.create(json!({"name": "kalahari"}));
-    desk.create(json!({"name": "morava", "note": "as it was"}));
-    for program in &followers {
-        eventually("it follows", || takes(program, "morava") == Code::Ok);
-        kept(program, 2);
-    }
+    let (desk, followers) =
+        rig.begun(&[json!({"name": "kalahari"}), json!({"name": "morava", "note": "as it was"})]);
     let dir = rig.again(desk.program, &[]);
-    let dirs: Vec<_> = followers.into_iter().map(|p| rig.again(p, &["kept.json"])).collect();
+    let dirs = rig.lost_power(followers);
     // One of them is forged: its text was changed, and its seal taken off as an earlier version would leave it.
     let file = dirs[1].path().join("kept.json");
     let text = std::fs::read_to_string(&file).expect("text");
     let (_, json) = text.split_once('\n').expect("a head");
     std::fs::write(&file, json.replace("as it was", "as forged")).expect("written");
     let desk = rig.administration(dir, true);
-    let followers: Vec<Program> = dirs.into_iter().enumerate().map(|(n, dir)| rig.follower(dir, n)).collect();
+    let followers = rig.back(dirs);
     eventually("it is open which book stands", || step(&desk) == (json!("waiting"), json!("disagreed")));
     assert!(followers.iter().all(|p| takes(p, "kalahari") == Code::Ok), "both go on with what they hold");
     let run = |words: &[&str]| {
--- a/crates/keep/src/keeper.rs
+++ b/crates/keep/src/keeper.rs
@@ -1,9 +1,8 @@
-//! The thread that keeps for those who may not wait for a disk. Only the newest version of a place matters: what
-//! is put while an older one waits takes its place, so that the queue holds one record a place at the most.
+//! The thread that keeps for those who may not wait for a disk. Only the newest version matters: what is put while
+//! an older one waits takes its place, so that one record waits at the most.
 
-use std::collections::BTreeMap;
 use std::io;
-use std::path::PathBuf;
+use std::path::Path;
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
@@ -12,13 +11,6 @@
 use crate::files::Files;
 use crate::keep::{Found, Keep};
 
-/// Most places of one keeper.
-pub const MOST_PLACES: usize = 64;
-
-/// A place of a keeper.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Place(usize);
-
 /// What came of what was put.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -26,7 +18,7 @@
     pub put: u64,
     /// Written and durable.
     pub written: u64,
-    /// Never written, as a newer one of its place came first.
+    /// Never written, as a newer one came first.
     pub passed_over: u64,
     /// The disk refused them.
     pub failed: u64,
@@ -34,7 +26,7 @@
 
 #[derive(Default)]
 struct Queue {
-    waiting: BTreeMap<Place, Vec<u8>>,
+    waiting: Option<Vec<u8>>,
     busy: bool,
     ended: bool,
     counters: Counters,
@@ -59,36 +51,34 @@
 /// The thread.
 pub struct Keeper {
     shared: Arc<Shared>,
-    found: Receiver<io::Result<Vec<Found>>>,
+    found: Receiver<io::Result<Found>>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Keeper {
-    /// Starts the thread, which opens the places. `told` hears, on the keeper's thread, what became of each write.
+    /// Starts the thread, which opens the place. `told` hears, on the keeper's thread, what became of each write.
     pub fn start<F: Files + 'static>(
         mut files: F,
-        paths: &[PathBuf],
-        told: impl Fn(Place, io::Result<u64>) + Send + 'static,
+        path: &Path,
+        told: impl Fn(io::Result<u64>) + Send + 'static,
     ) -> io::Result<Self> {
-        if paths.len() > MOST_PLACES {
-            return Err(io::Error::other(format!("{} places, and {MOST_PLACES} are the most", paths.len())));
-        }
         let shared = Arc::new(Shared::default());
-        let (ours, paths) = (Arc::clone(&shared), paths.to_vec());
+        let (ours, path) = (Arc::clone(&shared), path.to_owned());
         let (finding, found) = channel();
         let work = move || {
-            let opened: io::Result<Vec<_>> = paths.iter().map(|path| Keep::open(&files, path)).collect();
-            let (mut keeps, held) = match opened {
-                Ok(all) => all.into_iter().unzip::<_, _, Vec<_>, Vec<_>>(),
+            // Whoever did not wait for what was found wants it no more.
+            let mut keep = match Keep::open(&files, &path) {
+                Ok((keep, held)) => {
+                    let _ = finding.send(Ok(held));
+                    Some(keep)
+                }
                 Err(error) => {
                     let _ = finding.send(Err(error));
-                    (Vec::new(), Vec::new())
+                    None
                 }
             };
-            // Whoever did not wait for it wants it no more.
-            let _ = finding.send(Ok(held));
-            while let Some((place, payload)) = next(&ours) {
-                let result = match keeps.get_mut(place.0) {
+            while let Some(payload) = next(&ours) {
+                let result = match &mut keep {
                     Some(keep) => keep.write(&mut files, &payload),
                     None => Err(io::Error::other("the place could not be opened")),
                 };
@@ -99,31 +89,26 @@
                         Err(_) => counted.failed += 1,
                     }
                 }
-                told(place, result);
+                told(result);
             }
         };
         let thread = std::thread::Builder::new().name("keeper".to_owned()).spawn(work)?;
         Ok(Self { shared, found, thread: Some(thread) })
     }
 
-    /// What each place held at the start, in the order told. Waits so long for the disk: `Ok(None)`.
-    pub fn found(&self, most: Duration) -> io::Result<Option<Vec<Found>>> {
+    /// What the place held at the start. Waits so long for the disk: `Ok(None)`.
+    pub fn found(&self, most: Duration) -> io::Result<Option<Found>> {
         match self.found.recv_timeout(most) {
             Ok(found) => found.map(Some),
             Err(_) => Ok(None),
         }
     }
 
-    /// The place of the path at this index.
-    pub fn place(&self, index: usize) -> Place {
-        Place(index)
-    }
-
     /// Keeps these bytes, in time. Never waits for a disk.
-    pub fn put(&self, place: Place, payload: Vec<u8>) {
+    pub fn put(&self, payload: Vec<u8>) {
         let mut queue = self.shared.lock();
         queue.counters.put += 1;
-        if queue.waiting.insert(place, payload).is_some() {
+        if queue.waiting.replace(payload).is_some() {
             queue.counters.passed_over += 1;
         }
         drop(queue);
@@ -139,7 +124,7 @@
     pub fn settle(&self, most: Duration) -> bool {
         let until = Instant::now() + most;
         let mut queue = self.shared.lock();
-        while queue.busy || !queue.waiting.is_empty() {
+        while queue.busy || queue.waiting.is_some() {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return false;
@@ -165,13 +150,13 @@
 }
 
 /// What is to be written next; `None`: the end.
-fn next(shared: &Shared) -> Option<(Place, Vec<u8>)> {
+fn next(shared: &Shared) -> Option<Vec<u8>> {
     let mut queue = shared.lock();
     queue.busy = false;
     loop {
-        if let Some(first) = queue.waiting.pop_first() {
+        if let Some(newest) = queue.waiting.take() {
             queue.busy = true;
-            return Some(first);
+            return Some(newest);
         }
         shared.rest.notify_all();
         if queue.ended {
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -11,6 +11,6 @@
 
 pub use files::{Files, Folder};
 pub use keep::{Found, Keep};
-pub use keeper::{Counters, Keeper, MOST_PLACES, Place};
+pub use keeper::{Counters, Keeper};
 pub use memory::{Loss, Memory};
 pub use record::{Flaw, MOST_BYTES, Record, seal, unseal};
--- a/crates/keep/tests/keeper.rs
+++ b/crates/keep/tests/keeper.rs
@@ -1,7 +1,7 @@
 //! A disk that stands still holds up nobody, and only the newest version is written when it moves again.
 
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
@@ -39,17 +39,16 @@
     let ((began, begins), (go, gone)) = (channel(), channel());
     let (tell, told) = channel();
     let still = Still { disk: Memory::default(), began, go: gone };
-    let keeper = Keeper::start(still, &[PathBuf::from("kept")], move |_, result| {
+    let keeper = Keeper::start(still, Path::new("kept"), move |result| {
         let _ = tell.send(result.ok());
     })
     .expect("started");
     let found = keeper.found(PATIENCE).expect("readable").expect("in time");
-    assert_eq!(found, [Found::Absent]);
-    let place = keeper.place(0);
-    keeper.put(place, b"0".to_vec());
+    assert_eq!(found, Found::Absent);
+    keeper.put(b"0".to_vec());
     begins.recv_timeout(PATIENCE).expect("the first write has begun and stands");
     for n in 1..=1000 {
-        keeper.put(place, format!("{n}").into_bytes());
+        keeper.put(format!("{n}").into_bytes());
     }
     assert!(!keeper.settle(Duration::ZERO));
     assert_eq!(keeper.counters().passed_over, 999);
