--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -95,8 +95,14 @@
     fn drain(&mut self, worker: &str, drained: bool) -> bool;
     /// Controllers.
     fn controllers(&self) -> Vec<Running>;
-    /// A controller that follows has told which book it holds: it runs that one.
-    fn follows(&mut self, controller: u32, holds: Holds);
+    /// A controller that follows has told which book it holds. Error: it was shut out.
+    fn follows(&mut self, controller: u32, holds: Holds) -> Result<(), Problem>;
+    /// It is answered now with all that holds: how long it may act on that, in milliseconds; `None`: no lease.
+    fn lease(&mut self, controller: u32, life: u64) -> Option<u64>;
+    /// Shuts out the lives of a controller that are known, or lets them in again.
+    fn fence(&mut self, controller: u32, out: bool) -> Value;
+    /// How far a change is: who holds it, who may still act without it.
+    fn progress(&self, revision: Revision) -> Value;
     /// May the book be given and changed? Else why not, for people.
     fn serving(&self) -> Result<(), String>;
     /// What the fleet is known to run and hold.
@@ -116,6 +122,16 @@
     pub revision: Revision,
     /// The book's checksum.
     pub sum: u32,
+    /// The controller's life: chosen by chance at its start; 0: an earlier version, which tells none.
+    pub life: u64,
+    /// Of that store and epoch: the revision that the thread of its calls acts on.
+    pub in_force: Revision,
+    /// The revision that is synced to its disk.
+    pub kept: Revision,
+    /// It takes no call without a lease.
+    pub ends: bool,
+    /// It has heard that it is shut out, and takes no call any more.
+    pub ended: bool,
 }
 
 /// The API over a book.
@@ -135,6 +151,14 @@
     Ok(Response { status, kind: "application/json", headers: Vec::new(), body })
 }
 
+fn now_told(status: u16, body: &impl Serialize) -> Result<Answer, Problem> {
+    told(status, body).map(Answer::Now)
+}
+
+fn now_tenant(status: u16, of: &Tenant) -> Result<Answer, Problem> {
+    tenant(status, of).map(Answer::Now)
+}
+
 fn tenant(status: u16, tenant: &Tenant) -> Told {
     let mut response = told(status, tenant)?;
     response.headers.push(("ETag", format!("\"{}\"", tenant.revision)));
@@ -267,7 +291,7 @@
             if route.operation == Operation::Watch {
                 return self.watch(&query, live, waited);
             }
-            self.operate(route, name, &query, request, caller, live, now).map(Answer::Now)
+            self.operate(route, name, &query, request, caller, live, now)
         });
         answer.unwrap_or_else(|problem| Answer::Now(problem.response()))
     }
@@ -282,7 +306,7 @@
         caller: &Caller,
         live: &mut impl Live,
         now: Millis,
-    ) -> Told {
+    ) -> Result<Answer, Problem> {
         let known = |book: &Book| -> Result<Tenant, Problem> {
             book.get(name).cloned().ok_or_else(|| Denied::Unknown(name.to_owned()).into())
         };
@@ -292,24 +316,27 @@
             Operation::ListTenants => {
                 let all = self.book.page(query.text("after").unwrap_or(""), query.rows()?);
                 let next = next(&all, query.rows()?, |t| t.name.clone());
-                return told(200, &json!({ "tenants": all, "next": next, "revision": self.book.revision() }));
+                return now_told(
+                    200,
+                    &json!({ "tenants": all, "next": next, "revision": self.book.revision() }),
+                );
             }
-            Operation::ReadTenant => return tenant(200, &known(&self.book)?),
-            Operation::ReadUsage => return told(200, &live.usage(&known(&self.book)?)),
+            Operation::ReadTenant => return now_tenant(200, &known(&self.book)?),
+            Operation::ReadUsage => return now_told(200, &live.usage(&known(&self.book)?)),
             Operation::ListUsage => {
                 let page = self.book.page(query.text("after").unwrap_or(""), query.rows()?);
                 let next = next(&page, query.rows()?, |t| t.name.clone());
                 let all: Vec<Usage> = page.into_iter().map(|t| live.usage(t)).collect();
-                return told(200, &json!({ "usage": all, "next": next }));
+                return now_told(200, &json!({ "usage": all, "next": next }));
             }
             Operation::ListAudit => {
                 let after = query.number("after", 0, u64::MAX, 0)?;
                 let rows = query.rows()?;
                 let all = self.keep.audit(after, rows, query.text("tenant")).map_err(internal)?;
                 let next = next(&all, rows, |e| e.revision);
-                return told(200, &json!({ "entries": all, "next": next }));
+                return now_told(200, &json!({ "entries": all, "next": next }));
             }
-            Operation::ListWorkers => return told(200, &json!({ "workers": live.workers() })),
+            Operation::ListWorkers => return now_told(200, &json!({ "workers": live.workers() })),
             Operation::DrainWorker | Operation::UndrainWorker => {
                 let drained = route.operation == Operation::DrainWorker;
                 let gone = || Problem::new(404, "unknown-worker", format!("there is no worker {}", name()));
@@ -317,25 +344,37 @@
                     return Err(gone());
                 }
                 let worker = live.workers().into_iter().find(|w| w.name == name()).ok_or_else(gone)?;
-                return told(200, &Worker { drained, ..worker });
+                return now_told(200, &Worker { drained, ..worker });
             }
             Operation::ListControllers => {
                 let revision = self.book.revision();
-                return told(200, &json!({ "controllers": live.controllers(), "revision": revision }));
+                return now_told(200, &json!({ "controllers": live.controllers(), "revision": revision }));
             }
             Operation::ReadSnapshot => {
-                follows(query, live)?;
+                let who = follows(query, live)?;
                 serving(live)?;
                 let (store, epoch) = &self.store;
                 let sum = self.book.sum();
-                return told(200, &json!({ "store": store, "epoch": epoch, "sum": sum, "book": self.book }));
+                let lease_ms = who.and_then(|(number, life)| live.lease(number, life));
+                let body = json!({ "store": store, "epoch": epoch, "sum": sum, "book": self.book, "lease_ms": lease_ms });
+                return now_told(200, &body);
             }
-            Operation::ReadFleet => return told(200, &live.fleet()),
+            Operation::ReadFleet => return now_told(200, &live.fleet()),
             Operation::Recover => {
                 let take = query.text("take").unwrap_or("");
-                return told(200, &live.recover(&self.book, take, query.dry_run()?)?);
+                return now_told(200, &live.recover(&self.book, take, query.dry_run()?)?);
             }
-            Operation::ReadDocument => return told(200, &openapi::document()),
+            Operation::Fence | Operation::Admit => {
+                let number = query.number("controller", 0, u64::from(u32::MAX), u64::MAX)?;
+                let number = u32::try_from(number)
+                    .map_err(|_| Problem::field("controller", "the number of the controller"))?;
+                return now_told(200, &live.fence(number, route.operation == Operation::Fence));
+            }
+            Operation::ReadChange => {
+                let revision = query.number("revision", 0, u64::MAX, self.book.revision())?;
+                return now_told(200, &live.progress(revision));
+            }
+            Operation::ReadDocument => return now_told(200, &openapi::document()),
             Operation::Watch => return Err(internal("a watch is answered elsewhere".to_owned())),
             Operation::CreateTenant => {
                 let (name, spec) = new_tenant(request)?;
@@ -371,7 +410,7 @@
         caller: &Caller,
         now: Millis,
         dry_run: bool,
-    ) -> Told {
+    ) -> Result<Answer, Problem> {
         let key = match request.once.filter(|_| route.operation == Operation::CreateTenant && !dry_run) {
             Some(key) if key.is_empty() || key.len() > MOST_KEY => {
                 return Err(Problem::field("Idempotency-Key", format!("1 to {MOST_KEY} bytes")));
@@ -396,20 +435,20 @@
                 ("ETag", format!("\"{}\"", before.revision)),
                 ("Idempotency-Replayed", "true".to_owned()),
             ];
-            return Ok(Response {
-                status: before.status,
-                kind: "application/json",
-                headers,
-                body: before.body,
-            });
+            let response =
+                Response { status: before.status, kind: "application/json", headers, body: before.body };
+            return Ok(Answer::Changed { response, revision: before.revision, binds: true });
         }
         let Applied { tenant: after, entry } = self.book.judge(change, condition, &caller.name, now)?;
         let after = after.ok_or_else(|| internal("a change left no tenant".to_owned()))?;
         let response = tenant(route.status, &after)?;
         if dry_run {
-            return Ok(Response { status: 200, ..response });
+            return Ok(Answer::Now(Response { status: 200, ..response }));
         }
-        let Some(entry) = entry else { return Ok(response) };
+        // What was asked for was so already: it counts when it is so everywhere.
+        let Some(entry) = entry else {
+            return Ok(Answer::Changed { response, revision: after.revision, binds: true });
+        };
         let once = key.as_ref().map(|key| {
             let (status, body, revision) = (response.status, response.body.clone(), after.revision);
             (key.as_str(), Once { fingerprint, status, revision, body, at_ms: now })
@@ -419,14 +458,14 @@
             Problem::new(503, "not-kept", format!("the change was not kept, and has not happened: {what}"))
         })?;
         self.book.take(&entry).map_err(|gap| internal(gap.to_string()))?;
-        Ok(response)
+        Ok(Answer::Changed { response, revision: entry.revision, binds: entry.binds() })
     }
 
     fn watch(&self, query: &Query, live: &mut impl Live, waited: Duration) -> Result<Answer, Problem> {
         let after = query.number("after", 0, u64::MAX, 0)?;
         let rows = query.rows()?;
         let wait = Duration::from_millis(query.number("wait_ms", 0, MOST_WAIT, 0)?);
-        follows(query, live)?;
+        let who = follows(query, live)?;
         serving(live)?;
         let epoch = query.number("epoch", 0, u64::MAX, self.store.1)?;
         if query.text("store").is_some_and(|store| store != self.store.0) || epoch != self.store.1 {
@@ -445,24 +484,37 @@
             return Err(Problem::new(410, "too-old", "changes so old are not kept: take the snapshot"));
         }
         let next = next(&all, rows, |e| e.revision);
-        told(200, &json!({ "entries": all, "next": next })).map(Answer::Now)
+        // Who has not all of it yet may act on none of it.
+        let whole = all.last().map_or(after, |entry| entry.revision) == self.book.revision();
+        let lease_ms = who.filter(|_| whole).and_then(|(number, life)| live.lease(number, life));
+        now_told(200, &json!({ "entries": all, "next": next, "lease_ms": lease_ms }))
     }
 }
 
-/// A controller that asks tells which book it holds.
-fn follows(query: &Query, live: &mut impl Live) -> Result<(), Problem> {
+/// A controller that asks tells which book it holds; its number and life.
+fn follows(query: &Query, live: &mut impl Live) -> Result<Option<(u32, u64)>, Problem> {
     if query.text("controller").is_none() {
-        return Ok(());
+        return Ok(None);
     }
     let number = query.number("controller", 0, u64::from(u32::MAX), 0)?;
+    let number = u32::try_from(number).unwrap_or(u32::MAX);
+    let revision = query.number("after", 0, u64::MAX, 0)?;
+    let life = query.number("life", 0, u64::MAX, 0)?;
+    // Earlier versions tell no life, and what they hold is what they act on.
+    let same = if life == 0 { revision } else { 0 };
     let holds = Holds {
         store: query.text("store").unwrap_or("").to_owned(),
         epoch: query.number("epoch", 0, u64::MAX, 0)?,
-        revision: query.number("after", 0, u64::MAX, 0)?,
+        revision,
         sum: query.number("sum", 0, u64::from(u32::MAX), 0)? as u32,
+        life,
+        in_force: query.number("in_force", 0, u64::MAX, same)?,
+        kept: query.number("kept", 0, u64::MAX, 0)?,
+        ends: query.number("ends", 0, 1, 0)? == 1,
+        ended: query.number("ended", 0, 1, 0)? == 1,
     };
-    live.follows(u32::try_from(number).unwrap_or(u32::MAX), holds);
-    Ok(())
+    live.follows(number, holds)?;
+    Ok(Some((number, life)))
 }
 
 /// Neither books nor changes while it is open which book stands.
--- a/crates/admin/src/message.rs
+++ b/crates/admin/src/message.rs
@@ -48,6 +48,15 @@
 pub enum Answer {
     /// This.
     Now(Response),
+    /// This, once the change of this revision is held and, where it binds, in force as far as is wanted. It was made.
+    Changed {
+        /// The answer.
+        response: Response,
+        /// The change.
+        revision: u64,
+        /// It takes something away: it counts when nobody acts on what was before.
+        binds: bool,
+    },
     /// Nothing to tell yet: ask again when the book has changed, and answer after this span all the same.
     Later(Duration),
 }
--- a/crates/admin/src/openapi.rs
+++ b/crates/admin/src/openapi.rs
@@ -111,6 +111,7 @@
         "ControllerPage": { "type": "object", "required": ["controllers"], "properties": { "controllers": list("Controller"), "revision": whole("the book's") } },
         "Snapshot": { "type": "object", "required": ["store", "epoch", "sum", "book"], "properties": {
             "store": text("the store's own name, kept by its restores"), "epoch": whole("raised by each restore"), "sum": whole("the book's CRC-32"),
+            "lease_ms": { "type": ["integer", "null"], "description": "a controller that asked may act on it for so long" },
             "book": { "type": "object", "required": ["revision", "tenants"], "properties": { "revision": whole("the last"), "tenants": { "type": "object", "additionalProperties": of("Tenant") } } },
         } },
         "Fleet": { "type": "object", "required": ["controller", "step", "controllers"], "properties": {
@@ -123,6 +124,13 @@
             "take": text("own, or a controller's number"), "done": { "type": "boolean", "description": "false: it was shown, and nothing was done" },
             "others": { "type": "array", "items": { "type": "object" }, "description": "by controller, what its book holds otherwise" },
         } },
+        "Fence": object(&["controller", "lives"], json!({ "controller": whole("its number"), "lives": whole("of it that are shut out, or let in again") })),
+        "Progress": { "type": "object", "required": ["revision", "held", "wanted", "everywhere", "waits"], "properties": {
+            "revision": whole("the change"), "held": whole("disks of others that hold it"), "wanted": whole("how many are wanted, of those that are there"),
+            "everywhere": { "type": "boolean", "description": "nobody acts without it" },
+            "within_ms": { "type": ["integer", "null"], "description": "it is in force everywhere within this span; null: there is no bound, as one goes on without a lease" },
+            "waits": { "type": "array", "items": { "type": "object" }, "description": "who may still act without it, and for how long at the most" },
+        } },
         "Document": { "type": "object" },
         "Problem": { "type": "object", "required": ["type", "title", "status", "detail"], "properties": {
             "type": text("/problems/ and a word for the kind"), "title": text("for people"), "status": whole("the HTTP status"),
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -51,6 +51,9 @@
     ReadSnapshot,
     ReadFleet,
     Recover,
+    Fence,
+    Admit,
+    ReadChange,
     ReadDocument,
 }
 
@@ -91,7 +94,19 @@
     ("epoch", "of that store"),
     ("after", "the revision of that book"),
     ("sum", "its checksum"),
+    LIFE,
+    IN_FORCE,
+    KEPT,
+    ENDS,
+    ENDED,
 ];
+const LIFE: (&str, &str) =
+    ("life", "the controller's life, chosen by chance at its start; 0 or not told: an earlier version");
+const IN_FORCE: (&str, &str) = ("in_force", "the revision that the thread of its calls acts on");
+const KEPT: (&str, &str) = ("kept", "the revision that is synced to its disk");
+const ENDS: (&str, &str) = ("ends", "1: it takes no call without a lease");
+const ENDED: (&str, &str) = ("ended", "1: it has heard that it is shut out, and takes no call any more");
+const NUMBER: (&str, &str) = ("controller", "the number of the controller");
 const DRY: (&str, &str) = ("dry_run", "true: the answer as it would be; nothing is changed");
 
 macro_rules! route {
@@ -119,10 +134,13 @@
     route!("POST" "/v1/workers/{name}/drain" Operator DrainWorker "drainWorker" "Nothing new to it from this controller, whatever the list says", 200 "Worker"),
     route!("POST" "/v1/workers/{name}/undrain" Operator UndrainWorker "undrainWorker" "What the list says of it holds again", 200 "Worker"),
     route!("GET" "/v1/controllers" Viewer ListControllers "listControllers" "Which revision each controller runs", 200 "ControllerPage"),
-    route!("GET" "/v1/watch" Controller Watch "watch" "Changes after a revision; waits for one (long poll)", 200 "AuditPage", query: &[("after", "changes after this revision"), ("limit", "at most so many, 1 to 1000"), ("wait_ms", "wait so long for the first, 0 to 60000"), ("store", "the store that the revision is of; 410 where this is another"), ("epoch", "the store's epoch; 410 where this is another"), ("sum", "the checksum of the book that it holds"), ("controller", "its number, where a controller asks: it runs the revision it asks after")]),
+    route!("GET" "/v1/watch" Controller Watch "watch" "Changes after a revision; waits for one (long poll)", 200 "AuditPage", query: &[("after", "changes after this revision"), ("limit", "at most so many, 1 to 1000"), ("wait_ms", "wait so long for the first, 0 to 60000"), ("store", "the store that the revision is of; 410 where this is another"), ("epoch", "the store's epoch; 410 where this is another"), ("sum", "the checksum of the book that it holds"), ("controller", "its number, where a controller asks: it holds the revision it asks after"), LIFE, IN_FORCE, KEPT, ENDS, ENDED]),
     route!("GET" "/v1/snapshot" Controller ReadSnapshot "readSnapshot" "All tenants with their revision; 503 while it is open which book stands", 200 "Snapshot", query: HOLDS),
     route!("GET" "/v1/fleet" Viewer ReadFleet "readFleet" "Which book and step each controller is in, and why one waits", 200 "Fleet"),
     route!("POST" "/v1/fleet/recover" Admin Recover "recoverFleet" "Decide which book stands after a loss; shows the difference", 200 "Recovery", query: &[("take", "own, or the number of the controller whose book is to stand"), DRY]),
+    route!("POST" "/v1/fleet/fence" Operator Fence "fenceController" "Shut out the lives of a controller that are known: they get no lease", 200 "Fence", query: &[NUMBER]),
+    route!("POST" "/v1/fleet/admit" Operator Admit "admitController" "Let them in again, where they have not heard of it", 200 "Fence", query: &[NUMBER]),
+    route!("GET" "/v1/fleet/change" Viewer ReadChange "readChange" "How far a change is: how many disks hold it, who may still act without it", 200 "Progress", query: &[("revision", "the change; the last one where not told")]),
     route!("GET" "/v1/openapi.json" Viewer ReadDocument "readDocument" "This document", 200 "Document"),
 ];
 
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -40,6 +40,7 @@
     follows: Vec<(u32, Revision)>,
     /// Why it is open which book stands.
     open: Option<String>,
+    fenced: bool,
 }
 
 impl Live for Running1 {
@@ -67,8 +68,22 @@
         Vec::new()
     }
 
-    fn follows(&mut self, controller: u32, holds: Holds) {
+    fn follows(&mut self, controller: u32, holds: Holds) -> Result<(), Problem> {
         self.follows.push((controller, holds.revision));
+        if self.fenced { Err(Problem::new(403, "fenced", "it was shut out")) } else { Ok(()) }
+    }
+
+    fn lease(&mut self, controller: u32, life: u64) -> Option<u64> {
+        Some(u64::from(controller) * 1_000 + life)
+    }
+
+    fn fence(&mut self, controller: u32, out: bool) -> Value {
+        self.fenced = out;
+        json!({ "controller": controller, "lives": 1 })
+    }
+
+    fn progress(&self, revision: Revision) -> Value {
+        json!({ "revision": revision })
     }
 
     fn serving(&self) -> Result<(), String> {
@@ -106,7 +121,7 @@
 
     fn now(&mut self, request: Request<'_>) -> Response {
         match self.ask(request, Duration::ZERO) {
-            Answer::Now(response) => response,
+            Answer::Now(response) | Answer::Changed { response, .. } => response,
             Answer::Later(_) => panic!("it is to be answered now"),
         }
     }
@@ -391,3 +406,45 @@
         assert!(document["components"]["schemas"][name].is_object(), "{name}");
     }
 }
+
+#[test]
+fn a_lease_comes_with_all_that_holds_and_with_nothing_less() {
+    let mut side = Side::new();
+    for name in ["a", "b", "c"] {
+        side.create(json!({ "name": name }), None);
+    }
+    let lease = |told: (u16, Value)| (told.0, told.1["lease_ms"].clone());
+    assert_eq!(lease(side.get("/v1/watch?controller=3&life=9&after=0")), (200, json!(3_009)));
+    assert_eq!(
+        lease(side.get("/v1/watch?controller=3&life=9&after=0&limit=2")),
+        (200, Value::Null),
+        "one is missing"
+    );
+    assert_eq!(lease(side.get("/v1/watch?after=0")), (200, Value::Null), "nobody to hold it");
+    assert_eq!(lease(side.get("/v1/snapshot?controller=4&life=1")), (200, json!(4_001)));
+    assert_eq!(side.post("/v1/fleet/fence", None).0, 422, "which one is to be told");
+    assert_eq!(
+        side.post("/v1/fleet/fence?controller=3", None),
+        (200, json!({ "controller": 3, "lives": 1 }))
+    );
+    let (status, told) = side.get("/v1/watch?controller=3&life=9&after=0");
+    assert_eq!((status, &told["type"]), (403, &json!("/problems/fenced")));
+    side.post("/v1/fleet/admit?controller=3", None);
+    assert_eq!(side.get("/v1/watch?controller=3&life=9&after=3").0, 200);
+    assert_eq!(side.get("/v1/fleet/change").1["revision"], 3);
+}
+
+#[test]
+fn a_change_that_takes_something_away_is_told_to_bind() {
+    let mut side = Side::new();
+    side.create(json!({"name": "a"}), None);
+    let mut post = |target| match side
+        .ask(Request { method: "POST", target, if_match: Some("*"), ..Request::default() }, Duration::ZERO)
+    {
+        Answer::Changed { revision, binds, .. } => (revision, binds),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(post("/v1/tenants/a/suspend"), (2, true));
+    assert_eq!(post("/v1/tenants/a/suspend"), (2, true), "said again, it counts when the first does");
+    assert_eq!(post("/v1/tenants/a/resume"), (3, false));
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -102,6 +102,10 @@
         peers: Vec<SocketAddr>,
         /// File of the key to ask them with.
         peer_key: Option<PathBuf>,
+        /// Span of the leases that followers get; `None`: they get none.
+        lease: Option<Micros>,
+        /// Disks of others that are to hold a change before it is acknowledged, where there are so many.
+        held_by: usize,
     },
     /// Those of another controller's administration.
     Follow {
@@ -115,9 +119,20 @@
         window: Option<(SocketAddr, Vec<AdminKey>)>,
         /// Controllers that are asked for a book where none was kept and the administration is silent.
         peers: Vec<SocketAddr>,
+        /// What it does while it has no lease.
+        straggler: Straggler,
     },
 }
 
+/// What a controller does that does not know whether what it last heard still holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Straggler {
+    /// It refuses calls; else it goes on with what it last heard.
+    pub refuses: bool,
+    /// It is not ready once it had no lease for so long; `None`: that changes nothing.
+    pub leaves_after: Option<Micros>,
+}
+
 /// A key of the administration API.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdminKey {
@@ -592,12 +607,18 @@
                 form.fault("(listen ...) and (key NAME ROLE HASH) go together: who may have the book");
             }
             let window = listen.map(|listen| (listen, keys));
+            let words = [("serve", false), ("refuse", true)];
+            let straggler = Straggler {
+                refuses: form.word_or("without-lease", &words, false),
+                leaves_after: form.get::<TimeSpan>("leave-after").map(|span| span.0),
+            };
             let follow = |(k, f): (String, String)| Desk::Follow {
                 to,
                 key_file: k.into(),
                 kept: f.into(),
                 window,
                 peers,
+                straggler,
             };
             key_file.zip(kept).map(follow)
         }
@@ -608,6 +629,11 @@
     Some(Admin { desk: desk?, anonymous, places })
 }
 
+/// Span of a lease where not told, and its bounds.
+const LEASE: Micros = 6_000_000;
+const LEAST_LEASE: Micros = 200_000;
+const MOST_LEASE: Micros = 60_000_000;
+
 /// Most peers that one controller names: of a larger fleet a part is enough.
 const MOST_PEERS: usize = 64;
 
@@ -640,7 +666,17 @@
         );
     }
     let peer_key = peer_key.map(PathBuf::from);
-    Some(Desk::Own { listen: listen?, store: store?.into(), keys, peers, peer_key })
+    let lease = form.span_or("lease", LEASE);
+    if lease != 0 && !(LEAST_LEASE..=MOST_LEASE).contains(&lease) {
+        form.fault("(lease ...): 200ms to 60s, or 0s where followers get none");
+    }
+    let lease = Some(lease).filter(|span| *span > 0);
+    let held_by: u64 = form.or("held-by", 1);
+    if held_by > MOST_PEERS as u64 {
+        form.fault(format!("(held-by {held_by}): at most {MOST_PEERS}"));
+    }
+    let held_by = held_by as usize;
+    Some(Desk::Own { listen: listen?, store: store?.into(), keys, peers, peer_key, lease, held_by })
 }
 
 fn admin_keys(form: &mut Form) -> Vec<AdminKey> {
--- /dev/null
+++ b/crates/fleet/src/lease.rs
@@ -0,0 +1,231 @@
+//! A controller's lease: until when it may act on what it last heard, and what it does afterwards.
+//!
+//! The span is counted from the moment at which it *asked*, by its own clock and shortened by what two clocks may
+//! differ; the administration counts the same span from its *answer*, lengthened by as much (see [`crate::roll`]).
+//! So a holder's lease is over before the administration takes it for over, however long the answer was on its way,
+//! and whatever stalled in between: nothing is sent to a holder to end its lease.
+
+use crate::Millis;
+
+/// What a clock may gain or lose, in thousandths of a span: five in a thousand is fifty times a bad crystal.
+pub const CLOCK_ERROR_PER_MILLE: Millis = 5;
+/// Longest span of a lease; a new administration that does not know what an earlier one gave takes it for given.
+pub const MOST_SPAN: Millis = 60_000;
+/// Shortest: below it, the exchange itself would take a good part of it.
+pub const LEAST_SPAN: Millis = 200;
+/// A follower asks again after this part of a span, so that one lost exchange costs no lease.
+pub const ASKS_IN_A_SPAN: Millis = 4;
+
+/// What a clock of this fleet may have made of a span, at the most.
+pub fn error_of(span: Millis) -> Millis {
+    // Two clocks, each off its own way; rounded up, so that it is never too small.
+    (span * 2 * CLOCK_ERROR_PER_MILLE).div_ceil(1000)
+}
+
+/// When a lease of this span ends by the holder's clock, which read `asked` when the ask left.
+pub fn ends(asked: Millis, span: Millis) -> Millis {
+    let span = span.min(MOST_SPAN);
+    asked + span.saturating_sub(error_of(span))
+}
+
+/// What a controller does while it has no lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Terms {
+    /// It refuses calls; else it goes on with what it last heard, and no bound is promised of it.
+    pub refuses: bool,
+    /// It says that it is not ready once it had none for so long, so that front ends take it out.
+    pub leaves_after: Option<Millis>,
+}
+
+/// What it may do now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Stage {
+    /// It knows what holds, or its administration gives no leases.
+    Current,
+    /// It knows no more, and goes on with what it last heard.
+    GoesOn,
+    /// It takes no new calls, and says when to come back.
+    Refuses,
+    /// The same, and it is not ready.
+    Leaves,
+    /// It was shut out: this life takes no calls any more.
+    Fenced,
+}
+
+impl Stage {
+    /// A word for logs, figures and the API.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Current => "current",
+            Self::GoesOn => "goes-on",
+            Self::Refuses => "refuses",
+            Self::Leaves => "leaves",
+            Self::Fenced => "fenced",
+        }
+    }
+
+    /// Are new calls taken?
+    pub fn takes(self) -> bool {
+        matches!(self, Self::Current | Self::GoesOn)
+    }
+
+    /// Is it to be called by front ends?
+    pub fn ready(self) -> bool {
+        !matches!(self, Self::Leaves | Self::Fenced)
+    }
+}
+
+/// What was counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Leases had, renewals among them.
+    pub leases: u64,
+    /// Leases that ran out before the next one came.
+    pub lapses: u64,
+    /// Calls refused for want of one.
+    pub refused: u64,
+    /// Acts that were begun within a lease and done after its end: the process stood still in between.
+    pub doubtful: u64,
+}
+
+/// A holder.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    terms: Terms,
+    /// Since when it has none, where it has none: its own start, at first.
+    since: Millis,
+    until: Option<Millis>,
+    fenced: bool,
+    /// The end of a lease that was counted as run out.
+    lapsed: Option<Millis>,
+    counters: Counters,
+}
+
+impl Holder {
+    /// One that starts, and has heard nothing yet.
+    pub fn new(now: Millis, terms: Terms) -> Self {
+        let counters = Counters::default();
+        Self { terms, since: now, until: None, fenced: false, lapsed: None, counters }
+    }
+
+    /// It is told that it may act until then, by its own clock: see [`ends`]. Never shortens what it has.
+    pub fn leased(&mut self, until: Millis) {
+        self.counters.leases += 1;
+        if self.until.is_none_or(|had| had < until) {
+            self.until = Some(until);
+            self.since = until;
+        }
+    }
+
+    /// It is shut out for good: only another life is let in again.
+    pub fn fence(&mut self) {
+        self.fenced = true;
+    }
+
+    /// What it may do at this time.
+    pub fn stage(&self, now: Millis) -> Stage {
+        if self.fenced {
+            return Stage::Fenced;
+        }
+        if self.until.is_some_and(|until| now < until) {
+            return Stage::Current;
+        }
+        let without = now.saturating_sub(self.since);
+        if self.terms.leaves_after.is_some_and(|after| without >= after) {
+            return Stage::Leaves;
+        }
+        if self.terms.refuses { Stage::Refuses } else { Stage::GoesOn }
+    }
+
+    /// May a new call be taken? What is not is counted, and so is a lease that has run out.
+    pub fn ask(&mut self, now: Millis) -> Stage {
+        let stage = self.stage(now);
+        if !stage.takes() {
+            self.counters.refused += 1;
+        }
+        if stage != Stage::Current && self.lapsed != self.until {
+            self.lapsed = self.until;
+            self.counters.lapses += 1;
+        }
+        stage
+    }
+
+    /// An act that was judged at `from` is done now. True: the lease ran out meanwhile, so that others may have
+    /// taken it for over already.
+    pub fn done(&mut self, from: Millis, now: Millis) -> bool {
+        let doubtful = self.stage(from) == Stage::Current && self.stage(now) != Stage::Current;
+        self.counters.doubtful += u64::from(doubtful);
+        doubtful
+    }
+
+    /// What is left of the lease.
+    pub fn left(&self, now: Millis) -> Option<Millis> {
+        Some(self.until?.saturating_sub(now)).filter(|left| *left > 0)
+    }
+
+    /// When its stage changes by itself next, where it does.
+    pub fn next(&self, now: Millis) -> Option<Millis> {
+        let leaves = self.terms.leaves_after.map(|after| self.since + after);
+        [self.until, leaves].into_iter().flatten().filter(|at| *at > now).min()
+    }
+
+    /// What was counted.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const REFUSES: Terms = Terms { refuses: true, leaves_after: Some(500) };
+
+    #[test]
+    fn a_life_begins_without_one_and_narrows_as_it_is_told_to() {
+        let mut holder = Holder::new(100, REFUSES);
+        assert_eq!(holder.ask(100), Stage::Refuses);
+        holder.leased(ends(120, 1_000));
+        assert_eq!(holder.left(120), Some(990));
+        assert_eq!((holder.ask(1_109), holder.ask(1_110)), (Stage::Current, Stage::Refuses));
+        assert_eq!((holder.ask(1_609), holder.ask(1_610)), (Stage::Refuses, Stage::Leaves));
+        assert_eq!(holder.next(1_200), Some(1_610));
+        let counted = holder.counters();
+        assert_eq!((counted.leases, counted.lapses, counted.refused), (1, 1, 4));
+        holder.leased(ends(1_700, 1_000));
+        assert!(holder.ask(1_700).takes(), "heard again, it is back");
+        holder.fence();
+        assert_eq!(holder.ask(1_701), Stage::Fenced);
+        let mut lax = Holder::new(0, Terms { refuses: false, leaves_after: None });
+        assert_eq!((lax.ask(9_999_999), lax.stage(9_999_999).ready()), (Stage::GoesOn, true));
+    }
+
+    #[test]
+    fn an_answer_that_came_late_or_twice_lengthens_nothing() {
+        let mut holder = Holder::new(0, REFUSES);
+        holder.leased(ends(5_000, 1_000));
+        holder.leased(ends(1_000, 1_000));
+        assert_eq!(holder.left(5_000), Some(990), "an older ask's answer takes nothing away");
+        assert_eq!(Holder::new(0, REFUSES).left(0), None);
+        // An answer five seconds late brings a lease that is over.
+        let mut late = Holder::new(0, REFUSES);
+        late.leased(ends(0, 1_000));
+        assert_eq!(late.ask(5_000), Stage::Leaves);
+    }
+
+    #[test]
+    fn an_act_across_the_end_is_told_as_doubtful() {
+        let mut holder = Holder::new(0, REFUSES);
+        holder.leased(ends(0, 1_000));
+        assert!(!holder.done(980, 989));
+        assert!(holder.done(989, 4_000));
+        assert!(!holder.done(4_000, 4_001), "it had none at all");
+        assert_eq!(holder.counters().doubtful, 1);
+    }
+
+    #[test]
+    fn the_error_of_two_clocks_is_never_rounded_away() {
+        assert_eq!((error_of(1), error_of(1_000), error_of(60_000)), (1, 10, 600));
+        assert_eq!(ends(7, MOST_SPAN * 9), 7 + MOST_SPAN - error_of(MOST_SPAN));
+    }
+}
--- a/crates/fleet/src/trust.rs
+++ b/crates/fleet/src/trust.rs
@@ -20,6 +20,8 @@
     KeyedWindows,
     /// What tenants have used of their rates.
     RatesUsed,
+    /// The longest span for which an administration gave leases.
+    LeasesGiven,
 }
 
 /// How far it is believed.
@@ -53,7 +55,7 @@
 const HOUR: Millis = 3_600_000;
 
 /// The table.
-pub const TABLE: [Row; 7] = [
+pub const TABLE: [Row; 8] = [
     Row {
         thing: Thing::Book,
         belief: Belief::UntilNewer,
@@ -103,6 +105,13 @@
         harm: "a tenant gets a second burst",
         instead: "bursts are taken as used up, and rates go on",
     },
+    Row {
+        thing: Thing::LeasesGiven,
+        belief: Belief::AsItStands,
+        most_age_ms: None,
+        harm: "a change is said to be in force everywhere while a lease of before still runs",
+        instead: "leases of the longest span there is run since the start",
+    },
 ];
 
 /// The row of a thing.
@@ -157,7 +166,7 @@
 mod tests {
     use super::*;
 
-    const ALL: [Thing; 7] = [
+    const ALL: [Thing; 8] = [
         Thing::Book,
         Thing::WorkerList,
         Thing::Settings,
@@ -165,6 +174,7 @@
         Thing::WorkerStarts,
         Thing::KeyedWindows,
         Thing::RatesUsed,
+        Thing::LeasesGiven,
     ];
 
     #[test]
--- a/crates/gateway/src/admin/desk.rs
+++ b/crates/gateway/src/admin/desk.rs
@@ -14,7 +14,10 @@
 use nettleferry_admin::{Answer, Problem, Request};
 use nettleferry_config::settings::AdminKey;
 use nettleferry_fleet::authority::{Authority, Duty, Step};
+use nettleferry_fleet::lease::MOST_SPAN;
+use nettleferry_fleet::roll::{self, At, Roll, Who, Without};
 use nettleferry_fleet::stamp::Stamp;
+use nettleferry_fleet::trust::Thing;
 use nettleferry_net::clock;
 use nettleferry_net::http1::{self, Http1, Http1Limits, Stop, Turn};
 use nettleferry_tenancy::{Book, Entry, Once, Revision, Tenant};
@@ -23,11 +26,18 @@
 use serde_json::{Value, json};
 use tracing::{error, info, warn};
 
+use super::changes::{self, Changes, Here};
+use super::marks::{Applied, Marks};
 use super::peers::{Asker, Peers, Whole, stamp};
-use super::{MOST_FOLLOWERS, SNAPSHOT_EVERY, Shown, Told, keys, lock, reply, snapshot_path, token};
+use super::{
+    MOST_FOLLOWERS, SNAPSHOT_EVERY, Shown, Told, keys, lease_path, lock, reply, snapshot_path, token,
+};
+use crate::kept::Kept as KeptFile;
 
 /// Peers are asked again after this span while it is open which book stands.
 const ASK_PEERS_EVERY: Duration = Duration::from_millis(500);
+/// A start waits so long for the disk that keeps the span of leases.
+const LEASE_WAIT: Duration = Duration::from_secs(2);
 /// Names of a difference that are shown; more are counted.
 const MOST_SHOWN: usize = 100;
 
@@ -37,6 +47,10 @@
     pub waker: Arc<mio::Waker>,
     pub peers: &'a [SocketAddr],
     pub peer_key: Option<&'a Path>,
+    /// Span of a lease, milliseconds; `None`: none are given.
+    pub lease: Option<u64>,
+    /// Other disks that are to hold a change before it is acknowledged, where there are so many.
+    pub held_by: usize,
 }
 
 /// What runs.
@@ -45,6 +59,7 @@
     /// `None`: neither the store nor its snapshot could be read.
     pub book: Option<Book>,
     pub shown: Arc<Mutex<Shown>>,
+    pub applied: Applied,
     pub stop: Stop,
     pub thread: JoinHandle<()>,
 }
@@ -58,8 +73,9 @@
     rest: Rest,
     telling: Sender<Told>,
 ) -> io::Result<Started> {
-    let Rest { number, waker, peers, peer_key } = rest;
+    let Rest { number, waker, peers, peer_key, lease, held_by } = rest;
     let (beside, path) = (snapshot_path(store), store.to_owned());
+    let (span, spans) = Spans::open(store, lease);
     let (store, book, read_only) = match Store::open(store) {
         Ok((store, book)) => (Some(store), Some(book), None),
         Err(why) => {
@@ -89,8 +105,11 @@
     let peers = Asker::start(Peers::new(peers, &token, number)?, move || wake.wake())?;
     let shown = Arc::new(Mutex::new(Shown::default()));
     let start = Instant::now();
+    let roll = Roll::new(0, span, spans.before);
+    let marks = Marks::new(At { epoch: origin.epoch, revision: book.revision() });
+    let applied = marks.applied();
     let mut work = Work {
-        api: Api::new(book.clone(), Kept(store), (origin.store, origin.epoch), read_only),
+        api: Api::new(book.clone(), Kept(store), (origin.store.clone(), origin.epoch), read_only),
         keys: keys::Keys::new(keys),
         around: Around {
             number,
@@ -102,8 +121,15 @@
             authority: Authority::new(0, own, peers.count()),
             offers: BTreeMap::new(),
             decided: None,
+            epoch: origin.epoch,
+            roll,
+            own: At::default(),
+            held_by,
             start,
         },
+        marks,
+        changes: Changes::default(),
+        spans,
         path,
         beside,
         written: book.revision(),
@@ -127,7 +153,36 @@
             warn!(%error, "the administration has ended");
         }
     })?;
-    Ok(Started { local, book: held, shown, stop, thread })
+    Ok(Started { local, book: held, shown, applied, stop, thread })
+}
+
+/// The longest span for which leases may be out, kept beside the store: what another life is to wait for.
+struct Spans {
+    file: KeptFile,
+    /// Earlier lives may have given leases for so long.
+    before: Option<u64>,
+    /// Ours, once nothing of before is out any more; `None`: that was said.
+    after: Option<u64>,
+}
+
+impl Spans {
+    /// Which span may be given, and what is out.
+    fn open(store: &Path, lease: Option<u64>) -> (Option<u64>, Self) {
+        let again = store.exists();
+        let mut file = KeptFile::open(lease_path(store), "span of leases", LEASE_WAIT);
+        let kept = file.take(Thing::LeasesGiven, clock::wall() / 1000, |_| None);
+        let kept = kept.and_then(|bytes| std::str::from_utf8(&bytes).ok()?.trim().parse::<u64>().ok());
+        // What can't be known is taken at its worst.
+        let before = kept.or(again.then_some(MOST_SPAN)).filter(|span| *span > 0);
+        let most = lease.max(before).unwrap_or(0);
+        file.put(most.to_string().into_bytes());
+        let kept = file.settle(LEASE_WAIT) && file.durable() > 0;
+        if !kept && lease.is_some() {
+            warn!("the span of leases can't be kept in time: none are given in this life");
+        }
+        let span = lease.filter(|_| kept);
+        (span, Self { file, before, after: Some(span.unwrap_or(0)) })
+    }
 }
 
 /// The store, or none where it is damaged.
@@ -162,6 +217,12 @@
     offers: BTreeMap<u32, Whole>,
     /// The book that is to stand, by agreement or by an operator's word: to be taken over after the answer.
     decided: Option<(Book, Origin)>,
+    /// The epoch of the book that stands.
+    epoch: u64,
+    roll: Roll,
+    /// What the calls of this controller act on.
+    own: At,
+    held_by: usize,
     start: Instant,
 }
 
@@ -211,16 +272,52 @@
         all
     }
 
-    fn follows(&mut self, controller: u32, holds: Holds) {
+    fn follows(&mut self, controller: u32, holds: Holds) -> Result<(), Problem> {
+        let who = Who { number: controller, life: holds.life };
+        let at = |revision| At { epoch: holds.epoch, revision };
+        let told = roll::Told { in_force: at(holds.in_force), kept: at(holds.kept), ends: holds.ends };
+        self.roll.told(self.now(), who, told);
+        if holds.ended {
+            self.roll.ended(who);
+        }
+        if self.roll.is_fenced(who) {
+            let detail = "this life of the controller was shut out: it is let in again as another life";
+            return Err(Problem::new(403, "fenced", detail));
+        }
         if self.followers.len() < MOST_FOLLOWERS || self.followers.contains_key(&controller) {
             self.followers.insert(controller, (holds.revision, Instant::now()));
         }
-        let Holds { store, epoch, revision, sum } = holds;
+        let Holds { store, epoch, revision, sum, .. } = holds;
         // One that says nothing of its book asks as earlier versions did, or has none.
         let stamp = (!store.is_empty() && epoch > 0).then_some(Stamp { store, epoch, revision, sum });
         if stamp.is_some() {
             self.holds(controller, stamp);
         }
+        Ok(())
+    }
+
+    fn lease(&mut self, controller: u32, life: u64) -> Option<u64> {
+        let who = Who { number: controller, life };
+        match self.roll.grant(self.now(), who) {
+            Ok(span) => span,
+            Err(Without::Fenced) => None,
+            Err(Without::Full) => {
+                warn!(controller, "the roll is full of lives whose leases run: this one gets none");
+                None
+            }
+        }
+    }
+
+    fn fence(&mut self, controller: u32, out: bool) -> Value {
+        let lives = if out { self.roll.fence(controller).len() } else { self.roll.admit(controller) };
+        info!(controller, lives, out, "a controller's lives are shut out, or let in again");
+        json!({ "controller": controller, "lives": lives })
+    }
+
+    fn progress(&self, revision: Revision) -> Value {
+        let at = At { epoch: self.epoch, revision };
+        let here = self.here();
+        changes::shown(&here.progress(at), at, here.now, self.own >= at)
     }
 
     fn serving(&self) -> Result<(), String> {
@@ -252,7 +349,10 @@
             Duty::Serving => ("serving", None),
             Duty::Waiting(cause) => ("waiting", Some(cause.word())),
         };
+        let lives: Vec<Value> =
+            self.roll.members().map(|(who, member)| self.life(now, who, member)).collect();
         json!({
+            "lease_ms": self.roll.span(), "leases": self.roll.holders(now), "lives": lives, "without_room": self.roll.refused(),
             "controller": self.number, "role": "administration", "step": step, "cause": cause,
             "since_ms": now.saturating_sub(since), "holds": own, "awaited": self.authority.expected(),
             "controllers": rows,
@@ -295,6 +395,21 @@
 }
 
 impl Around {
+    fn here(&self) -> Here<'_> {
+        Here { roll: &self.roll, own: self.own, disks: self.held_by, now: self.now() }
+    }
+
+    fn life(&self, now: u64, who: Who, member: &roll::Member) -> Value {
+        let behind =
+            self.authority.own().map(|own| own.revision.saturating_sub(member.told.in_force.revision));
+        json!({
+            "controller": who.number, "life": format!("{:016x}", who.life), "in_force": member.told.in_force.revision,
+            "epoch": member.told.in_force.epoch, "kept": member.told.kept.revision, "behind": behind,
+            "ends": member.told.ends, "fenced": self.roll.is_fenced(who), "seen_ms_ago": now.saturating_sub(member.heard),
+            "lease_left_ms": member.out.map(|out| out.saturating_sub(now)),
+        })
+    }
+
     fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
@@ -338,10 +453,25 @@
     json!({ "controller": number, "revision": other.revision(), "differences": count, "tenants": names })
 }
 
+fn turn(told: changes::Told) -> Turn {
+    match told {
+        changes::Told::Answer(response) => Turn::Reply(reply(response)),
+        changes::Told::Waits(span, ticket) => Turn::Park(Duration::from_millis(span), ticket),
+    }
+}
+
+/// Its answer was given up before it was asked for.
+fn lost() -> Problem {
+    Problem::new(503, "not-told", "the change was made; what became of it is at GET /v1/fleet/change")
+}
+
 struct Work {
     api: Api<Kept>,
     keys: keys::Keys,
     around: Around,
+    marks: Marks,
+    changes: Changes,
+    spans: Spans,
     path: PathBuf,
     beside: PathBuf,
     /// The revision of the snapshot beside the store, and when the next one is due.
@@ -364,6 +494,11 @@
             Ok(caller) => caller,
             Err(problem) => return Turn::Reply(reply(problem.response())),
         };
+        self.around.own = self.marks.in_force();
+        if let Some(ticket) = request.ticket {
+            let told = self.changes.again(&self.around.here(), ticket);
+            return told.map_or_else(|| Turn::Reply(reply(lost().response())), turn);
+        }
         let kind = request.header("content-type").map(|k| k.split(';').next().unwrap_or("").trim());
         let asked = Request {
             method: request.method,
@@ -377,10 +512,43 @@
         let answer = self.api.answer(&asked, &caller, &mut self.around, now, waited);
         self.recover();
         self.spread();
+        self.wake_changes();
         match answer {
             Answer::Now(response) => Turn::Reply(reply(response)),
             Answer::Later(span) => Turn::Wait(span),
+            Answer::Changed { response, revision, binds } => {
+                let at = At { epoch: self.around.epoch, revision };
+                self.around.own = self.marks.in_force();
+                turn(self.changes.made(&self.around.here(), response, at, binds))
+            }
+        }
+    }
+
+    /// Those who wait for a change are asked again as soon as it is so far.
+    fn wake_changes(&mut self) {
+        self.around.own = self.marks.in_force();
+        if self.changes.due(&self.around.here()) {
+            self.wake.wake();
+        }
+    }
+
+    /// News were told to the controller: it says when it has come so far.
+    fn mark(&mut self, at: At) {
+        let mark = self.marks.told(at);
+        self.around.tell(Told::Mark(mark));
+    }
+
+    /// Leases of before are out: what another life has to wait for is our own span.
+    fn settle_spans(&mut self, now: u64) -> Option<u64> {
+        self.spans.after?;
+        let out = self.around.roll.strangers();
+        if now < out {
+            return Some(out);
+        }
+        if let Some(span) = self.spans.after.take() {
+            self.spans.file.put(span.to_string().into_bytes());
         }
+        None
     }
 
     /// Tells the controller, and those who wait, what has changed.
@@ -400,6 +568,7 @@
             }
             Err(why) => warn!(%why, "changes can't be read back"),
         }
+        self.mark(At { epoch: self.around.epoch, revision: self.told });
         self.wake.wake();
         self.write_at.get_or_insert_with(|| Instant::now() + SNAPSHOT_EVERY);
     }
@@ -421,7 +590,12 @@
         let grace = grace.filter(|_| self.around.authority.duty().0 == Duty::Serving);
         let write = self.write_at.map(|at| at.saturating_duration_since(Instant::now()));
         let ask = self.ask_peers();
-        [grace, write, ask].into_iter().flatten().min()
+        let passed = self.around.now();
+        self.changes.sweep(passed);
+        self.wake_changes();
+        let due = [self.changes.next(&self.around.here()), self.settle_spans(passed)];
+        let due = due.into_iter().flatten().map(|at| Duration::from_millis(at.saturating_sub(passed).max(1)));
+        [grace, write, ask].into_iter().flatten().chain(due).min()
     }
 
     /// While it is open which book stands, peers are asked in rounds; when the next is due.
@@ -480,7 +654,9 @@
                     self.around.authority.stands(now, stamp(&origin.store, origin.epoch, &book), true);
                     self.around.offers.clear();
                     self.told = revision;
+                    self.around.epoch = origin.epoch;
                     self.around.tell(Told::Began(book));
+                    self.mark(At { epoch: origin.epoch, revision });
                     self.written = Revision::MAX;
                     self.write_at = Some(Instant::now());
                     self.wake.wake();
--- a/crates/gateway/src/admin/follow.rs
+++ b/crates/gateway/src/admin/follow.rs
@@ -2,6 +2,7 @@
 //! keeper. What is asked and in which order is decided by `nettleferry_tenancy::follow`; which book is taken, and
 //! whom one without a book asks, by `nettleferry_fleet`.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -9,6 +10,8 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
+use nettleferry_fleet::lease::{self, ASKS_IN_A_SPAN, LEAST_SPAN, MOST_SPAN};
+use nettleferry_fleet::roll::At;
 use nettleferry_fleet::seek::{self, Seeker, Step};
 use nettleferry_fleet::stamp::{Stamp, Standing};
 use nettleferry_fleet::trust::Thing;
@@ -19,13 +22,21 @@
 use serde::Deserialize;
 use tracing::{info, warn};
 
+use super::marks::{Applied, Marks};
 use super::peers::{Mirror, Peers, Whole, stamp};
 use super::{Told, token};
 use crate::kept::Kept;
 
-/// How long a watch may wait for a change, and how long an answer may take beyond.
+/// How long a watch may wait for a change where no leases are given, and how long its answer may take.
 const WATCH: Duration = Duration::from_secs(20);
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Where leases are given, a watch waits for a part of one, and its answer may take as long again, but not less than
+/// this: a silent link is found well within a lease.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// What was taken is to be in force and on the disk within this span; else the administration is told how far it is.
+const SETTLE: Duration = Duration::from_millis(100);
+/// While it is not, the administration is asked again after so long, not after a watch.
+const BEHIND: Duration = Duration::from_millis(50);
 /// A start waits so long for what was kept.
 const KEPT_WAIT: Duration = Duration::from_secs(1);
 /// A snapshot is there at once or not at all.
@@ -34,6 +45,15 @@
 #[derive(Deserialize)]
 struct Page {
     entries: Vec<Entry>,
+    #[serde(default)]
+    lease_ms: Option<u64>,
+}
+
+/// What may come beside a book.
+#[derive(Deserialize)]
+struct Beside {
+    #[serde(default)]
+    lease_ms: Option<u64>,
 }
 
 /// Whom it follows and where it keeps what it has.
@@ -46,6 +66,8 @@
     pub kept: &'a Path,
     /// Controllers that are asked where the administration is silent and no book is held.
     pub peers: &'a [SocketAddr],
+    /// It takes no call without a lease.
+    pub ends: bool,
 }
 
 pub struct Follow<T> {
@@ -67,21 +89,37 @@
     tell: T,
     ended: Arc<AtomicBool>,
     start: Instant,
+    /// This life, by chance: another one of the same number is another.
+    life: u64,
+    ends: bool,
+    /// It was shut out, and has said so to the calls' thread.
+    fenced: bool,
+    /// What is in force on the calls' thread, and which put of the kept book is of which change.
+    marks: Marks,
+    puts: VecDeque<(u64, At)>,
+    kept_at: At,
+    /// The span of leases as told last; `None`: nothing was told yet.
+    span: Option<Option<Duration>>,
 }
 
 impl<T: Fn(Told)> Follow<T> {
     pub fn new(whom: &Whom, number: u32, mirror: Mirror, tell: T) -> io::Result<Self> {
         let token = token(whom.key_file)?;
-        let mut kept = Kept::open(whom.kept.to_owned(), "tenants' book", KEPT_WAIT);
+        let watches = Poster::new(whom.to, 1, PATIENCE)?;
+        let waker = watches.waker();
+        let written = move || _ = waker.wake();
+        let mut kept = Kept::open_and_tell(whom.kept.to_owned(), "tenants' book", KEPT_WAIT, written);
         let held = read(&mut kept);
         let epoch = held.as_ref().map(|whole| whole.epoch);
+        let at =
+            held.as_ref().map(|w| At { epoch: w.epoch, revision: w.book.revision() }).unwrap_or_default();
         *mirror.lock().unwrap_or_else(PoisonError::into_inner) = held.clone().map(Arc::new);
         let follower = Follower::new(held.map(|whole| (whole.store, whole.book)), rand::random());
         let (revision, tenants) = (follower.book().revision(), follower.book().tenants().len());
         info!(revision, tenants, epoch, to = %whom.to, "tenants as they were kept; following the administration");
         let peers = Peers::new(whom.peers, &token, number)?;
         Ok(Self {
-            watches: Poster::new(whom.to, 1, PATIENCE)?,
+            watches,
             snapshots: Poster::new(whom.to, 1, SNAPSHOT)?,
             seeker: Seeker::new(peers.count(), rand::random()),
             given: Vec::new(),
@@ -96,6 +134,15 @@
             tell,
             ended: Arc::default(),
             start: Instant::now(),
+            // 0 is that of earlier versions, which tell none.
+            life: rand::random::<u64>().max(1),
+            ends: whom.ends,
+            fenced: false,
+            // What was kept is in force from the start, and on the disk.
+            marks: Marks::new(at),
+            puts: VecDeque::new(),
+            kept_at: at,
+            span: None,
         })
     }
 
@@ -108,6 +155,10 @@
         Arc::clone(&self.ended)
     }
 
+    pub fn applied(&self) -> Applied {
+        self.marks.applied()
+    }
+
     pub fn waker(&self) -> Arc<mio::Waker> {
         self.watches.waker()
     }
@@ -128,27 +179,111 @@
             let wait = at.saturating_sub(self.now());
             if wait > 0 {
                 self.rest(wait, &mut news)?;
-            } else if let Some(answer) = self.ask(&ask)? {
-                self.heard(&ask, &answer, &mut news);
+            } else {
+                // The lease is counted from before the ask, however long the answer is on its way.
+                let asked = Instant::now();
+                if let Some(answer) = self.ask(&ask)? {
+                    let lease = self.heard(&ask, &answer, &mut news);
+                    self.put_in_force(&mut news);
+                    self.leased(asked, lease);
+                    self.settle()?;
+                }
             }
             self.put_in_force(&mut news);
         }
         Ok(())
     }
 
+    /// It may act on what was told so far, for a span from when it asked.
+    fn leased(&mut self, asked: Instant, lease: Option<Option<u64>>) {
+        let Some(span_ms) = lease else { return };
+        let span = span_ms.map(|ms| Duration::from_millis(ms.clamp(LEAST_SPAN, MOST_SPAN)));
+        if self.span != Some(span) {
+            info!(span_ms, "leases of the administration");
+            self.span = Some(span);
+        }
+        if let Some(span_ms) = span_ms {
+            (self.tell)(Told::Leased(asked + Duration::from_millis(lease::ends(0, span_ms))));
+        }
+    }
+
+    /// What was taken comes into force and to the disk: waited for briefly, so that the next ask can tell it.
+    fn settle(&mut self) -> io::Result<()> {
+        let until = Instant::now() + SETTLE;
+        while self.is_behind() && !self.ended.load(Ordering::Acquire) {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            self.watches.turn(Some(left), &mut Vec::new())?;
+        }
+        Ok(())
+    }
+
+    fn is_behind(&mut self) -> bool {
+        let at = self.at();
+        self.marks.in_force() < at || self.kept_at() < at
+    }
+
+    /// What is held.
+    fn at(&self) -> At {
+        At { epoch: self.epoch.unwrap_or(0), revision: self.follower.book().revision() }
+    }
+
+    /// What is on the disk.
+    fn kept_at(&mut self) -> At {
+        let durable = self.kept.durable();
+        while let Some((put, at)) = self.puts.front()
+            && *put <= durable
+        {
+            self.kept_at = *at;
+            self.puts.pop_front();
+        }
+        self.kept_at
+    }
+
+    /// How long a watch may wait, and its answer take.
+    fn patience(&mut self) -> (Duration, Duration) {
+        let behind = self.is_behind();
+        match self.span {
+            // Nothing is known yet: the first answer is to tell.
+            None => (Duration::ZERO, SNAPSHOT),
+            Some(None) if behind => (BEHIND, PATIENCE),
+            Some(None) => (WATCH, PATIENCE),
+            Some(Some(span)) => {
+                let part = span / ASKS_IN_A_SPAN as u32;
+                let wait = if behind { part.min(BEHIND) } else { part };
+                (wait, (part * 2).max(LEAST_PATIENCE))
+            }
+        }
+    }
+
     /// Asks the administration, telling it what is held. `None`: the end came first.
     fn ask(&mut self, ask: &Ask) -> io::Result<Option<Result<Answer, PostError>>> {
         let held = self.stamp().map_or_else(String::new, |s| {
             format!("&store={}&epoch={}&after={}&sum={}", s.store, s.epoch, s.revision, s.sum)
         });
-        let who = format!("controller={}{held}", self.number);
+        let (in_force, kept, epoch) = (self.marks.in_force(), self.kept_at(), self.epoch.unwrap_or(0));
+        // Of another epoch it has nothing.
+        let of = |at: At| if at.epoch == epoch { at.revision } else { 0 };
+        let who = format!(
+            "controller={}&life={}&in_force={}&kept={}&ends={}&ended={}{held}",
+            self.number,
+            self.life,
+            of(in_force),
+            of(kept),
+            u8::from(self.ends),
+            u8::from(self.fenced)
+        );
+        let (wait, patience) = self.patience();
         let (poster, patience, target) = match ask {
             Ask::Snapshot => (&mut self.snapshots, SNAPSHOT, format!("/v1/snapshot?{who}")),
             Ask::Watch { .. } => {
-                let target = format!("/v1/watch?{who}&limit=1000&wait_ms={}", WATCH.as_millis());
-                (&mut self.watches, PATIENCE, target)
+                let target = format!("/v1/watch?{who}&limit=1000&wait_ms={}", wait.as_millis());
+                (&mut self.watches, patience, target)
             }
         };
+        poster.patience(patience);
         poster.send(0, "GET", &target, &[("Authorization", &format!("Bearer {}", self.token))], b"");
         let mut heard = Vec::new();
         while heard.is_empty() && !self.ended.load(Ordering::Acquire) {
@@ -203,15 +338,28 @@
         given.into_iter().rev().find(|(from, _)| *from == peer).map(|(_, whole)| whole)
     }
 
-    fn heard(&mut self, ask: &Ask, answer: &Result<Answer, PostError>, news: &mut Vec<News>) {
+    /// Takes an answer in. `Some`: it told all that holds, and what it said of a lease.
+    fn heard(
+        &mut self,
+        ask: &Ask,
+        answer: &Result<Answer, PostError>,
+        news: &mut Vec<News>,
+    ) -> Option<Option<u64>> {
+        if answer.as_ref().is_ok_and(is_fenced) && !self.fenced {
+            warn!("this life was shut out: it takes no call any more, and is let in again as another life");
+            self.fenced = true;
+            (self.tell)(Told::Fenced);
+        }
         let meaning = match answer {
             Ok(answer) => meaning(ask, answer),
             Err(_) => Meaning::Heard(Heard::Failed),
         };
-        let heard = match meaning {
-            Meaning::Heard(heard) => heard,
-            Meaning::Given(whole) => self.given_book(whole),
+        let (heard, lease) = match meaning {
+            Meaning::Heard(heard) => (heard, None),
+            Meaning::Page(entries, lease) => (Heard::Entries(entries), Some(lease)),
+            Meaning::Given(whole, lease) => (self.given_book(whole), Some(lease)),
         };
+        let taken = matches!(heard, Heard::Entries(_) | Heard::Snapshot { .. });
         let before = self.follower.failures();
         self.follower.heard(self.now(), heard, news);
         match (before, self.follower.failures()) {
@@ -225,6 +373,9 @@
             (1.., 0) => info!("the administration is followed again"),
             _ => {}
         }
+        // A page that did not follow on the book leads to a snapshot: it gives no lease.
+        let follows = taken && !matches!((ask, self.follower.next().0), (Ask::Watch { .. }, Ask::Snapshot));
+        lease.filter(|_| follows)
     }
 
     /// The administration gave its whole book: is it one to take?
@@ -248,17 +399,23 @@
     }
 
     fn put_in_force(&mut self, news: &mut Vec<News>) {
+        let any = !news.is_empty();
         for one in news.drain(..) {
             (self.tell)(match one {
                 News::Changed(entry) => Told::Changed(entry),
                 News::Began(book) => Told::Began(book),
             });
         }
+        let at = self.at();
+        if any || self.marks.last() != at {
+            let mark = self.marks.told(at);
+            (self.tell)(Told::Mark(mark));
+        }
         self.show_and_keep();
     }
 
     /// What is held is shown to peers, and kept, once it is another: also where the epoch alone has changed.
-    fn show_and_keep(&self) {
+    fn show_and_keep(&mut self) {
         let Some(epoch) = self.epoch else { return };
         let (store, book) = (self.follower.store(), self.follower.book());
         let mut shown = self.mirror.lock().unwrap_or_else(PoisonError::into_inner);
@@ -271,7 +428,14 @@
         *shown = Some(Arc::clone(&whole));
         drop(shown);
         match serde_json::to_vec(&*whole) {
-            Ok(text) => self.kept.put(text),
+            Ok(text) => {
+                let put = self.kept.put(text);
+                // Where the disk stands still only the newest counts.
+                if self.puts.len() >= MOST_PUTS {
+                    self.puts.pop_back();
+                }
+                self.puts.push_back((put, At { epoch, revision: self.follower.book().revision() }));
+            }
             Err(error) => warn!(%error, "the tenants can't be kept for the next start"),
         }
     }
@@ -282,19 +446,44 @@
     serde_json::from_slice::<Whole>(&payload).inspect_err(|error| kept.unusable(error)).ok()
 }
 
+/// Puts whose end is awaited; only the newest of many matters.
+const MOST_PUTS: usize = 64;
+
+fn is_fenced(answer: &Answer) -> bool {
+    #[derive(Deserialize)]
+    struct Problem {
+        #[serde(rename = "type")]
+        kind: String,
+    }
+    let told = || serde_json::from_slice::<Problem>(&answer.body);
+    answer.status == 403 && told().is_ok_and(|problem| problem.kind == "/problems/fenced")
+}
+
 enum Meaning {
     Heard(Heard),
-    Given(Whole),
+    Page(Vec<Entry>, Option<u64>),
+    Given(Whole, Option<u64>),
+}
+
+/// What is no book or no page to this version of the program is not half taken: it stays on what it has.
+fn unknown(error: &serde_json::Error) -> Meaning {
+    warn!(%error, "what the administration gave can't be taken: is it of a newer version of the program? What is held stands");
+    Meaning::Heard(Heard::Failed)
 }
 
 fn meaning(ask: &Ask, answer: &Answer) -> Meaning {
     Meaning::Heard(match (answer.status, ask) {
         (200, Ask::Snapshot) => {
+            let lease =
+                serde_json::from_slice::<Beside>(&answer.body).ok().and_then(|beside| beside.lease_ms);
             let whole = serde_json::from_slice::<Whole>(&answer.body);
-            return whole.map_or(Meaning::Heard(Heard::Failed), Meaning::Given);
+            return whole.map_or_else(|error| unknown(&error), |whole| Meaning::Given(whole, lease));
+        }
+        (200, Ask::Watch { .. }) => {
+            let page = serde_json::from_slice::<Page>(&answer.body);
+            return page
+                .map_or_else(|error| unknown(&error), |page| Meaning::Page(page.entries, page.lease_ms));
         }
-        (200, Ask::Watch { .. }) => serde_json::from_slice::<Page>(&answer.body)
-            .map_or(Heard::Failed, |page| Heard::Entries(page.entries)),
         (409 | 410, _) => Heard::Elsewhere,
         _ => Heard::Failed,
     })
--- /dev/null
+++ b/crates/gateway/src/admin/marks.rs
@@ -0,0 +1,86 @@
+//! What the thread that answers calls acts on, as the thread that tells it knows: marks are sent behind the news, in
+//! order, and given back once what was before them is in force.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use nettleferry_fleet::roll::At;
+
+/// The last mark that the calls' thread has come to.
+pub type Applied = Arc<AtomicU64>;
+
+/// Marks that are out at the most; beyond them a newer one takes the last one's place.
+const MOST_OUT: usize = 1_024;
+
+/// Marks of one who tells.
+pub struct Marks {
+    applied: Applied,
+    next: u64,
+    out: VecDeque<(u64, At)>,
+    in_force: At,
+}
+
+impl Marks {
+    /// Begins with what is in force from the start.
+    pub fn new(in_force: At) -> Self {
+        Self { applied: Applied::default(), next: 0, out: VecDeque::new(), in_force }
+    }
+
+    /// For the thread that answers calls.
+    pub fn applied(&self) -> Applied {
+        Arc::clone(&self.applied)
+    }
+
+    /// News up to this one have been told: the mark to send behind them.
+    pub fn told(&mut self, at: At) -> u64 {
+        self.next += 1;
+        if self.out.len() >= MOST_OUT {
+            self.out.pop_back();
+        }
+        self.out.push_back((self.next, at));
+        self.next
+    }
+
+    /// What was told last.
+    pub fn last(&self) -> At {
+        self.out.back().map_or(self.in_force, |(_, at)| *at)
+    }
+
+    /// What is in force by now.
+    pub fn in_force(&mut self) -> At {
+        let applied = self.applied.load(Ordering::Acquire);
+        while let Some((mark, at)) = self.out.front()
+            && *mark <= applied
+        {
+            self.in_force = *at;
+            self.out.pop_front();
+        }
+        self.in_force
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_told_is_in_force_when_its_mark_is_back() {
+        let at = |revision| At { epoch: 1, revision };
+        let mut marks = Marks::new(at(3));
+        let applied = marks.applied();
+        let (four, nine) = (marks.told(at(4)), marks.told(at(9)));
+        assert_eq!(marks.in_force(), at(3));
+        applied.store(four, Ordering::Release);
+        assert_eq!(marks.in_force(), at(4));
+        applied.store(nine, Ordering::Release);
+        assert_eq!((marks.in_force(), marks.out.len()), (at(9), 0));
+        // A calls' thread that stands still for long costs no memory without end.
+        for revision in 10..5_000 {
+            marks.told(at(revision));
+        }
+        assert_eq!((marks.in_force(), marks.out.len()), (at(9), MOST_OUT));
+        applied.store(marks.next, Ordering::Release);
+        assert_eq!(marks.in_force(), at(4_999));
+    }
+}
--- a/crates/gateway/src/admin/mod.rs
+++ b/crates/gateway/src/admin/mod.rs
@@ -1,9 +1,11 @@
 //! Tenants at this controller: its own administration ([`desk`]), or another's that it follows ([`follow`]).
 //! Both run on threads of their own and tell the controller what has changed, in order.
 
+mod changes;
 mod desk;
 mod follow;
 mod keys;
+mod marks;
 mod mirror;
 mod peers;
 
@@ -14,7 +16,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nettleferry_admin::Response;
 use nettleferry_admin::api::{Usage, Worker};
@@ -24,6 +26,8 @@
 use tracing::warn;
 
 use crate::endpoint::Endpoint;
+use marks::Applied;
+
 pub use keys::make as make_key;
 
 /// What the controller is told.
@@ -35,6 +39,12 @@
     Began(Book),
     /// Workers drained by hand, all of them.
     Drained(BTreeSet<String>),
+    /// What was told before is to be in force when this mark is given back.
+    Mark(u64),
+    /// A lease: with all that was told before, it may act until then.
+    Leased(Instant),
+    /// It was shut out.
+    Fenced,
 }
 
 /// What the controller tells.
@@ -61,6 +71,7 @@
     pub book: Option<Book>,
     told: Receiver<Told>,
     shown: Arc<Mutex<Shown>>,
+    applied: Applied,
     ender: Ender,
     thread: Option<JoinHandle<()>>,
     _window: Option<Endpoint>,
@@ -75,12 +86,16 @@
     /// Starts what the settings say.
     pub fn start(admin: &Admin, number: u32, waker: Arc<mio::Waker>) -> io::Result<Self> {
         match &admin.desk {
-            Whose::Own { listen, store, keys, peers, peer_key } => {
-                let around = desk::Rest { number, waker, peers, peer_key: peer_key.as_deref() };
+            Whose::Own { listen, store, keys, peers, peer_key, lease, held_by } => {
+                let (peer_key, held_by) = (peer_key.as_deref(), *held_by);
+                let lease = lease.map(|span| span / 1000);
+                let around = desk::Rest { number, waker, peers, peer_key, lease, held_by };
                 Self::own(*listen, store, keys, around)
             }
-            Whose::Follow { to, key_file, kept, window, peers } => {
-                Self::follow(&follow::Whom { to: *to, key_file, kept, peers }, window.as_ref(), number, waker)
+            Whose::Follow { to, key_file, kept, window, peers, straggler } => {
+                let ends = straggler.refuses;
+                let whom = follow::Whom { to: *to, key_file, kept, peers, ends };
+                Self::follow(&whom, window.as_ref(), number, waker)
             }
         }
     }
@@ -100,21 +115,23 @@
         let mut work = follow::Follow::new(whom, number, Arc::clone(&mirror), tell)?;
         let window = window.map(|(listen, keys)| mirror::start(*listen, keys, number, mirror)).transpose()?;
         let (book, local) = (work.book(), window.as_ref().map(|window| window.local));
-        let ender = Ender::Follow(work.ended(), work.waker());
+        let (ender, applied) = (Ender::Follow(work.ended(), work.waker()), work.applied());
         let thread = std::thread::Builder::new().name("follow".to_owned()).spawn(move || {
             if let Err(error) = work.run() {
                 warn!(%error, "following the administration has ended: tenants stay as they are");
             }
         })?;
-        Ok(Self { local, book, told, shown: Arc::default(), ender, thread: Some(thread), _window: window })
+        let shown = Arc::default();
+        Ok(Self { local, book, told, shown, applied, ender, thread: Some(thread), _window: window })
     }
 
     fn own(listen: SocketAddr, store: &Path, keys: &[AdminKey], rest: desk::Rest) -> io::Result<Self> {
         let (telling, told) = channel();
-        let desk::Started { local, book, shown, stop, thread } =
+        let desk::Started { local, book, shown, applied, stop, thread } =
             desk::start(listen, store, keys, rest, telling)?;
         let ender = Ender::Own(stop);
-        Ok(Self { local: Some(local), book, told, shown, ender, thread: Some(thread), _window: None })
+        let (local, thread) = (Some(local), Some(thread));
+        Ok(Self { local, book, told, shown, applied, ender, thread, _window: None })
     }
 
     /// What was told since the last time, in order.
@@ -122,6 +139,15 @@
         self.told.try_iter()
     }
 
+    /// All that was told before this mark is in force.
+    pub fn applied(&self, mark: u64) {
+        self.applied.store(mark, std::sync::atomic::Ordering::Release);
+        match &self.ender {
+            Ender::Own(stop) => stop.wake(),
+            Ender::Follow(_, waker) => _ = waker.wake(),
+        }
+    }
+
     /// What is shown of the controller, to be brought up to date.
     pub fn shown(&self) -> MutexGuard<'_, Shown> {
         lock(&self.shown)
@@ -148,6 +174,11 @@
     store.with_extension("snapshot")
 }
 
+/// The span of leases, kept beside a store.
+fn lease_path(store: &Path) -> PathBuf {
+    store.with_extension("lease")
+}
+
 fn lock<T>(what: &Mutex<T>) -> MutexGuard<'_, T> {
     what.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -5,14 +5,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mio::Interest;
 use nettleferry::{ListForm, Micros, WorkerState};
-use nettleferry_config::settings::GateWhen;
+use nettleferry_config::settings::{Admin, GateWhen};
 use nettleferry_config::{Config, Worker};
 use nettleferry_engine::{Command, Engine, EngineLimits, Event};
 use nettleferry_fleet::gate::{Gate, Step, Terms};
+use nettleferry_fleet::lease::{self, Holder, Stage};
 use nettleferry_net::{Hub, NetEvent, NetLimits};
 use signal_hook_mio::v1_0::Signals;
 use tracing::{debug, info, warn};
@@ -78,6 +79,9 @@
     /// How many calls are taken after a restart, where that is judged.
     gate: Option<Gate>,
     gate_said: Option<Step>,
+    /// Until when it may act on what it last heard, where it follows another's administration.
+    lease: Option<Holder>,
+    stage_said: Option<Stage>,
     /// Tenants of the administration, and the administration.
     tenants: Option<Tenants>,
     desk: Option<Desk>,
@@ -147,7 +151,7 @@
             engine.take_notes();
         }
         let clock = Clock::start();
-        let (mut tenants, mut desk) = (None, None);
+        let (mut tenants, mut desk, mut lease) = (None, None, None);
         if let Some(admin) = &config.admin {
             let failed = |source| ControllerError::Admin { source };
             let started = Desk::start(admin, config.settings.me, hub.waker()).map_err(failed)?;
@@ -161,6 +165,7 @@
                 None => all.blind(),
             }
             engine.take_phases();
+            lease = holder(admin, clock.now());
             (tenants, desk) = (Some(all), Some(started));
         }
         let config = Arc::new(config);
@@ -177,6 +182,8 @@
             pusher,
             gate: None,
             gate_said: None,
+            lease,
+            stage_said: None,
             tenants,
             desk,
             drained: BTreeSet::new(),
@@ -259,6 +266,7 @@
 
     fn refresh(&mut self) {
         self.gate_steps();
+        self.lease_stages();
         let (net, front) = (self.hub.counters(), self.front.counters());
         self.observer.refresh(&self.engine, &net, &front, self.links.no_room);
         if let (Some(tenants), Some(desk)) = (&mut self.tenants, &self.desk) {
@@ -292,6 +300,21 @@
         }
     }
 
+    /// Says each step of a controller that has no lease, or has one again.
+    fn lease_stages(&mut self) {
+        let now = self.clock.now() / 1000;
+        let Some(holder) = &self.lease else { return };
+        let (stage, counted) = (holder.stage(now), holder.counters());
+        if self.stage_said.replace(stage) != Some(stage) {
+            let (step, left_ms) = (stage.word(), holder.left(now));
+            if stage == Stage::Current {
+                info!(step, left_ms, ?counted, "what it acts on is known to hold");
+            } else {
+                warn!(step, ?counted, "it is not known whether what it acts on still holds");
+            }
+        }
+    }
+
     /// Tells admission what became of calls.
     fn steps(&mut self) {
         if let Some(tenants) = &mut self.tenants {
@@ -328,6 +351,20 @@
                     let gone = self.tenants.as_mut().map(|tenants| tenants.begin_anew(&book));
                     self.evict(gone.into_iter().flatten());
                 }
+                Told::Mark(mark) => desk_applied(self.desk.as_ref(), mark),
+                Told::Leased(until) => {
+                    // Our clock first: what passes between the two readings shortens the lease.
+                    let now = self.clock.now() / 1000;
+                    let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+                    if let Some(holder) = self.lease.as_mut().filter(|_| left > 0) {
+                        holder.leased(now + left);
+                    }
+                }
+                Told::Fenced => {
+                    if let Some(holder) = &mut self.lease {
+                        holder.fence();
+                    }
+                }
                 Told::Drained(drained) => {
                     self.drained = drained;
                     let (form, workers) = (ListForm::Complete, self.listed.clone());
@@ -373,16 +410,27 @@
     }
 
     fn at_front<T>(&mut self, work: impl FnOnce(&mut Front, &mut Around) -> T) -> T {
-        let now = self.clock.now();
+        let (now, opened) = (self.clock.now(), self.front.opened);
         let mut around = Around {
             hub: &mut self.hub,
             engine: &mut self.engine,
             commands: &mut self.commands,
             tenants: self.tenants.as_mut(),
             gate: self.gate.as_mut(),
+            lease: self.lease.as_mut(),
             now,
         };
-        work(&mut self.front, &mut around)
+        let done = work(&mut self.front, &mut around);
+        if let Some(holder) = self.lease.as_mut().filter(|_| self.front.opened != opened) {
+            let after = self.clock.now();
+            if holder.done(now / 1000, after / 1000) {
+                warn!(
+                    stood_us = after - now,
+                    "calls were taken while the lease ran out: this process stood still"
+                );
+            }
+        }
+        done
     }
 
     fn tell(&mut self, told: Event) {
@@ -534,6 +582,19 @@
     }
 }
 
+/// The lease of one that follows; its own administration's book always holds.
+fn holder(admin: &Admin, now: Micros) -> Option<Holder> {
+    let nettleferry_config::settings::Desk::Follow { straggler, .. } = &admin.desk else { return None };
+    let leaves_after = straggler.leaves_after.map(|span| span / 1000);
+    Some(Holder::new(now / 1000, lease::Terms { refuses: straggler.refuses, leaves_after }))
+}
+
+fn desk_applied(desk: Option<&Desk>, mark: u64) {
+    if let Some(desk) = desk {
+        desk.applied(mark);
+    }
+}
+
 /// A worker as the administration shows it.
 fn shown_as(worker: &Worker, drained: &BTreeSet<String>) -> nettleferry_admin::api::Worker {
     let listed = match worker.state {
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -16,6 +16,7 @@
 use nettleferry_config::Config;
 use nettleferry_engine::{CallId, Command, End, Engine, Event, Open};
 use nettleferry_fleet::gate::{Asked, Gate, Verdict};
+use nettleferry_fleet::lease::{Holder, Stage};
 use nettleferry_net::framing::FrameError;
 use nettleferry_net::grpc::{Code, Status};
 use nettleferry_net::{Hub, NetEvent, StreamKey};
@@ -24,6 +25,9 @@
 
 use ends::Failure;
 
+/// Clients of a controller that takes no calls come back within this span beyond the usual advice.
+const STRAGGLER_SPREAD_MS: u64 = 1_000;
+
 /// What the front needs of its surroundings for one event.
 pub struct Around<'a> {
     /// The reactor.
@@ -36,6 +40,8 @@
     pub tenants: Option<&'a mut Tenants>,
     /// How many calls are taken after a restart, while that is judged.
     pub gate: Option<&'a mut Gate>,
+    /// Until when it may act on what it last heard, where it follows another's administration.
+    pub lease: Option<&'a mut Holder>,
     /// The time.
     pub now: Micros,
 }
@@ -85,6 +91,8 @@
     pub turned_away: u64,
     /// Calls refused at once after a restart, as too many would have waited.
     pub at_gate: u64,
+    /// Calls refused as it is not known whether the tenants' book still holds.
+    pub without_lease: u64,
     /// Streams made to wait because of `calls-per-stream`.
     pub over_calls_per_stream: u64,
     /// Streams whose client did not take its answers, so that their workers were made to wait.
@@ -100,6 +108,8 @@
     draining: bool,
     /// Some worker is in service: for ServerReady.
     pub ready: bool,
+    /// Calls opened so far.
+    pub opened: u64,
     counters: FrontCounters,
 }
 
@@ -113,6 +123,7 @@
             next: 0,
             draining: false,
             ready: false,
+            opened: 0,
             counters: FrontCounters::default(),
         }
     }
@@ -220,7 +231,9 @@
         let first = !std::mem::replace(&mut rpc.asked, true);
         match rpc.method {
             Method::Small(small) if first => {
-                match metadata::answer(small, payload, &self.config, self.ready && !self.draining) {
+                let stage = around.lease.as_ref().map_or(Stage::Current, |l| l.stage(around.now / 1000));
+                let ready = self.ready && !self.draining && stage.ready();
+                match metadata::answer(small, payload, &self.config, ready) {
                     Ok(message) => {
                         around.hub.respond(stream, grpc_head());
                         around.hub.send(stream, message);
@@ -266,6 +279,10 @@
             let what = "this controller has just come back: more would wait than can be answered in time";
             return self.fail_call(around, stream, &head.id, &Failure::refused(what, wait));
         }
+        if let Some(failure) = self.without_lease(around) {
+            self.counters.without_lease += 1;
+            return self.fail_call(around, stream, &head.id, &failure);
+        }
         let Some(rpc) = self.rpcs.get(&stream) else { return };
         let most = self.config.settings.classes[model.class.0].deadline;
         let left = rpc.due.map_or(most, |due| due.saturating_sub(around.now).min(most));
@@ -307,6 +324,7 @@
             streamed: rpc.method == Method::Stream,
             body: payload,
         };
+        self.opened += 1;
         let before = around.commands.len();
         let call = around.engine.open(around.now, open, around.commands);
         let ended =
@@ -340,6 +358,22 @@
         }
     }
 
+    /// One that can't know whether its book still holds takes no call, where it is told not to: another controller
+    /// may, and so may this one when it has heard.
+    fn without_lease(&self, around: &mut Around) -> Option<Failure> {
+        let stage = around.lease.as_mut()?.ask(around.now / 1000);
+        if stage.takes() {
+            return None;
+        }
+        let what = match stage {
+            Stage::Fenced => "this controller was shut out",
+            _ => "this controller does not know whether its book of tenants still holds",
+        };
+        // Clients come back apart.
+        let spread = Duration::from_millis(rand::random_range(0..=STRAGGLER_SPREAD_MS));
+        Some(Failure::refused(what, self.pushback() + spread))
+    }
+
     /// Over a limit: another try is harmless, after a while. Without a right: none will do.
     fn turned(&self, turned: &Turned) -> Failure {
         if turned.denied {
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -21,11 +21,22 @@
 impl Kept {
     /// Opens it; its disk is waited for so long and no longer. `what`: its name in the log.
     pub fn open(file: PathBuf, what: &'static str, most: Duration) -> Self {
+        Self::open_and_tell(file, what, most, || ())
+    }
+
+    /// The same; `written` is called after each write, on the keeper's thread.
+    pub fn open_and_tell(
+        file: PathBuf,
+        what: &'static str,
+        most: Duration,
+        written: impl Fn() + Send + 'static,
+    ) -> Self {
         let shown = file.display().to_string();
         let told = move |result: std::io::Result<u64>| {
             if let Err(error) = result {
                 warn!(file = shown, %error, "the {what} can't be kept for the next start");
             }
+            written();
         };
         let opened = Keeper::start(Folder, &file, told)
             .and_then(|keeper| keeper.found(most).map(|found| (keeper, found)));
@@ -85,10 +96,18 @@
         warn!(%file, %why, "the kept {what} is not sound and is not used");
     }
 
-    /// Keeps this for the next start. Never waits for a disk.
-    pub fn put(&self, payload: Vec<u8>) {
-        if let Some(keeper) = &self.keeper {
-            keeper.put(payload);
-        }
+    /// Keeps this for the next start. Never waits for a disk. Which put this is; 0: it can't be kept.
+    pub fn put(&self, payload: Vec<u8>) -> u64 {
+        self.keeper.as_ref().map_or(0, |keeper| keeper.put(payload))
+    }
+
+    /// The last put that is durable.
+    pub fn durable(&self) -> u64 {
+        self.keeper.as_ref().map_or(0, Keeper::durable)
+    }
+
+    /// Waits until all that was put is durable, or the span is over: false. Not for a thread that answers calls.
+    pub fn settle(&self, most: Duration) -> bool {
+        self.keeper.as_ref().is_some_and(|keeper| keeper.settle(most))
     }
 }
--- a/crates/gateway/tests/admin.rs
+++ b/crates/gateway/tests/admin.rs
@@ -143,7 +143,7 @@
     desk.create(json!({"name": "b", "note": "kept"}));
     desk.program.signal("KILL");
     let (token, dir) = (desk.token.clone(), tempfile::tempdir().expect("a folder"));
-    for name in ["tenants.redb", "workers.sexp", "key"] {
+    for name in ["tenants.redb", "tenants.lease", "workers.sexp", "key"] {
         std::fs::copy(desk.program.dir.path().join(name), dir.path().join(name)).expect("copied");
     }
     drop(desk);
@@ -155,7 +155,7 @@
     desk.program.signal("TERM");
     assert!(desk.program.wait().success());
     let dir = tempfile::tempdir().expect("a folder");
-    for name in ["workers.sexp", "tenants.snapshot"] {
+    for name in ["workers.sexp", "tenants.lease", "tenants.snapshot"] {
         std::fs::copy(desk.program.dir.path().join(name), dir.path().join(name)).expect("copied");
     }
     std::fs::write(dir.path().join("tenants.redb"), vec![7; 20_000]).expect("written");
@@ -374,7 +374,7 @@
     desk.program.signal("KILL");
     let api = desk.api.to_string();
     let Desk { program, .. } = desk;
-    let store = left(program, &["tenants.redb", "workers.sexp", "key"]);
+    let store = left(program, &["tenants.redb", "tenants.lease", "workers.sexp", "key"]);
     assert_eq!(takes(&one, "later"), Code::Ok);
     two.signal("KILL");
     let kept = left(two, &["kept.json"]);
@@ -393,7 +393,7 @@
     // It begins anew with another store: that is nobody's truth until an operator says so.
     desk.program.signal("KILL");
     let Desk { program, .. } = desk;
-    let anew = left(program, &["workers.sexp", "key"]);
+    let anew = left(program, &["tenants.lease", "workers.sexp", "key"]);
     let desk = start_at(&api, anew, token, &keys);
     desk.create(json!({"name": "other"}));
     eventually("both say that they hold another store's book", || {
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -123,6 +123,11 @@
     fn again(&self, program: Program, files: &[&str]) -> tempfile::TempDir {
         program.signal("KILL");
         let dir = self.dir();
+        // What is told of leases is on a disk that stands.
+        let lease = program.dir.path().join("tenants.lease");
+        if lease.exists() {
+            std::fs::copy(lease, dir.path().join("tenants.lease")).expect("copied");
+        }
         for name in files {
             std::fs::copy(program.dir.path().join(name), dir.path().join(name)).expect("copied");
         }
--- a/crates/keep/src/keeper.rs
+++ b/crates/keep/src/keeper.rs
@@ -30,6 +30,9 @@
     busy: bool,
     ended: bool,
     counters: Counters,
+    /// Which put is being written, and the last one that is durable, as [`Counters::put`] counts them.
+    writing: u64,
+    durable: u64,
 }
 
 #[derive(Default)]
@@ -83,10 +86,13 @@
                     None => Err(io::Error::other("the place could not be opened")),
                 };
                 {
-                    let counted = &mut ours.lock().counters;
+                    let mut queue = ours.lock();
                     match &result {
-                        Ok(_) => counted.written += 1,
-                        Err(_) => counted.failed += 1,
+                        Ok(_) => {
+                            queue.counters.written += 1;
+                            queue.durable = queue.writing;
+                        }
+                        Err(_) => queue.counters.failed += 1,
                     }
                 }
                 told(result);
@@ -104,15 +110,22 @@
         }
     }
 
-    /// Keeps these bytes, in time. Never waits for a disk.
-    pub fn put(&self, payload: Vec<u8>) {
+    /// Keeps these bytes, in time. Never waits for a disk. Which put this is, for [`Keeper::durable`].
+    pub fn put(&self, payload: Vec<u8>) -> u64 {
         let mut queue = self.shared.lock();
         queue.counters.put += 1;
+        let put = queue.counters.put;
         if queue.waiting.replace(payload).is_some() {
             queue.counters.passed_over += 1;
         }
         drop(queue);
         self.shared.bell.notify_one();
+        put
+    }
+
+    /// The last put that is durable: it, or a newer one in its place. 0: none.
+    pub fn durable(&self) -> u64 {
+        self.shared.lock().durable
     }
 
     /// What came of what was put.
@@ -156,6 +169,7 @@
     loop {
         if let Some(newest) = queue.waiting.take() {
             queue.busy = true;
+            queue.writing = queue.counters.put;
             return Some(newest);
         }
         shared.rest.notify_all();
--- a/crates/net/src/http1.rs
+++ b/crates/net/src/http1.rs
@@ -44,6 +44,8 @@
     pub headers: Vec<(&'a str, &'a [u8])>,
     /// The body.
     pub body: &'a [u8],
+    /// It was parked under this ticket: it is not done again, its answer is asked for.
+    pub ticket: Option<u64>,
 }
 
 impl Request<'_> {
@@ -84,6 +86,8 @@
     Reply(Reply),
     /// Nothing yet: it is asked again when the server is woken, and when so long has passed since it came.
     Wait(Duration),
+    /// It was done and its answer comes later: it is asked again as after a wait, with this ticket.
+    Park(Duration, u64),
 }
 
 /// Ends or wakes a server from another thread.
@@ -113,8 +117,8 @@
     sent: usize,
     last: bool,
     until: Instant,
-    /// Its request came then and waits until then.
-    waits: Option<(Instant, Instant)>,
+    /// Its request came then and waits until then, under a ticket where it was done.
+    waits: Option<(Instant, Instant, Option<u64>)>,
 }
 
 /// A server.
@@ -174,7 +178,7 @@
         while !self.stop.told.load(Ordering::Acquire) {
             let wanted = tick();
             let now = Instant::now();
-            let ends = self.conns.iter().map(|(_, c)| c.waits.map_or(c.until, |(_, until)| until));
+            let ends = self.conns.iter().map(|(_, c)| c.waits.map_or(c.until, |(_, until, _)| until));
             let next = ends.map(|at| at.saturating_duration_since(now)).min();
             let next = [next, wanted].into_iter().flatten().min();
             match self.poll.poll(&mut events, next) {
@@ -191,7 +195,7 @@
                 }
             }
             let now = Instant::now();
-            let again = |c: &Conn| c.waits.is_some_and(|(_, until)| woken || until <= now);
+            let again = |c: &Conn| c.waits.is_some_and(|(_, until, _)| woken || until <= now);
             let waiting: Vec<usize> = self.conns.iter().filter(|(_, c)| again(c)).map(|(at, _)| at).collect();
             for at in waiting {
                 self.work(at, &mut answer);
@@ -229,8 +233,8 @@
 /// What stands at the beginning of the bytes that came.
 enum Parsed {
     Partial,
-    /// The request waits, so long after it came.
-    Wait(Duration),
+    /// The request waits, so long after it came, and under a ticket where it was done.
+    Wait(Duration, Option<u64>),
     /// One request of so many bytes is answered; keep the connection?
     Done(usize, Reply, bool),
     Bad(Reply),
@@ -254,13 +258,14 @@
             if self.last {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            let since = self.waits.map_or_else(Instant::now, |(since, _)| since);
-            let parsed = parse(&self.came, limits, &mut |request| answer(request, since.elapsed()));
+            let (since, ticket) =
+                self.waits.map_or_else(|| (Instant::now(), None), |(since, _, ticket)| (since, ticket));
+            let parsed = parse(&self.came, limits, ticket, &mut |request| answer(request, since.elapsed()));
             self.waits = None;
             match parsed {
                 // No more is read meanwhile; a peer that has left is found when it is answered.
-                Parsed::Wait(span) => {
-                    self.waits = Some((since, since + span));
+                Parsed::Wait(span, ticket) => {
+                    self.waits = Some((since, since + span, ticket));
                     return Ok(());
                 }
                 Parsed::Done(used, reply, keep) => {
@@ -327,7 +332,12 @@
     }
 }
 
-fn parse(came: &[u8], limits: &Http1Limits, answer: &mut dyn FnMut(&Request<'_>) -> Turn) -> Parsed {
+fn parse(
+    came: &[u8],
+    limits: &Http1Limits,
+    ticket: Option<u64>,
+    answer: &mut dyn FnMut(&Request<'_>) -> Turn,
+) -> Parsed {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let used = match head.parse(came) {
@@ -344,6 +354,7 @@
         target: head.path.unwrap_or(""),
         headers: head.headers.iter().map(|h| (h.name, h.value)).collect(),
         body: &[],
+        ticket,
     };
     if request.header("transfer-encoding").is_some() {
         return Parsed::Bad(Reply::text(411, "chunked bodies are not taken: send Content-Length\n"));
@@ -371,7 +382,8 @@
     let keep = if head.version == Some(1) { connection != "close" } else { connection == "keep-alive" };
     match answer(&Request { body, ..request }) {
         Turn::Reply(reply) => Parsed::Done(used + length, reply, keep),
-        Turn::Wait(span) => Parsed::Wait(span),
+        Turn::Wait(span) => Parsed::Wait(span, None),
+        Turn::Park(span, ticket) => Parsed::Wait(span, Some(ticket)),
     }
 }
 
--- a/crates/net/src/post.rs
+++ b/crates/net/src/post.rs
@@ -79,6 +79,11 @@
         Arc::clone(&self.waker)
     }
 
+    /// What is sent from now on has so long to be answered.
+    pub fn patience(&mut self, patience: Duration) {
+        self.patience = patience;
+    }
+
     /// Begins a POST on a lane that has none out.
     pub fn post(&mut self, lane: usize, path: &str, headers: &[(&str, &str)], body: &[u8]) {
         self.send(lane, "POST", path, headers, body);
--- a/crates/tenancy/src/audit.rs
+++ b/crates/tenancy/src/audit.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::Tenant;
+use crate::model::{ClassLimits, Limits, State, Tenant};
 use crate::{Millis, Revision};
 
 /// What was done.
@@ -43,3 +43,97 @@
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub after: Option<Tenant>,
 }
+
+impl Entry {
+    /// Does it take something away, so that it counts only when nobody acts on what was before? A suspension, a
+    /// removal, a right withdrawn, a limit lowered.
+    pub fn binds(&self) -> bool {
+        let Some(before) = &self.before else { return false };
+        let Some(after) = &self.after else { return true };
+        let class = |t: &Tenant, name: &str| t.spec.classes.get(name).cloned().unwrap_or_default();
+        let classes = before.spec.classes.keys().chain(after.spec.classes.keys());
+        (before.state == State::Active && after.state != State::Active)
+            || (before.state != State::Removing && after.state == State::Removing)
+            || narrower(before.spec.models.as_deref(), after.spec.models.as_deref())
+            || lower(&before.spec.limits, &after.spec.limits)
+            || classes.into_iter().any(|name| class_lower(&class(before, name), &class(after, name)))
+    }
+}
+
+/// What is not there is no limit.
+fn less<T: PartialOrd>(before: Option<T>, after: Option<T>) -> bool {
+    after.is_some_and(|after| before.is_none_or(|before| after < before))
+}
+
+fn lower(before: &Limits, after: &Limits) -> bool {
+    less(before.rate_per_second, after.rate_per_second)
+        || less(before.burst, after.burst)
+        || less(before.open_calls, after.open_calls)
+        || less(before.held_calls, after.held_calls)
+        || less(before.loaded_memory_bytes, after.loaded_memory_bytes)
+        || less(before.fleet_share, after.fleet_share)
+}
+
+fn class_lower(before: &ClassLimits, after: &ClassLimits) -> bool {
+    less(before.rate_per_second, after.rate_per_second)
+        || less(before.burst, after.burst)
+        || less(before.open_calls, after.open_calls)
+}
+
+/// Is some right of before not covered by one of after? None told: all of them.
+fn narrower(before: Option<&[String]>, after: Option<&[String]>) -> bool {
+    let Some(after) = after else { return false };
+    let Some(before) = before else { return true };
+    let covers = |right: &String, old: &String| match right.strip_suffix('*') {
+        Some(beginning) => old.trim_end_matches('*').starts_with(beginning),
+        None => right == old,
+    };
+    before.iter().any(|old| !after.iter().any(|right| covers(right, old)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::{Value, json};
+
+    fn tenant(spec: Value, state: State) -> Tenant {
+        let spec = serde_json::from_value(spec).expect("sound");
+        let (name, uid, revision) = ("a".to_owned(), 1, 1);
+        Tenant { name, uid, revision, state, gone_at_ms: None, created_ms: 0, spec }
+    }
+
+    fn binds(before: Option<Tenant>, after: Option<Tenant>) -> bool {
+        let (who, action, tenant) = (String::new(), Action::Change, "a".to_owned());
+        Entry { revision: 2, at_ms: 0, who, action, tenant, before, after }.binds()
+    }
+
+    #[test]
+    fn what_takes_something_away_binds() {
+        let of = |before: Value, after: Value| {
+            binds(Some(tenant(before, State::Active)), Some(tenant(after, State::Active)))
+        };
+        for (before, after) in [
+            (json!({}), json!({"limits": {"open_calls": 5}})),
+            (json!({"limits": {"rate_per_second": 5.0}}), json!({"limits": {"rate_per_second": 4.5}})),
+            (json!({}), json!({"models": ["a*"]})),
+            (json!({"models": ["a*"]}), json!({"models": ["ab*"]})),
+            (json!({"models": ["a", "b"]}), json!({"models": ["b"]})),
+            (json!({}), json!({"classes": {"quick": {"open_calls": 1}}})),
+        ] {
+            assert!(of(before.clone(), after.clone()), "{before} {after}");
+            assert!(!of(after.clone(), before.clone()), "{after} {before}: the other way round gives more");
+        }
+        assert!(!of(json!({"note": "x"}), json!({"weight": 3.0})));
+        assert!(!of(json!({"models": ["ab*", "c"]}), json!({"models": ["a*", "c"]})));
+    }
+
+    #[test]
+    fn states_bind_one_way() {
+        let at = |state| Some(tenant(json!({}), state));
+        assert!(
+            binds(at(State::Active), at(State::Suspended)) && !binds(at(State::Suspended), at(State::Active))
+        );
+        assert!(binds(at(State::Suspended), at(State::Removing)) && binds(at(State::Removing), None));
+        assert!(!binds(None, at(State::Active)));
+    }
+}
