Module: news are asked for where a copy is known elsewhere; a life's free orders count as given

Where no copy is known anywhere nothing but a miss can come of it; where one stands elsewhere the call is a choice of a further place, and the news decide it.

After a restart that found an earlier life's list the ration's free orders count as given for one window (Loading::spent, off on the platform and the simulator): what that life gave just before is not known. Tests fail without each.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -548,6 +548,7 @@
         ration_window: window,
         ration_floor: floor,
         ration_share: share,
+        spent: false,
         memory_price: form.or("memory-price", 0.0),
     };
     if loading.when_absent == WhenAbsent::Miss && !loading.orders {
--- a/crates/day/src/audit.rs
+++ b/crates/day/src/audit.rs
@@ -5,7 +5,7 @@
 //! differ by how long a thread waits for a core; [`Slack`] is that, and no more. It is never given to what
 //! needs no clock: runs are counted, answers are counted.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use nettleferry::{Effect, Group, Micros, WorkerState};
@@ -284,21 +284,23 @@
     }
 }
 
-/// Rule 5: load orders within the ration, life by life.
+/// Rule 5: load orders within the ration, over all lives of a controller: a restart gives no second one.
 fn ration(evidence: &Evidence, links: &Links<'_>, slack: Slack, found: &mut Vec<Breach>) {
     let figures = &evidence.figures;
     if figures.ration_window == 0 {
         return;
     }
-    for life in &evidence.lives {
-        let lived = |at: Micros| at >= life.from && life.to.is_none_or(|to| at < to);
+    let numbers: BTreeSet<usize> = evidence.lives.iter().map(|life| life.controller).collect();
+    for number in numbers {
+        let lives = || evidence.lives.iter().filter(|life| life.controller == number);
+        let lived = |at: Micros| lives().any(|life| at >= life.from && life.to.is_none_or(|to| at < to));
         // When each came, and when it left at the earliest.
         let mut orders: Vec<(Micros, Micros)> = Vec::new();
         for record in &evidence.workers {
             if let Seen::Order { controller, .. } = &record.seen
-                && controller.parse() == Ok(life.controller)
+                && controller.parse() == Ok(number)
             {
-                let left = links.left_by(&record.worker, life.controller, record.at);
+                let left = links.left_by(&record.worker, number, record.at);
                 if lived(record.at) && lived(left + slack.0) {
                     orders.push((record.at, left));
                 }
@@ -308,7 +310,7 @@
         let mut calls: Vec<Micros> = Vec::new();
         for record in &evidence.clients {
             if let ClientSaw::Sent { controller, .. } = record.what
-                && controller == life.controller
+                && controller == number
                 && lived(record.at)
             {
                 calls.push(record.at);
@@ -325,7 +327,7 @@
             if window as f64 > most {
                 let what = format!(
                     "controller {}: {window} load orders in the window, {most:.1} permitted by {taken} calls",
-                    life.controller
+                    number
                 );
                 found.push(Breach { rule: 5, at: *at, call: None, what });
             }
--- a/crates/day/tests/audit.rs
+++ b/crates/day/tests/audit.rs
@@ -410,5 +410,7 @@
     let mut lives = orders(&[2 * S, 2 * S + 10], 0);
     lives.lives[0].to = Some(2 * S + 5);
     lives.lives.push(Life { controller: 0, zone: "a".into(), from: 2 * S + 6, ending: None, to: None });
-    assert_eq!(findings(&lives), vec![], "a new life counts anew");
+    breaks(&lives, 5, "2 load orders in the window");
+    lives.workers[1].at = 5 * S;
+    assert_eq!(findings(&lives), vec![], "a window after the other life's last one");
 }
--- a/crates/fleet/src/trust.rs
+++ b/crates/fleet/src/trust.rs
@@ -82,7 +82,7 @@
         belief: Belief::Never,
         most_age_ms: None,
         harm: "the ration of load orders is exceeded across the loss",
-        instead: "calls taken in this life alone earn orders",
+        instead: "the free orders of the window count as given; calls taken in this life alone earn further ones",
     },
     Row {
         thing: Thing::WorkerStarts,
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -127,16 +127,21 @@
             probe_timeout: edge.probe_timeout,
         };
         let seed = config.seed.unwrap_or_else(rand::random);
-        let mut engine = Engine::new(config.settings.clone(), config.zone.as_deref(), limits, seed)?;
         let (_, local) = hub
             .listen(config.grpc)
             .map_err(|source| ControllerError::Listen { address: config.grpc, source })?;
-        let signals = if signals { Some(watch_signals(&hub)?) } else { None };
-        let links = LinkLimits { connections: edge.worker_connections, streams: edge.worker_streams };
         let waker = hub.waker();
         let wake = move || _ = waker.wake();
         let (file, kept) = (config.workers.clone(), config.workers_kept.clone());
         let lists = Lists::start(file, kept, config.workers_check, wake)?;
+        let first = lists.first();
+        // An earlier life that kept a list may have given load orders just before it ended.
+        let again = first.iter().any(|news| news.form == ListForm::Restored);
+        let mut settings = config.settings.clone();
+        settings.loading.spent = again;
+        let mut engine = Engine::new(settings, config.zone.as_deref(), limits, seed)?;
+        let signals = if signals { Some(watch_signals(&hub)?) } else { None };
+        let links = LinkLimits { connections: edge.worker_connections, streams: edge.worker_streams };
         let observer = Observer::new(&config);
         let scrape = match config.figures.scrape {
             Some(address) => Some(
@@ -195,8 +200,6 @@
             draining: None,
             config,
         };
-        let first = controller.lists.first();
-        let again = first.iter().any(|news| news.form == ListForm::Restored);
         let judged = match controller.config.recovery.gate {
             GateWhen::Never => false,
             GateWhen::Restart => again,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -120,6 +120,7 @@
             ration_window: span("family_info.load_period_ms"),
             ration_floor: real("family_info.load_floor"),
             ration_share: real("family_info.load_share"),
+            spent: false,
             memory_price: real("family_info.memory_price"),
         },
         limits: Limits {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -251,8 +251,8 @@
     fn known(&mut self, id: RequestId, at: WorkerId) -> bool {
         let Some(call) = self.calls.get_mut(&id) else { return true };
         let Some(worker) = self.workers.get_mut(&at) else { return true };
-        // Where only orders load, a worker without a copy says so at once, and costs no probe.
-        let there = |f: &Function| f.warm.contains_key(&at) || f.loading.contains_key(&at);
+        // Where only orders load and no copy is known, its worker says so at once, and costs no probe.
+        let there = |f: &Function| !f.warm.is_empty() || !f.loading.is_empty();
         let miss = self.settings.loading.when_absent == WhenAbsent::Miss
             && !self.functions.get(&call.function).is_some_and(there);
         let aim = self.settings.classes[call.class].aim as f64;
@@ -905,7 +905,10 @@
         while self.taken.front().is_some_and(|&t| t + loading.ration_window < self.now + step) {
             self.taken.pop_front();
         }
-        let most = loading.ration_floor + loading.ration_share * self.taken.len() as f64;
+        // What an earlier life gave within the window is not known: at its worst, all of the floor.
+        let fresh = self.started.is_some_and(|s| self.now < s + loading.ration_window + step);
+        let floor = if loading.spent && fresh { 0.0 } else { loading.ration_floor };
+        let most = floor + loading.ration_share * self.taken.len() as f64;
         if (self.orders.len() + 1) as f64 > most {
             return false;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -157,6 +157,8 @@
     pub ration_window: Micros,
     /// Orders free in each window.
     pub ration_floor: f64,
+    /// An earlier life of this controller may have given orders within the window before the start.
+    pub spent: bool,
     /// Further orders, per request taken in the window.
     pub ration_share: f64,
     /// Points that a full memory of idle and loading copies would cost.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -34,6 +34,7 @@
             ration_window: 0,
             ration_floor: 0.0,
             ration_share: 0.0,
+            spent: false,
             memory_price: 0.0,
         },
         limits: Limits {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -296,6 +296,9 @@
     stand.pass(S);
     let known = stand.ask(2, 0, 9, 2);
     assert!(probes(&known) == 1 && sends(&known).is_empty(), "where its copy stands, news are asked for");
+    // Its home drains: a further copy is a choice, and the next worker is asked before it is made.
+    let next = stand.change(home, WorkerState::Draining, None);
+    assert!(probes(&next) == 1 && sends(&next).is_empty(), "a copy is known elsewhere");
 }
 
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -194,6 +194,32 @@
     }
 }
 
+#[test]
+fn an_earlier_life_s_orders_count_as_given() {
+    for (spent, least) in [(false, 2), (true, 0)] {
+        let mut settings = settings();
+        settings.loading.when_absent = WhenAbsent::Miss;
+        settings.loading.ration_window = S;
+        settings.loading.ration_floor = 2.0;
+        settings.loading.spent = spent;
+        let mut stand = Stand::new(settings, 8);
+        let mut given = 0;
+        for id in 1..=20 {
+            for (request, at) in sends(&stand.ask(id, SAFE, id, 2)) {
+                given += loads(&stand.end(request, 0, at, Outcome::Miss, None));
+            }
+        }
+        assert_eq!(given, least, "spent: {spent}");
+        stand.now += S + 100 * MS;
+        for id in 21..=40 {
+            for (request, at) in sends(&stand.ask(id, SAFE, id, 2)) {
+                given += loads(&stand.end(request, 0, at, Outcome::Miss, None));
+            }
+        }
+        assert_eq!(given, least + 2, "a window after the start the ration is whole");
+    }
+}
+
 #[test]
 fn attempts_are_not_exceeded() {
     let mut stand = Stand::new(settings(), 8);
