--- a/crates/gateway/src/admin/desk.rs
+++ b/crates/gateway/src/admin/desk.rs
@@ -107,7 +107,9 @@
     let own = origin.as_ref().map(|origin| stamp(&origin.store, origin.epoch, &book));
     let origin = origin.unwrap_or_else(|| Origin { store: "damaged".to_owned(), epoch: 0 });
     info!(revision = book.revision(), tenants = book.tenants().len(), epoch = origin.epoch, "tenants");
-    let limits = Http1Limits { body_bytes: MOST_BODY, ..Http1Limits::default() };
+    // Each follower keeps two connections: one that waits for changes, and one for books and records.
+    let connections = 2 * MOST_FOLLOWERS + Http1Limits::default().connections;
+    let limits = Http1Limits { body_bytes: MOST_BODY, connections, ..Http1Limits::default() };
     let mut server = Http1::bind(listen, limits)?;
     let (local, stop) = (server.local()?, server.stop());
     // Peers and their key are there together, or neither.
--- /dev/null
+++ b/crates/gateway/tests/herd.rs
@@ -0,0 +1,94 @@
+//! A hundred processes of the program on one machine, back at once after a loss of power.
+
+mod common;
+use common::desk::*;
+use common::*;
+
+use std::net::TcpListener;
+use std::time::Instant;
+
+use nettleferry_net::grpc::Code;
+use serde_json::json;
+
+const MANY: u32 = 100;
+
+#[test]
+fn a_hundred_processes_come_back_at_once() {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    // Fewer where the machine is small, and said: so many processes would test its scheduler.
+    let many = if cores < 4 { 12 } else { MANY };
+    println!("{many} processes on {cores} cores");
+    let fleet = Fleet::new(1, SPEC);
+    let (token, line) = key("ada", "admin");
+    let (key, fleet_line) = key("fleet", "controller");
+    let api = TcpListener::bind("127.0.10.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let dir = || {
+        let dir = tempfile::tempdir().expect("a folder");
+        std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+        std::fs::write(dir.path().join("key"), &key).expect("written");
+        dir
+    };
+    let administration = |dir| {
+        let admin =
+            format!("(admin (listen \"{api}\") (store \"tenants.redb\") (lease 3s) {line} {fleet_line})");
+        let program =
+            serve_in(dir, &format!("{SETTINGS}{admin}(controller (number 0) (of {}))", many + 1), None);
+        assert_eq!(program.line("listening admin "), api);
+        Desk { program, http: Http { api, token: token.clone() } }
+    };
+    let follower = |dir, number: u32| {
+        let admin = format!(
+            "(admin (follow \"{api}\") (key-file \"key\") (kept \"kept.json\") (without-lease refuse))"
+        );
+        serve_in(dir, &format!("{SETTINGS}{admin}(controller (number {number}) (of {}))", many + 1), None)
+    };
+    let desk = administration(dir());
+    for n in 0..20 {
+        let spec = json!({ "name": format!("t{n}"), "note": "x".repeat(500) });
+        desk.create(spec);
+    }
+    let all = |desk: &Desk, what: &str| {
+        let begun = Instant::now();
+        eventually(what, || desk.get("/v1/fleet")["leases"] == many);
+        begun.elapsed()
+    };
+    let programs: Vec<Program> = (1..=many).map(|n| follower(dir(), n)).collect();
+    let first = all(&desk, "each has its lease");
+    // A change reaches all, and is told to be everywhere.
+    let begun = Instant::now();
+    desk.change("POST", "/v1/tenants/t3/suspend", "");
+    assert_eq!(desk.get("/v1/fleet/change")["everywhere"], true);
+    let change = begun.elapsed();
+    // Power is lost everywhere, and is back everywhere; the administration last.
+    let kept: Vec<tempfile::TempDir> = programs
+        .into_iter()
+        .map(|program| {
+            program.signal("KILL");
+            left(program, &["kept.json", "workers.sexp", "key"])
+        })
+        .collect();
+    desk.program.signal("KILL");
+    let store = left(desk.program, &["tenants.redb", "tenants.lease", "workers.sexp", "key"]);
+    let begun = Instant::now();
+    let programs: Vec<Program> = std::thread::scope(|scope| {
+        let follower = &follower;
+        let threads: Vec<_> =
+            (1..=many).zip(kept).map(|(n, dir)| scope.spawn(move || follower(dir, n))).collect();
+        threads.into_iter().map(|t| t.join().expect("it starts")).collect()
+    });
+    let desk = administration(store);
+    let again = all(&desk, "each has its lease again");
+    let whole = begun.elapsed();
+    for program in &programs {
+        let mut caller = Caller::new(program.address);
+        eventually("each serves", || code(&mut caller, Some("t4"), "echo").0 == Code::Ok);
+        assert_eq!(
+            code(&mut caller, Some("t3"), "echo").0,
+            Code::PermissionDenied,
+            "none has the older book"
+        );
+    }
+    println!(
+        "all with leases {first:?} after the last start; a change everywhere after {change:?}; back {whole:?} after the loss, {again:?} after the administration"
+    );
+}
