--- a/crates/gateway/src/commands/fleet.rs
+++ b/crates/gateway/src/commands/fleet.rs
@@ -41,6 +41,7 @@
         #[arg(long, value_name = "FILE")]
         svg: Option<PathBuf>,
     },
+    Simulate(super::simulate::Simulate),
     /// Are the records whole? Those that were delivered, or the one of a folder; exit 1 where not
     Verify {
         /// The folder of a controller's record
@@ -107,13 +108,17 @@
 
 impl Fleet {
     pub fn run(self) -> Result<u8, CommandError> {
-        if let What::Verify { folder } = &self.what {
+        let what = match self.what {
+            What::Simulate(simulate) => return simulate.run(),
+            what => what,
+        };
+        if let What::Verify { folder } = &what {
             let (told, lines, whole) = audit::verify(folder.as_ref(), || Client::new(&self.api))?;
             announce(&if self.json { told.to_string() } else { lines.join("\n") })?;
             return Ok(u8::from(!whole));
         }
         let mut client = Client::new(&self.api)?;
-        let (told, lines) = match &self.what {
+        let (told, lines) = match &what {
             What::Status => {
                 let told = client.get("/v1/fleet")?;
                 let mut lines = vec![format!(
@@ -172,7 +177,7 @@
                 (told, audit::lines(&report, tenant.as_deref(), *revision))
             }
             // Done above, without a connection where it needs none.
-            What::Verify { .. } => return Ok(0),
+            What::Verify { .. } | What::Simulate(_) => return Ok(0),
             What::Fence { controller } => fenced(&mut client, "fence", *controller, "shut out")?,
             What::Admit { controller } => fenced(&mut client, "admit", *controller, "let in")?,
             What::Recover { take, yes } => {
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -13,6 +13,7 @@
 mod load;
 mod node;
 mod serve;
+mod simulate;
 mod top;
 mod worker;
 
