Loans in service: limits follow the traffic among controllers, and never add up to more

Need: a controller had 1/N of each limit for good, used or not, and a dead one kept its part for ever.

fleet::loans lends what is beyond a reserve by max-min fairness, carried with the follower's exchange, for the span of a lease counted as leases are. A loan that is replaced counts as it was until its borrower has told that its calls' thread acts on the new one. Calls a second, open and held calls and memory of models; bursts and classes stay divided. One that leaves in order gives back at once and no change waits for it.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -104,6 +104,8 @@
     fn fence(&mut self, controller: u32, out: bool) -> Value;
     /// Our clock: whose life it is of, and what it reads, in milliseconds.
     fn clock(&self) -> (u64, u64);
+    /// What a controller could use of limits, as it reports; what it may use.
+    fn loans(&mut self, book: &Book, controller: u32, life: u64, report: Value) -> Result<Value, Problem>;
     /// Lines of a controller's record, as it delivers them; what is held of it now.
     fn deliver(&mut self, controller: u32, lines: Vec<String>) -> Result<u64, Problem>;
     /// Records that were delivered: whose there are, or a page of one.
@@ -387,6 +389,15 @@
                     .map_err(|e| Problem::field("the body", format!("an array of lines: {e}")))?;
                 return now_told(200, &json!({ "last": live.deliver(number, lines)? }));
             }
+            Operation::Lend => {
+                let number = query.number("controller", 0, u64::from(u32::MAX), u64::MAX)?;
+                let number = u32::try_from(number)
+                    .map_err(|_| Problem::field("controller", "the number of the controller"))?;
+                let life = query.number("life", 1, u64::MAX, 1)?;
+                wants(request, &["application/json"])?;
+                serving(live)?;
+                return now_told(200, &live.loans(&self.book, number, life, json_body(request.body)?)?);
+            }
             Operation::ReadRecords => {
                 let from = query.number("from", 0, u64::MAX, 0)?;
                 return now_told(200, &live.records(query.text("of"), from, query.rows()?)?);
--- a/crates/admin/src/openapi.rs
+++ b/crates/admin/src/openapi.rs
@@ -140,6 +140,14 @@
             "records": { "type": "array", "items": { "type": "object" }, "description": "of: whose, lines: how many are held, last: the last one's number" },
             "lines": of("Lines"), "next": { "type": ["integer", "null"], "description": "`from` of the next page" },
         } },
+        "Demands": { "type": "array", "maxItems": 1000, "items": { "type": "object", "required": ["tenant", "uid", "kind", "demand", "acts_on"], "properties": {
+            "tenant": text("whose"), "uid": whole("which tenant of that name"), "kind": { "enum": ["rate", "open", "held", "memory"] },
+            "demand": { "type": "number", "minimum": 0, "description": "what it could use, in all" }, "acts_on": whole("the loan that it acts on; 0: none"),
+        } } },
+        "Loans": { "type": "object", "required": ["span_ms", "loans"], "properties": {
+            "span_ms": whole("they last so long, counted from the ask"),
+            "loans": { "type": "array", "items": { "type": "object" }, "description": "uid, kind, limit, number, amount beyond the reserve" },
+        } },
         "Document": { "type": "object" },
         "Problem": { "type": "object", "required": ["type", "title", "status", "detail"], "properties": {
             "type": text("/problems/ and a word for the kind"), "title": text("for people"), "status": whole("the HTTP status"),
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -56,6 +56,7 @@
     ReadChange,
     DeliverRecords,
     ReadRecords,
+    Lend,
     ReadDocument,
 }
 
@@ -145,6 +146,7 @@
     route!("GET" "/v1/fleet/change" Viewer ReadChange "readChange" "How far a change is: how many disks hold it, who may still act without it", 200 "Progress", query: &[("revision", "the change; the last one where not told")]),
     route!("POST" "/v1/fleet/records" Controller DeliverRecords "deliverRecords" "Lines of a controller's record, in order", 200 "Delivered", body: Some("Lines"), query: &[NUMBER]),
     route!("GET" "/v1/fleet/records" Viewer ReadRecords "readRecords" "Whose records were delivered, or a page of one", 200 "Records", query: &[("of", "a controller's number, or administration; not told: whose there are"), ("from", "the place of the first line; the `next` of the page before"), ("limit", "at most so many, 1 to 1000")]),
+    route!("POST" "/v1/fleet/loans" Controller Lend "reportDemand" "What a controller could use of limits, and what it may", 200 "Loans", body: Some("Demands"), query: &[NUMBER, LIFE]),
     route!("GET" "/v1/openapi.json" Viewer ReadDocument "readDocument" "This document", 200 "Document"),
 ];
 
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -86,6 +86,10 @@
         (77, 1_234)
     }
 
+    fn loans(&mut self, _: &Book, controller: u32, life: u64, report: Value) -> Result<Value, Problem> {
+        Ok(json!({ "span_ms": 5, "loans": [], "by": [controller, life], "report": report }))
+    }
+
     fn deliver(&mut self, _: u32, lines: Vec<String>) -> Result<u64, Problem> {
         Ok(lines.len() as u64)
     }
@@ -456,6 +460,14 @@
     };
     assert_eq!(read(&side.now(lines)), (200, json!({ "last": 2 })));
     assert_eq!(side.get("/v1/fleet/records?of=3&from=5").1["from"], 5);
+    let report = Request {
+        method: "POST",
+        target: "/v1/fleet/loans?controller=3&life=9",
+        kind: Some("application/json"),
+        body: b"[]",
+        ..Request::default()
+    };
+    assert_eq!(read(&side.now(report)).1["by"], json!([3, 9]));
 }
 
 #[test]
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -89,6 +89,8 @@
     pub places: u32,
     /// The record of what this controller acted on; `None`: none is kept.
     pub trail: Option<Trail>,
+    /// Part of each limit that is divided for good among the controllers; the rest is lent by demand. 1: nothing is.
+    pub reserve: f64,
 }
 
 /// The record of what a controller acted on.
@@ -647,8 +649,19 @@
     };
     let (anonymous, places) = (form.or("anonymous", false), form.or("places", 256u32));
     let trail = form.sub("trail").and_then(trail);
+    let mut reserve = 1.0;
+    if let Some(mut loans) = form.sub("loans") {
+        reserve = loans.or("reserve", RESERVE);
+        if !(0.0..=1.0).contains(&reserve) {
+            loans.fault("(reserve ...): a part, from 0 to 1");
+        }
+        loans.end();
+    }
+    if reserve < 1.0 && matches!(desk, Some(Desk::Own { lease: None, .. })) {
+        form.fault("(loans ...) last as long as leases: write (lease SPAN)");
+    }
     form.end();
-    Some(Admin { desk: desk?, anonymous, places, trail })
+    Some(Admin { desk: desk?, anonymous, places, trail, reserve })
 }
 
 fn trail(mut form: Form) -> Option<Trail> {
@@ -661,6 +674,9 @@
     folder.map(|folder| Trail { folder: folder.into(), bytes: bytes.max(LEAST_TRAIL) })
 }
 
+/// Part of a limit that is divided for good, where loans are given.
+const RESERVE: f64 = 0.2;
+
 /// Size of a record's log where not told, and the least.
 const TRAIL_BYTES: u64 = 64 << 20;
 const LEAST_TRAIL: u64 = 64 << 10;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod authority;
 pub mod gate;
 pub mod lease;
+pub mod loans;
 pub mod roll;
 pub mod seek;
 pub mod stamp;
--- a/crates/gateway/benches/measure.rs
+++ b/crates/gateway/benches/measure.rs
@@ -7,6 +7,7 @@
 mod isolation;
 #[path = "outage.rs"]
 mod outage;
+use common::desk::{Http, code, key};
 use common::*;
 
 use std::alloc::System;
@@ -17,6 +18,7 @@
 use bytes::Bytes;
 use nettleferry_day::client::{Ask, Client, Heard};
 use nettleferry_net::NetLimits;
+use nettleferry_net::grpc::Code;
 use nettleferry_proto::inference::ModelStreamInferResponse;
 use nettleferry_standin::Fault;
 use prost::Message;
@@ -39,6 +41,9 @@
     if wanted("counting") {
         counting();
     }
+    if wanted("fleet") {
+        fleet();
+    }
     if wanted("outage") {
         outage::measure();
     }
@@ -288,9 +293,47 @@
     let settings = SETTINGS.replace("(lanes 64)", "(lanes 512)");
     let with = serve(&settings, &fleet.list());
     let without = serve(&format!("{settings}(figures (count no))"), &fleet.list());
+    pairs("counting", "", &with, &without);
+}
+
+/// Calls a second of one tenant at two controllers that follow: one with a lease and a record, one with neither.
+fn fleet() {
+    let spec = "(listen \"127.0.0.1:0\") (cores 64) (queue 10000) (model \"\" (lanes 512) (work 0us) (load-time 1ms))";
+    let fleet = Fleet::new(1, spec);
+    let settings = SETTINGS.replace("(lanes 64)", "(lanes 512)");
+    let follower = |lease: &str, trail: &str| {
+        let (token, line) = key("ada", "admin");
+        let (fleet_token, fleet_line) = key("fleet", "controller");
+        let admin = format!(
+            "(admin (listen \"127.0.0.1:0\") (store \"tenants.redb\") (lease {lease}) {line} {fleet_line})"
+        );
+        let desk = serve(&format!("{SETTINGS}{admin}"), "");
+        let api = desk.line("listening admin ");
+        let http = Http { api, token };
+        let (status, told) = http.ask("POST", "/v1/tenants", "", "{\"name\":\"a\"}");
+        assert_eq!(status, 201, "{told}");
+        let dir = tempfile::tempdir().expect("a folder");
+        std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+        std::fs::write(dir.path().join("key"), &fleet_token).expect("written");
+        let admin = format!("(admin (follow \"{api}\") (key-file \"key\") (kept \"kept.json\") {trail})");
+        (desk, serve_in(dir, &format!("{settings}{admin}(controller (number 1) (of 2))"), None))
+    };
+    let (_one, with) = follower("6s", "(without-lease refuse) (trail (folder \"trail\"))");
+    let (_two, without) = follower("0s", "");
+    for program in [&with, &without] {
+        eventually("it serves", || code(&mut Caller::new(program.address), Some("a"), "echo").0 == Code::Ok);
+    }
+    pairs("lease and record", "a", &with, &without);
+}
+
+/// Calls a second at two controllers in turn.
+fn pairs(what: &str, tenant: &str, with: &Program, without: &Program) {
     let rate = |of: &Program| {
         let mut caller = Caller::new(of.address);
-        let request = ask("ModelInfer", &echo("echo", "u", 256));
+        let mut request = ask("ModelInfer", &echo("echo", "u", 256));
+        if !tenant.is_empty() {
+            request.headers.push(("nettleferry-tenant".to_owned(), tenant.to_owned()));
+        }
         let mut open: std::collections::HashSet<u64> = (0..64).map(|_| caller.ask(request.clone())).collect();
         let (begun, mut calls, mut heard) = (Instant::now(), 0u64, Vec::new());
         while begun.elapsed() < Duration::from_secs(3) {
@@ -306,13 +349,13 @@
         }
         calls as f64 / begun.elapsed().as_secs_f64()
     };
-    let (_, _) = (rate(&with), rate(&without));
-    let mut pairs: Vec<(f64, f64)> = (0..9).map(|_| (rate(&with), rate(&without))).collect();
+    let (_, _) = (rate(with), rate(without));
+    let mut pairs: Vec<(f64, f64)> = (0..9).map(|_| (rate(with), rate(without))).collect();
     let mut ratios: Vec<f64> = pairs.iter().map(|(a, b)| a / b).collect();
     ratios.sort_by(f64::total_cmp);
     pairs.sort_by(|a, b| a.0.total_cmp(&b.0));
     println!(
-        "counting: {:.0} calls/s with, {:.0} without (the median pair); ratios of 9 pairs in turn: median {:.3}, {:.3} to {:.3}",
+        "{what}: {:.0} calls/s with, {:.0} without (the median pair); ratios of 9 pairs in turn: median {:.3}, {:.3} to {:.3}",
         pairs[4].0, pairs[4].1, ratios[4], ratios[0], ratios[8]
     );
 }
--- a/crates/gateway/src/admin/desk.rs
+++ b/crates/gateway/src/admin/desk.rs
@@ -14,7 +14,8 @@
 use nettleferry_admin::{Answer, Problem, Request};
 use nettleferry_config::settings::AdminKey;
 use nettleferry_fleet::authority::{Authority, Duty, Step};
-use nettleferry_fleet::lease::MOST_SPAN;
+use nettleferry_fleet::lease::{MOST_SPAN, ends, error_of};
+use nettleferry_fleet::loans::Terms;
 use nettleferry_fleet::roll::{self, At, Roll, Who, Without};
 use nettleferry_fleet::stamp::Stamp;
 use nettleferry_fleet::trust::Thing;
@@ -29,6 +30,7 @@
 use tracing::{error, info, warn};
 
 use super::changes::{self, Changes, Here};
+use super::lending::{Demand, Lending};
 use super::marks::{Applied, Marks};
 use super::peers::{Asker, Peers, Whole, stamp};
 use super::records::{self, Records};
@@ -42,6 +44,8 @@
 const ASK_PEERS_EVERY: Duration = Duration::from_millis(500);
 /// A start waits so long for the disk that keeps the span of leases.
 const LEASE_WAIT: Duration = Duration::from_secs(2);
+/// The administration's own controller borrows so often, milliseconds, as events come.
+const LEND_OWN_EVERY: u64 = 500;
 /// The administration's own controller is told its clock so often, milliseconds, as events come.
 const CLOCK_EVERY: u64 = 1_000;
 /// Names of a difference that are shown; more are counted.
@@ -60,6 +64,8 @@
     /// Records are gathered; and that of the administration's own controller.
     pub records: bool,
     pub held: Option<crate::trail::Shared>,
+    /// How limits are divided.
+    pub terms: Terms,
 }
 
 /// What runs.
@@ -82,7 +88,7 @@
     rest: Rest,
     telling: Sender<Told>,
 ) -> io::Result<Started> {
-    let Rest { number, waker, peers, peer_key, lease, held_by, records, held: lines } = rest;
+    let Rest { number, waker, peers, peer_key, lease, held_by, records, held: lines, terms } = rest;
     let (beside, path) = (snapshot_path(store), store.to_owned());
     let (span, spans) = Spans::open(store, lease);
     let (store, book, read_only) = match Store::open(store) {
@@ -142,12 +148,14 @@
             own: At::default(),
             held_by,
             records,
+            lending: (terms.reserve < 1.0).then(|| Lending::new(terms)),
             life,
             start,
         },
         marks,
         changes: Changes::default(),
         clock_told: 0,
+        lent_at: 0,
         spans,
         path,
         beside,
@@ -245,6 +253,8 @@
     held_by: usize,
     /// Records of acts, where they are gathered.
     records: Option<Gathered>,
+    /// Loans, where they are given.
+    lending: Option<Lending>,
     /// This life of the administration: whose clock it is.
     life: u64,
     start: Instant,
@@ -343,11 +353,15 @@
         self.roll.told(self.now(), who, told);
         if holds.ended {
             self.roll.ended(who);
+            self.lending.iter_mut().for_each(|lending| lending.ended(who));
         }
         if self.roll.is_fenced(who) {
             let detail = "this life of the controller was shut out: it is let in again as another life";
             return Err(Problem::new(403, "fenced", detail));
         }
+        if holds.ended {
+            return Err(Problem::new(403, "ended", "it said that it takes no calls any more"));
+        }
         if self.followers.len() < MOST_FOLLOWERS || self.followers.contains_key(&controller) {
             self.followers.insert(controller, (holds.revision, Instant::now()));
         }
@@ -383,6 +397,22 @@
         (self.life, self.now())
     }
 
+    fn loans(&mut self, book: &Book, controller: u32, life: u64, report: Value) -> Result<Value, Problem> {
+        let none =
+            || Problem::new(409, "not-lent", "limits are not lent here: see (loans ...) in the settings");
+        let (now, who) = (self.now(), Who { number: controller, life });
+        let lending = self.lending.as_mut().ok_or_else(none)?;
+        let rows: Vec<Demand> = serde_json::from_value(report)
+            .map_err(|e| Problem::field("the body", format!("an array of demands: {e}")))?;
+        // A loan lasts as long as a lease, and only who holds one may borrow.
+        let leased = self.roll.members().any(|(w, m)| w == who && m.out.is_some_and(|out| now < out));
+        let Some(span) = self.roll.span().filter(|_| leased && !self.roll.is_fenced(who)) else {
+            return Err(Problem::new(409, "no-lease", "this life holds no lease"));
+        };
+        let loans = lending.report((now, now + span + error_of(span)), book, who, &rows);
+        Ok(json!({ "span_ms": span, "loans": loans }))
+    }
+
     fn deliver(&mut self, controller: u32, lines: Vec<String>) -> Result<u64, Problem> {
         let no_room = || {
             Problem::new(
@@ -441,7 +471,9 @@
         };
         let lives: Vec<Value> =
             self.roll.members().map(|(who, member)| self.life(now, who, member)).collect();
+        let (limits, borrowers) = self.lending.as_ref().map(|l| l.shown(now)).unwrap_or_default();
         json!({
+            "lent": { "limits": limits, "borrowers": borrowers },
             "lease_ms": self.roll.span(), "leases": self.roll.holders(now), "lives": lives, "without_room": self.roll.refused(),
             "controller": self.number, "role": "administration", "step": step, "cause": cause,
             "since_ms": now.saturating_sub(since), "holds": own, "awaited": self.authority.expected(),
@@ -593,6 +625,8 @@
     changes: Changes,
     /// When our clock was told to our own controller last.
     clock_told: u64,
+    /// When our own controller borrowed last.
+    lent_at: u64,
     spans: Spans,
     path: PathBuf,
     beside: PathBuf,
@@ -672,6 +706,24 @@
         self.around.tell(Told::Mark(mark));
     }
 
+    /// The administration's own controller borrows like any other, without a network between.
+    fn lend_own(&mut self, now: u64) {
+        let (Some(lending), Some(span)) = (&mut self.around.lending, self.around.roll.span()) else { return };
+        if now < self.lent_at + LEND_OWN_EVERY {
+            return;
+        }
+        self.lent_at = now;
+        lending.sweep(now);
+        let rows = lock(&self.around.shown).demands();
+        if rows.is_empty() {
+            return;
+        }
+        let asked = Instant::now();
+        let who = Who { number: self.around.number, life: self.around.life };
+        let loans = lending.report((now, now + span + error_of(span)), self.api.book(), who, &rows);
+        self.around.tell(Told::Lent { until: asked + Duration::from_millis(ends(0, span)), loans });
+    }
+
     /// Leases of before are out: what another life has to wait for is our own span.
     fn settle_spans(&mut self, now: u64) -> Option<u64> {
         self.spans.after?;
@@ -728,6 +780,7 @@
         let passed = self.around.now();
         self.changes.sweep(passed);
         self.around.show_lives(passed);
+        self.lend_own(passed);
         let (asked, by) = (Instant::now(), self.around.life);
         if let Some(records) = &mut self.around.records {
             records.settle();
--- a/crates/gateway/src/admin/follow.rs
+++ b/crates/gateway/src/admin/follow.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use nettleferry_fleet::lease::{self, ASKS_IN_A_SPAN, LEAST_SPAN, MOST_SPAN};
@@ -24,7 +24,7 @@
 
 use super::marks::{Applied, Marks};
 use super::peers::{Mirror, Peers, Whole, stamp};
-use super::{Told, token};
+use super::{Lent, Shown, Told, token};
 use crate::kept::Kept;
 use crate::trail::{Shared, lock as lock_lines};
 
@@ -77,6 +77,8 @@
     held_ms: u64,
 }
 
+/// An ordered end tries so long to say that it takes no calls any more.
+const FAREWELL: Duration = Duration::from_millis(300);
 /// Bytes of lines delivered in one exchange.
 const PAGE_BYTES: usize = 256 << 10;
 
@@ -94,6 +96,8 @@
     pub ends: bool,
     /// Its record, to be delivered.
     pub held: Option<Shared>,
+    /// What its calls could use of limits, where it borrows.
+    pub borrows: Option<Arc<Mutex<Shown>>>,
 }
 
 pub struct Follow<T> {
@@ -127,6 +131,7 @@
     /// Its record, and the last line that the administration has of it.
     held: Option<Shared>,
     delivered: u64,
+    borrows: Option<Arc<Mutex<Shown>>>,
     /// The span of leases as told last; `None`: nothing was told yet.
     span: Option<Option<Duration>>,
 }
@@ -173,6 +178,7 @@
             kept_at: at,
             held: whom.held.clone(),
             delivered: 0,
+            borrows: whom.borrows.clone(),
             span: None,
         })
     }
@@ -221,15 +227,72 @@
                     self.leased(asked, lease);
                     self.settle()?;
                     if lease.is_some() {
+                        self.borrow()?;
                         self.deliver()?;
                     }
                 }
             }
             self.put_in_force(&mut news);
         }
+        self.farewell()
+    }
+
+    /// It takes no calls any more: what it had is others' at once, and no change waits for it.
+    fn farewell(&mut self) -> io::Result<()> {
+        if self.span.flatten().is_none() {
+            return Ok(());
+        }
+        let target = format!("/v1/watch?controller={}&life={}&ended=1&wait_ms=0", self.number, self.life);
+        let bearer = format!("Bearer {}", self.token);
+        self.snapshots.patience(FAREWELL);
+        self.snapshots.send(0, "GET", &target, &[("Authorization", &bearer)], b"");
+        let (mut heard, until) = (Vec::new(), Instant::now() + FAREWELL);
+        while heard.is_empty() && Instant::now() < until {
+            self.snapshots.turn(Some(FAREWELL), &mut heard)?;
+        }
+        Ok(())
+    }
+
+    /// Tells what its calls could use of limits, and hears what they may.
+    fn borrow(&mut self) -> io::Result<()> {
+        let Some(shown) = &self.borrows else { return Ok(()) };
+        let rows = shown.lock().unwrap_or_else(PoisonError::into_inner).demands();
+        if rows.is_empty() {
+            return Ok(());
+        }
+        let Ok(body) = serde_json::to_vec(&rows) else { return Ok(()) };
+        let target = format!("/v1/fleet/loans?controller={}&life={}", self.number, self.life);
+        // Counted from before the ask, like the lease.
+        let asked = Instant::now();
+        let Some(answer) = self.post(&target, &body)? else { return Ok(()) };
+        #[derive(Deserialize)]
+        struct Loans {
+            span_ms: u64,
+            loans: Vec<Lent>,
+        }
+        match (answer.status, serde_json::from_slice::<Loans>(&answer.body)) {
+            (200, Ok(Loans { span_ms, loans })) => {
+                let until = asked + Duration::from_millis(lease::ends(0, span_ms));
+                (self.tell)(Told::Lent { until, loans });
+            }
+            (404 | 405, _) => self.borrows = None,
+            _ => {}
+        }
         Ok(())
     }
 
+    fn post(&mut self, target: &str, body: &[u8]) -> io::Result<Option<Answer>> {
+        let bearer = format!("Bearer {}", self.token);
+        let headers = [("Authorization", bearer.as_str()), ("Content-Type", "application/json")];
+        self.snapshots.patience(SNAPSHOT);
+        self.snapshots.send(0, "POST", target, &headers, body);
+        let mut heard = Vec::new();
+        while heard.is_empty() && !self.ended.load(Ordering::Acquire) {
+            self.snapshots.turn(Some(SNAPSHOT), &mut heard)?;
+        }
+        Ok(heard.pop().and_then(|(_, answer)| answer.ok()))
+    }
+
     /// It may act on what was told so far, for a span from when it asked.
     fn leased(&mut self, asked: Instant, lease: Option<Lease>) {
         let Some(Lease { lease_ms: span_ms, place }) = lease else { return };
@@ -272,19 +335,11 @@
         let texts: Vec<&String> = lines.iter().map(|(_, text)| text).collect();
         let Ok(body) = serde_json::to_vec(&texts) else { return Ok(()) };
         let target = format!("/v1/fleet/records?controller={}", self.number);
-        let bearer = format!("Bearer {}", self.token);
-        let headers = [("Authorization", bearer.as_str()), ("Content-Type", "application/json")];
-        self.snapshots.patience(SNAPSHOT);
-        self.snapshots.send(0, "POST", &target, &headers, &body);
-        let mut heard = Vec::new();
-        while heard.is_empty() && !self.ended.load(Ordering::Acquire) {
-            self.snapshots.turn(Some(SNAPSHOT), &mut heard)?;
-        }
         #[derive(Deserialize)]
         struct Delivered {
             last: u64,
         }
-        if let Some((_, Ok(answer))) = heard.pop() {
+        if let Some(answer) = self.post(&target, &body)? {
             match (answer.status, serde_json::from_slice::<Delivered>(&answer.body)) {
                 (200, Ok(delivered)) => self.delivered = delivered.last,
                 // It gathers none: not asked again in this life.
--- a/crates/gateway/src/admin/mod.rs
+++ b/crates/gateway/src/admin/mod.rs
@@ -5,6 +5,7 @@
 mod desk;
 mod follow;
 mod keys;
+mod lending;
 mod marks;
 mod mirror;
 mod peers;
@@ -22,11 +23,13 @@
 use nettleferry_admin::Response;
 use nettleferry_admin::api::{Usage, Worker};
 use nettleferry_config::settings::{Admin, AdminKey, Desk as Whose};
+use nettleferry_fleet::loans::Terms;
 use nettleferry_net::http1::{Reply, Stop};
 use nettleferry_tenancy::{Entry, Revision};
 use tracing::warn;
 
 use crate::endpoint::Endpoint;
+pub use lending::{Demand, Lent, MOST_ROWS as MOST_DEMANDS};
 use marks::Applied;
 pub use peers::Whole;
 pub use records::OWN as ADMINISTRATION;
@@ -50,6 +53,8 @@
     Leased { until: Instant, place: u64 },
     /// It was shut out.
     Fenced,
+    /// What it may use of limits beyond its reserves, until then.
+    Lent { until: Instant, loans: Vec<Lent> },
 }
 
 /// What the controller tells.
@@ -68,8 +73,26 @@
     pub lives_fenced: usize,
     /// See `lives_behind`.
     pub book_waits: bool,
+    /// What could be used of limits, where loans are given, and when that was measured.
+    pub demands: Vec<Demand>,
+    /// See `demands`.
+    pub measured: Option<Instant>,
 }
 
+impl Shown {
+    /// What could be used, as measured lately; what was measured long ago, by a controller without calls, is nothing.
+    fn demands(&self) -> Vec<Demand> {
+        let fresh = self.measured.is_some_and(|at| at.elapsed() < DEMAND_AGE);
+        self.demands
+            .iter()
+            .map(|d| Demand { demand: if fresh { d.demand } else { 0.0 }, ..d.clone() })
+            .collect()
+    }
+}
+
+/// A demand that was measured longer ago is none.
+const DEMAND_AGE: Duration = Duration::from_secs(2);
+
 /// Controllers that follow whose word is kept; more are not told of.
 const MOST_FOLLOWERS: usize = 1_024;
 /// A snapshot is written beside the store so long after a change at the latest.
@@ -98,7 +121,7 @@
     /// Starts what the settings say.
     pub fn start(
         admin: &Admin,
-        number: u32,
+        (number, of): (u32, u32),
         waker: Arc<mio::Waker>,
         held: Option<crate::trail::Shared>,
     ) -> io::Result<Self> {
@@ -107,13 +130,17 @@
                 let (peer_key, held_by) = (peer_key.as_deref(), *held_by);
                 let lease = lease.map(|span| span / 1000);
                 let records = held.is_some();
-                let around = desk::Rest { number, waker, peers, peer_key, lease, held_by, records, held };
+                let terms = Terms { controllers: of, reserve: admin.reserve };
+                let around =
+                    desk::Rest { number, waker, peers, peer_key, lease, held_by, records, held, terms };
                 Self::own(*listen, store, keys, around)
             }
             Whose::Follow { to, key_file, kept, window, peers, straggler } => {
                 let ends = straggler.refuses;
-                let whom = follow::Whom { to: *to, key_file, kept, peers, ends, held };
-                Self::follow(&whom, window.as_ref(), number, waker)
+                let shown = Arc::default();
+                let borrows = (admin.reserve < 1.0).then(|| Arc::clone(&shown));
+                let whom = follow::Whom { to: *to, key_file, kept, peers, ends, held, borrows };
+                Self::follow(&whom, window.as_ref(), number, waker, shown)
             }
         }
     }
@@ -123,6 +150,7 @@
         window: Option<&(SocketAddr, Vec<AdminKey>)>,
         number: u32,
         waker: Arc<mio::Waker>,
+        shown: Arc<Mutex<Shown>>,
     ) -> io::Result<Self> {
         let (telling, told) = channel();
         let tell = move |news| {
@@ -139,7 +167,6 @@
                 warn!(%error, "following the administration has ended: tenants stay as they are");
             }
         })?;
-        let shown = Arc::default();
         Ok(Self { local, book, told, shown, applied, ender, thread: Some(thread), _window: window })
     }
 
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -177,12 +177,15 @@
                 trail = Some((Recorder::new(now, life, config.settings.me, program, tail), log));
             }
             let held = trail.as_ref().map(|(_, log)| log.held());
-            let started = Desk::start(admin, config.settings.me, hub.waker(), held).map_err(failed)?;
+            let started =
+                Desk::start(admin, (config.settings.me, config.settings.controllers), hub.waker(), held)
+                    .map_err(failed)?;
             if let Some(whole) = &started.book {
                 book = (whole.store.clone(), whole.epoch);
             }
             let (base, of) = (config.tenants.len(), config.settings.controllers);
-            let mut all = Tenants::new(base, &config.classes, admin.anonymous, admin.places, of);
+            let terms = nettleferry_fleet::loans::Terms { controllers: of.max(1), reserve: admin.reserve };
+            let mut all = Tenants::new(base, &config.classes, admin.anonymous, admin.places, terms);
             match &started.book {
                 Some(whole) => {
                     all.begin(&whole.book);
@@ -310,6 +313,11 @@
         if let (Some(tenants), Some(desk)) = (&mut self.tenants, &self.desk) {
             self.observer.turned(tenants.turned());
             let mut shown = desk.shown();
+            if tenants.lends()
+                && let Some(demands) = tenants.demands(self.clock.now())
+            {
+                (shown.demands, shown.measured) = (demands, Some(Instant::now()));
+            }
             shown.revision = tenants.revision();
             self.observer.lives(shown.lives_behind, shown.lives_fenced, shown.book_waits);
             tenants.show(&mut shown.usage);
@@ -448,6 +456,14 @@
                         holder.leased(now + left);
                     }
                 }
+                Told::Lent { until, loans } => {
+                    // Our clock first, as for leases.
+                    let now = self.clock.now();
+                    let left = until.saturating_duration_since(Instant::now()).as_micros() as u64;
+                    if let Some(tenants) = &mut self.tenants {
+                        tenants.lend(now, now + left, loans);
+                    }
+                }
                 Told::Fenced => {
                     if let Some(holder) = &mut self.lease {
                         holder.fence();
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -8,11 +8,14 @@
 use nettleferry::{Micros, TenantId};
 use nettleferry_admin::api::Usage;
 use nettleferry_admission::admission::{Asked, Limits};
-use nettleferry_admission::{Admission, Policy, Terms, Verdict, Why};
+use nettleferry_admission::{Admission, Policy, Verdict, Why};
 use nettleferry_engine::{EndKind, Phase, Step};
+use nettleferry_fleet::loans::{Kind, Terms};
 use nettleferry_tenancy::{Book, Entry, Revision, Spec, State, Tenant};
 use slab::Slab;
 
+use crate::admin::{Demand, Lent, MOST_DEMANDS};
+
 /// Why a call is turned away, for a front.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Turned {
@@ -28,9 +31,35 @@
     name: Arc<str>,
     uid: Revision,
     spec: Spec,
+    state: State,
+    asked: Asks,
     ends: BTreeMap<&'static str, u64>,
 }
 
+/// What came of a tenant, to know what it could use of its limits.
+#[derive(Clone, Copy, Debug, Default)]
+struct Asks {
+    /// Calls since the last look, and those of them that found no open or held place.
+    came: u64,
+    no_open: u32,
+    no_held: u32,
+    /// Bytes that were asked for beyond its part.
+    no_memory: u64,
+    /// Calls a second, smoothed over looks.
+    rate: f64,
+}
+
+/// A loan in force.
+struct Borrowed {
+    limit: f64,
+    number: u64,
+    amount: f64,
+    until: Micros,
+}
+
+/// Demands are looked at so often at the most.
+const LOOK_EVERY: Micros = 400_000;
+
 /// Where no book is held yet, a client is to come back after this span.
 const BLIND_WAIT: Micros = 500_000;
 
@@ -49,6 +78,10 @@
     class_names: Vec<String>,
     anonymous: bool,
     terms: Terms,
+    /// Loans in force, and when the first of them is over.
+    loans: HashMap<(Revision, Kind), Borrowed>,
+    loan_ends: Micros,
+    looked: Micros,
     places: Slab<Place>,
     names: HashMap<Arc<str>, usize>,
     admission: Admission,
@@ -76,15 +109,17 @@
 }
 
 impl Tenants {
-    /// No tenants yet. `controllers`: among how many a limit is divided.
-    pub fn new(base: usize, classes: &[String], anonymous: bool, places: u32, controllers: u32) -> Self {
+    /// No tenants yet. `terms`: how a limit is divided.
+    pub fn new(base: usize, classes: &[String], anonymous: bool, places: u32, terms: Terms) -> Self {
         Self {
             base,
             classes: classes.iter().cloned().enumerate().map(|(n, name)| (name, n)).collect(),
             class_names: classes.to_vec(),
             anonymous,
-            // Controllers that share nothing: each has its equal part for good.
-            terms: Terms { controllers: controllers.max(1), reserve: 1.0, lease: 0 },
+            terms,
+            loans: HashMap::new(),
+            loan_ends: Micros::MAX,
+            looked: 0,
             places: Slab::new(),
             names: HashMap::new(),
             admission: Admission::new(places),
@@ -176,26 +211,118 @@
         let place = known.unwrap_or_else(|| {
             let name: Arc<str> = tenant.name.as_str().into();
             let (uid, spec, ends) = (tenant.uid, Spec::default(), BTreeMap::new());
-            let place = self.places.insert(Place { name: Arc::clone(&name), uid, spec, ends });
+            let (state, asked) = (tenant.state, Asks::default());
+            let place = self.places.insert(Place { name: Arc::clone(&name), uid, spec, state, asked, ends });
             self.names.insert(name, place);
             place
         });
-        self.places[place].spec = tenant.spec.clone();
-        self.admission.set(place, self.policy(tenant));
+        (self.places[place].spec, self.places[place].state) = (tenant.spec.clone(), tenant.state);
+        self.admission.set(place, self.policy(&self.places[place]));
+    }
+
+    /// Are limits lent here?
+    pub fn lends(&self) -> bool {
+        self.terms.reserve < 1.0
+    }
+
+    /// What may be used beyond the reserves, until then.
+    pub fn lend(&mut self, now: Micros, until: Micros, loans: Vec<Lent>) {
+        let mut touched: BTreeSet<Revision> = BTreeSet::new();
+        for Lent { uid, kind, limit, number, amount } in loans {
+            touched.insert(uid);
+            let before = self.loans.get(&(uid, kind)).map_or(0, |loan| loan.number);
+            // An answer that was overtaken by a later one takes nothing back.
+            if number > before {
+                self.loans.insert((uid, kind), Borrowed { limit, number, amount, until });
+            }
+        }
+        self.loan_ends = self.loans.values().map(|loan| loan.until).min().unwrap_or(Micros::MAX);
+        self.again(&touched);
+        self.lapse(now);
+    }
+
+    /// Loans that are over are used no more.
+    fn lapse(&mut self, now: Micros) {
+        if now < self.loan_ends {
+            return;
+        }
+        let over: BTreeSet<Revision> =
+            self.loans.iter().filter(|(_, loan)| loan.until <= now).map(|((uid, _), _)| *uid).collect();
+        self.loans.retain(|_, loan| loan.until > now);
+        self.loan_ends = self.loans.values().map(|loan| loan.until).min().unwrap_or(Micros::MAX);
+        self.again(&over);
+    }
+
+    fn again(&mut self, of: &BTreeSet<Revision>) {
+        let places: Vec<usize> =
+            self.places.iter().filter(|(_, p)| of.contains(&p.uid)).map(|(at, _)| at).collect();
+        for place in places {
+            let policy = self.policy(&self.places[place]);
+            self.admission.set(place, policy);
+        }
+    }
+
+    /// What could be used of limits, for those who lend, of tenants that asked lately or have a loan. `None`: it was
+    /// looked at just now.
+    pub fn demands(&mut self, now: Micros) -> Option<Vec<Demand>> {
+        let span = now.saturating_sub(self.looked);
+        if span < LOOK_EVERY {
+            return None;
+        }
+        self.looked = now;
+        let mut all = Vec::new();
+        for (place, p) in &mut self.places {
+            let asked = &mut p.asked;
+            asked.rate = (asked.rate + asked.came as f64 * 1e6 / span as f64) / 2.0;
+            let c = self.admission.counters(place).unwrap_or_default();
+            let limits = &p.spec.limits;
+            let memory = c.memory.saturating_add(asked.no_memory);
+            let wants = [
+                (Kind::Rate, limits.rate_per_second.map(|_| asked.rate)),
+                (Kind::Open, limits.open_calls.map(|_| f64::from(c.open + asked.no_open))),
+                (Kind::Held, limits.held_calls.map(|_| f64::from(c.open - c.running + asked.no_held))),
+                (Kind::Memory, limits.loaded_memory_bytes.map(|_| memory as f64)),
+            ];
+            *asked = Asks { rate: asked.rate, ..Asks::default() };
+            for (kind, demand) in wants {
+                let Some(demand) = demand else { continue };
+                let acts_on = self.loans.get(&(p.uid, kind)).map_or(0, |loan| loan.number);
+                if (demand > 0.01 || acts_on > 0) && all.len() < MOST_DEMANDS {
+                    all.push(Demand { tenant: p.name.to_string(), uid: p.uid, kind, demand, acts_on });
+                }
+            }
+        }
+        Some(all)
+    }
+
+    /// This controller's part of a limit: its reserve, and what it borrowed of this very limit.
+    fn part(&self, uid: Revision, kind: Kind, limit: f64) -> f64 {
+        let loan = self.loans.get(&(uid, kind)).filter(|loan| loan.limit == limit);
+        self.terms.reserve_of(limit) + loan.map_or(0.0, |loan| loan.amount)
     }
 
     /// This controller's part of the limits.
-    fn policy(&self, tenant: &Tenant) -> Policy {
+    fn policy(&self, tenant: &Place) -> Policy {
         let limits = &tenant.spec.limits;
+        let borrowed = |kind, limit: Option<u32>| {
+            limit.map(|n| if n == 0 { 0 } else { (self.part(tenant.uid, kind, f64::from(n)) as u32).max(1) })
+        };
+        let lent_rate = |per_second: Option<f64>, burst: Option<u32>| {
+            let ours = self.part(tenant.uid, Kind::Rate, per_second?);
+            // Bursts are not lent: what moves from one controller to another would be a second burst.
+            let reserve = self.terms.reserve_of(per_second?);
+            let burst = burst.map_or(reserve / 10.0, |b| self.terms.reserve_of(f64::from(b)));
+            Some((ours, (burst as u32).max(1)))
+        };
         let rate = |per_second: Option<f64>, burst: Option<u32>| {
-            let ours = self.terms.reserve_of(per_second?);
-            let burst = burst.map_or(ours / 10.0, |b| self.terms.reserve_of(f64::from(b)));
+            let ours = self.static_of(per_second?);
+            let burst = burst.map_or(ours / 10.0, |b| self.static_of(f64::from(b)));
             Some((ours, (burst as u32).max(1)))
         };
         // A part of a small limit is one call at the least, or else nobody could call at all: the bound of the
         // installation is then the number of controllers.
         let count = |limit: Option<u32>| {
-            limit.map(|n| if n == 0 { 0 } else { (self.terms.reserve_of(f64::from(n)) as u32).max(1) })
+            limit.map(|n| if n == 0 { 0 } else { (self.static_of(f64::from(n)) as u32).max(1) })
         };
         let class = |(name, class): (&String, &nettleferry_tenancy::ClassLimits)| {
             let rate = rate(class.rate_per_second, class.burst);
@@ -204,18 +331,26 @@
         Policy {
             active: tenant.state == State::Active,
             limits: Limits {
-                rate: rate(limits.rate_per_second, limits.burst),
-                open: count(limits.open_calls),
+                rate: lent_rate(limits.rate_per_second, limits.burst),
+                open: borrowed(Kind::Open, limits.open_calls),
             },
             classes: tenant.spec.classes.iter().filter_map(class).collect(),
-            held: count(limits.held_calls),
-            // Memory is the fleet's: each controller sees its own calls' models alone, which may be the same.
-            memory: limits.loaded_memory_bytes,
+            held: borrowed(Kind::Held, limits.held_calls),
+            // Memory is the fleet's. Where nothing is lent each controller sees its own calls' models alone, which
+            // may be the same; where it is, each has its part, and counts what others count as well.
+            memory: limits.loaded_memory_bytes.map(|bytes| {
+                if self.lends() { self.part(tenant.uid, Kind::Memory, bytes as f64) as u64 } else { bytes }
+            }),
             share: limits.fleet_share,
             weight: tenant.spec.weight.unwrap_or(1.0),
         }
     }
 
+    /// A part that is never lent: of classes' limits.
+    fn static_of(&self, limit: f64) -> f64 {
+        limit / f64::from(self.terms.controllers.max(1))
+    }
+
     /// May this call be opened? It counts as open from then on, under the front's mark.
     pub fn ask(
         &mut self,
@@ -246,9 +381,11 @@
             self.turned[Why::Inactive as usize] += 1;
             return Err(denied(format!("tenant {name} has no right to call {model}")));
         }
+        self.lapse(now);
         let mut hasher = DefaultHasher::new();
         model.hash(&mut hasher);
         self.touched.insert(place);
+        self.places[place].asked.came += 1;
         let asked = Asked { tenant: place, class, model: hasher.finish(), memory: memory.unwrap_or(0) };
         match self.admission.ask(now, asked) {
             Verdict::Admit => {
@@ -256,6 +393,13 @@
                 Ok(Some(TenantId(self.base + place)))
             }
             Verdict::Refuse(why, wait) => {
+                let asked = &mut self.places[place].asked;
+                match why {
+                    Why::Open => asked.no_open += 1,
+                    Why::Held => asked.no_held += 1,
+                    Why::Memory => asked.no_memory = asked.no_memory.saturating_add(memory.unwrap_or(0)),
+                    _ => {}
+                }
                 self.turned[why as usize] += 1;
                 Err(Turned { denied: why == Why::Inactive, message: words(why, name), wait })
             }
--- /dev/null
+++ b/crates/gateway/tests/loans.rs
@@ -0,0 +1,178 @@
+//! Limits lent among several processes with faults between them, held against what the workers saw: never more of a
+//! tenant's calls at once than his limit, whoever is cut off, stands still or dies.
+
+mod common;
+use common::desk::*;
+use common::link::{Does, Link};
+use common::*;
+
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use nettleferry_day::client::Heard;
+use nettleferry_net::grpc::Code;
+use nettleferry_standin::Seen;
+use serde_json::json;
+
+const LIMIT: usize = 40;
+const WORKERS: &str = "(listen \"127.0.0.1:0\") (cores 512) (queue 10000) (model \"\" (lanes 512) (load-time 1ms) (work 100ms))";
+
+/// So many calls of a tenant kept open at a controller; those that are turned away are tried again a little later.
+struct Flood {
+    stop: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Flood {
+    fn at(at: SocketAddr, open: usize) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let ended = Arc::clone(&stop);
+        let thread = std::thread::spawn(move || {
+            let limits = nettleferry_net::NetLimits { connect_timeout: PATIENCE, ..Default::default() };
+            let mut client = nettleferry_day::client::Client::new(1, limits).expect("a hub");
+            let headers = vec![("nettleferry-tenant".to_owned(), "kalahari".to_owned())];
+            let one = || nettleferry_day::client::Ask {
+                headers: headers.clone(),
+                ..ask("ModelInfer", &echo("echo", "u", 64))
+            };
+            let (mut out, mut heard) = (0, Vec::new());
+            while !ended.load(Ordering::Acquire) {
+                while out < open && client.call(at, one()).is_ok() {
+                    out += 1;
+                }
+                // A process that was killed answers nothing: it is asked again when it is back, not at once.
+                client.turn(Some(Duration::from_millis(5)), &mut heard).expect("polls");
+                out -= heard.drain(..).filter(|h| matches!(h, Heard::End { .. })).count();
+            }
+        });
+        Self { stop, thread: Some(thread) }
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Release);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Calls at the workers at once, from what they saw: now, and the most since the mark.
+struct Truth {
+    open: BTreeSet<(String, u64)>,
+    seen: usize,
+    most: usize,
+}
+
+impl Truth {
+    fn look(&mut self, fleet: &mut Fleet) -> usize {
+        let records = fleet.look();
+        for record in &records[self.seen..] {
+            match &record.seen {
+                Seen::Call { stream, .. } => _ = self.open.insert((record.worker.clone(), *stream)),
+                Seen::Gone { stream } | Seen::Answered { stream, .. } => {
+                    self.open.remove(&(record.worker.clone(), *stream));
+                }
+                _ => {}
+            }
+            self.most = self.most.max(self.open.len());
+        }
+        self.seen = records.len();
+        self.open.len()
+    }
+}
+
+#[test]
+fn what_is_lent_is_never_more_than_the_limit_whoever_is_cut_off_stopped_or_killed() {
+    let mut fleet = Fleet::new(1, WORKERS);
+    let (token, line) = key("ada", "admin");
+    let (fleet_key, fleet_line) = key("fleet", "controller");
+    let api = TcpListener::bind("127.0.11.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let list = fleet.list();
+    let dir = || {
+        let dir = tempfile::tempdir().expect("a folder");
+        std::fs::write(dir.path().join("workers.sexp"), &list).expect("written");
+        std::fs::write(dir.path().join("key"), &fleet_key).expect("written");
+        dir
+    };
+    let settings = SETTINGS.replace("(lanes 64)", "(lanes 512)");
+    let admin = format!(
+        "(admin (listen \"{api}\") (store \"tenants.redb\") (lease 1s) (loans (reserve 0.2)) {line} {fleet_line})"
+    );
+    let program = serve_in(dir(), &format!("{settings}{admin}(controller (number 0) (of 4))"), None);
+    assert_eq!(program.line("listening admin "), api);
+    let desk = Desk { program, http: Http { api, token } };
+    desk.create(json!({ "name": "kalahari", "limits": { "open_calls": LIMIT } }));
+    let links: Vec<Link> = (0..3).map(|_| Link::to(api, "127.0.11.1:0")).collect();
+    let follower = |number: usize| {
+        let through = links[number].address;
+        let admin = format!(
+            "(admin (follow \"{through}\") (key-file \"key\") (kept \"kept.json\") (without-lease refuse) (loans (reserve 0.2)))"
+        );
+        serve_in(dir(), &format!("{settings}{admin}(controller (number {}) (of 4))", number + 1), None)
+    };
+    let mut all: Vec<Program> = (0..3).map(follower).collect();
+    for program in &all {
+        eventually("it serves", || {
+            code(&mut Caller::new(program.address), Some("kalahari"), "echo").0 == Code::Ok
+        });
+    }
+    let mut truth = Truth { open: BTreeSet::new(), seen: 0, most: 0 };
+    // Where the traffic is the limit is: all but the others' reserves, 2 each; by parts it would be 10.
+    for one in [0, 1] {
+        let _flood = Flood::at(all[one].address, 60);
+        eventually("the limit follows the traffic", || truth.look(&mut fleet) >= LIMIT - 3 * 2 - 1);
+    }
+    assert!(truth.most <= LIMIT, "{} at once", truth.most);
+    // Faults under traffic everywhere, each longer than a lease.
+    let floods: Vec<Flood> = all.iter().map(|p| Flood::at(p.address, 30)).collect();
+    let cycles = |truth: &mut Truth, fleet: &mut Fleet, count: usize| {
+        let from = fleet.look().len();
+        eventually("calls flow", || {
+            truth.look(fleet);
+            fleet.look()[from..].iter().filter(|r| matches!(r.seen, Seen::Answered { .. })).count() >= count
+        });
+        assert!(truth.most <= LIMIT, "{} at once", truth.most);
+    };
+    cycles(&mut truth, &mut fleet, 300);
+    for does in [Does::Silent, Does::AsksOnly, Does::AnswersOnly, Does::Cut] {
+        links[0].set(does);
+        cycles(&mut truth, &mut fleet, 400);
+        links[0].set(Does::Passes);
+        cycles(&mut truth, &mut fleet, 200);
+    }
+    all[1].signal("STOP");
+    cycles(&mut truth, &mut fleet, 400);
+    all[1].signal("CONT");
+    cycles(&mut truth, &mut fleet, 200);
+    all[2].signal("KILL");
+    cycles(&mut truth, &mut fleet, 300);
+    drop(floods);
+    all[2] = follower(2);
+    let floods: Vec<Flood> = all.iter().map(|p| Flood::at(p.address, 30)).collect();
+    cycles(&mut truth, &mut fleet, 300);
+    // One leaves in order: what it had is others' at once, and not when its lease is over.
+    all[0].signal("TERM");
+    eventually("it has said that it ended", || {
+        let lives = desk.get("/v1/fleet")["lives"].as_array().cloned().unwrap_or_default();
+        lives.iter().any(|l| l["controller"] == 1 && l["lease_left_ms"].is_null())
+    });
+    cycles(&mut truth, &mut fleet, 200);
+    // The limit is lowered to a fifth while all is lent out: once that is said to be in force, no more are begun.
+    let (status, told) =
+        desk.ask("PATCH", "/v1/tenants/kalahari", "If-Match: *\r\n", "{\"limits\":{\"open_calls\":8}}");
+    assert_eq!(status, 200, "{told}");
+    eventually("those that were open have ended", || truth.look(&mut fleet) <= 8);
+    truth.most = 0;
+    let from = fleet.look().len();
+    eventually("calls flow", || {
+        truth.look(&mut fleet);
+        fleet.look()[from..].iter().filter(|r| matches!(r.seen, Seen::Answered { .. })).count() >= 100
+    });
+    assert!(truth.most <= 8, "{} at once", truth.most);
+    drop(floods);
+}
--- a/examples/nettleferry.sexp
+++ b/examples/nettleferry.sexp
@@ -142,6 +142,8 @@
   (peer-key-file "fleet.key")       ; the token to ask them with, of role controller
   (lease 6s)                        ; controllers that follow may act on what they heard for so long, 200ms to 60s; 0s: no leases (default 6s)
   (held-by 1)                       ; other disks that are to hold a change before it is acknowledged, of those that are there (default 1)
+  (loans (reserve 0.2))             ; of each limit so much is divided for good, the rest is lent by demand; the same everywhere
+                                    ; (default: all is divided by (controller (of N)))
   (trail                            ; the record of what this controller acted on, for nettleferry fleet audit (default: none)
     (folder "trail")
     (size 64MiB))                   ; of its log; the oldest lines go first (default 64MiB, 64KiB at the least)
