Loans: numbers never come again, and calls in hand count until they have ended

Numbers now go on over all limits and name the administration's life that gave them; a word tells what is in use, of the same moment, and that counts; what calls hold counts for the longest deadline beyond a lease that ended unheard. The proptest tells old words as well.

The superseded lender of admission is gone; tests that start a fleet share one rig.

--- a/crates/admin/src/openapi.rs
+++ b/crates/admin/src/openapi.rs
@@ -140,9 +140,9 @@
             "records": { "type": "array", "items": { "type": "object" }, "description": "of: whose, lines: how many are held, last: the last one's number" },
             "lines": of("Lines"), "next": { "type": ["integer", "null"], "description": "`from` of the next page" },
         } },
-        "Demands": { "type": "array", "maxItems": 1000, "items": { "type": "object", "required": ["tenant", "uid", "kind", "demand", "acts_on"], "properties": {
+        "Demands": { "type": "array", "maxItems": 1000, "items": { "type": "object", "required": ["tenant", "uid", "kind", "demand", "in_use", "acts_on", "by"], "properties": {
             "tenant": text("whose"), "uid": whole("which tenant of that name"), "kind": { "enum": ["rate", "open", "held", "memory"] },
-            "demand": { "type": "number", "minimum": 0, "description": "what it could use, in all" }, "acts_on": whole("the loan that it acts on; 0: none"),
+            "demand": { "type": "number", "minimum": 0, "description": "what it could use, in all" }, "in_use": { "type": "number", "minimum": 0, "description": "by calls in hand; nothing of a rate" }, "acts_on": whole("the loan that it acts on; 0: none"), "by": whole("the life of the administration that gave it"),
         } } },
         "Loans": { "type": "object", "required": ["span_ms", "loans"], "properties": {
             "span_ms": whole("they last so long, counted from the ask"),
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,19 +6,15 @@
 //!
 //! * [`gcra`]: a rate with a burst.
 //! * [`admission`]: a tenant's limits and its classes', one verdict a call.
-//! * [`lender`]: a limit of the installation divided over controllers that share nothing: a reserve each, the rest
-//!   lent by demand, with leases that end by themselves.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 pub mod admission;
 pub mod gcra;
-pub mod lender;
 
 pub use admission::{Admission, Counters, Policy, Verdict, Why};
 pub use gcra::Gcra;
-pub use lender::{Lender, Terms};
 
 /// Microseconds.
 pub type Micros = u64;
--- a/crates/fleet/src/loans.rs
+++ b/crates/fleet/src/loans.rs
@@ -6,6 +6,10 @@
 //! what clocks may err ([`crate::lease`]). A loan that is replaced by a smaller one counts as it was until the borrower
 //! has told that it acts on the new one, or its span is over: an answer that was lost frees nothing.
 //!
+//! Calls in hand stay open when a part becomes smaller or a loan ends: a life tells with its word how much it has in use,
+//! and that counts as well; and for what calls hold, a life that is not heard any more counts for the longest time that a
+//! call may take beyond its lease.
+//!
 //! So at every moment what a life may use is at most the greatest of its loans that are out and were not replaced for
 //! all it knows, and the lender keeps the sum of these under what it may lend.
 
@@ -54,10 +58,22 @@
     Memory,
 }
 
+/// What a life tells of a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Word {
+    /// How much it could use, in all.
+    pub demand: f64,
+    /// How much of it is in use: of what calls hold, by calls in hand; nothing of a rate.
+    pub in_use: f64,
+    /// The number of the loan that it acts on; 0: none. Of the same moment as `in_use`.
+    pub acts_on: u64,
+}
+
 /// A loan: so much beyond the reserve.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Loan {
-    /// Its number among the loans of this limit to this life, from 1.
+    /// Its number: a later loan has a higher one, and none is ever given twice by one lender. A number that came again
+    /// would let an old word pass for news of a loan that is in use.
     pub number: u64,
     /// How much.
     pub amount: f64,
@@ -68,12 +84,18 @@
     demand: f64,
     /// Loans that may be in use: number, amount, and when it is over by every clock.
     out: Vec<(u64, f64, Millis)>,
-    last: u64,
+    /// In use beyond the reserve when it told its word, and until when that counts.
+    in_use: (f64, Millis),
 }
 
 impl Borrower {
     fn uses(&self, now: Millis) -> f64 {
-        self.out.iter().filter(|(_, _, until)| now < *until).map(|(_, amount, _)| *amount).fold(0.0, f64::max)
+        let told = if now < self.in_use.1 { self.in_use.0 } else { 0.0 };
+        self.out
+            .iter()
+            .filter(|(_, _, until)| now < *until)
+            .map(|(_, amount, _)| *amount)
+            .fold(told, f64::max)
     }
 }
 
@@ -94,40 +116,41 @@
         self.borrowers.values().filter(|b| b.uses(now) > 0.0).count()
     }
 
-    /// A life that holds a lease tells how much of the limit it could use in all, and the number of the loan that it
-    /// acts on (0: none). What it may use beyond its reserve, until the lease of this answer is over: at `until` by every
-    /// clock.
+    /// A life that holds a lease tells its word. What it may use beyond its reserve, until the lease of this answer is over: at `until` by every
+    /// clock. `next`: the number of the last loan that was given, of any limit; it is counted on.
     pub fn report(
         &mut self,
         (now, until): (Millis, Millis),
         (terms, limit): (Terms, f64),
         who: Who,
-        (demand, acts_on): (f64, u64),
+        Word { demand, in_use, acts_on }: Word,
+        next: &mut u64,
     ) -> Loan {
         // One that got nothing is there all the same, and wants its part.
         let here = |b: &Borrower| b.out.iter().any(|(_, _, until)| now < *until);
         self.borrowers.retain(|other, b| *other == who || here(b));
         let beyond = if demand.is_finite() { (demand - terms.reserve_of(limit)).max(0.0) } else { 0.0 };
         let borrower =
-            self.borrowers.entry(who).or_insert(Borrower { demand: 0.0, out: Vec::new(), last: 0 });
+            self.borrowers.entry(who).or_insert(Borrower { demand: 0.0, out: Vec::new(), in_use: (0.0, 0) });
         borrower.demand = beyond;
+        borrower.in_use = ((in_use - terms.reserve_of(limit)).max(0.0), until);
         // Who acts on a later loan acts on no earlier one any more; a number that was never given proves nothing.
-        if acts_on <= borrower.last {
+        if acts_on <= *next {
             borrower.out.retain(|(number, _, over)| *number >= acts_on && now < *over);
         }
         let lendable = terms.lendable(limit).max(0.0);
         let others: f64 = self.borrowers.iter().filter(|(w, _)| **w != who).map(|(_, b)| b.uses(now)).sum();
         let amount = self.part(lendable, who).min((lendable - others).max(0.0));
         let Some(borrower) = self.borrowers.get_mut(&who) else { return Loan { number: 0, amount: 0.0 } };
-        borrower.last += 1;
-        borrower.out.push((borrower.last, amount, until));
+        *next += 1;
+        borrower.out.push((*next, amount, until));
         if borrower.out.len() > MOST_OUT {
             // Two become one that covers both.
             let (_, amount, over) = borrower.out.remove(0);
             let first = &mut borrower.out[0];
             (first.1, first.2) = (first.1.max(amount), first.2.max(over));
         }
-        Loan { number: borrower.last, amount }
+        Loan { number: *next, amount }
     }
 
     /// A life has ended, in order or by its own word that it takes no calls: what it had is free at once.
@@ -167,8 +190,15 @@
     #[test]
     fn the_rest_follows_demand_and_a_smaller_loan_frees_nothing_before_it_is_known_to_be_acted_on() {
         let mut lender = Lender::default();
-        let ask = |lender: &mut Lender, now: Millis, n, demand, acts_on| {
-            lender.report((now, now + 1_000), (TERMS, 100.0), who(n), (demand, acts_on))
+        let mut next = 0;
+        let mut ask = |lender: &mut Lender, now: Millis, n, demand, acts_on| {
+            lender.report(
+                (now, now + 1_000),
+                (TERMS, 100.0),
+                who(n),
+                Word { demand, in_use: 0.0, acts_on },
+                &mut next,
+            )
         };
         assert_eq!(TERMS.reserve_of(100.0), 5.0);
         let first = ask(&mut lender, 0, 1, 1_000.0, 0);
@@ -176,17 +206,26 @@
         assert_eq!(ask(&mut lender, 10, 2, 1_000.0, 0).amount, 0.0, "nothing is free");
         let smaller = ask(&mut lender, 20, 1, 1_000.0, first.number);
         assert_eq!(smaller.amount, 40.0);
-        assert_eq!(ask(&mut lender, 30, 2, 1_000.0, 1).amount, 0.0, "it may not have heard of it");
+        assert_eq!(ask(&mut lender, 30, 2, 1_000.0, 2).amount, 0.0, "it may not have heard of it");
         ask(&mut lender, 40, 1, 1_000.0, smaller.number);
-        assert_eq!(ask(&mut lender, 50, 2, 1_000.0, 2).amount, 40.0);
+        assert_eq!(ask(&mut lender, 50, 2, 1_000.0, 4).amount, 40.0);
         assert_eq!(lender.lent(60), 80.0);
     }
 
     #[test]
     fn what_a_dead_or_ended_life_had_comes_back() {
         let mut lender = Lender::default();
-        let ask = |lender: &mut Lender, now, n| {
-            lender.report((now, now + 1_000), (TERMS, 100.0), who(n), (1_000.0, 0)).amount
+        let mut next = 0;
+        let mut ask = |lender: &mut Lender, now, n| {
+            lender
+                .report(
+                    (now, now + 1_000),
+                    (TERMS, 100.0),
+                    who(n),
+                    Word { demand: 1_000.0, in_use: 0.0, acts_on: 0 },
+                    &mut next,
+                )
+                .amount
         };
         assert_eq!(ask(&mut lender, 0, 1), 80.0);
         assert_eq!((ask(&mut lender, 999, 2), ask(&mut lender, 1_000, 2)), (0.0, 80.0));
@@ -195,6 +234,23 @@
         assert_eq!(lender.borrowers(1_001), 1);
     }
 
+    #[test]
+    fn calls_in_hand_count_until_they_have_ended() {
+        let (mut lender, mut next) = (Lender::default(), 0);
+        let mut word = |lender: &mut Lender, now: Millis, n, in_use, acts_on| {
+            let word = Word { demand: 1_000.0, in_use, acts_on };
+            lender.report((now, now + 1_000), (TERMS, 100.0), who(n), word, &mut next).amount
+        };
+        assert_eq!(word(&mut lender, 0, 1, 0.0, 0), 80.0);
+        assert_eq!(word(&mut lender, 10, 2, 0.0, 0), 0.0);
+        assert_eq!(word(&mut lender, 20, 1, 85.0, 1), 40.0);
+        // It acts on the smaller part, and has 60 calls in hand still.
+        word(&mut lender, 30, 1, 60.0, 3);
+        assert_eq!(word(&mut lender, 40, 2, 0.0, 2), 25.0, "80 less 55 beyond its reserve");
+        word(&mut lender, 50, 1, 30.0, 4);
+        assert_eq!(word(&mut lender, 60, 2, 0.0, 5), 40.0);
+    }
+
     /// A borrower as the program has it: it acts on the last loan that it heard, until its own clock says it is over.
     #[derive(Clone, Copy, Default)]
     struct Acts {
@@ -212,13 +268,18 @@
             let (terms, limit, span) = (Terms { controllers: 6, reserve }, 1_000.0, 2_000);
             let mut lender = Lender::default();
             let mut acts = [Acts::default(); 6];
-            let mut now = 0;
+            // What each told at some time before: words are measured now and then, and may be old.
+            let mut told = [0u64; 6];
+            let (mut now, mut next) = (0, 0);
             for (n, demand, gap, lost, restarts) in steps {
                 now += gap;
-                // One of a few starts anew and knows of no loan, as the same life: the worst that may be told.
-                let known = if restarts && lost == 3 { 0 } else { acts[n as usize].number };
+                // The word may be as old as it likes, or none at all.
+                if restarts {
+                    told[n as usize] = acts[n as usize].number;
+                }
+                let known = if lost == 3 { 0 } else { told[n as usize] };
                 let until = now + span + crate::lease::error_of(span);
-                let loan = lender.report((now, until), (terms, limit), who(n), (demand, known));
+                let loan = lender.report((now, until), (terms, limit), who(n), Word { demand, in_use: 0.0, acts_on: known }, &mut next);
                 if lost != 0 {
                     let over = crate::lease::ends(now, span);
                     acts[n as usize] = Acts { number: loan.number, amount: loan.amount, until: over };
@@ -235,6 +296,7 @@
             let (terms, limit) = (Terms { controllers, reserve: 0.2 }, 1_000.0);
             let mut lender = Lender::default();
             let mut has = vec![(0u64, 0.0f64); controllers as usize];
+            let mut next = 0;
             let weight = |rank: u32| 1.0 / f64::from(rank + 1);
             let all: f64 = (0..controllers).map(weight).sum();
             let (mut passed, mut fixed, mut rounds) = (0.0, 0.0, 0u32);
@@ -247,8 +309,13 @@
                     now += demand.min(terms.reserve_of(limit) + has[n as usize].1);
                     of_static += demand.min(limit / f64::from(controllers));
                     let at = round * 1_500;
-                    let loan =
-                        lender.report((at, at + 6_060), (terms, limit), who(n), (demand, has[n as usize].0));
+                    let loan = lender.report(
+                        (at, at + 6_060),
+                        (terms, limit),
+                        who(n),
+                        Word { demand, in_use: 0.0, acts_on: has[n as usize].0 },
+                        &mut next,
+                    );
                     has[n as usize] = (loan.number, loan.amount);
                 }
                 assert!(now <= limit + 1e-6, "{controllers}: {now}");
--- a/crates/gateway/src/admin/desk.rs
+++ b/crates/gateway/src/admin/desk.rs
@@ -66,6 +66,8 @@
     pub held: Option<crate::trail::Shared>,
     /// How limits are divided.
     pub terms: Terms,
+    /// The longest deadline of a class, milliseconds.
+    pub longest: u64,
 }
 
 /// What runs.
@@ -88,7 +90,7 @@
     rest: Rest,
     telling: Sender<Told>,
 ) -> io::Result<Started> {
-    let Rest { number, waker, peers, peer_key, lease, held_by, records, held: lines, terms } = rest;
+    let Rest { number, waker, peers, peer_key, lease, held_by, records, held: lines, terms, longest } = rest;
     let (beside, path) = (snapshot_path(store), store.to_owned());
     let (span, spans) = Spans::open(store, lease);
     let (store, book, read_only) = match Store::open(store) {
@@ -148,7 +150,7 @@
             own: At::default(),
             held_by,
             records,
-            lending: (terms.reserve < 1.0).then(|| Lending::new(terms)),
+            lending: (terms.reserve < 1.0).then(|| Lending::new(terms, life, longest)),
             life,
             start,
         },
--- a/crates/gateway/src/admin/lending.rs
+++ b/crates/gateway/src/admin/lending.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use nettleferry_fleet::Millis;
-use nettleferry_fleet::loans::{Kind, Lender, Terms};
+use nettleferry_fleet::loans::{Kind, Lender, Terms, Word};
 use nettleferry_fleet::roll::Who;
 use nettleferry_tenancy::{Book, Revision, Tenant};
 use serde::{Deserialize, Serialize};
@@ -23,8 +23,12 @@
     pub kind: Kind,
     /// How much it could use, in all.
     pub demand: f64,
+    /// How much is in use, by calls in hand; nothing of a rate.
+    pub in_use: f64,
     /// The number of the loan that its calls' thread acts on; 0: none.
     pub acts_on: u64,
+    /// The life of the administration that gave it: its numbers are of no other one.
+    pub by: u64,
 }
 
 /// What it may use beyond its reserve.
@@ -36,8 +40,10 @@
     pub kind: Kind,
     /// The limit of which this is a part: it is of no other one.
     pub limit: f64,
-    /// The loan's number.
+    /// The loan's number, and the life of the administration that gave it.
     pub number: u64,
+    /// See `number`.
+    pub by: u64,
     /// How much.
     pub amount: f64,
 }
@@ -56,13 +62,18 @@
 /// Loans of all limits.
 pub struct Lending {
     terms: Terms,
+    by: u64,
+    /// The longest time that a call may take.
+    longest: Millis,
+    /// The number of the last loan of all limits: forgotten limits and borrowers get none that was given before.
+    next: u64,
     lenders: BTreeMap<(Revision, Kind), Lender>,
 }
 
 impl Lending {
-    /// Nothing is lent.
-    pub fn new(terms: Terms) -> Self {
-        Self { terms, lenders: BTreeMap::new() }
+    /// Nothing is lent yet, by this life of the administration.
+    pub fn new(terms: Terms, by: u64, longest: Millis) -> Self {
+        Self { terms, by, longest, next: 0, lenders: BTreeMap::new() }
     }
 
     /// A life that holds a lease reports; leases given now are over at `until` by every clock.
@@ -78,8 +89,13 @@
             let tenant = book.get(&row.tenant).filter(|tenant| tenant.uid == row.uid);
             let Some(limit) = tenant.and_then(|tenant| limit_of(tenant, row.kind)) else { continue };
             let lender = self.lenders.entry((row.uid, row.kind)).or_default();
-            let loan = lender.report((now, until), (self.terms, limit), who, (row.demand, row.acts_on));
-            all.push(Lent { uid: row.uid, kind: row.kind, limit, number: loan.number, amount: loan.amount });
+            let acts_on = if row.by == self.by { row.acts_on } else { 0 };
+            // What calls hold stays in use for as long as they may take.
+            let over = if row.kind == Kind::Rate { until } else { until + self.longest };
+            let word = Word { demand: row.demand, in_use: row.in_use, acts_on };
+            let loan = lender.report((now, over), (self.terms, limit), who, word, &mut self.next);
+            let (number, amount) = (loan.number, loan.amount);
+            all.push(Lent { uid: row.uid, kind: row.kind, limit, number, by: self.by, amount });
         }
         all
     }
--- a/crates/gateway/src/admin/mod.rs
+++ b/crates/gateway/src/admin/mod.rs
@@ -121,7 +121,7 @@
     /// Starts what the settings say.
     pub fn start(
         admin: &Admin,
-        (number, of): (u32, u32),
+        (number, of, longest): (u32, u32, u64),
         waker: Arc<mio::Waker>,
         held: Option<crate::trail::Shared>,
     ) -> io::Result<Self> {
@@ -131,8 +131,18 @@
                 let lease = lease.map(|span| span / 1000);
                 let records = held.is_some();
                 let terms = Terms { controllers: of, reserve: admin.reserve };
-                let around =
-                    desk::Rest { number, waker, peers, peer_key, lease, held_by, records, held, terms };
+                let around = desk::Rest {
+                    number,
+                    waker,
+                    peers,
+                    peer_key,
+                    lease,
+                    held_by,
+                    records,
+                    held,
+                    terms,
+                    longest,
+                };
                 Self::own(*listen, store, keys, around)
             }
             Whose::Follow { to, key_file, kept, window, peers, straggler } => {
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -177,9 +177,10 @@
                 trail = Some((Recorder::new(now, life, config.settings.me, program, tail), log));
             }
             let held = trail.as_ref().map(|(_, log)| log.held());
-            let started =
-                Desk::start(admin, (config.settings.me, config.settings.controllers), hub.waker(), held)
-                    .map_err(failed)?;
+            let longest =
+                config.settings.classes.iter().map(|class| class.deadline / 1000).max().unwrap_or(0);
+            let who = (config.settings.me, config.settings.controllers, longest);
+            let started = Desk::start(admin, who, hub.waker(), held).map_err(failed)?;
             if let Some(whole) = &started.book {
                 book = (whole.store.clone(), whole.epoch);
             }
--- a/crates/gateway/src/tenants.rs
+++ b/crates/gateway/src/tenants.rs
@@ -53,6 +53,7 @@
 struct Borrowed {
     limit: f64,
     number: u64,
+    by: u64,
     amount: f64,
     until: Micros,
 }
@@ -228,12 +229,12 @@
     /// What may be used beyond the reserves, until then.
     pub fn lend(&mut self, now: Micros, until: Micros, loans: Vec<Lent>) {
         let mut touched: BTreeSet<Revision> = BTreeSet::new();
-        for Lent { uid, kind, limit, number, amount } in loans {
+        for Lent { uid, kind, limit, number, by, amount } in loans {
             touched.insert(uid);
-            let before = self.loans.get(&(uid, kind)).map_or(0, |loan| loan.number);
-            // An answer that was overtaken by a later one takes nothing back.
-            if number > before {
-                self.loans.insert((uid, kind), Borrowed { limit, number, amount, until });
+            // An answer that was overtaken by a later one of the same life takes nothing back.
+            let newer = |had: &Borrowed| had.by != by || number > had.number;
+            if self.loans.get(&(uid, kind)).is_none_or(newer) {
+                self.loans.insert((uid, kind), Borrowed { limit, number, by, amount, until });
             }
         }
         self.loan_ends = self.loans.values().map(|loan| loan.until).min().unwrap_or(Micros::MAX);
@@ -277,18 +278,21 @@
             let c = self.admission.counters(place).unwrap_or_default();
             let limits = &p.spec.limits;
             let memory = c.memory.saturating_add(asked.no_memory);
+            let (open, held) = (f64::from(c.open), f64::from(c.open - c.running));
             let wants = [
-                (Kind::Rate, limits.rate_per_second.map(|_| asked.rate)),
-                (Kind::Open, limits.open_calls.map(|_| f64::from(c.open + asked.no_open))),
-                (Kind::Held, limits.held_calls.map(|_| f64::from(c.open - c.running + asked.no_held))),
-                (Kind::Memory, limits.loaded_memory_bytes.map(|_| memory as f64)),
+                (Kind::Rate, limits.rate_per_second.map(|_| (asked.rate, 0.0))),
+                (Kind::Open, limits.open_calls.map(|_| (open + f64::from(asked.no_open), open))),
+                (Kind::Held, limits.held_calls.map(|_| (held + f64::from(asked.no_held), held))),
+                (Kind::Memory, limits.loaded_memory_bytes.map(|_| (memory as f64, c.memory as f64))),
             ];
             *asked = Asks { rate: asked.rate, ..Asks::default() };
             for (kind, demand) in wants {
-                let Some(demand) = demand else { continue };
-                let acts_on = self.loans.get(&(p.uid, kind)).map_or(0, |loan| loan.number);
+                let Some((demand, in_use)) = demand else { continue };
+                let (acts_on, by) =
+                    self.loans.get(&(p.uid, kind)).map_or((0, 0), |loan| (loan.number, loan.by));
                 if (demand > 0.01 || acts_on > 0) && all.len() < MOST_DEMANDS {
-                    all.push(Demand { tenant: p.name.to_string(), uid: p.uid, kind, demand, acts_on });
+                    let (tenant, uid) = (p.name.to_string(), p.uid);
+                    all.push(Demand { tenant, uid, kind, demand, in_use, acts_on, by });
                 }
             }
         }
--- a/crates/gateway/tests/audit.rs
+++ b/crates/gateway/tests/audit.rs
@@ -3,11 +3,11 @@
 
 mod common;
 use common::desk::*;
-use common::link::{Does, Link};
+use common::link::Does;
+use common::rig::*;
 use common::*;
 
-use std::net::{SocketAddr, TcpListener};
-use std::process::Command;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
@@ -15,66 +15,15 @@
 use nettleferry_net::grpc::Code;
 use serde_json::{Value, json};
 
-struct Rig {
-    fleet: Fleet,
-    host: &'static str,
-    token: String,
-    key: String,
-    keys: String,
-    api: SocketAddr,
-}
-
-impl Rig {
-    fn new(host: &'static str) -> Self {
-        let (token, line) = key("ada", "admin");
-        let (key, fleet_line) = key("fleet", "controller");
-        let api = TcpListener::bind(format!("{host}:0")).and_then(|l| l.local_addr()).expect("a port");
-        Self { fleet: Fleet::new(1, SPEC), host, token, key, keys: format!("{line} {fleet_line}"), api }
-    }
-
-    fn dir(&self) -> tempfile::TempDir {
-        let dir = tempfile::tempdir().expect("a folder");
-        std::fs::write(dir.path().join("workers.sexp"), self.fleet.list()).expect("written");
-        std::fs::write(dir.path().join("key"), &self.key).expect("written");
-        dir
-    }
-
-    fn administration(&self, dir: tempfile::TempDir) -> Desk {
-        let admin = format!(
-            "(admin (listen \"{}\") (store \"tenants.redb\") (lease 1s) (trail (folder \"trail\")) {})",
-            self.api, self.keys
-        );
-        let program = serve_in(dir, &format!("{SETTINGS}{admin}(controller (number 0) (of 4))"), None);
-        assert_eq!(program.line("listening admin "), self.api);
-        Desk { program, http: Http { api: self.api, token: self.token.clone() } }
-    }
+const ADMINISTRATION: &str = "(lease 1s) (trail (folder \"trail\"))";
 
-    fn follower(&self, dir: tempfile::TempDir, number: u32, through: SocketAddr, then: &str) -> Program {
-        let admin = format!(
-            "(admin (follow \"{through}\") (key-file \"key\") (kept \"kept.json\") (without-lease {then}) (trail (folder \"trail\")))"
-        );
-        serve_in(dir, &format!("{SETTINGS}{admin}(controller (number {number}) (of 4))"), None)
-    }
-
-    fn run(&self, words: &[&str]) -> (Option<i32>, String) {
-        let mut command = Command::new(PROGRAM);
-        command
-            .args(["fleet", "--api", &self.api.to_string()])
-            .args(words)
-            .env("NETTLEFERRY_KEY", &self.token);
-        let out = command.output().expect("it runs");
-        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-        (out.status.code(), text(&out.stdout) + &text(&out.stderr))
-    }
-
-    fn audit(&self) -> Value {
-        let (_, told) = self.run(&["audit", "--json"]);
-        serde_json::from_str(&told).unwrap_or_else(|e| panic!("{e}: {told}"))
-    }
+fn follower(rig: &Rig, dir: tempfile::TempDir, number: u32, through: SocketAddr, then: &str) -> Program {
+    rig.follower(dir, number, through, &format!("(without-lease {then}) (trail (folder \"trail\"))"))
 }
 
-fn takes(program: &Program, tenant: &str) -> Code {
-    code(&mut Caller::new(program.address), Some(tenant), "echo").0
+fn audit(rig: &Rig) -> Value {
+    let (_, told) = rig.run(&["audit", "--json"]);
+    serde_json::from_str(&told).unwrap_or_else(|e| panic!("{e}: {told}"))
 }
 
 /// Served calls of a tenant at a controller: when each was sent and answered, by the clients' own clock.
@@ -104,13 +53,13 @@
 
 #[test]
 fn the_audit_names_the_straggler_and_its_calls_as_the_clients_saw_them() {
-    let rig = Rig::new("127.0.9.1");
-    let desk = rig.administration(rig.dir());
-    let link = Link::to(rig.api, &format!("{}:0", rig.host));
+    let rig = Rig::new("127.0.9.1", 4);
+    let desk = rig.administration(rig.dir(), ADMINISTRATION);
+    let link = rig.link();
     desk.create(json!({"name": "kalahari"}));
     // One that hears all, and one that goes on with what it last heard.
-    let good = rig.follower(rig.dir(), 1, rig.api, "refuse");
-    let late = rig.follower(rig.dir(), 2, link.address, "serve");
+    let good = follower(&rig, rig.dir(), 1, rig.api, "refuse");
+    let late = follower(&rig, rig.dir(), 2, link.address, "serve");
     for program in [&good, &late] {
         eventually("it serves", || takes(program, "kalahari") == Code::Ok);
     }
@@ -133,7 +82,7 @@
     // The records are whole by what has been delivered: a last round after the last act.
     let mut report = Value::Null;
     eventually("both records are delivered to their ends", || {
-        report = rig.audit();
+        report = audit(&rig);
         let behind = report["behind"].as_array().cloned().unwrap_or_default();
         behind.iter().any(|b| b["who"]["controller"] == 2 && sum(b, 1) >= 300)
             && report["actors"].as_array().is_some_and(|a| a.iter().any(|a| a["who"]["controller"] == 1))
@@ -170,8 +119,8 @@
 
 #[test]
 fn a_record_with_a_flipped_bit_a_torn_tail_or_no_file_is_named_and_the_controller_goes_on() {
-    let rig = Rig::new("127.0.9.2");
-    let desk = rig.administration(rig.dir());
+    let rig = Rig::new("127.0.9.2", 4);
+    let desk = rig.administration(rig.dir(), ADMINISTRATION);
     desk.create(json!({"name": "kalahari"}));
     let segments = |dir: &std::path::Path| -> Vec<std::path::PathBuf> {
         let all = std::fs::read_dir(dir.join("trail")).expect("a folder");
@@ -179,7 +128,7 @@
         all.sort();
         all
     };
-    let first = rig.follower(rig.dir(), 1, rig.api, "serve");
+    let first = follower(&rig, rig.dir(), 1, rig.api, "serve");
     eventually("it serves", || takes(&first, "kalahari") == Code::Ok);
     for n in 0..30 {
         desk.create(json!({ "name": format!("t{n}") }));
@@ -218,13 +167,13 @@
         } else {
             assert!(done == Some(0), "{what}: what was never synced is no damage: {told}");
         }
-        let again = rig.follower(dir, 1, rig.api, "serve");
+        let again = follower(&rig, dir, 1, rig.api, "serve");
         eventually("it goes on", || takes(&again, "kalahari") == Code::Ok);
     }
     // A folder that can't be one: the record is held in memory, and calls flow.
     let dir = rig.dir();
     std::fs::write(dir.path().join("trail"), "no folder").expect("written");
-    let again = rig.follower(dir, 3, rig.api, "serve");
+    let again = follower(&rig, dir, 3, rig.api, "serve");
     eventually("it goes on without a disk", || takes(&again, "kalahari") == Code::Ok);
     eventually("and its record is delivered from memory", || {
         let told = desk.get("/v1/fleet/records");
@@ -236,18 +185,16 @@
 
 #[test]
 fn workers_turn_an_earlier_life_of_a_controller_away_once_a_later_one_was_seen() {
-    let rig = Rig::new("127.0.9.3");
-    let desk = rig.administration(rig.dir());
-    let link = Link::to(rig.api, &format!("{}:0", rig.host));
+    let rig = Rig::new("127.0.9.3", 4);
+    let desk = rig.administration(rig.dir(), ADMINISTRATION);
+    let link = rig.link();
     desk.create(json!({"name": "kalahari"}));
     // Two lives of one number: the earlier one is cut off and goes on.
-    let earlier = rig.follower(rig.dir(), 1, link.address, "serve");
+    let earlier = follower(&rig, rig.dir(), 1, link.address, "serve");
     eventually("it serves", || takes(&earlier, "kalahari") == Code::Ok);
     link.set(Does::Silent);
-    let later = rig.follower(rig.dir(), 1, rig.api, "serve");
-    eventually("the later one has its lease", || {
-        desk.get("/v1/fleet")["lives"].as_array().map(Vec::len) == Some(2)
-    });
+    let later = follower(&rig, rig.dir(), 1, rig.api, "serve");
+    eventually("the later one has its lease", || lives(&desk).len() == 2);
     eventually("it serves", || takes(&later, "kalahari") == Code::Ok);
     eventually("workers turn the earlier one away, with proof that nothing ran", || {
         takes(&earlier, "kalahari") == Code::Unavailable
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod desk;
 pub mod link;
+pub mod rig;
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
--- a/crates/gateway/tests/loans.rs
+++ b/crates/gateway/tests/loans.rs
@@ -2,12 +2,12 @@
 //! tenant's calls at once than his limit, whoever is cut off, stands still or dies.
 
 mod common;
-use common::desk::*;
 use common::link::{Does, Link};
+use common::rig::*;
 use common::*;
 
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -88,44 +88,24 @@
 
 #[test]
 fn what_is_lent_is_never_more_than_the_limit_whoever_is_cut_off_stopped_or_killed() {
-    let mut fleet = Fleet::new(1, WORKERS);
-    let (token, line) = key("ada", "admin");
-    let (fleet_key, fleet_line) = key("fleet", "controller");
-    let api = TcpListener::bind("127.0.11.1:0").and_then(|l| l.local_addr()).expect("a port");
-    let list = fleet.list();
-    let dir = || {
-        let dir = tempfile::tempdir().expect("a folder");
-        std::fs::write(dir.path().join("workers.sexp"), &list).expect("written");
-        std::fs::write(dir.path().join("key"), &fleet_key).expect("written");
-        dir
-    };
     let settings = SETTINGS.replace("(lanes 64)", "(lanes 512)");
-    let admin = format!(
-        "(admin (listen \"{api}\") (store \"tenants.redb\") (lease 1s) (loans (reserve 0.2)) {line} {fleet_line})"
-    );
-    let program = serve_in(dir(), &format!("{settings}{admin}(controller (number 0) (of 4))"), None);
-    assert_eq!(program.line("listening admin "), api);
-    let desk = Desk { program, http: Http { api, token } };
+    let mut rig = Rig::with("127.0.11.1", 4, Fleet::new(1, WORKERS), &settings);
+    let desk = rig.administration(rig.dir(), "(lease 1s) (loans (reserve 0.2))");
     desk.create(json!({ "name": "kalahari", "limits": { "open_calls": LIMIT } }));
-    let links: Vec<Link> = (0..3).map(|_| Link::to(api, "127.0.11.1:0")).collect();
-    let follower = |number: usize| {
-        let through = links[number].address;
-        let admin = format!(
-            "(admin (follow \"{through}\") (key-file \"key\") (kept \"kept.json\") (without-lease refuse) (loans (reserve 0.2)))"
-        );
-        serve_in(dir(), &format!("{settings}{admin}(controller (number {}) (of 4))", number + 1), None)
+    let links: Vec<Link> = (0..3).map(|_| rig.link()).collect();
+    let follower = |rig: &Rig, number: usize| {
+        let more = "(without-lease refuse) (loans (reserve 0.2))";
+        rig.follower(rig.dir(), number as u32 + 1, links[number].address, more)
     };
-    let mut all: Vec<Program> = (0..3).map(follower).collect();
+    let mut all: Vec<Program> = (0..3).map(|n| follower(&rig, n)).collect();
     for program in &all {
-        eventually("it serves", || {
-            code(&mut Caller::new(program.address), Some("kalahari"), "echo").0 == Code::Ok
-        });
+        eventually("it serves", || takes(program, "kalahari") == Code::Ok);
     }
     let mut truth = Truth { open: BTreeSet::new(), seen: 0, most: 0 };
     // Where the traffic is the limit is: all but the others' reserves, 2 each; by parts it would be 10.
     for one in [0, 1] {
         let _flood = Flood::at(all[one].address, 60);
-        eventually("the limit follows the traffic", || truth.look(&mut fleet) >= LIMIT - 3 * 2 - 1);
+        eventually("the limit follows the traffic", || truth.look(&mut rig.fleet) >= LIMIT - 3 * 2 - 1);
     }
     assert!(truth.most <= LIMIT, "{} at once", truth.most);
     // Faults under traffic everywhere, each longer than a lease.
@@ -138,40 +118,39 @@
         });
         assert!(truth.most <= LIMIT, "{} at once", truth.most);
     };
-    cycles(&mut truth, &mut fleet, 300);
+    cycles(&mut truth, &mut rig.fleet, 300);
     for does in [Does::Silent, Does::AsksOnly, Does::AnswersOnly, Does::Cut] {
         links[0].set(does);
-        cycles(&mut truth, &mut fleet, 400);
+        cycles(&mut truth, &mut rig.fleet, 400);
         links[0].set(Does::Passes);
-        cycles(&mut truth, &mut fleet, 200);
+        cycles(&mut truth, &mut rig.fleet, 200);
     }
     all[1].signal("STOP");
-    cycles(&mut truth, &mut fleet, 400);
+    cycles(&mut truth, &mut rig.fleet, 400);
     all[1].signal("CONT");
-    cycles(&mut truth, &mut fleet, 200);
+    cycles(&mut truth, &mut rig.fleet, 200);
     all[2].signal("KILL");
-    cycles(&mut truth, &mut fleet, 300);
+    cycles(&mut truth, &mut rig.fleet, 300);
     drop(floods);
-    all[2] = follower(2);
+    all[2] = follower(&rig, 2);
     let floods: Vec<Flood> = all.iter().map(|p| Flood::at(p.address, 30)).collect();
-    cycles(&mut truth, &mut fleet, 300);
+    cycles(&mut truth, &mut rig.fleet, 300);
     // One leaves in order: what it had is others' at once, and not when its lease is over.
     all[0].signal("TERM");
     eventually("it has said that it ended", || {
-        let lives = desk.get("/v1/fleet")["lives"].as_array().cloned().unwrap_or_default();
-        lives.iter().any(|l| l["controller"] == 1 && l["lease_left_ms"].is_null())
+        lives(&desk).iter().any(|l| l["controller"] == 1 && l["lease_left_ms"].is_null())
     });
-    cycles(&mut truth, &mut fleet, 200);
+    cycles(&mut truth, &mut rig.fleet, 200);
     // The limit is lowered to a fifth while all is lent out: once that is said to be in force, no more are begun.
     let (status, told) =
         desk.ask("PATCH", "/v1/tenants/kalahari", "If-Match: *\r\n", "{\"limits\":{\"open_calls\":8}}");
     assert_eq!(status, 200, "{told}");
-    eventually("those that were open have ended", || truth.look(&mut fleet) <= 8);
+    eventually("those that were open have ended", || truth.look(&mut rig.fleet) <= 8);
     truth.most = 0;
-    let from = fleet.look().len();
+    let from = rig.fleet.look().len();
     eventually("calls flow", || {
-        truth.look(&mut fleet);
-        fleet.look()[from..].iter().filter(|r| matches!(r.seen, Seen::Answered { .. })).count() >= 100
+        truth.look(&mut rig.fleet);
+        rig.fleet.look()[from..].iter().filter(|r| matches!(r.seen, Seen::Answered { .. })).count() >= 100
     });
     assert!(truth.most <= 8, "{} at once", truth.most);
     drop(floods);
--- a/crates/gateway/tests/stragglers.rs
+++ b/crates/gateway/tests/stragglers.rs
@@ -5,9 +5,10 @@
 mod common;
 use common::desk::*;
 use common::link::{Does, Link};
+use common::rig::*;
 use common::*;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -16,74 +17,12 @@
 
 /// Span of a lease here: long against a loaded machine's delays, short against a test.
 const LEASE: Duration = Duration::from_millis(1_500);
-
-fn place(host: &str) -> SocketAddr {
-    TcpListener::bind(format!("{host}:0")).and_then(|l| l.local_addr()).expect("a port")
-}
-
-struct Rig {
-    fleet: Fleet,
-    host: &'static str,
-    token: String,
-    keys: String,
-    key: String,
-    api: SocketAddr,
-}
-
-impl Rig {
-    fn new(host: &'static str) -> Self {
-        let (token, line) = key("ada", "admin");
-        let (key, fleet_line) = key("fleet", "controller");
-        let keys = format!("{line} {fleet_line}");
-        Self { fleet: Fleet::new(1, SPEC), host, token, keys, key, api: place(host) }
-    }
-
-    fn dir(&self) -> tempfile::TempDir {
-        let dir = tempfile::tempdir().expect("a folder");
-        std::fs::write(dir.path().join("workers.sexp"), self.fleet.list()).expect("written");
-        std::fs::write(dir.path().join("key"), &self.key).expect("written");
-        dir
-    }
-
-    fn administration(&self, dir: tempfile::TempDir, more: &str) -> Desk {
-        let admin = format!(
-            "(admin (listen \"{}\") (store \"tenants.redb\") (lease {}ms) {} {more})",
-            self.api,
-            LEASE.as_millis(),
-            self.keys
-        );
-        let settings = format!("{SETTINGS}{admin}(controller (number 0) (of 4))");
-        let program = serve_in(dir, &settings, None);
-        assert_eq!(program.line("listening admin "), self.api);
-        Desk { program, http: self.http() }
-    }
-
-    fn http(&self) -> Http {
-        Http { api: self.api, token: self.token.clone() }
-    }
-
-    /// A follower of this number through this address.
-    fn follower(&self, dir: tempfile::TempDir, number: u32, through: SocketAddr, more: &str) -> Program {
-        let admin = format!("(admin (follow \"{through}\") (key-file \"key\") (kept \"kept.json\") {more})");
-        let settings = format!("{SETTINGS}{admin}(controller (number {number}) (of 4))");
-        serve_in(dir, &settings, None)
-    }
-
-    fn link(&self) -> Link {
-        Link::to(self.api, &format!("{}:0", self.host))
-    }
-}
-
-fn takes(program: &Program, tenant: &str) -> Code {
-    code(&mut Caller::new(program.address), Some(tenant), "echo").0
-}
+const LEASE_SETTING: &str = "(lease 1500ms)";
 
 /// Its life on the administration's roll.
 fn row(http: &Http, number: u32) -> Value {
-    let told = http.get("/v1/fleet");
-    let lives = told["lives"].as_array().cloned().unwrap_or_default();
     let of = |l: &&Value| l["controller"] == number;
-    lives.iter().filter(of).min_by_key(|l| l["seen_ms_ago"].as_u64()).cloned().unwrap_or(Value::Null)
+    lives(http).iter().filter(of).min_by_key(|l| l["seen_ms_ago"].as_u64()).cloned().unwrap_or(Value::Null)
 }
 
 /// Calls of a tenant at a controller in a row, from a thread of its own: when each was sent and how it ended.
@@ -125,8 +64,8 @@
 
 #[test]
 fn a_suspension_is_acknowledged_when_no_straggler_can_act_without_it() {
-    let rig = Rig::new("127.0.8.1");
-    let desk = rig.administration(rig.dir(), "");
+    let rig = Rig::new("127.0.8.1", 4);
+    let desk = rig.administration(rig.dir(), LEASE_SETTING);
     let links: Vec<Link> = (0..3).map(|_| rig.link()).collect();
     let refuse = "(without-lease refuse)";
     let followers: Vec<Program> =
@@ -170,8 +109,8 @@
 
 #[test]
 fn a_process_that_stood_still_checks_its_lease_before_its_first_act() {
-    let rig = Rig::new("127.0.8.2");
-    let desk = rig.administration(rig.dir(), "");
+    let rig = Rig::new("127.0.8.2", 4);
+    let desk = rig.administration(rig.dir(), LEASE_SETTING);
     desk.create(json!({"name": "kalahari"}));
     let mut one = rig.follower(rig.dir(), 1, rig.api, "(without-lease refuse)");
     eventually("it serves", || takes(&one, "kalahari") == Code::Ok);
@@ -199,9 +138,9 @@
 
 #[test]
 fn one_that_comes_back_from_its_disk_takes_no_call_before_it_has_heard() {
-    let rig = Rig::new("127.0.8.3");
+    let rig = Rig::new("127.0.8.3", 4);
     let link = rig.link();
-    let desk = rig.administration(rig.dir(), "");
+    let desk = rig.administration(rig.dir(), LEASE_SETTING);
     desk.create(json!({"name": "kalahari"}));
     let more = "(without-lease refuse) (leave-after 300ms)";
     let one = rig.follower(rig.dir(), 1, link.address, more);
@@ -222,8 +161,7 @@
     eventually("it has heard", || takes(&again, "kalahari") == Code::PermissionDenied);
     eventually("and is ready", || ready(&mut caller));
     // Two lives of one number were two.
-    let lives = desk.get("/v1/fleet")["lives"].as_array().map_or(0, Vec::len);
-    assert_eq!(lives, 2);
+    assert_eq!(lives(&desk).len(), 2);
 }
 
 fn ready(caller: &mut Caller) -> bool {
@@ -242,9 +180,9 @@
 
 #[test]
 fn an_administration_killed_before_its_answer_waits_out_the_leases_it_gave() {
-    let rig = Rig::new("127.0.8.4");
+    let rig = Rig::new("127.0.8.4", 4);
     let link = rig.link();
-    let desk = rig.administration(rig.dir(), "");
+    let desk = rig.administration(rig.dir(), LEASE_SETTING);
     desk.create(json!({"name": "kalahari"}));
     let one = rig.follower(rig.dir(), 1, link.address, "(without-lease refuse)");
     eventually("it serves", || takes(&one, "kalahari") == Code::Ok);
@@ -262,7 +200,7 @@
     }
     drop(desk);
     // Asked again, it acknowledges when the lease of before must be out, though it knows of none.
-    let desk = rig.administration(dir, "");
+    let desk = rig.administration(dir, LEASE_SETTING);
     let (status, head) = suspend(&desk, "kalahari");
     let told = Instant::now();
     assert!(status == 200 && head.contains("In-Force: everywhere"), "{head}");
@@ -274,8 +212,8 @@
 
 #[test]
 fn a_change_is_acknowledged_when_another_disk_holds_it() {
-    let rig = Rig::new("127.0.8.5");
-    let desk = rig.administration(rig.dir(), "(held-by 2)");
+    let rig = Rig::new("127.0.8.5", 4);
+    let desk = rig.administration(rig.dir(), &format!("{LEASE_SETTING}(held-by 2)"));
     let followers: Vec<Program> = (1..=2).map(|n| rig.follower(rig.dir(), n, rig.api, "")).collect();
     eventually("both have leases", || desk.get("/v1/fleet")["leases"] == 2);
     for n in 0..20 {
@@ -309,9 +247,9 @@
 
 #[test]
 fn a_straggler_that_goes_on_is_told_to_have_no_bound() {
-    let rig = Rig::new("127.0.8.6");
+    let rig = Rig::new("127.0.8.6", 4);
     let link = rig.link();
-    let desk = rig.administration(rig.dir(), "");
+    let desk = rig.administration(rig.dir(), LEASE_SETTING);
     desk.create(json!({"name": "kalahari"}));
     let one = rig.follower(rig.dir(), 1, link.address, "(without-lease serve)");
     eventually("it serves", || takes(&one, "kalahari") == Code::Ok);
@@ -328,19 +266,14 @@
 
 #[test]
 fn a_fenced_life_takes_no_call_and_comes_back_as_another() {
-    let rig = Rig::new("127.0.8.7");
-    let desk = rig.administration(rig.dir(), "");
+    let rig = Rig::new("127.0.8.7", 4);
+    let desk = rig.administration(rig.dir(), LEASE_SETTING);
     desk.create(json!({"name": "kalahari"}));
     let followers: Vec<Program> = (1..=2).map(|n| rig.follower(rig.dir(), n, rig.api, "")).collect();
     for program in &followers {
         eventually("it serves", || takes(program, "kalahari") == Code::Ok);
     }
-    let run = |words: &[&str]| {
-        let mut command = std::process::Command::new(PROGRAM);
-        command.args(["fleet", "--api", &rig.api.to_string()]).args(words).env("NETTLEFERRY_KEY", &rig.token);
-        let out = command.output().expect("it runs");
-        String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr)
-    };
+    let run = |words: &[&str]| rig.run(words).1;
     let told = run(&["fence", "1"]);
     assert!(told.contains("controller 1: 1 life shut out"), "{told}");
     eventually("it takes no call", || takes(&followers[0], "kalahari") == Code::Unavailable);
