tcp: an end that comes with the last bytes is told in that turn; alarms ring after reads

Cause, by a probe on loopback: a peer that wrote and ended its side before one turn gave one poll event; the read was short, 'readable' was put out, and no further event tells of the end. So the connection stood as open: an invoker's that had answered and closed was taken for idle and sent the next command, which is then lost with it; a client that had left was not seen. Tcp::work: a short read goes on where the poll told of the end. Also: alarms were rung before sockets were read, so that an idle alarm and a request in one turn closed the connection on the request; they ring after the reads now. New for owners: a last look before a close (silent), taking back what has not begun to leave (unsend), whether a turn saw all there was (caught_up); one poll takes all sockets' events. Checked and ruled out: the HTTP/2 side (io.rs) reads until the system says there is no more, and had no such fault. Tests: four, each forced by writing before the turn; the first fails without the mend (Data alone is told), seen.

--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -141,7 +141,10 @@
     accepted: bool,
     readable: bool,
     writable: bool,
-    /// The peer sends no more.
+    /// The poll told that the peer's side has ended: its end stands behind the bytes that are still to be read, and
+    /// no further event tells of it.
+    closing: bool,
+    /// The peer sends no more, and all that it sent was read.
     halved: bool,
     /// Our side is ended.
     shut: bool,
@@ -164,6 +167,8 @@
 const SOURCES: usize = 1 << 41;
 /// How long accepting rests after the system said that it has no handle or memory for a connection.
 const ACCEPT_REST: Duration = Duration::from_millis(50);
+/// Sockets told of in one turn at the most; the rest are told of in the next.
+const MOST_EVENTS: usize = 8 << 10;
 /// Bytes kept for reuse in an empty buffer: an idle connection holds next to none.
 const KEPT: usize = 4 << 10;
 
@@ -193,7 +198,8 @@
     pub fn new(limits: TcpLimits) -> io::Result<Self> {
         Ok(Self {
             poll: Poll::new()?,
-            events: Events::with_capacity(512),
+            // All that can be ready at once: what one turn leaves behind would be judged by its clock alone.
+            events: Events::with_capacity((limits.accepted + limits.made + 64).min(MOST_EVENTS)),
             conns: Slab::new(),
             accepted: 0,
             listeners: Vec::new(),
@@ -270,6 +276,7 @@
             accepted,
             readable: accepted,
             writable: accepted,
+            closing: false,
             halved: false,
             shut: false,
             failed: false,
@@ -413,15 +420,53 @@
         }
         self.now = Instant::now();
         self.read_events();
-        self.ring();
         for _ in 0..self.ready.len() {
             let Some(key) = self.ready.pop_front() else { break };
             self.work(key);
         }
+        // Alarms after what came: a request and the end of its connection's idle time may fall into one turn, and
+        // a connection may have come about in the turn in which its time is over.
+        self.ring();
         out.append(&mut self.out);
         Ok(())
     }
 
+    /// Takes a piece out of what is queued there, by its places among all bytes queued ([`Tcp::send`] gives the
+    /// place of its end). False: some of it has left, or is gone with its connection. What was queued behind it
+    /// moves up by its length.
+    pub fn unsend(&mut self, key: TcpKey, from: u64, to: u64) -> bool {
+        let Some(conn) = self.get_mut(key) else { return false };
+        if from < conn.written || to > conn.queued || from > to {
+            return false;
+        }
+        let (at, end) = ((from - conn.written) as usize, (to - conn.written) as usize);
+        let rest = conn.output.split_off(end);
+        conn.output.truncate(at);
+        conn.output.unsplit(rest);
+        conn.queued -= to - from;
+        true
+    }
+
+    /// Looks once more whether something came, as an owner does before it closes what was idle. True: nothing
+    /// has; else it is told in the next turn.
+    pub fn silent(&mut self, key: TcpKey) -> bool {
+        let before = match self.get_mut(key) {
+            Some(conn) if conn.stage == Stage::Open && !conn.halved => {
+                conn.readable = true;
+                conn.input.len()
+            }
+            _ => return true,
+        };
+        self.work(key);
+        self.get(key).is_some_and(|c| c.input.len() == before && !c.halved)
+    }
+
+    /// Has a turn seen all that was there to be seen: no connection waits to be accepted for want of handles,
+    /// and none was left half read?
+    pub fn caught_up(&self) -> bool {
+        self.accept_at.is_none() && self.ready.is_empty() && self.out.is_empty()
+    }
+
     /// Hands what is queued there to the system now. True: it has taken all of it.
     pub fn flush(&mut self, key: TcpKey) -> bool {
         let Some(conn) = self.get_mut(key) else { return false };
@@ -456,6 +501,7 @@
                 accept.push(token - LISTENERS);
             } else if let Some(conn) = self.conns.get_mut(token) {
                 conn.readable |= event.is_readable() || event.is_read_closed() || event.is_error();
+                conn.closing |= event.is_read_closed() || event.is_error();
                 conn.writable |= event.is_writable() || event.is_write_closed() || event.is_error();
                 ready.push(token);
             }
@@ -650,9 +696,10 @@
                 if conn.stage == Stage::Open {
                     conn.input.extend_from_slice(&scratch[..n]);
                 }
-                // A short read took all there was: the next event tells of more.
+                // A short read took all there was, and the next event tells of more: but for an end that was told with
+                // these very bytes.
                 if n < room {
-                    conn.readable = false;
+                    conn.readable = conn.closing;
                 }
             }
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/crates/net/tests/tcp.rs
+++ b/crates/net/tests/tcp.rs
@@ -122,3 +122,70 @@
     let why = until(&mut tcp, |_, event| if let TcpEvent::Closed(_, why) = event { Some(why) } else { None });
     assert_eq!((why, tcp.counters().over_output, tcp.counters().over_accepted), (Gone::Slow, 1, 1));
 }
+
+#[test]
+fn an_end_that_comes_with_the_last_bytes_in_one_turn_is_told_in_that_turn() {
+    let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    let mut out = Vec::new();
+    // The first event of a connection, which only tells that it may be written to, is behind us.
+    tcp.turn(Some(Duration::ZERO), &mut out).expect("a turn");
+    client.write_all(b"last").expect("written");
+    client.shutdown(Shutdown::Write).expect("open");
+    out.clear();
+    tcp.turn(Some(Duration::ZERO), &mut out).expect("a turn");
+    assert_eq!(out, [TcpEvent::Data(key), TcpEvent::Ended(key)]);
+}
+
+#[test]
+fn what_came_is_told_before_an_alarm_of_the_same_turn() {
+    let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    tcp.alarm(key, Some(std::time::Instant::now()));
+    client.write_all(b"request").expect("written");
+    let mut out = Vec::new();
+    tcp.turn(Some(Duration::ZERO), &mut out).expect("a turn");
+    assert_eq!(out, [TcpEvent::Data(key), TcpEvent::Alarm(key)]);
+}
+
+#[test]
+fn a_last_look_finds_what_came_after_the_turn() {
+    let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    assert!(tcp.silent(key));
+    client.set_nodelay(true).expect("set");
+    client.write_all(b"request").expect("written");
+    assert!(!tcp.silent(key), "it is there, though no turn has told of it");
+    let told = until(&mut tcp, |_, event| if let TcpEvent::Data(key) = event { Some(key) } else { None });
+    assert_eq!(told, key);
+    assert_eq!(&tcp.input(key).expect("open")[..], b"request");
+    assert!(tcp.silent(key), "what was told before is not new");
+    client.shutdown(Shutdown::Write).expect("open");
+    assert!(!tcp.silent(key), "its end is there");
+}
+
+#[test]
+fn what_was_queued_can_be_taken_back_until_it_begins_to_leave() {
+    let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    let one = tcp.send(key, b"one").expect("open");
+    let two = tcp.send(key, b"two").expect("open");
+    let three = tcp.send(key, b"three").expect("open");
+    assert_eq!((one, two, three), (3, 6, 11));
+    assert!(tcp.unsend(key, one, two));
+    assert!(!tcp.unsend(key, one, three), "it ends behind what is queued now");
+    tcp.flush_all();
+    assert_eq!(tcp.written(key), 8);
+    assert!(!tcp.unsend(key, 0, one), "it has left");
+    let mut seen = [0; 8];
+    client.read_exact(&mut seen).expect("sent");
+    assert_eq!(&seen, b"onethree");
+}
