Directory: late answers are heard, and what the old address had said when it moves

Cause, read and then forced: the asker dropped its socket after 400 ms without an answer and at SIGHUP. An answer that always takes longer was never heard, though what it holds counts as told once it was sent; what lay in the socket as discovery moved was thrown away, though told. And of a flood only 16 datagrams were read: the rest, with the list behind them, waited for another datagram to wake the poll. A useless answer was asked for again at the pace of its answers. Change: the last 16 queries are remembered, on one socket an address; the old address is heard for 2 s more; what is left of a flood is read in the next turn; a useless answer is asked for again after 50 ms; answers with an older list are counted.

--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,5 +1,6 @@
 //! Asks the directory for the list of invokers, over and over, by DNS over UDP.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -10,20 +11,55 @@
 use rand::RngExt;
 use tracing::{debug, info};
 
-use crate::limits::{ASK_EVERY, ASK_WAIT, Counters};
+use crate::limits::{ASK_AGAIN, ASK_EVERY, ASK_WAIT, Counters, OLD_ADDRESS, QUERIES};
 
 /// Datagrams taken in one turn: a flood of them must not keep the node from its work.
 const TURN: usize = 16;
 
+/// A socket to one address of the directory, and the queries whose answers may still come there.
+struct Line {
+    socket: UdpSocket,
+    /// The newest last.
+    queries: VecDeque<u16>,
+}
+
+impl Line {
+    fn open(registry: &Registry, token: Token, resolver: SocketAddr) -> io::Result<Self> {
+        let any = if resolver.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let any: SocketAddr = any.parse().map_err(io::Error::other)?;
+        let mut socket = UdpSocket::bind(any)?;
+        socket.connect(resolver)?;
+        registry.register(&mut socket, token, Interest::READABLE)?;
+        Ok(Self { socket, queries: VecDeque::new() })
+    }
+
+    fn close(mut self, registry: &Registry) {
+        let _ = registry.deregister(&mut self.socket);
+    }
+}
+
+/// What one datagram told.
+enum Heard {
+    List(List),
+    /// An answer of ours that can't be used.
+    Bad,
+    /// None of ours.
+    Other,
+}
+
 /// The asker.
 pub struct Asker {
-    socket: Option<UdpSocket>,
+    line: Option<Line>,
+    /// The directory's address before it moved: what it had said by then counts as told.
+    old: Option<(Line, Instant)>,
     resolver: SocketAddr,
     token: Token,
-    /// The query in hand, and when it is taken for lost.
-    out: Option<(u16, Instant)>,
+    /// When the newest query is taken for lost, while its answer has not come.
+    lost: Option<Instant>,
     next: Instant,
     serial: u32,
+    /// More datagrams stand than one turn takes.
+    more: bool,
     buffer: Vec<u8>,
 }
 
@@ -31,31 +67,31 @@
     /// An asker that knows the list as of event `serial`.
     pub fn new(resolver: SocketAddr, token: Token, serial: u32) -> Self {
         Self {
-            socket: None,
+            line: None,
+            old: None,
             resolver,
             token,
-            out: None,
+            lost: None,
             next: Instant::now(),
             serial,
+            more: false,
             buffer: vec![0; MOST_ANSWER + 1],
         }
     }
 
-    /// The directory has another address; the numbers of its events go on.
+    /// The directory has another address; the numbers of its events go on. What its old address has said, or still
+    /// says within [`OLD_ADDRESS`], is heard.
     pub fn moved(&mut self, registry: &Registry, resolver: SocketAddr) {
         info!(%resolver, "the directory is asked there from now on");
+        if let Some((old, _)) = self.old.take() {
+            old.close(registry);
+        }
         self.resolver = resolver;
-        self.drop_socket(registry);
+        self.old = self.line.take().map(|line| (line, Instant::now() + OLD_ADDRESS));
+        self.lost = None;
         self.ask();
     }
 
-    fn drop_socket(&mut self, registry: &Registry) {
-        if let Some(mut socket) = self.socket.take() {
-            let _ = registry.deregister(&mut socket);
-        }
-        self.out = None;
-    }
-
     /// Asks as soon as may be.
     pub fn ask(&mut self) {
         self.next = Instant::now();
@@ -63,79 +99,126 @@
 
     /// When [`Asker::turn`] is wanted.
     pub fn due(&self) -> Instant {
-        self.out.map_or(self.next, |(_, lost)| lost)
+        let due = self.lost.unwrap_or(self.next);
+        if self.more { Instant::now() } else { due }
     }
 
     /// Sends what is due.
     pub fn turn(&mut self, registry: &Registry, count: &mut Counters) {
         let now = Instant::now();
-        if let Some((_, lost)) = self.out {
+        if self.old.as_ref().is_some_and(|(_, until)| now >= *until)
+            && let Some((old, _)) = self.old.take()
+        {
+            old.close(registry);
+        }
+        if let Some(lost) = self.lost {
             if now < lost {
                 return;
             }
+            // Its answer is taken all the same, should it still come: what an answer tells counts as told.
             count.lost_lists += 1;
-            // A new port as well: an answer to the lost query can't come in its place.
-            self.drop_socket(registry);
+            self.lost = None;
             self.next = now;
         }
         if now < self.next {
             return;
         }
-        let id: u16 = rand::rng().random();
-        if let Err(error) = self.send(registry, id) {
+        if let Err(error) = self.send(registry) {
             debug!(%error, "the directory can't be asked");
-            self.drop_socket(registry);
+            if let Some(line) = self.line.take() {
+                line.close(registry);
+            }
         }
-        self.out = Some((id, now + ASK_WAIT));
+        self.lost = Some(now + ASK_WAIT);
         self.next = now + ASK_EVERY;
     }
 
-    fn send(&mut self, registry: &Registry, id: u16) -> io::Result<()> {
+    fn send(&mut self, registry: &Registry) -> io::Result<()> {
+        let id: u16 = rand::rng().random();
         let query = directory::query(id).map_err(io::Error::other)?;
-        if self.socket.is_none() {
-            let any = if self.resolver.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-            let any: SocketAddr = any.parse().map_err(io::Error::other)?;
-            let mut socket = UdpSocket::bind(any)?;
-            socket.connect(self.resolver)?;
-            registry.register(&mut socket, self.token, Interest::READABLE)?;
-            self.socket = Some(socket);
-        }
-        if let Some(socket) = &self.socket {
-            socket.send(&query)?;
+        let line = match &mut self.line {
+            Some(line) => line,
+            none => none.insert(Line::open(registry, self.token, self.resolver)?),
+        };
+        line.socket.send(&query)?;
+        line.queries.push_back(id);
+        if line.queries.len() > QUERIES {
+            line.queries.pop_front();
         }
         Ok(())
     }
 
+    /// Are datagrams left over from the last time?
+    pub fn more(&self) -> bool {
+        self.more
+    }
+
     /// Takes what came. A list newer than the last, if there is one.
     pub fn ready(&mut self, count: &mut Counters) -> Option<List> {
-        let mut newest = None;
-        for _ in 0..TURN {
-            let Some(socket) = &self.socket else { break };
-            let length = match socket.recv(&mut self.buffer) {
-                Ok(length) => length,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                // Nobody is there just now: the query counts as lost in its time.
-                Err(_) => continue,
-            };
-            let Some((id, _)) = self.out else { continue };
-            let bytes = self.buffer.get(..length).unwrap_or_default();
-            match directory::answer(id, bytes) {
-                Ok(list) => {
-                    self.out = None;
-                    if list.serial > self.serial {
-                        self.serial = list.serial;
-                        newest = Some(list);
-                    }
+        let mut heard = Vec::new();
+        self.more = false;
+        for line in self.old.iter_mut().map(|(old, _)| old) {
+            self.more |= take(line, &mut self.buffer, |what, _| heard.push(what));
+        }
+        let mut answered = false;
+        if let Some(line) = &mut self.line {
+            self.more |= take(line, &mut self.buffer, |what, newest| {
+                answered |= newest;
+                if newest && matches!(what, Heard::Bad) {
+                    // Asked again soon, but not at the pace of its answers.
+                    self.next = self.next.min(Instant::now() + ASK_AGAIN);
                 }
-                Err(ListError::Other) => count.bad_lists += 1,
-                Err(error) => {
-                    debug!(%error, "an answer of the directory can't be used");
-                    count.bad_lists += 1;
-                    self.out = None;
-                    self.next = Instant::now();
+                heard.push(what);
+            });
+        }
+        if answered {
+            self.lost = None;
+        }
+        let mut newest = None;
+        for what in heard {
+            match what {
+                Heard::List(list) if list.serial > self.serial => {
+                    self.serial = list.serial;
+                    newest = Some(list);
                 }
+                Heard::List(list) => count.old_lists += u64::from(list.serial < self.serial),
+                Heard::Bad | Heard::Other => count.bad_lists += 1,
             }
         }
         newest
     }
 }
+
+/// Takes datagrams off a line, and tells of each whether it answers the newest query. True: more may stand there.
+fn take(line: &mut Line, buffer: &mut [u8], mut tell: impl FnMut(Heard, bool)) -> bool {
+    for _ in 0..TURN {
+        let length = match line.socket.recv(buffer) {
+            Ok(length) => length,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
+            // Nobody is there just now: the query counts as lost in its time.
+            Err(_) => continue,
+        };
+        let bytes = buffer.get(..length).unwrap_or_default();
+        let id = bytes.get(..2).map(|id| u16::from_be_bytes([id[0], id[1]]));
+        let Some(at) = line.queries.iter().position(|query| Some(*query) == id) else {
+            tell(Heard::Other, false);
+            continue;
+        };
+        let query = line.queries[at];
+        let newest = at + 1 == line.queries.len();
+        let what = match directory::answer(query, bytes) {
+            Ok(list) => Heard::List(list),
+            Err(ListError::Other) => Heard::Other,
+            Err(error) => {
+                debug!(%error, "an answer of the directory can't be used");
+                Heard::Bad
+            }
+        };
+        // Answered once: what comes again under its number is no answer.
+        if !matches!(what, Heard::Other) {
+            line.queries.remove(at);
+        }
+        tell(what, newest);
+    }
+    true
+}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -11,6 +11,10 @@
 pub const WHOLE_FRAME: Duration = Duration::from_millis(2_000);
 /// A client's connection without open requests is closed after this span. Clients close theirs after 4 s.
 pub const CLIENT_IDLE: Duration = Duration::from_millis(6_000);
+/// After a last look that found something, a connection that was to be closed is judged again after this span.
+pub const LAST_LOOK: Duration = Duration::from_millis(20);
+/// Connections looked at for one that may make room for a new one.
+pub const ROOM_LOOKS: usize = 8;
 /// Requests open at once on a client's connection: the platform's figure.
 pub const CLIENT_STREAMS: usize = 32;
 /// Requests and frames that can't be used on one connection; with one more it is closed.
@@ -19,6 +23,18 @@
 pub const WHOLE_ANSWER: Duration = Duration::from_millis(500);
 /// After SIGTERM the node goes on for this long at the least, and after the last request that came.
 pub const LAST_REQUESTS: Duration = Duration::from_millis(1_500);
+/// The platform kills a controller no sooner after SIGTERM than the longest deadline, or this where it is longer,
+pub const KILL_LEAST: Duration = Duration::from_millis(3_000);
+/// and this: a request that came later after SIGTERM must have its answer by then.
+pub const KILL_AFTER: Duration = Duration::from_millis(700);
+/// An answer is on its way for no longer than this.
+pub const ANSWER_WAY: Duration = Duration::from_millis(100);
+/// A query's answer that could not be used is asked for again after this span.
+pub const ASK_AGAIN: Duration = Duration::from_millis(50);
+/// Queries whose answers are still taken: an answer that is always late is heard all the same.
+pub const QUERIES: usize = 16;
+/// After the directory has moved, what its old address still says is heard for this long.
+pub const OLD_ADDRESS: Duration = Duration::from_millis(2_000);
 /// The directory is asked this often; what it tells is current by so much and its answer's way.
 pub const ASK_EVERY: Duration = Duration::from_millis(250);
 /// An answer of the directory that has not come by then is taken for lost.
@@ -87,6 +103,10 @@
     pub over_links: u64,
     /// Answers of the directory that could not be used.
     pub bad_lists: u64,
-    /// Queries to the directory without an answer.
+    /// Queries to the directory without an answer in time.
     pub lost_lists: u64,
+    /// Answers of the directory with an older list.
+    pub old_lists: u64,
+    /// Requests that came so long after SIGTERM that they were refused at once.
+    pub after_end: u64,
 }
