A client that has left is not sent on: a turn is read whole, then acted on in a fixed order

Cause, read and forced by tests: Node::turn acted on each event as it came, links first: an answer, a load or a list released a held request whose client's leave stood in another socket of the same turn; a withdrawn client's lane went to another that had left as well; commands that waited for a connection left when it was up, though their invoker drained, was gone, had started anew, or their time was over; Front::ended took the end of a client's side for a half-close, and what waited was held and sent on; 'done' was judged by the clock after a turn, so that a process that had been stopped ended on connections in its backlog; a client with half a request was closed as idle, and one whose first request lay unread was closed to make room. Change: a turn reads all sockets first and acts in a stated order (breaks, leaves all at once, the list, answers, connections that are up, requests). The engine hears of leaves together (ClientsLeft) and tells the module of a send that never began. A client whose side ends, or that we close, has its final answer at once and nothing of it is sent on. What has not begun to leave is taken back. Where the settings forbid CANCEL an attempt goes on, its lane counted, until its answer or its time; it was cancelled all the same before. A load that only a client who left waited for is not ordered (the module says so; Action::Unwanted). The list gives back what has not left for one that drains, is gone or started anew. The end needs a whole look after the quiet span; a client that came after SIGTERM is asked for no more with its first request; what comes so late that the platform kills us before its time has less of it. A key for dropping repeats is passed on, the tenant and the hints are read.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -226,6 +226,10 @@
 
 /// Appends one action to the reply.
 pub fn action(id: u64, action: &Action, out: &mut String) {
+    // The simulator carries an order in the moment in which it is given: it has left.
+    if matches!(action, Action::Unwanted { .. }) {
+        return;
+    }
     if !out.is_empty() {
         out.push(',');
     }
@@ -245,6 +249,7 @@
         Action::Load { worker, function, count } => {
             write!(out, "[\"PRELOAD\",{id},{},{count},{}]", worker.0, function.0)
         }
+        Action::Unwanted { .. } => return,
         Action::Unload { worker, function } => {
             write!(out, "[\"RELEASE_IDLE\",{id},{},{}]", function.0, worker.0)
         }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -86,6 +86,9 @@
     times_out: Option<Micros>,
     /// A part that is not delivered until the end is certain.
     kept: Option<Bytes>,
+    /// Its call has ended, and the settings allow no word that would stop it: its answer is waited for in vain, as
+    /// the worker is busy with it until then.
+    orphan: bool,
 }
 
 struct Errand {
@@ -111,6 +114,8 @@
     names: Names,
     limits: EngineLimits,
     order_timeout: Micros,
+    /// Attempts may be stopped.
+    cancel: bool,
     calls: BTreeMap<CallId, Call>,
     flights: BTreeMap<AttemptId, Flight>,
     errands: BTreeMap<ErrandId, Errand>,
@@ -137,11 +142,13 @@
         let mut names = Names::default();
         settings.zone = zone.map(|zone| names.zone(zone));
         let order_timeout = settings.loading.order_timeout;
+        let cancel = settings.limits.cancel;
         Ok(Self {
             module: Controller::new(settings, seed)?,
             names,
             limits,
             order_timeout,
+            cancel,
             calls: BTreeMap::new(),
             flights: BTreeMap::new(),
             errands: BTreeMap::new(),
@@ -202,8 +209,9 @@
 
     /// Open calls that no worker has.
     pub fn held_calls(&self) -> usize {
-        // Attempts of a call never overlap: each stands for one call.
-        self.calls.len().saturating_sub(self.flights.len())
+        // Attempts of a call never overlap: each stands for one call, or for one that has ended.
+        let orphans = if self.cancel { 0 } else { self.flights.values().filter(|f| f.orphan).count() };
+        (self.calls.len() + orphans).saturating_sub(self.flights.len())
     }
 
     /// Health of the listed workers, as the module sees it.
@@ -330,6 +338,7 @@
                     self.close(call, EndKind::Gone);
                 }
             }
+            Event::ClientsLeft { calls } => self.left(&calls),
             Event::ClientSlow { call } => self.flow(call, true),
             Event::ClientReady { call } => self.flow(call, false),
             Event::Part { attempt, payload, last } => self.part(attempt, payload, last),
@@ -358,7 +367,12 @@
             match timer {
                 Timer::Module(tag) => self.queue.push_back(Told::Timer { tag }),
                 Timer::Attempt(attempt) => {
-                    self.out.push(Command::Withdraw { attempt });
+                    let orphan = self.flights.get(&attempt).is_some_and(|f| f.orphan);
+                    self.out.push(if orphan {
+                        Command::Abandon { attempt }
+                    } else {
+                        Command::Withdraw { attempt }
+                    });
                     self.ended(attempt, Ended::TimedOut, News::default());
                 }
                 Timer::Errand(errand) => {
@@ -420,6 +434,11 @@
                 let Model { name, version } = model;
                 self.out.push(Command::Load { errand, worker, model: name, version, copies: count });
             }
+            Action::Unwanted { worker, function } => {
+                let ours = |e: &Errand| e.worker == worker && e.function == Some(function);
+                let ours = self.errands.iter().filter(|(_, e)| ours(e)).map(|(errand, _)| *errand);
+                self.out.extend(ours.map(|errand| Command::Unwanted { errand }));
+            }
             Action::Unload { worker, function } => {
                 if let Some(Model { name, version }) = self.names.model(function).cloned() {
                     self.out.push(Command::Unload { worker, model: name, version });
@@ -452,7 +471,10 @@
     // ---- attempts ----
 
     fn send(&mut self, id: CallId, worker: WorkerId, timeout: Option<Micros>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            // It has ended while the module did not know yet: told so, or it would count this attempt for ever.
+            return self.never_began(id, worker);
+        };
         let attempt = AttemptId { call: id, number: call.attempts };
         call.attempts += 1;
         let left = (call.due + self.limits.answer_margin).saturating_sub(self.now);
@@ -461,7 +483,8 @@
             self.timers.insert((at, Timer::Attempt(attempt)));
         }
         let front = call.front;
-        self.flights.insert(attempt, Flight { front, worker, sent: self.now, times_out, kept: None });
+        let flight = Flight { front, worker, sent: self.now, times_out, kept: None, orphan: false };
+        self.flights.insert(attempt, flight);
         self.counters.attempts += 1;
         let (streamed, body, slow) = (call.streamed, call.body.clone(), call.slow);
         let after = call.last.as_ref().map(Ended::outcome);
@@ -473,6 +496,21 @@
         }
     }
 
+    fn never_began(&mut self, id: CallId, worker: WorkerId) {
+        let Some(attempt) = self.module.last_attempt(RequestId(id.0)) else { return };
+        self.queue.push_back(Told::Outcome {
+            request: RequestId(id.0),
+            attempt,
+            worker,
+            outcome: Outcome::Cancelled,
+            finished: true,
+            elapsed: 0,
+            note: None,
+            crowd: None,
+            report: None,
+        });
+    }
+
     fn flow(&mut self, id: CallId, slow: bool) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         if call.slow == slow {
@@ -577,25 +615,69 @@
         let all = AttemptId { call: id, number: 0 }..=AttemptId { call: id, number: u32::MAX };
         let out: Vec<AttemptId> = self.flights.range(all).map(|(attempt, _)| *attempt).collect();
         for attempt in out {
-            self.out.push(Command::Withdraw { attempt });
-            self.ended(attempt, Ended::Cancelled, News::default());
+            if self.cancel {
+                self.out.push(Command::Withdraw { attempt });
+                self.ended(attempt, Ended::Cancelled, News::default());
+            } else {
+                self.orphan(attempt, call.due);
+            }
         }
         self.step(call.front, Step::Ended(how));
     }
 
-    /// A tenant is gone. What no worker can have run is refused; nothing is promised of the rest.
+    /// What may not be stopped goes on, until its answer or the end of the time that the worker was told.
+    fn orphan(&mut self, attempt: AttemptId, due: Micros) {
+        let until = (due + self.limits.answer_margin).max(self.now + 1);
+        let Some(flight) = self.flights.get_mut(&attempt) else { return };
+        flight.orphan = true;
+        if let Some(at) = flight.times_out.replace(until) {
+            self.timers.remove(&(at, Timer::Attempt(attempt)));
+        }
+        self.timers.insert((until, Timer::Attempt(attempt)));
+    }
+
+    /// Clients that left: the module hears of all of them before anything that they free is given away.
+    fn left(&mut self, calls: &[Left]) {
+        let open = |left: &&Left| self.calls.contains_key(&left.call);
+        let calls: Vec<Left> = calls.iter().filter(open).copied().collect();
+        for left in &calls {
+            self.queue.push_back(Told::ClientGone { request: RequestId(left.call.0) });
+        }
+        for left in calls {
+            if !self.calls.contains_key(&left.call) {
+                continue;
+            }
+            if left.answered {
+                let end = self.unserved(left.call, Refusal::ClientLeft, "its client's side ended");
+                self.end(left.call, end);
+            } else {
+                self.counters.gone += 1;
+                self.close(left.call, EndKind::Gone);
+            }
+        }
+    }
+
+    /// The final answer of a call that ends for a reason of its own: what no worker can have run is refused;
+    /// nothing is promised of the rest.
+    fn unserved(&self, id: CallId, why: Refusal, reason: &str) -> End {
+        let all = AttemptId { call: id, number: 0 }..=AttemptId { call: id, number: u32::MAX };
+        let out = self.flights.range(all).next().is_some();
+        if out || self.calls.get(&id).is_some_and(|c| c.may_have_run) {
+            End::Failed { cause: Cause::Aborted, message: format!("{reason}; the call may have run") }
+        } else {
+            End::Refused { why, retry_after: None }
+        }
+    }
+
+    /// A tenant is gone.
     fn evict(&mut self, tenant: nettleferry::TenantId) {
         let ours = self.calls.iter().filter(|(_, call)| call.tenant == Some(tenant));
-        for id in ours.map(|(id, _)| *id).collect::<Vec<_>>() {
-            let all = AttemptId { call: id, number: 0 }..=AttemptId { call: id, number: u32::MAX };
-            let out = self.flights.range(all).next().is_some();
-            let end = if out || self.calls.get(&id).is_some_and(|c| c.may_have_run) {
-                let message = "its tenant was removed; the call may have run".to_owned();
-                End::Failed { cause: Cause::Aborted, message }
-            } else {
-                End::Refused { why: Refusal::TenantGone, retry_after: None }
-            };
+        let ours: Vec<CallId> = ours.map(|(id, _)| *id).collect();
+        for id in &ours {
             self.queue.push_back(Told::ClientGone { request: RequestId(id.0) });
+        }
+        for id in ours {
+            let end = self.unserved(id, Refusal::TenantGone, "its tenant was removed");
             self.end(id, end);
         }
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,6 +23,6 @@
 pub mod outcome;
 pub mod types;
 
-pub use engine::{Engine, EngineLimits};
+pub use engine::{Engine, EngineCounters, EngineLimits};
 pub use outcome::Ended;
 pub use types::*;
--- a/crates/engine/src/types.rs
+++ b/crates/engine/src/types.rs
@@ -88,6 +88,12 @@
         /// Its call.
         call: CallId,
     },
+    /// Clients left, all that are known to have at one moment: what one of them frees must not be given to another
+    /// of them.
+    ClientsLeft {
+        /// Their calls.
+        calls: Vec<Left>,
+    },
     /// The client does not take its answer: the attempt is to wait.
     ClientSlow {
         /// Its call.
@@ -143,6 +149,15 @@
     Tick,
 }
 
+/// A client that has left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// Its call.
+    pub call: CallId,
+    /// Its connection still takes an answer: it gets its final one at once.
+    pub answered: bool,
+}
+
 /// What the end of an attempt tells besides.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct News {
@@ -176,6 +191,8 @@
     NoRoom,
     /// [`Event::Evict`], and nothing of it can have run.
     TenantGone,
+    /// [`Event::ClientsLeft`], and nothing of it can have run.
+    ClientLeft,
 }
 
 /// A call's one final answer.
@@ -290,6 +307,17 @@
         /// Which.
         errand: ErrandId,
     },
+    /// Nobody wants an order any more: it is answered by [`Event::Loaded`] with [`crate::Ended::Cancelled`] where it
+    /// has not left, and goes on where it has.
+    Unwanted {
+        /// Which.
+        errand: ErrandId,
+    },
+    /// The answer of an attempt that can't be stopped is not waited for any longer: nothing is sent for it.
+    Abandon {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Subscribe to the worker list.
     WatchList,
     /// Ask for the complete list once.
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -584,7 +584,9 @@
                 }
                 return self.links.start(hub, attempt, worker, streamed, left, body);
             }
-            Command::Withdraw { attempt } => self.links.withdraw(hub, attempt),
+            Command::Withdraw { attempt } | Command::Abandon { attempt } => self.links.withdraw(hub, attempt),
+            // Its stream is open: it has left.
+            Command::Unwanted { .. } => {}
             Command::Pause { attempt } => self.links.flow(hub, attempt, true),
             Command::Resume { attempt } => self.links.flow(hub, attempt, false),
             Command::Part { front, payload, .. } => self.at_front(|f, around| f.part(around, front, payload)),
--- a/crates/gateway/src/front/ends.rs
+++ b/crates/gateway/src/front/ends.rs
@@ -83,6 +83,7 @@
         End::Refused { why, retry_after } => {
             let message = match why {
                 Refusal::TenantGone => "its tenant was removed; it was not run",
+                Refusal::ClientLeft => "its client left; it was not run",
                 Refusal::TooManyOpen => "too many open calls at this controller; it was not run",
                 Refusal::NoWorker => "no worker is in service; it was not run or may be repeated",
                 Refusal::NoRoom => "no worker had room in time; it was not run or may be repeated",
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -7,8 +7,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use nettleferry::ClassId;
-use nettleferry_engine::{CallId, End};
+use nettleferry::{ClassId, TenantId};
+use nettleferry_engine::{CallId, End, Left};
 use nettleferry_net::tcp::{Tcp, TcpKey};
 use nettleferry_platform::frames::{self, Code, Frame, Reader, kind};
 use nettleferry_platform::request::Request;
@@ -24,6 +24,14 @@
     pub class: ClassId,
     /// Its function.
     pub row: Arc<str>,
+    /// Its tenant.
+    pub tenant: Option<TenantId>,
+    /// The client marks it as a repeat.
+    pub repeat: bool,
+    /// The work that it is thought to need, microseconds.
+    pub work_hint: Option<u64>,
+    /// When it came.
+    pub came: Instant,
     /// Time until the client gives up, microseconds.
     pub left: u64,
     /// Lanes of a copy.
@@ -38,8 +46,8 @@
 pub enum Heard {
     /// A request came.
     Request(Taken),
-    /// A client waits no longer.
-    Gone(CallId),
+    /// A client waits no longer, or its side has ended.
+    Left(Left),
 }
 
 /// What a link must know of a call.
@@ -55,6 +63,8 @@
     pub class: ClassId,
     /// Its function.
     pub row: Arc<str>,
+    /// The key by which invokers drop repeats.
+    pub key: Option<Arc<str>>,
 }
 
 struct Client {
@@ -70,12 +80,16 @@
     closing: bool,
     /// When the frame in hand began.
     began: Option<Instant>,
+    /// Since when nothing whole came and nothing was answered.
     quiet: Instant,
+    /// It was asked for no new requests.
+    sent_away: bool,
 }
 
 /// The front.
 pub struct Front {
     classes: BTreeMap<String, ClassId>,
+    tenants: BTreeMap<String, TenantId>,
     /// A client waits for no longer than its class's deadline, milliseconds.
     deadlines: Vec<f64>,
     bounds: Bounds,
@@ -95,9 +109,10 @@
 
 impl Front {
     /// A front for these classes and their deadlines in milliseconds.
-    pub fn new(classes: &[String], deadlines: Vec<f64>, bounds: Bounds) -> Self {
+    pub fn new(classes: &[String], tenants: &[String], deadlines: Vec<f64>, bounds: Bounds) -> Self {
         Self {
             classes: classes.iter().enumerate().map(|(at, name)| (name.clone(), ClassId(at))).collect(),
+            tenants: tenants.iter().enumerate().map(|(at, name)| (name.clone(), TenantId(at))).collect(),
             deadlines,
             bounds,
             clients: BTreeMap::new(),
@@ -125,12 +140,8 @@
     pub fn accepted(&mut self, tcp: &mut Tcp, key: TcpKey, count: &mut Counters) {
         let now = Instant::now();
         if self.clients.len() >= self.bounds.clients {
-            // One that has sent nothing makes room: those who wait for answers are not for it to push out.
             count.over_clients += 1;
-            let unknown = self.clients.iter().filter(|(_, c)| !c.known).min_by_key(|(_, c)| c.came);
-            let idle =
-                || self.clients.iter().filter(|(_, c)| c.streams.is_empty()).min_by_key(|(_, c)| c.quiet);
-            match unknown.or_else(idle).map(|(key, _)| *key) {
+            match self.makes_room(tcp) {
                 Some(old) => {
                     self.clients.remove(&old);
                     tcp.close(old);
@@ -148,11 +159,33 @@
             closing: false,
             began: None,
             quiet: now,
+            sent_away: false,
         };
         self.clients.insert(key, client);
         tcp.alarm(key, Some(now + FIRST_FRAME));
     }
 
+    /// Which connection makes room: one that has sent nothing, else the longest idle, else one that stopped
+    /// within a frame; never one that waits for an answer, and none whose request is there unread, which its client
+    /// would see reset.
+    fn makes_room(&self, tcp: &mut Tcp) -> Option<TcpKey> {
+        let mut order: Vec<_> = self
+            .clients
+            .iter()
+            .filter(|(_, c)| c.streams.is_empty() && !c.closing)
+            .map(|(key, c)| (c.began.is_some(), c.known, if c.known { c.quiet } else { c.came }, *key))
+            .collect();
+        order.sort_unstable();
+        let mut looked = order.into_iter().take(ROOM_LOOKS);
+        // What stands read and not yet judged counts as well.
+        looked
+            .find(|(within, .., key)| {
+                let unseen = !within && tcp.input(*key).is_some_and(|input| !input.is_empty());
+                !unseen && tcp.silent(*key)
+            })
+            .map(|(.., key)| key)
+    }
+
     /// Bytes came from a client.
     pub fn data(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
         loop {
@@ -164,6 +197,7 @@
             match client.reader.next(input) {
                 Ok(Some(frame)) => {
                     client.began = None;
+                    client.quiet = Instant::now();
                     self.frame(tcp, key, frame, heard, count);
                 }
                 Ok(None) => {
@@ -173,7 +207,7 @@
                 }
                 Err(error) => {
                     count.bad_frames += 1;
-                    return self.expel(tcp, key, &error.to_string(), count);
+                    return self.expel(tcp, key, &error.to_string(), heard, count);
                 }
             }
         }
@@ -192,36 +226,36 @@
             Frame::Whole { kind: kind::REQUEST, stream, payload } => {
                 if stream == 0 || stream <= client.last {
                     count.bad_frames += 1;
-                    return self.expel(tcp, key, "a request's stream is not new", count);
+                    return self.expel(tcp, key, "a request's stream is not new", heard, count);
                 }
                 client.last = stream;
                 if client.streams.len() >= CLIENT_STREAMS {
                     count.bad_requests += 1;
                     self.say(tcp, key, stream, Code::Refused, b"more than 32 requests are open");
-                    return self.fault(tcp, key, count);
+                    return self.fault(tcp, key, heard, count);
                 }
                 match self.take(key, stream, &payload, count) {
                     Ok(taken) => {
                         count.requests += 1;
                         heard.push(Heard::Request(taken));
+                        // One that came since is told once the request that it came for is here.
+                        self.send_away(tcp, key);
                     }
                     Err((code, words)) => {
                         debug!(words, "a request can't be used");
                         self.say(tcp, key, stream, code, words.as_bytes());
-                        self.fault(tcp, key, count);
+                        self.fault(tcp, key, heard, count);
                     }
                 }
             }
             Frame::Whole { kind: kind::CANCEL, stream, .. } => {
                 if let Some(mark) = client.streams.remove(&stream) {
                     client.known = true;
-                    client.quiet = Instant::now();
-                    heard.extend(self.close_call(mark).map(Heard::Gone));
+                    heard.extend(self.close_call(mark).map(gone));
                 }
             }
             Frame::Whole { kind: kind::READY, stream, .. } => {
                 client.known = true;
-                client.quiet = Instant::now();
                 self.buffer.clear();
                 frames::ready(&mut self.buffer, stream, !self.leaving);
                 tcp.send(key, &self.buffer);
@@ -230,12 +264,12 @@
                 client.last = client.last.max(stream);
                 count.bad_requests += 1;
                 self.say(tcp, key, stream, Code::Failed, b"a request is too long");
-                self.fault(tcp, key, count);
+                self.fault(tcp, key, heard, count);
             }
             Frame::Whole { .. } | Frame::TooLong { .. } => {
                 count.bad_frames += 1;
                 self.say(tcp, key, 0, Code::Failed, b"a client sends no such frame");
-                self.fault(tcp, key, count);
+                self.fault(tcp, key, heard, count);
             }
         }
     }
@@ -290,6 +324,7 @@
             name: request.call.into(),
             class,
             row: Arc::clone(&row),
+            key: request.dedupe.map(Arc::from),
         };
         self.calls.insert(mark, call);
         if let Some(client) = self.clients.get_mut(&key) {
@@ -301,6 +336,10 @@
             mark,
             class,
             row,
+            tenant: request.org.and_then(|org| self.tenants.get(org).copied()),
+            repeat: request.repeat,
+            work_hint: request.work_ms.map(micros),
+            came: Instant::now(),
             left: micros(request.ttl_ms),
             lanes: request.lanes.unwrap_or(1),
             load_time: request.load_ms.map(micros),
@@ -373,32 +412,46 @@
     }
 
     /// Counts what a connection sent amiss, and closes it when it goes on.
-    fn fault(&mut self, tcp: &mut Tcp, key: TcpKey, count: &mut Counters) {
+    fn fault(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.faults += 1;
         if client.faults > CLIENT_FAULTS {
-            self.expel(tcp, key, "too much that can't be used", count);
+            self.expel(tcp, key, "too much that can't be used", heard, count);
         }
     }
 
-    /// Says why on stream 0, reads nothing more and closes after the last answer that is owed there.
-    fn expel(&mut self, tcp: &mut Tcp, key: TcpKey, why: &str, count: &mut Counters) {
+    /// Says why on stream 0, reads nothing more and closes: what is open there has its final answer at once.
+    fn expel(&mut self, tcp: &mut Tcp, key: TcpKey, why: &str, heard: &mut Vec<Heard>, count: &mut Counters) {
         count.closed_for_faults += 1;
         debug!(why, "a client's connection is closed");
         self.say(tcp, key, 0, Code::Failed, why.as_bytes());
-        self.ended(tcp, key);
+        self.ended(tcp, key, heard);
     }
 
-    /// Nothing more comes from a client, or nothing more is wanted: it closes after its last answer.
-    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey) {
+    /// Nothing more comes from a client, or nothing more is read: it can't withdraw any more, and has most likely
+    /// left. So what is open there has its final answer at once, which is never wrong, and nothing of it is sent
+    /// on; the connection closes after the last answer.
+    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.closing = true;
         client.began = None;
-        if client.streams.is_empty() {
+        tcp.alarm(key, None);
+        for (stream, mark) in client.streams.clone() {
+            match self.calls.get(&mark).and_then(|call| call.call) {
+                Some(call) => heard.push(Heard::Left(Left { call, answered: true })),
+                None => {
+                    // Not opened yet, and so it never is.
+                    self.close_call(mark);
+                    if let Some(client) = self.clients.get_mut(&key) {
+                        client.streams.remove(&stream);
+                    }
+                    self.say(tcp, key, stream, Code::Refused, b"its client's side ended: it was not run");
+                }
+            }
+        }
+        if self.clients.get(&key).is_some_and(|client| client.streams.is_empty()) {
             self.clients.remove(&key);
             tcp.finish(key);
-        } else {
-            tcp.alarm(key, None);
         }
     }
 
@@ -406,7 +459,7 @@
     pub fn closed(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
         let Some(client) = self.clients.remove(&key) else { return };
         for mark in client.streams.into_values() {
-            heard.extend(self.close_call(mark).map(Heard::Gone));
+            heard.extend(self.close_call(mark).map(gone));
         }
     }
 
@@ -414,35 +467,54 @@
         let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
         let frame = client.began.map(|began| began + WHOLE_FRAME);
         let first = (!client.known).then(|| client.came + FIRST_FRAME);
-        let idle = client.streams.is_empty().then(|| client.quiet + CLIENT_IDLE);
+        // One that is within a frame is not idle: its frame has a time of its own.
+        let idle = client.streams.is_empty() && client.began.is_none();
+        let idle = idle.then(|| client.quiet + CLIENT_IDLE);
         tcp.alarm(key, [frame, first, idle].into_iter().flatten().min());
     }
 
-    /// A connection's alarm came due.
-    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, count: &mut Counters) {
-        let Some(client) = self.clients.get(&key) else { return };
+    /// A connection's alarm came due. What has come by now was read before; what comes at this very moment is seen
+    /// by a last look.
+    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+        let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
         let now = Instant::now();
         let slow = client.began.is_some_and(|began| now >= began + WHOLE_FRAME);
         let silent = !client.known && now >= client.came + FIRST_FRAME;
-        if slow || silent {
+        let idle = client.streams.is_empty() && client.began.is_none() && now >= client.quiet + CLIENT_IDLE;
+        if !(slow || silent || idle) {
+            self.set_alarm(tcp, key);
+        } else if !tcp.silent(key) {
+            // It is told in the next turn, and judged anew after it.
+            tcp.alarm(key, Some(now + LAST_LOOK));
+        } else if slow || silent {
             count.closed_for_silence += 1;
             self.say(tcp, key, 0, Code::Failed, b"nothing whole came in time");
-            self.ended(tcp, key);
-        } else if client.streams.is_empty() && now >= client.quiet + CLIENT_IDLE {
-            count.closed_idle += 1;
-            self.ended(tcp, key);
+            self.ended(tcp, key, heard);
         } else {
-            self.set_alarm(tcp, key);
+            count.closed_idle += 1;
+            self.ended(tcp, key, heard);
         }
     }
 
     /// Asks clients for no new requests on the connections that stand. What comes all the same is served.
     pub fn go_away(&mut self, tcp: &mut Tcp) {
         self.leaving = true;
-        let mut word = Vec::new();
-        frames::go_away(&mut word);
-        for key in self.clients.keys() {
-            tcp.send(*key, &word);
+        for key in self.clients.keys().copied().collect::<Vec<_>>() {
+            self.send_away(tcp, key);
         }
     }
+
+    fn send_away(&mut self, tcp: &mut Tcp, key: TcpKey) {
+        let Some(client) = self.clients.get_mut(&key).filter(|c| self.leaving && !c.sent_away) else {
+            return;
+        };
+        client.sent_away = true;
+        self.buffer.clear();
+        frames::go_away(&mut self.buffer);
+        tcp.send(key, &self.buffer);
+    }
+}
+
+fn gone(call: CallId) -> Heard {
+    Heard::Left(Left { call, answered: false })
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,6 @@
 //! The loop: sockets, signals and timers in; the engine; answers, attempts and orders out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -9,9 +9,9 @@
 
 use mio::Interest;
 use nettleferry::{ListForm, Reports, WorkerState};
-use nettleferry_engine::{Command, Engine, EngineLimits, Event, Member, Open};
+use nettleferry_engine::{Command, End, Ended, Engine, EngineLimits, Event, Member, News, Open, Refusal};
 use nettleferry_net::clock::Clock;
-use nettleferry_net::tcp::{Gone, Tcp, TcpEvent, TcpLimits};
+use nettleferry_net::tcp::{Gone, Tcp, TcpEvent, TcpKey, TcpLimits};
 use nettleferry_platform::config::{Config, ConfigError};
 use nettleferry_platform::directory::{List, ListError, State};
 use nettleferry_platform::frames::MOST_PAYLOAD;
@@ -22,9 +22,9 @@
 use tracing::{info, warn};
 
 use crate::directory::Asker;
-use crate::front::{Front, Heard};
-use crate::limits::{Bounds, Counters, LAST_REQUESTS};
-use crate::links::{Attempt, Links};
+use crate::front::{Front, Heard, Taken};
+use crate::limits::{ANSWER_WAY, Bounds, Counters, KILL_AFTER, KILL_LEAST, LAST_REQUESTS};
+use crate::links::{Attempt, Links, Listed};
 
 /// Why a node could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -72,6 +72,16 @@
 /// How often counters are logged.
 const FIGURES_EVERY: Duration = Duration::from_secs(5);
 
+/// The answer of a request that came with no time left.
+const NO_TIME: End = End::Refused { why: Refusal::NoRoom, retry_after: None };
+
+/// What one turn brought that is acted on once all of it was read.
+#[derive(Default)]
+struct Came {
+    list: bool,
+    connected: Vec<TcpKey>,
+}
+
 /// A controller on the platform.
 pub struct Node {
     path: PathBuf,
@@ -82,12 +92,16 @@
     links: Links,
     asker: Asker,
     signals: Option<Signals>,
-    classes: Vec<String>,
+    classes: Vec<Arc<str>>,
+    /// How long a client waits at the longest.
+    longest: Duration,
     local: SocketAddr,
     count: Counters,
-    /// Since SIGTERM, and when the last request came.
+    /// Since SIGTERM, and when a client last came or sent something.
     leaving: Option<Instant>,
-    last_request: Instant,
+    last_heard: Instant,
+    /// When the newest turn began that has seen all there was, and in which no client came or sent anything.
+    looked: Option<Instant>,
     /// When the configuration is to be read again.
     reload_at: Option<Instant>,
     next_figures: Instant,
@@ -117,6 +131,7 @@
         let signals = if signals { Some(watch_signals(&tcp)?) } else { None };
         let local = tcp.listen(config.listen).map_err(NodeError::system("listening"))?;
         let deadlines = site.settings.classes.iter().map(|c| c.deadline as f64 / 1000.0).collect();
+        let longest = site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let idle = (site.idle > 0).then(|| Duration::from_micros(site.idle));
         let reports = site.settings.reports != Reports::None;
         let engine_limits = EngineLimits {
@@ -134,15 +149,17 @@
             clock: Clock::start(),
             tcp,
             engine,
-            front: Front::new(&site.classes, deadlines, bounds),
+            front: Front::new(&site.classes, &site.tenants, deadlines, bounds),
             links: Links::new(bounds, site.streams as usize, idle, reports),
             asker,
             signals,
-            classes: site.classes,
+            classes: site.classes.iter().map(|name| Arc::from(name.as_str())).collect(),
+            longest: Duration::from_micros(longest),
             local,
             count: Counters::default(),
             leaving: None,
-            last_request: now,
+            last_heard: now,
+            looked: None,
             reload_at: None,
             next_figures: now + FIGURES_EVERY,
             happened: Vec::new(),
@@ -159,6 +176,11 @@
         self.local
     }
 
+    /// What the engine counted.
+    pub fn engine_counters(&self) -> nettleferry_engine::EngineCounters {
+        self.engine.counters()
+    }
+
     /// What was counted.
     pub fn counters(&self) -> Counters {
         self.count
@@ -173,37 +195,53 @@
         Ok(())
     }
 
-    /// May it end: asked to, and nothing is owed or on its way?
+    /// May it end: asked to, and nothing is owed or on its way? A process that did not run for a while finds its quiet
+    /// span over by the clock, with connections in the backlog and requests in sockets: so a whole turn that began
+    /// after that span must have looked and found nothing.
     pub fn done(&self) -> bool {
         self.leaving.is_some_and(|since| {
-            let quiet = Instant::now() >= since.max(self.last_request) + LAST_REQUESTS;
+            let quiet = self.looked.is_some_and(|at| at >= since.max(self.last_heard) + LAST_REQUESTS);
             // An answer is given when the system has it, not when it is queued.
             quiet && self.engine.open_calls() == 0 && self.tcp.unsent_to_peers() == 0
         })
     }
 
-    /// One round; waits at most `most`.
+    /// One round; waits at most `most`. What came is read on all sockets first, and only then acted on: in this
+    /// order, whatever the order in which it came within the turn.
+    ///
+    /// 1. What has broken, so that nothing is written to it. 2. Clients that left, all at once, so that nothing is sent
+    ///    on for one of them. 3. The list, so that nothing goes to whom it takes out of service. 4. What invokers
+    ///    answered. 5. Connections that came about: what waited for them leaves. 6. New requests.
     pub fn turn(&mut self, most: Option<Duration>) -> Result<(), NodeError> {
         let wait = self.wait();
         let wait = most.map_or(wait, |most| most.min(wait));
+        let began = Instant::now();
         let mut happened = std::mem::take(&mut self.happened);
         self.tcp.turn(Some(wait), &mut happened).map_err(NodeError::system("the poll"))?;
-        // Links first: what has just broken is not written to.
-        happened.sort_by_key(|event| !event.key().is_some_and(|key| self.links.owns(key)));
-        for event in happened.drain(..) {
-            self.take(event);
+        let mut came = Came { list: self.asker.more(), ..Came::default() };
+        // Those that have just come last: at the bound they push out who has nothing to lose, as far as was read.
+        let new: BTreeSet<TcpKey> = happened.iter().filter_map(accepted).collect();
+        let of_new = |event: &TcpEvent| event.key().is_some_and(|key| new.contains(&key));
+        for event in happened.iter().filter(|event| !of_new(event)) {
+            self.read(*event, &mut came);
+        }
+        for event in happened.drain(..).filter(of_new) {
+            self.read(event, &mut came);
         }
         self.happened = happened;
+        self.act(came);
         if self.reload_at.is_some_and(|at| Instant::now() >= at) {
             self.reload();
         }
         self.asker.turn(self.tcp.registry(), &mut self.count);
         self.tell(Event::Tick);
         self.work();
-        if Instant::now() >= self.next_figures {
-            self.next_figures = Instant::now() + FIGURES_EVERY;
+        let now = Instant::now();
+        if now >= self.next_figures {
+            self.next_figures = now + FIGURES_EVERY;
             self.figures();
         }
+        self.looked = Some(began).filter(|at| *at > self.last_heard && self.tcp.caught_up());
         Ok(())
     }
 
@@ -215,23 +253,35 @@
             Some(self.asker.due()),
             Some(self.next_figures),
             self.reload_at,
-            self.leaving.map(|_| now + LAST_REQUESTS / 8),
+            // The look for the end is a turn of its own, as soon as it may be the last.
+            self.leaving.map(|since| {
+                let quiet = since.max(self.last_heard) + LAST_REQUESTS;
+                match self.looked {
+                    _ if now < quiet => quiet,
+                    Some(at) if at >= quiet => now + LAST_REQUESTS / 8,
+                    _ => now,
+                }
+            }),
         ];
         let others = others.into_iter().flatten().map(|at| at.saturating_duration_since(now));
         others.chain(timer).min().unwrap_or(FIGURES_EVERY)
     }
 
-    fn take(&mut self, event: TcpEvent) {
+    /// Reads what one event brought; nothing is decided or sent on yet.
+    fn read(&mut self, event: TcpEvent, came: &mut Came) {
         let (tcp, count) = (&mut self.tcp, &mut self.count);
         let (heard, told) = (&mut self.heard, &mut self.told);
         let client = event.key().is_some_and(|key| self.front.owns(key));
+        if client && matches!(event, TcpEvent::Data(_)) || matches!(event, TcpEvent::Accepted(_)) {
+            self.last_heard = Instant::now();
+        }
         match event {
             TcpEvent::Accepted(key) => self.front.accepted(tcp, key, count),
             TcpEvent::Data(key) if client => self.front.data(tcp, key, heard, count),
-            TcpEvent::Alarm(key) if client => self.front.alarm(tcp, key, count),
-            TcpEvent::Ended(key) if client => self.front.ended(tcp, key),
+            TcpEvent::Alarm(key) if client => self.front.alarm(tcp, key, heard, count),
+            TcpEvent::Ended(key) if client => self.front.ended(tcp, key, heard),
             TcpEvent::Closed(key, _) if client => self.front.closed(key, heard),
-            TcpEvent::Connected(key) => self.links.connected(tcp, key),
+            TcpEvent::Connected(key) => came.connected.push(key),
             TcpEvent::Data(key) => self.links.data(tcp, key, told, count),
             TcpEvent::Alarm(key) => self.links.alarm(tcp, key, told, count),
             TcpEvent::Ended(key) => {
@@ -240,53 +290,69 @@
             }
             TcpEvent::Closed(key, why) => self.links.closed(tcp, key, why, told),
             TcpEvent::Source(SIGNALS) => self.signalled(),
-            TcpEvent::Source(_) => {
-                if let Some(list) = self.asker.ready(count) {
-                    info!(serial = list.serial, invokers = list.invokers.len(), "the list changed");
-                    self.list(ListForm::Complete, &list);
-                }
+            TcpEvent::Source(_) => came.list = true,
+        }
+    }
+
+    /// Acts on what one turn brought: the order is told at [`Node::turn`].
+    fn act(&mut self, came: Came) {
+        let (mut left, mut requests) = (Vec::new(), Vec::new());
+        for heard in self.heard.drain(..) {
+            match heard {
+                Heard::Left(one) => left.push(one),
+                Heard::Request(taken) => requests.push(taken),
             }
         }
+        if !left.is_empty() {
+            self.tell(Event::ClientsLeft { calls: left });
+        }
+        if came.list
+            && let Some(list) = self.asker.ready(&mut self.count)
+        {
+            info!(serial = list.serial, invokers = list.invokers.len(), "the list changed");
+            self.list(ListForm::Complete, &list);
+        }
+        self.work();
+        for key in came.connected {
+            self.links.connected(&mut self.tcp, key, &mut self.told);
+            self.work();
+        }
+        for taken in requests {
+            self.open(taken);
+        }
         self.work();
     }
 
-    /// Hands on what was heard and told, and does what the engine says, until nothing is left.
+    /// Hands on what links told, and does what the engine says, until nothing is left.
     fn work(&mut self) {
-        loop {
-            if !self.heard.is_empty() {
-                for heard in std::mem::take(&mut self.heard) {
-                    match heard {
-                        Heard::Request(taken) => self.open(taken),
-                        Heard::Gone(call) => self.tell(Event::ClientGone { call }),
-                    }
-                }
-            } else if !self.told.is_empty() {
-                for event in std::mem::take(&mut self.told) {
-                    self.tell(event);
-                }
-            } else {
-                return;
+        while !self.told.is_empty() {
+            for event in std::mem::take(&mut self.told) {
+                self.tell(event);
             }
         }
     }
 
-    fn open(&mut self, taken: crate::front::Taken) {
-        self.last_request = Instant::now();
+    fn open(&mut self, taken: Taken) {
         let mark = taken.mark;
         if !self.front.waits(mark) {
             return;
         }
+        let left = self.until_end(taken.left).saturating_sub(taken.came.elapsed().as_micros() as u64);
+        if left == 0 {
+            // It could not be answered after it was tried: a try elsewhere does no harm.
+            return self.front.end(&mut self.tcp, mark, &NO_TIME);
+        }
         let open = Open {
             front: mark,
             class: taken.class,
-            tenant: None,
+            tenant: taken.tenant,
             model: taken.row,
             version: Arc::from(""),
-            left: taken.left,
-            work_hint: None,
+            left,
+            work_hint: taken.work_hint,
             lanes: taken.lanes,
             load_time: taken.load_time,
-            repeat: false,
+            repeat: taken.repeat,
             group: 0,
             streamed: false,
             body: taken.body,
@@ -296,6 +362,16 @@
         self.obey();
     }
 
+    /// The time that a call has, microseconds: what its client gives it, and after SIGTERM no more than is left until
+    /// the platform kills this process. What comes so late has little of it, and its answer all the same.
+    fn until_end(&mut self, left: u64) -> u64 {
+        let Some(since) = self.leaving else { return left };
+        let end = since + self.longest.max(KILL_LEAST) + KILL_AFTER - ANSWER_WAY;
+        let most = end.saturating_duration_since(Instant::now()).as_micros() as u64;
+        self.count.after_end += u64::from(most < left);
+        left.min(most)
+    }
+
     fn tell(&mut self, event: Event) {
         self.engine.handle(self.clock.now(), event, &mut self.commands);
         self.obey();
@@ -306,18 +382,27 @@
         for command in self.commands.drain(..) {
             match command {
                 Command::Start { attempt, worker, left, body, .. } => {
-                    let Some(call) = self.front.call(attempt.call) else { continue };
-                    let sort = self.classes.get(call.class.0).map_or("", String::as_str);
+                    let sort = |call: &crate::front::Call| self.classes.get(call.class.0).cloned();
+                    let known = self.front.call(attempt.call).and_then(|call| Some((call, sort(call)?)));
+                    let Some((call, sort)) = known else {
+                        // Its client has left, and the engine hears of it next.
+                        let how = Ended::Cancelled;
+                        self.told.push(Event::Ended { attempt, how, news: News::default() });
+                        continue;
+                    };
                     let begin = Attempt {
                         id: attempt,
-                        name: &call.name,
+                        name: Arc::clone(&call.name),
                         sort,
-                        asset: &call.row,
-                        patience_ms: left / 1000,
-                        body: &body,
+                        asset: Arc::clone(&call.row),
+                        key: call.key.clone(),
+                        until: Instant::now() + Duration::from_micros(left),
+                        body,
                     };
-                    self.links.start(tcp, worker, &begin, &mut self.told, count);
+                    self.links.start(tcp, worker, begin, &mut self.told, count);
                 }
+                Command::Abandon { attempt } => self.links.abandon(tcp, attempt),
+                Command::Unwanted { errand } => self.links.unwanted(tcp, errand, &mut self.told),
                 Command::Withdraw { attempt } => self.links.withdraw(tcp, attempt, &mut self.told, count),
                 Command::End { front, end, .. } => self.front.end(tcp, front, &end),
                 Command::Load { errand, worker, model, copies, .. } => {
@@ -337,7 +422,7 @@
     }
 
     fn list(&mut self, form: ListForm, list: &List) {
-        let mut addresses = BTreeMap::new();
+        let mut listed = BTreeMap::new();
         let mut members = Vec::with_capacity(list.invokers.len());
         for invoker in &list.invokers {
             let state = match invoker.state {
@@ -345,8 +430,10 @@
                 State::Draining => WorkerState::Draining,
                 State::Removed => WorkerState::Gone,
             };
-            if let Some(address) = invoker.address {
-                addresses.insert(self.engine.worker_id(&invoker.id), address);
+            let born_ms = (invoker.started_ms > 0).then_some(invoker.started_ms);
+            if let Some(address) = invoker.address.filter(|_| state != WorkerState::Gone) {
+                let on = state == WorkerState::On;
+                listed.insert(self.engine.worker_id(&invoker.id), Listed { address, born_ms, on });
             }
             members.push(Member {
                 name: invoker.id.clone(),
@@ -358,8 +445,11 @@
                 born: (invoker.started_ms > 0).then(|| invoker.started_ms.saturating_mul(1000)),
             });
         }
-        self.links.list(&mut self.tcp, &addresses);
+        let mut back = Vec::new();
+        self.links.list(&mut self.tcp, &listed, &mut back);
+        // What is given back is placed anew by the list that gave it back.
         self.tell(Event::Workers { form, members });
+        self.told.append(&mut back);
     }
 
     fn signalled(&mut self) {
@@ -377,6 +467,7 @@
         if self.leaving.is_none() {
             info!("asked to end: what comes is served, and the end follows the last answer");
             self.leaving = Some(Instant::now());
+            self.looked = None;
             self.front.go_away(&mut self.tcp);
         }
     }
@@ -404,6 +495,10 @@
     }
 }
 
+fn accepted(event: &TcpEvent) -> Option<TcpKey> {
+    if let TcpEvent::Accepted(key) = event { Some(*key) } else { None }
+}
+
 fn read(path: &PathBuf) -> Result<Config, NodeError> {
     let text = std::fs::read_to_string(path);
     let text = text.map_err(|source| NodeError::Read { path: path.clone(), source })?;
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -13,6 +13,14 @@
     pub ttl_ms: f64,
     /// The function: 16 hex digits.
     pub row: &'a str,
+    /// The tenant, where there are tenants.
+    pub org: Option<&'a str>,
+    /// The key by which invokers drop repeats, of a keyed class: passed on as it is.
+    pub dedupe: Option<&'a str>,
+    /// The client marks it as a repeat.
+    pub repeat: bool,
+    /// The work that it is thought to need, milliseconds.
+    pub work_ms: Option<f64>,
     /// Memory of one copy, MB.
     pub memory_mb: Option<f64>,
     /// Requests that one copy runs at once.
@@ -70,6 +78,10 @@
             call: id("call")?,
             ttl_ms,
             row: id("row")?,
+            org: fields.get("org"),
+            dedupe: fields.get("dedupe"),
+            repeat: fields.get("rep").is_some_and(|value| value != "0" && value != "false"),
+            work_ms: fields.get("work").map(|value| figure("work", value, MOST_MS)).transpose()?,
             memory_mb: None,
             lanes: None,
             load_ms: None,
--- a/crates/platform/src/resp.rs
+++ b/crates/platform/src/resp.rs
@@ -109,9 +109,21 @@
     }
 }
 
-/// Appends `CALL ID FIELDS BODY`.
-pub fn call(out: &mut Vec<u8>, id: &str, sort: &str, asset: &str, patience_ms: u64, body: &[u8]) {
-    let fields = format!("sort={sort},asset={asset},patience={patience_ms}");
+/// Appends `CALL ID FIELDS BODY`; `key`: by what the invoker drops repeats.
+pub fn call(
+    out: &mut Vec<u8>,
+    id: &str,
+    sort: &str,
+    asset: &str,
+    key: Option<&str>,
+    patience_ms: u64,
+    body: &[u8],
+) {
+    let mut fields = format!("sort={sort},asset={asset},patience={patience_ms}");
+    if let Some(key) = key {
+        fields.push_str(",op=");
+        fields.push_str(key);
+    }
     command(out, &[b"CALL", id.as_bytes(), fields.as_bytes(), body]);
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -176,9 +176,8 @@
         }
     }
 
-    /// No worker is in service: waiting would be silence, so that calls are answered at once. Answers to an
-    /// empty list and to a fleet that drains as a whole. Harm: calls in the gap of a replacement that leaves
-    /// none in service for a moment are refused, though they might have waited.
+    /// No worker is in service: waiting would be silence, so that calls are answered at once. Harm: where a
+    /// replacement leaves none in service for a moment, calls are refused that might have waited.
     fn nobody(&self) -> bool {
         self.workers.values().all(|w| w.entry.state != WorkerState::On)
     }
@@ -297,8 +296,7 @@
         self.tick_on();
     }
 
-    /// A held call that can't meet its aim any more waits behind those that can: in overload, room spent on
-    /// late answers makes the next ones late too.
+    /// A held call that can't meet its aim waits behind those that can: late answers make others late.
     fn late(&mut self, id: RequestId) {
         if self.calls.get(&id).is_some_and(|call| call.held) {
             self.unhold(id);
@@ -710,13 +708,17 @@
             if let Some(attempt) = call.out.filter(|_| self.settings.limits.cancel && !call.streaming) {
                 self.out.push(Action::Cancel { request: id, attempt });
             }
+            let function = call.function;
             self.finish(id);
+            // A load that only this call waited for is not wanted any more, where its order has not left.
+            if let Some(f) = self.functions.get(&function).filter(|f| f.held == 0 && f.out.is_empty()) {
+                self.out.extend(f.loading.keys().map(|at| Action::Unwanted { worker: *at, function }));
+            }
         }
     }
 
-    /// An answer that has begun belongs to the client, and shows that its copy stands: a long stream would
-    /// else pass for a load until its end, and hold back all others of its function. Harm: a load's time as
-    /// learnt here holds the work up to the first part.
+    /// An answer that has begun belongs to the client, and shows that its copy stands: taken for a load, a
+    /// long stream would hold others back. Harm: a load's time as learnt here holds work up to a part.
     fn stream_started(&mut self, id: RequestId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.streaming = true;
@@ -809,8 +811,7 @@
         }
     }
 
-    /// A worker that is down is tried by probes: hundreds of controllers trying it by calls would push it
-    /// over in the moment in which it comes back, cold and untold by any list.
+    /// A worker that is down is tried by probes: calls of hundreds would push it over as it returns, cold.
     fn bar(&mut self, id: WorkerId, why: &str, down: bool) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
         if !worker.barred {
@@ -939,7 +940,7 @@
                 // One answered at once found a copy that stood: no load.
                 self.learn_load(id, elapsed as f64);
             }
-        } else {
+        } else if outcome != Outcome::Cancelled {
             self.shun(id, at, if outcome == Outcome::Full { 1 } else { TURNED_AWAY });
         }
         self.release(None);
@@ -953,8 +954,7 @@
         shun.insert(at, (until, turned.saturating_add(times)));
     }
 
-    /// An answer from a worker, or a change anywhere: the lowest held priorities that have room go, each
-    /// along its own order.
+    /// An answer, or a change anywhere: the lowest held that have room go, each along its own order.
     fn release(&mut self, at: Option<WorkerId>) {
         let mut without = BTreeSet::new();
         for id in self.held.values().take(SCAN).copied().collect::<Vec<_>>() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -512,6 +512,14 @@
         /// Copies wanted, up to 16.
         count: u32,
     },
+    /// A load that was ordered is not wanted any more: an order that has not left need not leave, and is answered
+    /// [`Outcome::Cancelled`] then; one that has left goes on.
+    Unwanted {
+        /// Where.
+        worker: WorkerId,
+        /// Of what.
+        function: FunctionId,
+    },
     /// Unload the idle copies of a function.
     Unload {
         /// The worker.
--- a/src/state.rs
+++ b/src/state.rs
@@ -199,6 +199,12 @@
         }
     }
 
+    /// The number of a call's newest attempt that is out, as counted here.
+    pub fn last_attempt(&self, request: RequestId) -> Option<u32> {
+        let all = (request, 0)..=(request, u32::MAX);
+        self.flights.range(all).next_back().map(|((_, number), _)| *number)
+    }
+
     pub(crate) fn take_back(&mut self, flight: &Flight) {
         if let Some(worker) = self.workers.get_mut(&flight.worker) {
             worker.out = worker.out.saturating_sub(1);
