Tests: what was not sent is taken back, idle connections past their time, leaves at the engine

Need: each mend of the crossings has a test that fails without it. Sixteen mutants of the mends were played against the node's tests: thirteen were found at once; the three others (leaves told one by one, a connection past its idle time, nothing taken back) were hidden behind a second guard, and have tests of their own now, at the engine and at the links.

--- a/crates/engine/tests/ledger.rs
+++ b/crates/engine/tests/ledger.rs
@@ -77,7 +77,11 @@
 
 impl Bench {
     fn new(workers: &[&str], limits: EngineLimits) -> Self {
-        let engine = Engine::new(settings(), Some("a"), limits, 7).expect("sound settings");
+        Self::with(settings(), workers, limits)
+    }
+
+    fn with(settings: Settings, workers: &[&str], limits: EngineLimits) -> Self {
+        let engine = Engine::new(settings, Some("a"), limits, 7).expect("sound settings");
         let mut bench = Self { engine, now: 1_000_000 * MS, out: Vec::new() };
         let members = workers.iter().map(|w| member(w, WorkerState::On)).collect();
         bench.tell(Event::Workers { form: ListForm::Complete, members });
@@ -279,6 +283,81 @@
     assert_eq!(bench.engine.open_calls(), 0);
 }
 
+/// A worker whose copy has two lanes, both taken, and two calls that wait for them.
+fn two_run_and_two_wait(settings: Settings) -> (Bench, Vec<CallId>, Vec<AttemptId>) {
+    let mut bench = Bench::with(settings, &["w1"], EngineLimits::default());
+    // Its copy is found by a call that is served.
+    let (_, first) = bench.open(0, false);
+    let first = started(&first).expect("a worker is free");
+    bench.tell(part(first, true));
+    bench.tell(ended(first, Ended::Served));
+    let opened: Vec<_> = (0..4).map(|_| bench.open(0, false)).collect();
+    let out: Vec<AttemptId> = opened.iter().filter_map(|(_, commands)| started(commands)).collect();
+    assert_eq!(out.len(), 2, "two lanes");
+    (bench, opened.iter().map(|(call, _)| *call).collect(), out)
+}
+
+fn left(calls: &[CallId]) -> Event {
+    Event::ClientsLeft { calls: calls.iter().map(|call| Left { call: *call, answered: false }).collect() }
+}
+
+#[test]
+fn what_clients_that_leave_together_free_goes_to_none_of_them() {
+    let (mut bench, calls, _) = two_run_and_two_wait(settings());
+    let done = bench.tell(left(&calls));
+    assert_eq!(started(&done), None, "{done:?}");
+    assert_eq!(done.iter().filter(|c| matches!(c, Command::Withdraw { .. })).count(), 2);
+    assert_eq!(bench.engine.open_calls(), 0);
+    // The module counts none of them any more: the lanes are there for those who come.
+    for _ in 0..2 {
+        let (_, commands) = bench.open(0, false);
+        assert!(started(&commands).is_some(), "a lane is free");
+    }
+}
+
+#[test]
+fn a_client_whose_side_ended_has_its_final_answer_at_once() {
+    let (mut bench, calls, out) = two_run_and_two_wait(settings());
+    let all = calls.iter().map(|call| Left { call: *call, answered: true }).collect();
+    let done = bench.tell(Event::ClientsLeft { calls: all });
+    for call in calls {
+        let ends: Vec<&End> = done
+            .iter()
+            .filter_map(|c| match c {
+                Command::End { call: of, end, .. } if *of == call => Some(end),
+                _ => None,
+            })
+            .collect();
+        let ran = out.iter().any(|attempt| attempt.call == call);
+        match ends[..] {
+            [End::Failed { cause: Cause::Aborted, .. }] => assert!(ran, "it had not left"),
+            [End::Refused { why: Refusal::ClientLeft, .. }] => assert!(!ran, "it may have run"),
+            _ => panic!("one end each: {ends:?}"),
+        }
+    }
+}
+
+#[test]
+fn where_no_word_may_stop_an_attempt_its_lane_is_taken_until_its_answer_or_its_time() {
+    let mut settings = settings();
+    settings.limits.cancel = false;
+    let (mut bench, calls, out) = two_run_and_two_wait(settings);
+    let running: Vec<CallId> = out.iter().map(|attempt| attempt.call).collect();
+    let done = bench.tell(left(&running));
+    assert!(!done.iter().any(|c| matches!(c, Command::Withdraw { .. })), "{done:?}");
+    assert_eq!(started(&done), None, "the worker is still busy with them");
+    assert_eq!((bench.engine.open_calls(), bench.engine.held_calls()), (2, 2));
+    // One answers, and its lane is free; nobody gets the answer.
+    bench.tell(part(out[0], true));
+    let freed = bench.tell(ended(out[0], Ended::Served));
+    let next = started(&freed).expect("one that waited");
+    assert!(calls.contains(&next.call) && end(&freed).is_none());
+    // The other never does: after the time that its worker was told, nothing is sent for it.
+    let passed = bench.pass(5_000 * MS);
+    assert!(passed.contains(&Command::Abandon { attempt: out[1] }), "{passed:?}");
+    assert!(!passed.contains(&Command::Withdraw { attempt: out[1] }));
+}
+
 #[test]
 fn a_slow_client_pauses_its_attempt_alone() {
     let mut bench = Bench::new(&["w1", "w2"], EngineLimits::default());
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -714,7 +714,7 @@
 mod tests {
     use super::*;
 
-    use std::io::Read;
+    use std::io::{Read, Write};
     use std::net::{TcpListener, TcpStream};
 
     use nettleferry_engine::CallId;
@@ -853,4 +853,70 @@
         let _ = rig.sockets[0].read_to_end(&mut seen);
         assert!(!seen.is_empty());
     }
+
+    #[test]
+    fn what_has_not_begun_to_leave_is_taken_back_whole() {
+        let mut rig = Rig::new();
+        let first = rig.start(10);
+        while !rig.left(first) {
+            rig.turn();
+        }
+        // Its connection is the only one that the bound allows besides the first's: they share them from here on.
+        let second = rig.start(10);
+        while !rig.left(second) {
+            rig.turn();
+        }
+        // Queued in one turn behind each other, none of them handed to the system.
+        let (third, fourth, fifth) = (rig.start(20), rig.start(30), rig.start(40));
+        let shared = [third, fourth, fifth].map(|id| rig.at(id).0);
+        assert!(shared[0] == shared[2], "the third and the fifth share one: {shared:?}");
+        let key = shared[0];
+        let written = rig.tcp.written(key);
+        rig.withdraw(third);
+        assert_eq!(
+            (rig.tcp.written(key), rig.told.len()),
+            (written, 0),
+            "nothing leaves for it, and nobody is hurt"
+        );
+        while !(rig.left(fourth) && rig.left(fifth)) {
+            rig.turn();
+        }
+        assert_eq!(rig.at(fifth).1, Some(rig.tcp.written(key)), "what stood behind it has moved up");
+        let mut seen = vec![0; 4096];
+        let mut all = String::new();
+        for socket in &mut rig.sockets {
+            let n = socket.read(&mut seen).expect("something came");
+            all.push_str(&String::from_utf8_lossy(&seen[..n]));
+        }
+        let sent = |n: u64| all.contains(&format!("{n:016x}"));
+        assert!(!sent(3) && sent(4) && sent(5) && !all.contains("CANCEL"), "{all}");
+    }
+
+    #[test]
+    fn a_connection_whose_idle_time_is_over_is_not_chosen_before_its_alarm() {
+        let mut rig = Rig::new();
+        rig.links.idle = Some(Duration::from_millis(1));
+        let first = rig.start(10);
+        while !rig.left(first) {
+            rig.turn();
+        }
+        let key = rig.at(first).0;
+        let mut answer = Vec::new();
+        resp::command(&mut answer, &[format!("{:016x}", 1).as_bytes(), b"served", b"-", b"x"]);
+        rig.sockets[0].write_all(&answer).expect("written");
+        while rig.links.links[&key].idle_since.is_none() {
+            let mut events = Vec::new();
+            rig.tcp.turn(Some(Duration::from_millis(1)), &mut events).expect("a poll");
+            if events.contains(&TcpEvent::Data(key)) {
+                rig.links.data(&mut rig.tcp, key, &mut rig.told, &mut rig.count);
+            }
+        }
+        // No turn comes between the end of its idle time and the next command.
+        let over = rig.links.links[&key].idle_since.expect("just seen") + Duration::from_millis(1);
+        while Instant::now() < over {
+            std::thread::yield_now();
+        }
+        let second = rig.start(10);
+        assert_ne!(rig.at(second).0, key);
+    }
 }
--- a/crates/node/tests/common/hand.rs
+++ b/crates/node/tests/common/hand.rs
@@ -173,6 +173,13 @@
         self.directory.send_to(&reply_with(id, serial, &lines, &[&started]), from).expect("sent");
     }
 
+    /// Answers a query: these names at the addresses of these invokers.
+    pub fn answer_named(&self, (id, from): (u16, SocketAddr), serial: u32, list: &[(&str, usize)]) {
+        let address = |at: usize| self.invokers[at].listener.local_addr().expect("bound");
+        let lines: Vec<_> = list.iter().map(|(name, at)| ((*name).to_owned(), address(*at), false)).collect();
+        self.directory.send_to(&reply(id, serial, &lines), from).expect("sent");
+    }
+
     /// Turns until all that the node may still send on has come: a later request of another client is answered.
     pub fn fence(&mut self, id: u64) {
         let mut other = self.client();
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -306,6 +306,39 @@
     assert!(!after(&hand.invokers[0].conns[old]));
 }
 
+#[test]
+fn an_address_that_goes_to_another_invoker_takes_no_connection_along() {
+    let mut hand = Hand::start(1, |_| ());
+    let mut client = hand.client();
+    client.ask(1, "safe", 77, ROW, b"");
+    let old = hand.at(0, "CALL", &name(77));
+    hand.invokers[0].serve(|_| true);
+    hand.until("it is served", |_| (!client.codes(1).is_empty()).then_some(()));
+    let query = hand.query();
+    hand.answer_named(query, 2, &[("s-new", 0)]);
+    client.ask(2, "safe", 78, ROW, b"");
+    let new = hand.at(0, "CALL", &name(78));
+    assert_ne!(new, old);
+    hand.until("what stood is ended", |hand| hand.invokers[0].conns[old].ended.then_some(()));
+}
+
+#[test]
+fn a_client_that_leaves_with_its_answer_has_its_request_neither_withdrawn_nor_sent_again() {
+    for way in WAYS {
+        let mut hand = Hand::start(1, |_| ());
+        let mut client = with_something_unread(&mut hand);
+        client.ask(1, "once", WAITS, ROW, b"");
+        let conn = hand.at(0, "CALL", &name(WAITS));
+        say(&mut hand.invokers[0].conns[conn].socket, &name(WAITS), "served", "n=w");
+        let client = way.go(client, 1);
+        hand.turn();
+        way.check(&mut hand, client, 1, FAILED);
+        hand.fence(500);
+        assert_eq!((hand.words("CANCEL"), hand.sends(&name(WAITS))), (0, 1), "{way:?}");
+        assert!(!hand.invokers[0].conns[conn].ended, "{way:?}: its connection is sound");
+    }
+}
+
 #[test]
 fn a_connection_past_its_idle_time_is_not_used_though_its_alarm_has_not_rung() {
     let mut hand = Hand::start(1, |config| config["settings"]["limits"]["conn_idle_ms"] = 80.into());
