Module: a new version is ordered once, not at every copy that a controller knew

Seen with four nodes and three invokers on loopback, all copies void at once: 20 orders for six functions by one controller, each copy that it knew ordered in turn, some twice; and calls that spent all three attempts on void copies and were refused. Cause: attempt_ended took our order at a worker for over when any attempt there missed (load_over; right only where attempts load), so that the next miss ordered again; and each miss ordered where it missed, while an order of ours stood elsewhere.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -288,6 +288,11 @@
         let request = Request::read(payload).map_err(|e| bad(count, e.to_string()))?;
         let class = self.classes.get(request.op).copied();
         let class = class.ok_or_else(|| bad(count, "there is no such class".to_owned()))?;
+        // What holds a sign of the fields' own form would be read as other fields, and invokers close on that.
+        let plain = |text: &str| !text.contains([',', '=']);
+        if !plain(request.op) || !request.dedupe.is_none_or(plain) {
+            return Err(bad(count, "its class or key can't be named to an invoker".to_owned()));
+        }
         let most = self.deadlines.get(class.0).copied().unwrap_or(0.0) + DEADLINE_SLACK;
         if request.ttl_ms > most {
             return Err(bad(count, "ttl is longer than the class's deadline".to_owned()));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -117,8 +117,9 @@
         let config = read(&path)?;
         let site = nettleferry_settings::read(&config.settings)?;
         let bounds = Bounds::of(&config.limits, site.open_calls);
+        let told = site.settings.limits.connect_timeout;
         let connect =
-            Duration::from_micros(site.settings.limits.connect_timeout).max(Duration::from_millis(1));
+            if told > 0 { Duration::from_micros(told) } else { TcpLimits::default().connect_timeout };
         let limits = TcpLimits {
             accepted: bounds.clients + 8,
             made: bounds.links,
@@ -137,8 +138,9 @@
         let engine_limits = EngineLimits {
             open_calls: bounds.open_calls,
             models: bounds.functions,
-            // The settings hold no figure of its own for a probe: it has as long as a connection has to come about.
-            probe_timeout: site.settings.limits.connect_timeout,
+            // The settings hold no figure of its own for a probe: it has as long as a connection has to come about, and
+            // no longer than the longest call.
+            probe_timeout: (connect.as_micros() as u64).min(longest.max(1)),
             ..EngineLimits::default()
         };
         let asker = Asker::new(config.resolver, tcp.source_token(DIRECTORY), config.known.pos);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -220,10 +220,16 @@
 impl Rig {
     /// A node with these invokers, known from the start.
     pub fn start(invokers: &[&Invoker]) -> Self {
+        Self::start_with(invokers, |_| ())
+    }
+
+    /// The same, with a configuration changed by the test.
+    pub fn start_with(invokers: &[&Invoker], change: impl FnOnce(&mut serde_json::Value)) -> Self {
         let listed: Vec<_> =
             invokers.iter().enumerate().map(|(at, i)| (format!("s-{at}"), i.address, false)).collect();
         let directory = Directory::start(listed.clone());
-        let config = config(directory.address, &listed);
+        let mut config = config(directory.address, &listed);
+        change(&mut config);
         let dir = tempfile::tempdir().expect("a directory");
         let path = dir.path().join("config.json");
         std::fs::write(&path, config.to_string()).expect("written");
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -475,3 +475,14 @@
     let got = &hand.invokers[0].conns[conn].got[0];
     assert!(got[2].split(',').any(|field| field == "op=k-17"), "{got:?}");
 }
+
+#[test]
+fn a_name_that_invokers_would_misread_hurts_no_other_class() {
+    let mut hand = Hand::start(1, |config| config["settings"]["classes"][1]["name"] = "a,patience=1".into());
+    let mut client = hand.client();
+    client.ask(1, "a,patience=1", 77, ROW, b"");
+    client.ask(2, "safe", 78, ROW, b"");
+    hand.at(0, "CALL", &name(78));
+    hand.until("it is answered", |_| (client.codes(1) == [FAILED]).then_some(()));
+    assert_eq!(hand.sends(&name(77)), 0);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,9 +44,8 @@
 const SILENT_AIMS: f64 = 0.5;
 /// Part of the cold allowance that is used: what is in flight between controllers is not seen.
 const COLD_MARGIN: f64 = 0.7;
-/// Strain is what answers tell of others at a worker: calls of the function over its lanes, or latency over
-/// this share of its aim. From 1 it is at its bound for us, from the most it is left alone, as after a full;
-/// one aim takes one off, as others see it too.
+/// Strain is what answers tell of others at a worker: calls over the function's lanes, or latency over this
+/// share of its aim. From 1 it is at its bound for us, from the most left alone; one aim takes one off.
 const STRAIN_AIM: f64 = 0.6;
 const STRAIN_MOST: f64 = 2.5;
 const STRAIN_FULL: f64 = 3.0;
@@ -126,8 +125,7 @@
     fn workers_told(&mut self, form: ListForm, entries: Vec<WorkerEntry>) {
         if form == ListForm::Failed {
             if self.settings.discovery == Discovery::Ask {
-                // Asked again after a wait that grows, so that a fleet of askers does not keep the list down;
-                // never so long that what the list held meanwhile is deemed told.
+                // Asked again after a wait that grows, never so long that what it held is deemed told.
                 self.random = mix(self.random);
                 let wait = self.ask_wait / 2 + self.random % (self.ask_wait / 2).max(1);
                 self.due.insert((self.now + wait, Due::Ask));
@@ -426,8 +424,7 @@
         scope && self.repeatable(call)
     }
 
-    /// May this call be sent again at all, given what may have run? The last step before a window's end may
-    /// be over when the send counts.
+    /// May this call be sent again, given what may have run? A window's last step may be over when it counts.
     fn repeatable(&self, call: &Call) -> bool {
         let Some((_, since)) = call.ran else { return true };
         match self.settings.classes[call.class].effect {
@@ -454,23 +451,25 @@
         function.load_time.or(self.load_mean).unwrap_or(LOAD_GUESS)
     }
 
-    /// May a copy be begun (or waited for) there? Waiting for a warm copy is weighed against a load, one
-    /// load for a function at a time, few at a worker.
+    /// May a copy be begun (or waited for) there? One load for a function at a time, few at a worker.
     fn may_load(&self, id: WorkerId, worker: &Worker, function: &Function) -> bool {
         if function.loading.contains_key(&id) {
             return self.settings.loading.when_absent == WhenAbsent::Load;
         }
-        let stuck = (self.load_span(function) * STUCK_LOADS) as Micros;
-        if function.loading.values().any(|&since| self.now < since + stuck) || worker.loads >= LOADS_AT_WORKER
-        {
+        if self.begun(function) || worker.loads >= LOADS_AT_WORKER {
             return false;
         }
         !function.warm.keys().any(|w| self.warm_at(function, *w) && self.sound(*w))
     }
 
-    /// Rule on cold workers: what all controllers may send within a fall span, over their number.
-    /// Also guards against a burst right after a start, and against our own restart: what an earlier life
-    /// sent in the last fall span is not known, so nothing goes to a cold worker until that span is over.
+    /// Is a load of ours under way that is not taken for stuck?
+    fn begun(&self, function: &Function) -> bool {
+        let stuck = (self.load_span(function) * STUCK_LOADS) as Micros;
+        function.loading.values().any(|&since| self.now < since + stuck)
+    }
+
+    /// Rule on cold workers: what all controllers may send within a fall span, over their number. What an
+    /// earlier life of ours sent is not known: nothing goes to a cold worker until that span is over.
     fn cold_room(&self, worker: &Worker, class: usize) -> bool {
         let rules = &self.settings.rules;
         let Some(born) = worker.born else { return true };
@@ -487,12 +486,8 @@
         let turn = span * f64::from(self.settings.me) / f64::from(self.settings.controllers);
         let first = worker.cold_sends.back().is_none_or(|(t, _)| *t < born);
         let early = first && span > rules.fall as f64 && (age as f64) < turn;
-        let sent: f64 = worker
-            .cold_sends
-            .iter()
-            .filter(|(t, _)| *t >= born && (*t + span as Micros) > self.now)
-            .map(|(_, w)| w)
-            .sum();
+        let counts = |t: Micros| t >= born && t + span as Micros > self.now;
+        let sent: f64 = worker.cold_sends.iter().map(|(t, w)| if counts(*t) { *w } else { 0.0 }).sum();
         !just_started && !early && sent + work <= rate * span * 1.000_001
     }
 
@@ -579,15 +574,21 @@
         let at = flight.worker;
         self.take_back(&flight);
         self.judge(&flight, outcome, elapsed);
-        self.load_over(flight.function, at);
+        // Where only orders load, what is under way there is an order, and ends with its own answer.
+        if self.settings.loading.when_absent == WhenAbsent::Load {
+            self.load_over(flight.function, at);
+        }
         match outcome {
             Outcome::Ok => self.served(&flight, elapsed as f64, note, crowd),
             Outcome::Miss => {
-                // The copy has gone, or its load failed: nothing brings it back by itself.
+                // The copy has gone, or its load failed: nothing brings it back by itself. Missed again after
+                // an order, it is a new version: what was found warm before that order is void as well.
+                let begun = self.functions.get(&flight.function).is_some_and(|f| self.begun(f));
                 if let Some(function) = self.functions.get_mut(&flight.function) {
                     function.warm.remove(&at);
+                    function.warm.retain(|_, found| function.ordered.is_none_or(|since| *found > since));
                 }
-                if self.settings.loading.when_absent == WhenAbsent::Miss {
+                if self.settings.loading.when_absent == WhenAbsent::Miss && !begun {
                     self.order_copy(flight.function, at);
                 }
             }
@@ -879,16 +880,16 @@
     /// After a miss one copy is ordered there, within the ration.
     fn order_copy(&mut self, id: FunctionId, at: WorkerId) {
         let on = self.workers.get(&at).is_some_and(|w| w.entry.state == WorkerState::On);
-        if !on
-            || !self.settings.loading.orders
-            || self.functions.get(&id).is_none_or(|f| f.loading.contains_key(&at))
-        {
+        let ordered = self.functions.get(&id).is_none_or(|f| f.loading.contains_key(&at));
+        if !on || !self.settings.loading.orders || ordered {
             return;
         }
         if !self.ration() {
             return self.shun(id, at, 1);
         }
-        self.functions.get_mut(&id).expect("just seen").loading.insert(at, self.now);
+        let function = self.functions.get_mut(&id).expect("just seen");
+        function.ordered = Some(self.now);
+        function.loading.insert(at, self.now);
         self.workers.get_mut(&at).expect("just seen").loads += 1;
         self.out.push(Action::Load { worker: at, function: id, count: 1 });
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,8 @@
     /// Workers that turned its copy away: left alone until when, and how often in a row.
     pub(crate) shun: BTreeMap<WorkerId, (Micros, u32)>,
     pub(crate) out: BTreeMap<WorkerId, u32>,
+    /// When a copy was last ordered: what was found before is not believed after a further miss.
+    pub(crate) ordered: Option<Micros>,
     /// Calls of it over its lanes, as last told by each worker and when.
     pub(crate) told: BTreeMap<WorkerId, (f64, Micros)>,
     pub(crate) held: u32,
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -495,3 +495,57 @@
     assert!(sent(&stand.ask(4, 0, 9, 2)).is_none(), "calls 2 and 3 fill both lanes");
     assert_eq!(sends(&stand.end(2, 0, home, Outcome::Ok, Some(LoadNote::Warm))), [(4, home)]);
 }
+
+/// New versions of what is loaded: a copy is believed warm at three workers, and all three are void at once.
+#[test]
+fn a_new_version_is_ordered_once_and_costs_a_call_no_more_than_one_further_try() {
+    let mut set = settings();
+    set.loading.when_absent = WhenAbsent::Miss;
+    set.loading.orders = true;
+    set.limits.max_attempts = 3;
+    let mut stand = Stand::new(set, 3);
+    let mut believed = Vec::new();
+    for id in 1..=3 {
+        // Sent where it is, or ordered first and sent when it stands.
+        let mut actions = stand.ask(id, 0, 9, 4);
+        let ordered = actions.iter().find_map(|action| match action {
+            Action::Load { worker, .. } => Some(*worker),
+            _ => None,
+        });
+        if let Some(worker) = ordered {
+            let (function, outcome) = (FunctionId(9), Outcome::Ok);
+            actions = stand.feed(Event::Loaded { worker, function, outcome, copies: 1, elapsed: MS });
+        }
+        let at = sent(&actions).expect("sent to a copy");
+        stand.end(id, 0, at, Outcome::Ok, Some(LoadNote::Warm));
+        believed.push(at);
+        stand.change(at, WorkerState::Draining, None);
+        stand.now += MS;
+    }
+    for at in &believed {
+        stand.change(*at, WorkerState::On, None);
+    }
+    let (first, second) = (stand.ask(11, 0, 9, 4), stand.ask(12, 0, 9, 4));
+    let at = sent(&first).expect("sent to a copy that is believed");
+    assert_eq!(sent(&second), Some(at));
+    stand.now += MS;
+    let mut missed = stand.end(11, 0, at, Outcome::Miss, None);
+    assert_eq!(loads(&missed), 1, "the first miss orders a copy");
+    let mut tries = 1;
+    while let Some((_, next)) = sends(&missed).into_iter().find(|(id, _)| *id == 11) {
+        stand.now += MS;
+        missed = stand.end(11, tries, next, Outcome::Miss, None);
+        assert_eq!(loads(&missed), 0, "not every copy that was known is ordered");
+        tries += 1;
+    }
+    assert!(tries <= 2 && !refused(&missed, 11), "its last try is not spent on what is void as well");
+    stand.now += MS;
+    let missed = stand.end(12, 0, at, Outcome::Miss, None);
+    assert_eq!(loads(&missed), 0, "the order is under way, whoever misses there");
+    assert_eq!(sent(&missed), None, "both wait for it");
+    stand.now += 100 * MS;
+    let (worker, function) = (WorkerId(at), FunctionId(9));
+    let loaded = Event::Loaded { worker, function, outcome: Outcome::Ok, copies: 1, elapsed: 100 * MS };
+    let loaded = stand.feed(loaded);
+    assert!(sends(&loaded).contains(&(11, at)), "it goes to the copy that stands: {loaded:?}");
+}
