--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -1,6 +1,6 @@
 //! Every bound of the node by name, and the counter that tells when it was hit.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nettleferry_platform::config;
 
@@ -40,6 +40,13 @@
 /// An answer of the directory that has not come by then is taken for lost.
 pub const ASK_WAIT: Duration = Duration::from_millis(400);
 
+/// The time that a call has, microseconds, which came now: `left` of its client's, and no more than until the platform
+/// may kill a process that was asked to end at `since`, where a client waits `longest` at the most.
+pub fn until_kill(since: Instant, now: Instant, longest: Duration, left: u64) -> u64 {
+    let end = since + longest.max(KILL_LEAST) + KILL_AFTER - ANSWER_WAY;
+    left.min(end.saturating_duration_since(now).as_micros() as u64)
+}
+
 /// Bounds that follow from what the machine gives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -110,3 +117,27 @@
     /// Requests that came so long after SIGTERM that they were refused at once.
     pub after_end: u64,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_comes_late_after_the_word_to_end_has_its_answer_before_the_kill() {
+        let since = Instant::now();
+        let (short, long) = (Duration::from_millis(400), Duration::from_secs(12));
+        let micros = |span: Duration| span.as_micros() as u64;
+        for longest in [short, long] {
+            let kill = since + longest.max(KILL_LEAST) + KILL_AFTER;
+            // Within the time in which the platform still sends requests, all of the client's time is left, but for
+            // the answer's way.
+            let now = since + KILL_AFTER - ANSWER_WAY;
+            assert_eq!(until_kill(since, now, longest, micros(longest)), micros(longest));
+            for late in [KILL_AFTER, Duration::from_secs(2), longest + KILL_AFTER, Duration::from_secs(60)] {
+                let now = since + late;
+                let left = Duration::from_micros(until_kill(since, now, longest, micros(longest)));
+                assert!(left.is_zero() || now + left + ANSWER_WAY <= kill, "{late:?}");
+            }
+        }
+    }
+}
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -731,6 +731,7 @@
         told: Vec<Event>,
         count: Counters,
         next: u64,
+        time: Duration,
     }
 
     impl Rig {
@@ -749,6 +750,7 @@
                 told: Vec::new(),
                 count: Counters::default(),
                 next: 0,
+                time: Duration::from_secs(60),
             }
         }
 
@@ -756,7 +758,7 @@
             self.next += 1;
             let id = AttemptId { call: CallId(self.next), number: 0 };
             let (name, body) = (format!("{:016x}", self.next), Bytes::from(vec![b'x'; bytes]));
-            let until = Instant::now() + Duration::from_secs(60);
+            let until = Instant::now() + self.time;
             let (name, sort, asset) = (Arc::from(name), Arc::from("safe"), Arc::from("f"));
             let attempt = Attempt { id, name, sort, asset, key: None, until, body };
             self.links.start(&mut self.tcp, W, attempt, &mut self.told, &mut self.count);
@@ -892,6 +894,27 @@
         assert!(!sent(3) && sent(4) && sent(5) && !all.contains("CANCEL"), "{all}");
     }
 
+    #[test]
+    fn what_waited_for_its_connection_beyond_its_time_is_not_written() {
+        let mut rig = Rig::new();
+        rig.time = Duration::ZERO;
+        let late = rig.start(10);
+        rig.time = Duration::from_secs(60);
+        while rig.told.is_empty() {
+            rig.turn();
+        }
+        let Some(Event::Ended { attempt, how, .. }) = rig.told.first() else { panic!("{:?}", rig.told) };
+        assert_eq!((attempt, how), (&late, &Ended::NotWritten), "proven not to have left");
+        let next = rig.start(10);
+        while !rig.left(next) {
+            rig.turn();
+        }
+        let mut seen = vec![0; 4096];
+        let n = rig.sockets[0].read(&mut seen).expect("something came");
+        let seen = String::from_utf8_lossy(&seen[..n]);
+        assert!(seen.contains(&format!("{:016x}", 2)) && !seen.contains(&format!("{:016x}", 1)), "{seen}");
+    }
+
     #[test]
     fn a_connection_whose_idle_time_is_over_is_not_chosen_before_its_alarm() {
         let mut rig = Rig::new();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,7 +23,7 @@
 
 use crate::directory::Asker;
 use crate::front::{Front, Heard, Taken};
-use crate::limits::{ANSWER_WAY, Bounds, Counters, KILL_AFTER, KILL_LEAST, LAST_REQUESTS};
+use crate::limits::{Bounds, Counters, LAST_REQUESTS, until_kill};
 use crate::links::{Attempt, Links, Listed};
 
 /// Why a node could not start or go on.
@@ -368,10 +368,9 @@
     /// the platform kills this process. What comes so late has little of it, and its answer all the same.
     fn until_end(&mut self, left: u64) -> u64 {
         let Some(since) = self.leaving else { return left };
-        let end = since + self.longest.max(KILL_LEAST) + KILL_AFTER - ANSWER_WAY;
-        let most = end.saturating_duration_since(Instant::now()).as_micros() as u64;
+        let most = until_kill(since, Instant::now(), self.longest, left);
         self.count.after_end += u64::from(most < left);
-        left.min(most)
+        most
     }
 
     fn tell(&mut self, event: Event) {
