Configuration: what is wrong in a field is told with the field's name

Need: a spoilt configuration at the start ends with exit code 2 and the field named. Seen: a value of the wrong kind was told by line and column alone ('invalid type: integer 5, expected socket address'). Tests: gateway/tests/node.rs (resolver, limits, known, a class's deadline).

--- a/crates/gateway/tests/node.rs
+++ b/crates/gateway/tests/node.rs
@@ -62,8 +62,27 @@
 fn a_configuration_that_cannot_be_used_is_one_line_and_exit_code_2() {
     let dir = tempfile::tempdir().expect("a folder");
     let path = dir.path().join("config.json");
-    for text in [None, Some("{\"listen\":"), Some("{}"), Some("[]")] {
-        if let Some(text) = text {
+    let spoilt = |name: &str, value: serde_json::Value| {
+        let mut config: serde_json::Value = serde_json::from_str(&config(directory().1)).expect("sound");
+        config[name] = value;
+        config.to_string()
+    };
+    let texts = [
+        (None, ""),
+        (Some("{\"listen\":".to_owned()), ""),
+        (Some("{}".to_owned()), "listen"),
+        (Some("[]".to_owned()), ""),
+        // What is wrong in a field is told with its name.
+        (Some(spoilt("resolver", 5.into())), "resolver"),
+        (Some(spoilt("limits", "many".into())), "limits"),
+        (Some(spoilt("known", serde_json::json!({"pos": -1}))), "known"),
+        (
+            Some(spoilt("settings", serde_json::json!({"classes": [{"name": "a", "deadline_ms": "x"}]}))),
+            "deadline_ms",
+        ),
+    ];
+    for (text, named) in texts {
+        if let Some(text) = &text {
             std::fs::write(&path, text).expect("written");
         }
         let mut node = Node::start(&path);
@@ -71,6 +90,7 @@
         node.0.stderr.take().expect("piped").read_to_string(&mut said).expect("text");
         assert_eq!(node.0.wait().expect("ours").code(), Some(2), "{text:?}");
         assert_eq!(said.lines().count(), 1, "{said}");
+        assert!(said.contains(named), "{named} is named: {said}");
     }
 }
 
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -85,15 +85,21 @@
     client
 }
 
+/// Has a call of the function served, on its client's first stream; gives the connection at the invoker.
+fn served(hand: &mut Hand, client: &mut Client, id: u64) -> usize {
+    client.ask(1, "safe", id, ROW, b"");
+    let conn = hand.at(0, "CALL", &name(id));
+    hand.invokers[0].serve(|_| true);
+    hand.until("it is served", |_| (!client.codes(1).is_empty()).then_some(()));
+    conn
+}
+
 /// A hand with a call that waits: the first one has the one lane of the function's copy.
 fn one_runs_and_one_waits() -> (Hand, Client, Client) {
     let mut hand = Hand::start(1, |_| ());
     let mut first = hand.client();
     // The copy is found by a call that is served.
-    first.ask(1, "safe", 77, ROW, b"");
-    let conn = hand.at(0, "CALL", &name(77));
-    say(&mut hand.invokers[0].conns[conn].socket, &name(77), "served", "n=w");
-    hand.until("it is served", |_| (!first.codes(1).is_empty()).then_some(()));
+    served(&mut hand, &mut first, 77);
     first.ask(2, "safe", FIRST, ROW, b"");
     hand.at(0, "CALL", &name(FIRST));
     let mut waits = with_something_unread(&mut hand);
@@ -291,10 +297,7 @@
 fn a_process_that_started_anew_at_its_address_is_not_sent_anything_over_what_stood_before() {
     let mut hand = Hand::start(1, |_| ());
     let mut client = hand.client();
-    client.ask(1, "safe", 77, ROW, b"");
-    let old = hand.at(0, "CALL", &name(77));
-    hand.invokers[0].serve(|_| true);
-    hand.until("it is served", |_| (!client.codes(1).is_empty()).then_some(()));
+    let old = served(&mut hand, &mut client, 77);
     let query = hand.query();
     let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("now").as_millis();
     // A machine that vanished and came back says nothing on what stood: the connection looks sound.
@@ -310,10 +313,7 @@
 fn an_address_that_goes_to_another_invoker_takes_no_connection_along() {
     let mut hand = Hand::start(1, |_| ());
     let mut client = hand.client();
-    client.ask(1, "safe", 77, ROW, b"");
-    let old = hand.at(0, "CALL", &name(77));
-    hand.invokers[0].serve(|_| true);
-    hand.until("it is served", |_| (!client.codes(1).is_empty()).then_some(()));
+    let old = served(&mut hand, &mut client, 77);
     let query = hand.query();
     hand.answer_named(query, 2, &[("s-new", 0)]);
     client.ask(2, "safe", 78, ROW, b"");
@@ -343,10 +343,7 @@
 fn a_connection_past_its_idle_time_is_not_used_though_its_alarm_has_not_rung() {
     let mut hand = Hand::start(1, |config| config["settings"]["limits"]["conn_idle_ms"] = 80.into());
     let mut client = hand.client();
-    client.ask(1, "once", 77, ROW, b"");
-    let old = hand.at(0, "CALL", &name(77));
-    hand.invokers[0].serve(|_| true);
-    hand.until("it is served", |_| (!client.codes(1).is_empty()).then_some(()));
+    let old = served(&mut hand, &mut client, 77);
     // The process is stopped for longer than that; then the request is there with the alarm.
     std::thread::sleep(std::time::Duration::from_millis(80));
     client.ask(2, "once", 78, ROW, b"");
@@ -432,10 +429,7 @@
     let mut client = hand.client();
     hand.turn();
     assert!(client.frames().is_empty(), "the request that it came for is awaited");
-    client.ask(1, "safe", WAITS, ROW, b"");
-    hand.at(0, "CALL", &name(WAITS));
-    hand.invokers[0].serve(|_| true);
-    hand.until("it is served", |_| (!client.codes(1).is_empty()).then_some(()));
+    served(&mut hand, &mut client, WAITS);
     let away = client.frames().iter().filter(|f| f.0 == frames::kind::GO_AWAY).count();
     assert_eq!(away, 1);
 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -7,20 +7,17 @@
 use crate::directory::Known;
 
 /// The configuration. What a controller does not use is not read.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Seed for random numbers: hex digits, new with each start.
-    #[serde(default)]
     pub seed: String,
     /// What the machine gives.
-    #[serde(default)]
     pub limits: Limits,
     /// The directory's address.
     pub resolver: SocketAddr,
     /// The events of the directory so far.
-    #[serde(default)]
     pub known: Known,
     /// The settings of the simulator's first message.
     pub settings: serde_json::Value,
@@ -45,13 +42,46 @@
 
 /// Why a configuration can't be used.
 #[derive(Debug, thiserror::Error)]
-#[error("the configuration: {0}")]
-pub struct ConfigError(#[from] serde_json::Error);
+pub enum ConfigError {
+    /// It is no JSON object.
+    #[error("the configuration: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A field is not what it must be.
+    #[error("the configuration: field {name}: {source}")]
+    Field {
+        /// Its name.
+        name: &'static str,
+        /// Why.
+        source: serde_json::Error,
+    },
+    /// A field is missing.
+    #[error("the configuration: field {0} is missing")]
+    Missing(&'static str),
+}
+
+type Object = serde_json::Map<String, serde_json::Value>;
+
+/// A field by name, where it is there.
+fn field<T: serde::de::DeserializeOwned>(
+    object: &mut Object,
+    name: &'static str,
+) -> Result<Option<T>, ConfigError> {
+    let value = object.remove(name).map(serde_json::from_value).transpose();
+    value.map_err(|source| ConfigError::Field { name, source })
+}
 
 impl Config {
     /// Reads one.
     pub fn read(text: &str) -> Result<Self, ConfigError> {
-        Ok(serde_json::from_str(text)?)
+        let mut object: Object = serde_json::from_str(text)?;
+        Ok(Self {
+            listen: field(&mut object, "listen")?.ok_or(ConfigError::Missing("listen"))?,
+            seed: field(&mut object, "seed")?.unwrap_or_default(),
+            limits: field(&mut object, "limits")?.unwrap_or_default(),
+            resolver: field(&mut object, "resolver")?.ok_or(ConfigError::Missing("resolver"))?,
+            known: field(&mut object, "known")?.unwrap_or_default(),
+            settings: object.remove("settings").ok_or(ConfigError::Missing("settings"))?,
+        })
     }
 
     /// The seed as a number; one that is no hex figure is taken by its bytes.
