tcp: a crowd waits for room in the backlog, finished connections hold no handle

Finished connections counted as well, for the whole 200 ms of their linger, though their peer had ended its side (Tcp::finish on a halved connection never saw that end again). Mends: so many are accepted a turn, the rest wait in the backlog; a finished connection whose peer has ended is let go at once; at a bound or without a handle the longest lingering one goes; the linger begins when the last bytes have left, a peer has a span of its own to take them (drain); and each connection tells when what was read may have come at the earliest. Each new test was seen to fail with its mend taken out.

--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -34,6 +34,9 @@
 pub struct TcpLimits {
     /// Accepted connections at once; one more is closed at once.
     pub accepted: usize,
+    /// Connections accepted in one turn; the others wait in the system for the next, before which the owner may make
+    /// room.
+    pub accepted_a_turn: usize,
     /// Connections made at once; one more is not begun.
     pub made: usize,
     /// Bytes read from a connection and not yet taken by the owner; more waits in the kernel.
@@ -44,8 +47,10 @@
     pub turn: usize,
     /// A connection that does not come about within this span has failed.
     pub connect_timeout: Duration,
-    /// After [`Tcp::finish`] what still comes is thrown away for this long, so that the peer gets our last words
-    /// rather than a reset.
+    /// After [`Tcp::finish`] a peer has this long to take what is queued for it.
+    pub drain: Duration,
+    /// After that what still comes is thrown away for this long, so that the peer gets our last words rather than a
+    /// reset; no longer than until its side has ended as well.
     pub linger: Duration,
 }
 
@@ -53,11 +58,13 @@
     fn default() -> Self {
         Self {
             accepted: 1024,
+            accepted_a_turn: 64,
             made: 256,
             input: 64 << 10,
             output: 1 << 20,
             turn: 64 << 10,
             connect_timeout: Duration::from_millis(250),
+            drain: Duration::from_secs(10),
             linger: Duration::from_millis(200),
         }
     }
@@ -76,6 +83,8 @@
     pub over_made: u64,
     /// Accepting rested because the process had no handle left.
     pub over_handles: u64,
+    /// Finished connections that were let go before their linger was over, for a new one.
+    pub linger_cut: u64,
     /// [`TcpLimits::output`].
     pub over_output: u64,
     /// [`TcpLimits::connect_timeout`], and connections refused.
@@ -148,6 +157,14 @@
     halved: bool,
     /// Our side is ended.
     shut: bool,
+    /// What is queued has left and [`TcpLimits::linger`] runs.
+    rests: bool,
+    /// Since when bytes may stand in the system that were not read yet: a turn reads only so much of each connection.
+    unread: Option<Instant>,
+    /// When what was read last may have come at the earliest.
+    came: Instant,
+    /// It was read before.
+    looked: bool,
     /// A write failed.
     failed: bool,
     /// It broke, and that was told.
@@ -167,6 +184,10 @@
 const SOURCES: usize = 1 << 41;
 /// How long accepting rests after the system said that it has no handle or memory for a connection.
 const ACCEPT_REST: Duration = Duration::from_millis(50);
+/// A poll that returns within this span has not slept.
+const AT_ONCE: Duration = Duration::from_millis(1);
+/// A poll that sleeps this much longer than asked was not run: waits are rounded up to whole milliseconds.
+const OVERSLEPT: Duration = Duration::from_millis(3);
 /// Sockets told of in one turn at the most; the rest are told of in the next.
 const MOST_EVENTS: usize = 8 << 10;
 /// Bytes kept for reuse in an empty buffer: an idle connection holds next to none.
@@ -185,17 +206,26 @@
     /// Ended by their peers, and told: to be taken off.
     parting: Vec<TcpKey>,
     accept_at: Option<Instant>,
+    /// Listeners with more to accept than one turn takes.
+    accept_next: Vec<usize>,
+    /// Since when connections may wait to be accepted.
+    accept_since: Option<Instant>,
     generation: u32,
     limits: TcpLimits,
     counters: TcpCounters,
     out: Vec<TcpEvent>,
     scratch: Vec<u8>,
     now: Instant,
+    /// When the poll last returned: what had come by then was told.
+    looked: Instant,
+    /// Since when what this turn reads may have come.
+    since: Instant,
 }
 
 impl Tcp {
     /// An owner without connections.
     pub fn new(limits: TcpLimits) -> io::Result<Self> {
+        let now = Instant::now();
         Ok(Self {
             poll: Poll::new()?,
             // All that can be ready at once: what one turn leaves behind would be judged by its clock alone.
@@ -208,12 +238,16 @@
             dirty: Vec::new(),
             parting: Vec::new(),
             accept_at: None,
+            accept_next: Vec::new(),
+            accept_since: None,
             generation: 0,
             limits,
             counters: TcpCounters::default(),
             out: Vec::new(),
             scratch: vec![0; 16 << 10],
-            now: Instant::now(),
+            now,
+            looked: now,
+            since: now,
         })
     }
 
@@ -279,6 +313,10 @@
             closing: false,
             halved: false,
             shut: false,
+            rests: false,
+            unread: None,
+            came: self.since,
+            looked: false,
             failed: false,
             ended: false,
             ready: false,
@@ -313,6 +351,29 @@
         self.get_mut(key).filter(|c| c.stage == Stage::Open).map(|c| &mut c.input)
     }
 
+    /// When what was read there last may have come at the earliest: what a process reads late has waited in the system,
+    /// and its sender's time has run since. What is known is that it was not there when the poll returned the time before; a
+    /// process that slept and was woken within the span it asked for is taken to have read it at once.
+    pub fn came(&self, key: TcpKey) -> Instant {
+        self.get(key).map_or(self.now, |conn| conn.came)
+    }
+
+    /// Has the peer ended its side, as far as the poll told, though bytes that it sent before may still be unread?
+    pub fn ending(&self, key: TcpKey) -> bool {
+        self.get(key).is_some_and(|conn| conn.closing || conn.halved)
+    }
+
+    /// When the poll last returned.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Bytes that may still be queued there: [`TcpLimits::output`]. None where the connection takes nothing.
+    pub fn room(&self, key: TcpKey) -> Option<usize> {
+        let conn = self.get(key).filter(|c| c.stage != Stage::Lingering && !c.ended)?;
+        Some(self.limits.output.saturating_sub(conn.output.len()))
+    }
+
     /// Queues bytes; they leave at the end of the turn. Gives the place of their end among all bytes queued
     /// there, to be held against [`Tcp::written`]. `None`: the connection is gone, or goes as
     /// [`Gone::Slow`].
@@ -362,10 +423,11 @@
         self.end(key, None);
     }
 
-    /// Sends what is queued, ends our side then, throws away what still comes, and closes after
-    /// [`TcpLimits::linger`] at the latest. No event follows.
+    /// Sends what is queued, ends our side then, and throws away what still comes. The peer has [`TcpLimits::drain`] to
+    /// take it; then the connection closes as soon as the peer's side has ended, after [`TcpLimits::linger`] at the
+    /// latest. No event follows.
     pub fn finish(&mut self, key: TcpKey) {
-        let until = self.now + self.limits.linger;
+        let until = self.now + self.limits.drain;
         self.alarm(key, None);
         let Some(conn) = self.get_mut(key) else { return };
         if conn.stage != Stage::Open || conn.ended {
@@ -377,6 +439,34 @@
         conn.limit = Some(until);
         self.alarms.insert((until, key));
         self.make_ready(key.index());
+        self.rest(key);
+    }
+
+    /// A finished connection whose last bytes have left rests for [`TcpLimits::linger`], or not at all where its peer
+    /// has ended its side too: nothing can come any more, and its handle is another's.
+    fn rest(&mut self, key: TcpKey) {
+        let until = self.now + self.limits.linger;
+        let Some(conn) = self.get_mut(key).filter(|c| c.shut && !c.rests) else { return };
+        conn.rests = true;
+        if conn.halved {
+            return self.end(key, None);
+        }
+        let old = conn.limit.replace(until);
+        if let Some(old) = old {
+            self.alarms.remove(&(old, key));
+        }
+        self.alarms.insert((until, key));
+    }
+
+    /// Lets go of the finished connection that matters least: one whose last bytes have left, the longest since, else
+    /// the one that was finished first. False: there is none.
+    fn cut_lingering(&mut self) -> bool {
+        let finished = self.conns.iter().map(|(_, c)| c).filter(|c| c.stage == Stage::Lingering);
+        let least = finished.map(|c| (!c.rests, c.limit, c.key)).min();
+        let Some((.., key)) = least else { return false };
+        self.counters.linger_cut += 1;
+        self.end(key, None);
+        true
     }
 
     fn end(&mut self, key: TcpKey, why: Option<Gone>) {
@@ -411,14 +501,17 @@
             self.end(key, None);
         }
         self.flush_all();
-        let busy = !self.out.is_empty() || !self.ready.is_empty();
+        let busy = !self.out.is_empty() || !self.ready.is_empty() || !self.accept_next.is_empty();
         let alarm = self.alarms.first().map(|(at, _)| *at);
         let wait = if busy { Some(Duration::ZERO) } else { shorter(wait, self.now, [alarm, self.accept_at]) };
+        let asleep = Instant::now();
         match self.poll.poll(&mut self.events, wait) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
             _ => {}
         }
         self.now = Instant::now();
+        self.since = came_since(self.looked, self.now.saturating_duration_since(asleep), wait, self.now);
+        self.looked = self.now;
         self.read_events();
         for _ in 0..self.ready.len() {
             let Some(key) = self.ready.pop_front() else { break };
@@ -464,7 +557,8 @@
     /// Has a turn seen all that was there to be seen: no connection waits to be accepted for want of handles,
     /// and none was left half read?
     pub fn caught_up(&self) -> bool {
-        self.accept_at.is_none() && self.ready.is_empty() && self.out.is_empty()
+        let accepted = self.accept_at.is_none() && self.accept_next.is_empty();
+        accepted && self.ready.is_empty() && self.out.is_empty()
     }
 
     /// Hands what is queued there to the system now. True: it has taken all of it.
@@ -475,6 +569,7 @@
         if conn.readable {
             self.make_ready(key.index());
         }
+        self.rest(key);
         all
     }
 
@@ -487,18 +582,21 @@
             if conn.readable {
                 self.make_ready(key.index());
             }
+            self.rest(key);
         }
     }
 
     fn read_events(&mut self) {
-        let mut accept = Vec::new();
+        let mut accept = std::mem::take(&mut self.accept_next);
         let mut ready = Vec::new();
         for event in &self.events {
             let token = event.token().0;
             if token >= SOURCES {
                 self.out.push(TcpEvent::Source(token - SOURCES));
             } else if token >= LISTENERS {
-                accept.push(token - LISTENERS);
+                if !accept.contains(&(token - LISTENERS)) {
+                    accept.push(token - LISTENERS);
+                }
             } else if let Some(conn) = self.conns.get_mut(token) {
                 conn.readable |= event.is_readable() || event.is_read_closed() || event.is_error();
                 conn.closing |= event.is_read_closed() || event.is_error();
@@ -511,23 +609,37 @@
         }
         if self.accept_at.is_some_and(|at| at <= self.now) {
             self.accept_at = None;
-            accept.extend(0..self.listeners.len());
+            accept = (0..self.listeners.len()).collect();
         }
+        // What waited to be accepted has waited since accepting was last left unfinished.
+        let since = self.since;
+        self.since = self.accept_since.map_or(since, |rested| rested.min(since));
         for index in accept {
             self.accept(index);
         }
+        self.since = since;
+        if self.accept_at.is_none() && self.accept_next.is_empty() {
+            self.accept_since = None;
+        }
     }
 
     fn accept(&mut self, index: usize) {
+        let mut accepted = 0;
         loop {
+            if accepted >= self.limits.accepted_a_turn {
+                self.accept_next.push(index);
+                self.accept_since.get_or_insert(self.since);
+                return;
+            }
             let Some(listener) = self.listeners.get(index) else { return };
             match listener.accept() {
-                Ok((socket, _)) if self.accepted >= self.limits.accepted => {
+                Ok((socket, _)) if self.accepted >= self.limits.accepted && !self.cut_lingering() => {
                     self.counters.over_accepted += 1;
                     drop(socket);
                 }
                 Ok((socket, _)) => {
                     self.counters.accepted += 1;
+                    accepted += 1;
                     if let Some(key) = self.add(socket, true) {
                         self.out.push(TcpEvent::Accepted(key));
                     }
@@ -535,9 +647,12 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // No handle is left: that of a finished connection will do.
+                Err(_) if self.cut_lingering() => {}
                 Err(_) => {
                     self.counters.over_handles += 1;
                     self.accept_at = Some(self.now + ACCEPT_REST);
+                    self.accept_since.get_or_insert(self.since);
                     return;
                 }
             }
@@ -569,7 +684,7 @@
     }
 
     fn work(&mut self, key: TcpKey) {
-        let (most, turn) = (self.limits.input, self.limits.turn);
+        let (most, turn, since) = (self.limits.input, self.limits.turn, self.since);
         let mut scratch = std::mem::take(&mut self.scratch);
         let Some(conn) = self.get_mut(key) else {
             self.scratch = scratch;
@@ -596,7 +711,12 @@
         }
         if let Some(conn) = self.get_mut(key).filter(|c| c.stage != Stage::Connecting && !c.ended) {
             flush(conn);
+            // A connection that was just accepted holds when it may have come; what was left unread, since when.
+            let fresh = if conn.accepted && !conn.looked { conn.came } else { since };
+            conn.looked = true;
+            conn.came = conn.unread.unwrap_or(fresh);
             let more = read(conn, &mut scratch, most, turn);
+            conn.unread = matches!(more, Ok(true)).then_some(conn.came);
             let told = conn.stage == Stage::Open;
             let data = told && !conn.input.is_empty();
             if let Err(gone) = &more {
@@ -618,11 +738,20 @@
                     }
                 }
             }
+            self.rest(key);
         }
         self.scratch = scratch;
     }
 }
 
+/// Since when what a poll told may have come: `looked`, the end of the poll before, where it may have been there
+/// already when this one began, and where this one slept beyond what it was asked for, as this process did not run then;
+/// and now, where it was woken in time.
+fn came_since(looked: Instant, slept: Duration, wait: Option<Duration>, now: Instant) -> Instant {
+    let at_once = slept < AT_ONCE || wait == Some(Duration::ZERO);
+    if at_once || wait.is_some_and(|wait| slept > wait + OVERSLEPT) { looked } else { now }
+}
+
 /// Has a connection come about? One that was reset had come about: somebody listens there.
 fn established(socket: &TcpStream) -> Result<bool, Gone> {
     let gone = |e: io::Error| match e.kind() {
--- a/crates/net/tests/tcp.rs
+++ b/crates/net/tests/tcp.rs
@@ -189,3 +189,104 @@
     client.read_exact(&mut seen).expect("sent");
     assert_eq!(&seen, b"onethree");
 }
+
+#[test]
+fn a_finished_connection_whose_peer_has_ended_holds_no_handle() {
+    let limits = TcpLimits { accepted: 1, linger: PATIENCE, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    for _ in 0..3 {
+        let client = TcpStream::connect(address).expect("it listens");
+        accepted(&mut tcp);
+        drop(client);
+        let key = until(&mut tcp, |_, event| match event {
+            TcpEvent::Ended(key) => Some(key),
+            _ => None,
+        });
+        tcp.finish(key);
+    }
+    assert_eq!((tcp.counters().over_accepted, tcp.counters().linger_cut), (0, 0));
+}
+
+#[test]
+fn at_the_bound_one_that_lingers_goes_for_a_new_one() {
+    let limits = TcpLimits { accepted: 1, linger: PATIENCE, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut old = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    tcp.send(key, b"last words");
+    tcp.finish(key);
+    // The old one has not ended its side: it lingers.
+    let _new = TcpStream::connect(address).expect("it listens");
+    accepted(&mut tcp);
+    assert_eq!((tcp.counters().over_accepted, tcp.counters().linger_cut), (0, 1));
+    let mut words = Vec::new();
+    old.read_to_end(&mut words).expect("ended in order");
+    assert_eq!(words, b"last words");
+}
+
+#[test]
+fn the_linger_begins_when_the_last_bytes_have_left() {
+    // More than the system's buffers hold at once, and a peer that begins to read when a linger would be over.
+    let most = 32 << 20;
+    let limits = TcpLimits { output: most, linger: Duration::from_millis(1), ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    tcp.send(key, &vec![7; most]);
+    tcp.finish(key);
+    let (finished, mut out) = (std::time::Instant::now(), Vec::new());
+    while finished.elapsed() < Duration::from_millis(20) {
+        tcp.turn(Some(Duration::from_millis(1)), &mut out).expect("a turn");
+    }
+    assert!(tcp.unsent_to_peers() > 0, "the peer has not read");
+    let reader = std::thread::spawn(move || {
+        let mut all = Vec::new();
+        client.read_to_end(&mut all).map(|_| all.len())
+    });
+    while !reader.is_finished() {
+        tcp.turn(Some(Duration::from_millis(5)), &mut out).expect("a turn");
+    }
+    assert_eq!(reader.join().expect("no panic").expect("ended in order"), most);
+}
+
+#[test]
+fn what_is_read_in_a_later_turn_came_when_its_first_bytes_did() {
+    let limits = TcpLimits { input: 1 << 10, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    client.write_all(&[1; 4 << 10]).expect("written");
+    let written = std::time::Instant::now();
+    let (mut seen, mut reads, mut out) = (0, 0, Vec::new());
+    while seen < 4 << 10 {
+        tcp.turn(Some(Duration::ZERO), &mut out).expect("a turn");
+        for event in out.drain(..) {
+            if matches!(event, TcpEvent::Data(_)) {
+                seen += tcp.input(key).expect("open").split().len();
+                reads += 1;
+                assert!(tcp.came(key) <= written, "the last of it had come as well");
+            }
+        }
+    }
+    assert!(reads > 1, "it was left half read");
+}
+
+#[test]
+fn a_crowd_waits_until_the_owner_has_made_room() {
+    let limits = TcpLimits { accepted: 3, accepted_a_turn: 1, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let crowd: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(address).expect("it listens")).collect();
+    let mut held = std::collections::VecDeque::new();
+    for _ in &crowd {
+        held.push_back(accepted(&mut tcp));
+        if held.len() > 2 {
+            tcp.close(held.pop_front().expect("one of three"));
+        }
+    }
+    assert_eq!((tcp.counters().accepted, tcp.counters().over_accepted), (20, 0));
+}
