A crowd of idle connections leaves room for those that have something to ask

Cause: clients may hold a third of the descriptors, and idle ones held all of it, as our bound (half) is above that: those with a request could not come at all. Now idle connections go beyond a quarter of the descriptors, connections with a request do not; and one that has just come no longer makes room for the next before it could send what it came for. Log lines tell how each connection came, yielded and ended.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -88,6 +88,35 @@
     sent_away: bool,
 }
 
+/// What a connection without an open request is, in the order in which they make room for a new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Yields {
+    /// It has sent nothing for [`FIRST_BYTES`].
+    Silent,
+    /// It was answered and is idle, or was asked whether the controller is ready.
+    Idle,
+    /// It stopped within a frame for [`STOPPED_FRAME`].
+    Stopped,
+    /// It has just come: what it came for is on its way. Guards against a crowd in which each that comes takes the place
+    /// of the one before.
+    New,
+    /// It is within a frame.
+    Within,
+}
+
+impl Client {
+    /// What it is, and since when.
+    fn yields(&self, now: Instant) -> (Yields, Instant) {
+        match self.began {
+            Some(began) if now >= began + STOPPED_FRAME => (Yields::Stopped, began),
+            Some(began) => (Yields::Within, began),
+            None if self.known => (Yields::Idle, self.quiet),
+            None if now >= self.came + FIRST_BYTES => (Yields::Silent, self.came),
+            None => (Yields::New, self.came),
+        }
+    }
+}
+
 /// The front.
 pub struct Front {
     classes: BTreeMap<String, ClassId>,
@@ -138,14 +167,23 @@
     /// A client connected.
     pub fn accepted(&mut self, tcp: &mut Tcp, key: TcpKey, count: &mut Counters) {
         let now = Instant::now();
-        if self.clients.len() >= self.bounds.clients {
-            count.over_clients += 1;
-            match self.makes_room(tcp) {
+        let full = self.clients.len() >= self.bounds.clients;
+        if full || self.clients.len() >= self.bounds.idle_clients {
+            count.over_clients += u64::from(full);
+            match self.makes_room(tcp, if full { Yields::Within } else { Yields::Stopped }) {
                 Some(old) => {
-                    self.clients.remove(&old);
+                    if let Some(client) = self.clients.remove(&old) {
+                        let (yields, since) = client.yields(now);
+                        debug!(conn = ?old, ?yields, age = ?now - since, "a connection makes room");
+                    }
+                    count.made_room += 1;
                     tcp.close(old);
                 }
-                None => return tcp.close(key),
+                None if full => {
+                    count.no_room += 1;
+                    return tcp.close(key);
+                }
+                None => {}
             }
         }
         let client = Client {
@@ -161,25 +199,29 @@
             quiet: now,
             sent_away: false,
         };
+        debug!(conn = ?key, "a client came");
         self.clients.insert(key, client);
         tcp.alarm(key, Some(now + FIRST_FRAME));
     }
 
-    /// Which connection makes room: one that has sent nothing, else the longest idle, else one that stopped
-    /// within a frame; never one that waits for an answer, and none whose request is there unread, which its client
-    /// would see reset.
-    fn makes_room(&self, tcp: &mut Tcp) -> Option<TcpKey> {
-        let mut order: Vec<_> = self
-            .clients
-            .iter()
-            .filter(|(_, c)| c.streams.is_empty() && !c.closing)
-            .map(|(key, c)| (c.began.is_some(), c.known, if c.known { c.quiet } else { c.came }, *key))
+    /// Which connection makes room, of those that yield no later than `last`: see [`Yields`]; never one that waits for an answer, and none whose request is there
+    /// unread, which its client would see reset.
+    fn makes_room(&self, tcp: &mut Tcp, last: Yields) -> Option<TcpKey> {
+        let now = Instant::now();
+        let idle = self.clients.iter().filter(|(_, client)| client.streams.is_empty() && !client.closing);
+        let mut order: Vec<_> = idle
+            .map(|(key, client)| {
+                let (yields, since) = client.yields(now);
+                (yields, since, *key)
+            })
+            .filter(|(yields, ..)| *yields <= last)
             .collect();
         order.sort_unstable();
         let mut looked = order.into_iter().take(ROOM_LOOKS);
         // What stands read and not yet judged counts as well.
         looked
-            .find(|(within, .., key)| {
+            .find(|(yields, _, key)| {
+                let within = matches!(yields, Yields::Stopped | Yields::Within);
                 let unseen = !within && tcp.input(*key).is_some_and(|input| !input.is_empty());
                 !unseen && tcp.silent(*key)
             })
@@ -261,6 +303,7 @@
             }
             Frame::Whole { kind: kind::CANCEL, stream, .. } => {
                 if let Some(mark) = client.streams.remove(&stream) {
+                    debug!(conn = ?key, stream, "withdrawn");
                     client.known = true;
                     heard.extend(self.close_call(mark).map(gone));
                 }
@@ -476,6 +519,7 @@
     fn leave(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>) {
         let Some(client) = self.clients.get_mut(&key).filter(|client| !client.ending) else { return };
         client.ending = true;
+        debug!(conn = ?key, open = client.streams.len(), "a client's connection is ending");
         for (stream, mark) in client.streams.clone() {
             match self.calls.get(&mark).and_then(|call| call.call) {
                 Some(call) => heard.push(Heard::Left(Left { call, answered: true })),
@@ -496,6 +540,7 @@
     /// A client's connection is gone.
     pub fn closed(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
         let Some(client) = self.clients.remove(&key) else { return };
+        debug!(conn = ?key, open = client.streams.len(), "a client's connection broke");
         for mark in client.streams.into_values() {
             heard.extend(self.close_call(mark).map(gone));
         }
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -13,6 +13,11 @@
 pub const CLIENT_IDLE: Duration = Duration::from_millis(6_000);
 /// After a last look that found something, a connection that was to be closed is judged again after this span.
 pub const LAST_LOOK: Duration = Duration::from_millis(20);
+/// A client sends what it connected for as soon as its connection has come about, for which the platform allows this: one
+/// that has sent nothing by then makes room first, and none that is newer does so before any that is idle.
+pub const FIRST_BYTES: Duration = Duration::from_millis(250);
+/// A client writes a frame at once: one that has not come whole after this span makes room before those that just came.
+pub const STOPPED_FRAME: Duration = Duration::from_millis(500);
 /// Connections looked at for one that may make room for a new one.
 pub const ROOM_LOOKS: usize = 8;
 /// Requests open at once on a client's connection: the platform's figure.
@@ -68,8 +73,11 @@
 /// Bounds that follow from what the machine gives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// Accepted connections; at one more, one that has sent nothing goes, else the new one.
+    /// Accepted connections; at one more, one without an open request goes, else the new one.
     pub clients: usize,
+    /// At one more, one that is idle goes, if there is one. Clients may hold a third of the descriptors and no more: what
+    /// idle ones held of it would keep those out that have something to ask.
+    pub idle_clients: usize,
     /// Connections to invokers.
     pub links: usize,
     /// Requests open.
@@ -89,6 +97,7 @@
         let open = open_calls.and_then(|n| usize::try_from(n).ok()).unwrap_or(usize::MAX);
         Self {
             clients: sockets / 2,
+            idle_clients: sockets / 4,
             links: (sockets / 3).min(sockets - sockets / 2 - OWN_DESCRIPTORS),
             open_calls: open.min(megabytes * 256),
             body_bytes: megabytes << 18,
@@ -114,6 +123,10 @@
     pub closed_idle: u64,
     /// [`Bounds::clients`].
     pub over_clients: u64,
+    /// Connections without an open request that went for a new one.
+    pub made_room: u64,
+    /// New connections that were closed at once, as none of the others made room.
+    pub no_room: u64,
     /// [`Bounds::body_bytes`].
     pub over_bodies: u64,
     /// Answers that did not fit into what their connection takes: their requests failed, the connection goes on.
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -738,7 +738,8 @@
         fn new() -> Self {
             let peer = TcpListener::bind("127.0.0.1:0").expect("a port");
             let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
-            let bounds = Bounds { clients: 1, links: 2, open_calls: 9, body_bytes: 9, functions: 9 };
+            let bounds =
+                Bounds { clients: 1, idle_clients: 1, links: 2, open_calls: 9, body_bytes: 9, functions: 9 };
             let mut links = Links::new(bounds, 10_000, None, false);
             let listed = Listed { address: peer.local_addr().expect("bound"), born_ms: None, on: true };
             links.list(&mut tcp, &BTreeMap::from([(W, listed)]), &mut Vec::new());
--- a/crates/node/tests/bounds.rs
+++ b/crates/node/tests/bounds.rs
@@ -35,6 +35,8 @@
             bounds.clients >= all.div_ceil(3),
             "what clients may hold at the most, {sockets}: {bounds:?}"
         );
+        let coming = all / 3 - bounds.idle_clients;
+        assert!(coming >= all / 13, "room for those that come, {sockets}: {bounds:?}");
         assert!(bounds.links >= 8, "{sockets}: {bounds:?}");
     }
 }
--- a/crates/node/tests/shared.rs
+++ b/crates/node/tests/shared.rs
@@ -221,3 +221,55 @@
     assert_eq!(hand.node.tcp_counters().over_accepted, 0);
     drop(crowd);
 }
+
+#[test]
+fn one_that_has_just_come_is_not_pushed_out_by_the_next() {
+    // All room that clients have is taken by connections that asked once and stay.
+    let mut hand = Hand::start(1, |config| config["limits"]["sockets"] = 64.into());
+    let mut stay: Vec<Client> = (0..32).map(|_| hand.client()).collect();
+    let mut word = Vec::new();
+    frames::bare(&mut word, frames::kind::READY, 0);
+    for client in &mut stay {
+        client.socket.write_all(&word).expect("written");
+    }
+    hand.until("they are answered", |_| stay.iter_mut().all(|c| !c.frames().is_empty()).then_some(()));
+    // Each of these has its turn before it sends what it came for.
+    let mut clients = Vec::new();
+    for _ in 0..22 {
+        clients.push(hand.client());
+        hand.turn();
+    }
+    for (at, client) in clients.iter_mut().enumerate() {
+        ask(client, 1, 1 + at as u64, DEADLINE);
+    }
+    for client in &mut clients {
+        assert_eq!(answers(&mut hand, client, 1), [SERVED]);
+    }
+    assert!(hand.node.counters().made_room >= 16, "idle ones went for them");
+}
+
+#[test]
+fn idle_connections_leave_room_in_what_clients_may_hold_and_open_requests_stay() {
+    // Clients may hold a third of 96 descriptors.
+    let mut hand = Hand::start(1, |config| config["limits"]["sockets"] = 96.into());
+    let mut busy: Vec<Client> = (0..3).map(|_| hand.client()).collect();
+    for (at, client) in busy.iter_mut().enumerate() {
+        ask(client, 1, 1 + at as u64, DEADLINE);
+    }
+    hand.at(0, "CALL", &name(1));
+    let mut word = Vec::new();
+    frames::bare(&mut word, frames::kind::READY, 0);
+    let mut stay: Vec<Client> = Vec::new();
+    for _ in 0..60 {
+        let mut client = hand.client();
+        client.socket.write_all(&word).expect("written");
+        hand.until("it is answered", |_| (!client.frames().is_empty()).then_some(()));
+        stay.push(client);
+    }
+    let ended = |client: &Client| matches!(client.socket.peek(&mut [0; 1]), Ok(0));
+    let held = stay.iter().filter(|client| !ended(client)).count() + busy.len();
+    assert!(held < 96 / 3, "{held} are held");
+    for client in &mut busy {
+        assert_eq!(answers(&mut hand, client, 1), [SERVED]);
+    }
+}
