Module: a cold worker's calls are dealt out in parts that lapse, for the fleet's sum

Need: beyond the budget N of a cold worker only 2 sqrt(N) + 2 calls are put down to chance, for the sum of all controllers. Cause (cold_room): a controller whose turn had come kept its right for good, so that rights added up over the cold time; the turn was taken from the age times the share of now, which grows up to twice as fast as what is allowed; and a worker that a list lost for a moment was forgotten with what had been sent to it. Now calls are dealt out one after another, to one controller after another, along what the worker bore a fall span before; what is not used lapses so that no more is out than (1 - 0.7) N + 2 sqrt(N); a cold worker that is gone is remembered until it would be warm. Function::mean went to state.rs, as it decides nothing.

--- a/crates/gateway/tests/descriptors.rs
+++ b/crates/gateway/tests/descriptors.rs
@@ -3,73 +3,25 @@
 
 #[path = "../../node/tests/common/mod.rs"]
 mod common;
+#[path = "common/process.rs"]
+mod process;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
 use common::{Client, Directory, Does, Invoker, PATIENCE, SERVED, Told, config};
 use nettleferry_platform::frames::{self, kind};
+use process::Node;
 
 /// The least number of descriptors that a node is made for.
 const DESCRIPTORS: usize = 64;
 /// The platform's term for a process that was started anew.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 
-struct Node {
-    child: Child,
-    address: SocketAddr,
-}
-
-impl Node {
-    /// Started by a shell that lowers what it may open.
-    fn spawn(config: &Path, descriptors: usize) -> Child {
-        let node = Command::new("/bin/sh")
-            .args(["-c", "ulimit -n \"$1\" && exec \"$0\" node", env!("CARGO_BIN_EXE_nettleferry")])
-            .arg(descriptors.to_string())
-            .env("PROXY_CONFIG", config)
-            .env_remove("RUST_LOG")
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn();
-        node.expect("the program is there")
-    }
-
-    fn of(mut child: Child) -> Self {
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().expect("piped")).read_line(&mut line).expect("text");
-        let address = line.trim_end().strip_prefix("listening frames ").expect("it listens");
-        let address = address.parse().expect("an address");
-        Self { child, address }
-    }
-
-    fn hangup(&self) {
-        let done = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status();
-        assert!(done.expect("kill runs").success());
-    }
-
-    /// Descriptors in use, and resident memory in KiB.
-    fn holds(&self) -> (usize, usize) {
-        let proc = Path::new("/proc").join(self.child.id().to_string());
-        let files = std::fs::read_dir(proc.join("fd")).expect("ours").count();
-        let status = std::fs::read_to_string(proc.join("status")).expect("ours");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("told");
-        (files, line.trim().trim_end_matches(" kB").parse().expect("a number"))
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn good(told: &Told) -> Does {
     match told.word() {
         "CALL" => Does::Says("served", "n=w", told.parts[3].clone()),
@@ -169,7 +121,7 @@
     directory.change(listed(&[&second]));
     told["resolver"] = directory.address.to_string().into();
     std::fs::write(&path, told.to_string()).expect("written");
-    node.hangup();
+    node.signal("HUP");
     let end = Instant::now() + PATIENCE;
     while !second.got().iter().any(|got| got.starts_with("CALL")) {
         assert!(Instant::now() < end, "the new list is heard");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,8 +42,8 @@
 /// An answer owed for this many mean latencies, and this share of an aim at the least, is late.
 const SILENT_LATENCIES: f64 = 6.0;
 const SILENT_AIMS: f64 = 0.5;
-/// Part of the cold allowance that is used: what is in flight between controllers is not seen.
-const COLD_MARGIN: f64 = 0.7;
+/// Part of what a cold worker bears that is dealt out as time passes; the rest covers what is used late.
+const COLD_DEALT: f64 = 0.7;
 /// Strain is what answers tell of others at a worker: calls over the function's lanes, or latency over this
 /// share of its aim. From 1 it is at its bound for us, from the most left alone; one aim takes one off.
 const STRAIN_AIM: f64 = 0.6;
@@ -68,12 +68,6 @@
 const ASK_FIRST: Micros = 200_000;
 const FORGET_SPANS: Micros = 3;
 
-impl Function {
-    fn mean(&self) -> f64 {
-        self.latencies.iter().sum::<f64>() / self.latencies.len().max(1) as f64
-    }
-}
-
 impl Controller {
     /// A controller that has seen nothing yet. `seed` is its only source of chance.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -151,7 +145,9 @@
             worker.entry = entry;
             if anew {
                 // A restart: it is empty and cold, and past failures say nothing of it.
-                worker.born = worker.entry.born;
+                // What an earlier life of ours sent it is not known: a fall span passes first.
+                let before = self.started.filter(|s| worker.entry.born < Some(*s));
+                worker.starts(worker.entry.born, before.map(|s| s + self.settings.rules.fall));
                 (worker.failing, worker.barred, worker.bar, worker.down) = (0.0, false, BAR_FIRST, false);
                 if known {
                     self.forget_copies(id);
@@ -161,7 +157,8 @@
         let gone = self.workers.iter().filter(|(_, w)| w.entry.state == WorkerState::Gone);
         for id in gone.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.forget_copies(id);
-            if self.workers[&id].out == 0 {
+            // A cold one may be back, as cold as it was.
+            if self.workers[&id].out == 0 && !self.cold(&self.workers[&id]) {
                 self.workers.remove(&id);
             }
         }
@@ -193,9 +190,7 @@
         let function = self.functions.entry(request.function).or_default();
         function.lanes = request.lanes.max(1);
         function.last = self.now;
-        if let Some(told) = request.load_time {
-            function.load_time = Some(told as f64);
-        }
+        function.load_time = request.load_time.map(|told| told as f64).or(function.load_time);
         function.arrivals.push_back(self.now);
         while function.arrivals.front().is_some_and(|&t| t + COUNT_SPAN < self.now) {
             function.arrivals.pop_front();
@@ -468,27 +463,35 @@
         function.loading.values().any(|&since| self.now < since + stuck)
     }
 
-    /// Rule on cold workers: what all controllers may send within a fall span, over their number. What an
-    /// earlier life of ours sent is not known: nothing goes to a cold worker until that span is over.
+    /// Rule on cold workers: what one may be sent is dealt out call by call, to one controller after another.
     fn cold_room(&self, worker: &Worker, class: usize) -> bool {
-        let rules = &self.settings.rules;
-        let Some(born) = worker.born else { return true };
-        if !self.cold(worker) {
-            return true;
-        }
-        let age = self.now.saturating_sub(born);
-        let just_started = self.started.is_some_and(|s| self.now < s + rules.fall && s > born);
-        let share = rules.start_capacity + (1.0 - rules.start_capacity) * age as f64 / rules.cold as f64;
-        let rate = rules.overload_factor * share * COLD_MARGIN / f64::from(self.settings.controllers);
-        let work = self.work(class);
-        // Less than one call in a span: the span is stretched, and controllers begin one after another.
-        let span = (rules.fall as f64).max(work / rate);
-        let turn = span * f64::from(self.settings.me) / f64::from(self.settings.controllers);
-        let first = worker.cold_sends.back().is_none_or(|(t, _)| *t < born);
-        let early = first && span > rules.fall as f64 && (age as f64) < turn;
-        let counts = |t: Micros| t >= born && t + span as Micros > self.now;
-        let sent: f64 = worker.cold_sends.iter().map(|(t, w)| if counts(*t) { *w } else { 0.0 }).sum();
-        !just_started && !early && sent + work <= rate * span * 1.000_001
+        !self.cold(worker) || self.settings.rules.fall == 0 || self.cold_part(worker, class).0
+    }
+
+    /// Is a part at a cold worker ours now, and how much will have been dealt out when our next one is?
+    fn cold_part(&self, worker: &Worker, class: usize) -> (bool, f64) {
+        let (work, all) = (self.work(class).max(1.0), u64::from(self.settings.controllers));
+        // Each worker begins with another controller.
+        let turn = (u64::from(self.settings.me) + mix(worker.entry.worker.0) % all) % all;
+        let (first, round) = (work * (turn + 1) as f64, work * all as f64);
+        let (dealt, borne) = self.dealt(worker, self.now);
+        // What is not used lapses, or all that had waited would send together: so much may be out at once.
+        let kept = (1.0 - COLD_DEALT) * borne + 2.0 * (borne * work).sqrt();
+        let before = worker.cold_from.map_or(0.0, |from| self.dealt(worker, from).0);
+        let lapsed = ((dealt - kept).max(before) - first) / round;
+        let part = (worker.cold_used / round - 1e-6).ceil().max(lapsed.floor() + 1.0);
+        (part * round + first <= dealt, (part + 1.0) * round)
+    }
+
+    /// Work dealt out to all controllers for a cold worker by a time, and what it bears in a fall span: as of
+    /// the span before, as it grows and no window may hold more than what it bore at its beginning.
+    fn dealt(&self, worker: &Worker, by: Micros) -> (f64, f64) {
+        let (rules, age) = (&self.settings.rules, by.saturating_sub(worker.born.unwrap_or(by)));
+        let (fall, late) = (rules.fall as f64, age.saturating_sub(rules.fall) as f64);
+        let grown = late * (1.0 - rules.start_capacity) / rules.cold as f64;
+        let borne = |from: f64| rules.overload_factor * (rules.start_capacity + grown * from);
+        let dealt = borne(0.0) * age as f64 + (borne(0.5) - borne(0.0)) * late;
+        (COLD_DEALT * dealt + (1.0 - COLD_DEALT) * borne(0.0) * fall, borne(1.0) * fall)
     }
 
     fn cold(&self, worker: &Worker) -> bool {
@@ -507,7 +510,7 @@
         call.attempts += 1;
         call.out = Some(number);
         let (class, fid) = (call.class, call.function);
-        let work = self.work(class);
+        let used = self.workers.get(&to).map_or(0.0, |w| self.cold_part(w, class).1);
         let Some(function) = self.functions.get_mut(&fid) else { return };
         let warm = function.warm.get(&to).is_some_and(|&at| at + self.settings.loading.keep_alive > self.now);
         *function.out.entry(to).or_insert(0) += 1;
@@ -528,10 +531,7 @@
         }
         let trial = worker.barred;
         worker.trial |= trial;
-        worker.cold_sends.push_back((self.now, work));
-        if worker.cold_sends.len() > SCAN {
-            worker.cold_sends.pop_front();
-        }
+        worker.cold_used = used;
         self.flights.insert(
             (id, number),
             Flight { worker: to, function: fid, class, sent: self.now, loading: !warm, trial, asked: false },
@@ -772,7 +772,7 @@
     /// Its process died: when it answers again it has started anew, whatever the list says.
     fn died(&mut self, id: WorkerId) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
-        worker.born = Some(self.now);
+        worker.starts(Some(self.now), None);
         self.forget_copies(id);
         self.bar(id, "it is down", true);
     }
@@ -841,7 +841,7 @@
             if worker.down {
                 (worker.failing, worker.barred, worker.bar, worker.down) = (0.0, false, BAR_FIRST, false);
                 if worker.born != worker.entry.born {
-                    worker.born = Some(self.now);
+                    worker.starts(Some(self.now), None);
                 }
             }
             for function in std::mem::take(&mut worker.lost) {
@@ -1008,9 +1008,8 @@
     fn silent(&mut self, id: WorkerId) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.watched = None;
-        let on = worker.entry.state == WorkerState::On;
         let worker = &self.workers[&id];
-        let (down, doubt, idle) = (worker.down, worker.doubt, worker.probed.is_none());
+        let (state, down, doubt) = (worker.entry.state, worker.down, worker.doubt);
         let overdue = self.flights.values().any(|f| self.overdue(id, worker, f));
         let late = |f: &Flight| f.worker == id && !f.asked && self.now >= f.sent + self.silence(f);
         let late: Vec<_> = self.flights.iter().filter(|(_, f)| late(f)).map(|(key, _)| *key).collect();
@@ -1026,10 +1025,10 @@
         }
         if !down && !doubt && !overdue && late.is_empty() {
             self.watch(id);
-        } else if self.settings.limits.probes && on {
+        } else if self.settings.limits.probes && state == WorkerState::On {
             // A probe tells a machine that is silent from one that is slow.
             self.probe(id);
-        } else if idle && (down || overdue) {
+        } else if self.workers[&id].probed.is_none() && (down || overdue) {
             self.bar_silent(id);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,9 +33,18 @@
     pub(crate) strained: (f64, Micros),
     /// Its last report, and when it came.
     pub(crate) told: Option<(Report, Micros)>,
-    /// When it came up, as far as known; what we sent while cold: when and how much work.
+    /// When it came up, as far as known; until when its parts were another life's of ours, and how much will have been
+    /// dealt out when the next is ours.
     pub(crate) born: Option<Micros>,
-    pub(crate) cold_sends: VecDeque<(Micros, f64)>,
+    pub(crate) cold_from: Option<Micros>,
+    pub(crate) cold_used: f64,
+}
+
+impl Worker {
+    /// It came up then; its parts until `from` were another life's of ours.
+    pub(crate) fn starts(&mut self, born: Option<Micros>, from: Option<Micros>) {
+        (self.born, self.cold_from, self.cold_used) = (born, from, 0.0);
+    }
 }
 
 #[derive(Default)]
@@ -59,6 +68,13 @@
     pub(crate) epoch: u64,
 }
 
+impl Function {
+    /// Mean of the latencies kept, microseconds; 0 where there are none.
+    pub(crate) fn mean(&self) -> f64 {
+        self.latencies.iter().sum::<f64>() / self.latencies.len().max(1) as f64
+    }
+}
+
 pub(crate) type Priority = (bool, u64, u64);
 
 #[derive(Default)]
@@ -160,7 +176,7 @@
             1 + maps + f.arrivals.len() + f.latencies.len() + f.order.len()
         };
         let functions: usize = self.functions.values().map(of).sum();
-        let workers: usize = self.workers.values().map(|w| 1 + w.cold_sends.len() + w.lost.len()).sum();
+        let workers: usize = self.workers.values().map(|w| 1 + w.lost.len()).sum();
         let calls = self.calls.len() + self.held.len() + self.flights.len() + self.due.len();
         let tenants: usize = self.tenant_taken.values().map(VecDeque::len).sum();
         functions + workers + calls + tenants + self.orders.len() + self.taken.len()
