--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -39,7 +39,7 @@
 }
 
 /// What one datagram told.
-enum Heard {
+enum Answer {
     List(List),
     /// An answer of ours that can't be used.
     Bad,
@@ -47,8 +47,8 @@
     Other,
 }
 
-/// The asker.
-pub struct Asker {
+/// The client of the directory.
+pub struct DiscoveryClient {
     line: Option<Line>,
     /// The directory's address before it moved: what it had said by then counts as told.
     old: Option<(Line, Instant)>,
@@ -63,8 +63,8 @@
     buffer: Vec<u8>,
 }
 
-impl Asker {
-    /// An asker that knows the list as of event `serial`.
+impl DiscoveryClient {
+    /// One that knows the list as of event `serial`.
     pub fn new(resolver: SocketAddr, token: Token, serial: u32) -> Self {
         Self {
             line: None,
@@ -97,7 +97,7 @@
         self.next = Instant::now();
     }
 
-    /// When [`Asker::turn`] is wanted.
+    /// When [`DiscoveryClient::turn`] is wanted.
     pub fn due(&self) -> Instant {
         let due = self.lost.unwrap_or(self.next);
         if self.more { Instant::now() } else { due }
@@ -164,7 +164,7 @@
         if let Some(line) = &mut self.line {
             self.more |= take(line, &mut self.buffer, |what, newest| {
                 answered |= newest;
-                if newest && matches!(what, Heard::Bad) {
+                if newest && matches!(what, Answer::Bad) {
                     // Asked again soon, but not at the pace of its answers.
                     self.next = self.next.min(Instant::now() + ASK_AGAIN);
                 }
@@ -177,12 +177,12 @@
         let mut newest = None;
         for what in heard {
             match what {
-                Heard::List(list) if list.serial > self.serial => {
+                Answer::List(list) if list.serial > self.serial => {
                     self.serial = list.serial;
                     newest = Some(list);
                 }
-                Heard::List(list) => count.old_lists += u64::from(list.serial < self.serial),
-                Heard::Bad | Heard::Other => count.bad_lists += 1,
+                Answer::List(list) => count.old_lists += u64::from(list.serial < self.serial),
+                Answer::Bad | Answer::Other => count.bad_lists += 1,
             }
         }
         newest
@@ -190,7 +190,7 @@
 }
 
 /// Takes datagrams off a line, and tells of each whether it answers the newest query. True: more may stand there.
-fn take(line: &mut Line, buffer: &mut [u8], mut tell: impl FnMut(Heard, bool)) -> bool {
+fn take(line: &mut Line, buffer: &mut [u8], mut tell: impl FnMut(Answer, bool)) -> bool {
     for _ in 0..TURN {
         let length = match line.socket.recv(buffer) {
             Ok(length) => length,
@@ -201,21 +201,21 @@
         let bytes = buffer.get(..length).unwrap_or_default();
         let id = bytes.get(..2).map(|id| u16::from_be_bytes([id[0], id[1]]));
         let Some(at) = line.queries.iter().position(|query| Some(*query) == id) else {
-            tell(Heard::Other, false);
+            tell(Answer::Other, false);
             continue;
         };
         let query = line.queries[at];
         let newest = at + 1 == line.queries.len();
         let what = match directory::answer(query, bytes) {
-            Ok(list) => Heard::List(list),
-            Err(ListError::Other) => Heard::Other,
+            Ok(list) => Answer::List(list),
+            Err(ListError::Other) => Answer::Other,
             Err(error) => {
                 debug!(%error, "an answer of the directory can't be used");
-                Heard::Bad
+                Answer::Bad
             }
         };
         // Answered once: what comes again under its number is no answer.
-        if !matches!(what, Heard::Other) {
+        if !matches!(what, Answer::Other) {
             line.queries.remove(at);
         }
         tell(what, newest);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -17,13 +17,13 @@
 use crate::limits::*;
 
 /// A sound request, to be opened.
-pub struct Taken {
+pub struct Incoming {
     /// The front's mark.
     pub mark: u64,
     /// Its class.
     pub class: ClassId,
     /// Its function.
-    pub row: Arc<str>,
+    pub function: Arc<str>,
     /// Its tenant.
     pub tenant: Option<TenantId>,
     /// The client marks it as a repeat.
@@ -43,9 +43,9 @@
 }
 
 /// What clients did.
-pub enum Heard {
+pub enum ClientEvent {
     /// A request came.
-    Request(Taken),
+    Request(Incoming),
     /// A client waits no longer, or its side has ended.
     Left(Left),
 }
@@ -62,7 +62,7 @@
     /// Its class.
     pub class: ClassId,
     /// Its function.
-    pub row: Arc<str>,
+    pub function: Arc<str>,
     /// The key by which invokers drop repeats.
     pub key: Option<Arc<str>>,
 }
@@ -85,7 +85,7 @@
     /// Since when nothing whole came and nothing was answered.
     quiet: Instant,
     /// It was asked for no new requests.
-    sent_away: bool,
+    go_away_sent: bool,
 }
 
 /// What a connection without an open request is, in the order in which they make room for a new one.
@@ -131,7 +131,7 @@
     bytes: usize,
     next: u64,
     /// No new requests are asked for.
-    leaving: bool,
+    draining: bool,
     buffer: Vec<u8>,
 }
 
@@ -149,7 +149,7 @@
             ids: HashSet::new(),
             bytes: 0,
             next: 0,
-            leaving: false,
+            draining: false,
             buffer: Vec::new(),
         }
     }
@@ -197,7 +197,7 @@
             ending: false,
             began: None,
             quiet: now,
-            sent_away: false,
+            go_away_sent: false,
         };
         debug!(conn = ?key, "a client came");
         self.clients.insert(key, client);
@@ -229,10 +229,10 @@
     }
 
     /// Bytes came from a client.
-    pub fn data(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+    pub fn data(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>, count: &mut Counters) {
         // Its end stands behind bytes that take more than one turn to read: it has left all the same.
         if tcp.ending(key) {
-            self.leave(tcp, key, heard);
+            self.leave(tcp, key, events);
         }
         loop {
             let Some(client) = self.clients.get_mut(&key) else { return };
@@ -244,7 +244,7 @@
                 Ok(Some(frame)) => {
                     client.began = None;
                     client.quiet = Instant::now();
-                    self.frame(tcp, key, frame, heard, count);
+                    self.frame(tcp, key, frame, events, count);
                 }
                 Ok(None) => {
                     let within = client.reader.within(input);
@@ -253,7 +253,7 @@
                 }
                 Err(error) => {
                     count.bad_frames += 1;
-                    return self.expel(tcp, key, &error.to_string(), heard, count);
+                    return self.expel(tcp, key, &error.to_string(), events, count);
                 }
             }
         }
@@ -264,7 +264,7 @@
         tcp: &mut Tcp,
         key: TcpKey,
         frame: Frame,
-        heard: &mut Vec<Heard>,
+        events: &mut Vec<ClientEvent>,
         count: &mut Counters,
     ) {
         let Some(client) = self.clients.get_mut(&key) else { return };
@@ -272,32 +272,32 @@
             Frame::Whole { kind: kind::REQUEST, stream, payload } => {
                 if stream == 0 || stream <= client.last {
                     count.bad_frames += 1;
-                    return self.expel(tcp, key, "a request's stream is not new", heard, count);
+                    return self.expel(tcp, key, "a request's stream is not new", events, count);
                 }
                 client.last = stream;
                 if client.streams.len() >= CLIENT_STREAMS {
                     count.bad_requests += 1;
                     self.say(tcp, key, stream, Code::Refused, b"more than 32 requests are open");
-                    return self.fault(tcp, key, heard, count);
+                    return self.fault(tcp, key, events, count);
                 }
                 let came = tcp.came(key);
                 match self.take(key, stream, &payload, came, count) {
-                    Ok(taken) => {
+                    Ok(request) => {
                         count.requests += 1;
                         if let Some(client) = self.clients.get_mut(&key) {
                             client.faults = 0;
                             if client.ending {
-                                return self.never_opened(tcp, key, stream, taken.mark);
+                                return self.never_opened(tcp, key, stream, request.mark);
                             }
                         }
-                        heard.push(Heard::Request(taken));
+                        events.push(ClientEvent::Request(request));
                         // One that came since is told once the request that it came for is here.
-                        self.send_away(tcp, key);
+                        self.send_go_away(tcp, key);
                     }
                     Err((code, words)) => {
                         debug!(conn = ?key, stream, words, "a request can't be used");
                         self.say(tcp, key, stream, code, words.as_bytes());
-                        self.fault(tcp, key, heard, count);
+                        self.fault(tcp, key, events, count);
                     }
                 }
             }
@@ -305,25 +305,25 @@
                 if let Some(mark) = client.streams.remove(&stream) {
                     debug!(conn = ?key, stream, "withdrawn");
                     client.known = true;
-                    heard.extend(self.close_call(mark).map(gone));
+                    events.extend(self.close_call(mark).map(gone));
                 }
             }
             Frame::Whole { kind: kind::READY, stream, .. } => {
                 client.known = true;
                 self.buffer.clear();
-                frames::ready(&mut self.buffer, stream, !self.leaving);
+                frames::ready(&mut self.buffer, stream, !self.draining);
                 tcp.send(key, &self.buffer);
             }
             Frame::TooLong { kind: kind::REQUEST, stream } => {
                 client.last = client.last.max(stream);
                 count.bad_requests += 1;
                 self.say(tcp, key, stream, Code::Failed, b"a request is too long");
-                self.fault(tcp, key, heard, count);
+                self.fault(tcp, key, events, count);
             }
             Frame::Whole { .. } | Frame::TooLong { .. } => {
                 count.bad_frames += 1;
                 self.say(tcp, key, 0, Code::Failed, b"a client sends no such frame");
-                self.fault(tcp, key, heard, count);
+                self.fault(tcp, key, events, count);
             }
         }
     }
@@ -335,7 +335,7 @@
         payload: &[u8],
         came: Instant,
         count: &mut Counters,
-    ) -> Result<Taken, (Code, String)> {
+    ) -> Result<Incoming, (Code, String)> {
         let bad = |count: &mut Counters, words: String| {
             count.bad_requests += 1;
             (Code::Failed, words)
@@ -373,14 +373,14 @@
             waited = ?came.elapsed(),
             id = request.call,
             op = request.op,
-            row = request.row,
+            function = request.row,
             ttl = request.ttl_ms,
             bytes = request.body.len(),
             "taken"
         );
         self.ids.insert(id);
         self.bytes += request.body.len();
-        let row: Arc<str> = request.row.into();
+        let function: Arc<str> = request.row.into();
         let call = Call {
             conn: key,
             stream,
@@ -389,7 +389,7 @@
             call: None,
             name: request.call.into(),
             class,
-            row: Arc::clone(&row),
+            function: Arc::clone(&function),
             key: request.dedupe.map(Arc::from),
         };
         self.calls.insert(mark, call);
@@ -398,10 +398,10 @@
             client.known = true;
         }
         let micros = |ms: f64| (ms * 1000.0) as u64;
-        Ok(Taken {
+        Ok(Incoming {
             mark,
             class,
-            row,
+            function,
             tenant: request.org.and_then(|org| self.tenants.get(org).copied()),
             repeat: request.repeat,
             work_hint: request.work_ms.map(micros),
@@ -484,31 +484,38 @@
     }
 
     /// Counts what a connection sent amiss, and closes it when it goes on.
-    fn fault(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+    fn fault(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>, count: &mut Counters) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.faults += 1;
         if client.faults > CLIENT_FAULTS {
-            self.expel(tcp, key, "too much that can't be used", heard, count);
+            self.expel(tcp, key, "too much that can't be used", events, count);
         }
     }
 
     /// Says why on stream 0, reads nothing more and closes: what is open there has its final answer at once.
-    fn expel(&mut self, tcp: &mut Tcp, key: TcpKey, why: &str, heard: &mut Vec<Heard>, count: &mut Counters) {
+    fn expel(
+        &mut self,
+        tcp: &mut Tcp,
+        key: TcpKey,
+        why: &str,
+        events: &mut Vec<ClientEvent>,
+        count: &mut Counters,
+    ) {
         count.closed_for_faults += 1;
         debug!(why, "a client's connection is closed");
         self.say(tcp, key, 0, Code::Failed, why.as_bytes());
-        self.ended(tcp, key, heard);
+        self.ended(tcp, key, events);
     }
 
     /// Nothing more comes from a client, or nothing more is read: it can't withdraw any more, and has most likely
     /// left. So what is open there has its final answer at once, which is never wrong, and nothing of it is sent
     /// on; the connection closes after the last answer.
-    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>) {
+    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.closing = true;
         client.began = None;
         tcp.alarm(key, None);
-        self.leave(tcp, key, heard);
+        self.leave(tcp, key, events);
         if self.clients.get(&key).is_some_and(|client| client.streams.is_empty()) {
             self.clients.remove(&key);
             tcp.finish(key);
@@ -516,13 +523,13 @@
     }
 
     /// A client has left: what is open on its connection gets its final answer at once.
-    fn leave(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>) {
+    fn leave(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>) {
         let Some(client) = self.clients.get_mut(&key).filter(|client| !client.ending) else { return };
         client.ending = true;
         debug!(conn = ?key, open = client.streams.len(), "a client's connection is ending");
         for (stream, mark) in client.streams.clone() {
             match self.calls.get(&mark).and_then(|call| call.call) {
-                Some(call) => heard.push(Heard::Left(Left { call, answered: true })),
+                Some(call) => events.push(ClientEvent::Left(Left { call, answered: true })),
                 None => self.never_opened(tcp, key, stream, mark),
             }
         }
@@ -538,11 +545,11 @@
     }
 
     /// A client's connection is gone.
-    pub fn closed(&mut self, key: TcpKey, heard: &mut Vec<Heard>) {
+    pub fn closed(&mut self, key: TcpKey, events: &mut Vec<ClientEvent>) {
         let Some(client) = self.clients.remove(&key) else { return };
         debug!(conn = ?key, open = client.streams.len(), "a client's connection broke");
         for mark in client.streams.into_values() {
-            heard.extend(self.close_call(mark).map(gone));
+            events.extend(self.close_call(mark).map(gone));
         }
     }
 
@@ -558,7 +565,7 @@
 
     /// A connection's alarm came due. What has come by now was read before; what comes at this very moment is seen
     /// by a last look.
-    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, heard: &mut Vec<Heard>, count: &mut Counters) {
+    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>, count: &mut Counters) {
         let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
         let now = Instant::now();
         let slow = client.began.is_some_and(|began| now >= began + WHOLE_FRAME);
@@ -572,26 +579,26 @@
         } else if slow || silent {
             count.closed_for_silence += 1;
             self.say(tcp, key, 0, Code::Failed, b"nothing whole came in time");
-            self.ended(tcp, key, heard);
+            self.ended(tcp, key, events);
         } else {
             count.closed_idle += 1;
-            self.ended(tcp, key, heard);
+            self.ended(tcp, key, events);
         }
     }
 
     /// Asks clients for no new requests on the connections that stand. What comes all the same is served.
     pub fn go_away(&mut self, tcp: &mut Tcp) {
-        self.leaving = true;
+        self.draining = true;
         for key in self.clients.keys().copied().collect::<Vec<_>>() {
-            self.send_away(tcp, key);
+            self.send_go_away(tcp, key);
         }
     }
 
-    fn send_away(&mut self, tcp: &mut Tcp, key: TcpKey) {
-        let Some(client) = self.clients.get_mut(&key).filter(|c| self.leaving && !c.sent_away) else {
+    fn send_go_away(&mut self, tcp: &mut Tcp, key: TcpKey) {
+        let Some(client) = self.clients.get_mut(&key).filter(|c| self.draining && !c.go_away_sent) else {
             return;
         };
-        client.sent_away = true;
+        client.go_away_sent = true;
         self.buffer.clear();
         frames::go_away(&mut self.buffer);
         tcp.send(key, &self.buffer);
@@ -609,6 +616,6 @@
     }
 }
 
-fn gone(call: CallId) -> Heard {
-    Heard::Left(Left { call, answered: false })
+fn gone(call: CallId) -> ClientEvent {
+    ClientEvent::Left(Left { call, answered: false })
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,12 +21,12 @@
 use signal_hook_mio::v1_0::Signals;
 use tracing::{info, warn};
 
-use crate::directory::Asker;
-use crate::front::{Front, Heard, Taken};
+use crate::directory::DiscoveryClient;
+use crate::front::{ClientEvent, Front, Incoming};
 use crate::limits::{
     ACCEPTED_A_TURN, Bounds, Counters, LAST_REQUESTS, LOOK_EVERY, OPENED_A_TURN, until_kill,
 };
-use crate::links::{Attempt, Links, Listed};
+use crate::links::{Attempt, Endpoint, Links};
 
 /// Why a node could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -79,7 +79,7 @@
 
 /// What one turn brought that is acted on once all of it was read.
 #[derive(Default)]
-struct Came {
+struct TurnEvents {
     list: bool,
     connected: Vec<TcpKey>,
 }
@@ -92,7 +92,7 @@
     engine: Engine,
     front: Front,
     links: Links,
-    asker: Asker,
+    discovery: DiscoveryClient,
     signals: Option<Signals>,
     classes: Vec<Arc<str>>,
     /// How long a client waits at the longest.
@@ -100,7 +100,7 @@
     local: SocketAddr,
     count: Counters,
     /// Since SIGTERM, and when a client last came or sent something.
-    leaving: Option<Instant>,
+    draining: Option<Instant>,
     last_heard: Instant,
     /// When the newest turn began that has seen all there was, and in which no client came or sent anything.
     looked: Option<Instant>,
@@ -108,9 +108,9 @@
     reload_at: Option<Instant>,
     next_figures: Instant,
     happened: Vec<TcpEvent>,
-    heard: Vec<Heard>,
+    client_events: Vec<ClientEvent>,
     /// Requests read and not yet opened, [`OPENED_A_TURN`] a turn: no more than clients may have open.
-    requests: VecDeque<Taken>,
+    requests: VecDeque<Incoming>,
     told: Vec<Event>,
     commands: Vec<Command>,
 }
@@ -151,7 +151,7 @@
             probe_timeout: (connect.as_micros() as u64).min(longest.max(1)),
             ..EngineLimits::default()
         };
-        let asker = Asker::new(config.resolver, tcp.source_token(DIRECTORY), config.known.pos);
+        let discovery = DiscoveryClient::new(config.resolver, tcp.source_token(DIRECTORY), config.known.pos);
         let engine = Engine::new(site.settings, site.zone.as_deref(), engine_limits, config.seed_number())?;
         let now = Instant::now();
         let mut node = Self {
@@ -161,19 +161,19 @@
             engine,
             front: Front::new(&site.classes, &site.tenants, deadlines, bounds),
             links: Links::new(bounds, site.streams as usize, idle, reports),
-            asker,
+            discovery,
             signals,
             classes: site.classes.iter().map(|name| Arc::from(name.as_str())).collect(),
             longest: Duration::from_micros(longest),
             local,
             count: Counters::default(),
-            leaving: None,
+            draining: None,
             last_heard: now,
             looked: None,
             reload_at: None,
             next_figures: now + FIGURES_EVERY,
             happened: Vec::new(),
-            heard: Vec::new(),
+            client_events: Vec::new(),
             requests: VecDeque::new(),
             told: Vec::new(),
             commands: Vec::new(),
@@ -215,7 +215,7 @@
     /// span over by the clock, with connections in the backlog and requests in sockets: so a whole turn that began
     /// after that span must have looked and found nothing.
     pub fn done(&self) -> bool {
-        self.leaving.is_some_and(|since| {
+        self.draining.is_some_and(|since| {
             let quiet = self.looked.is_some_and(|at| at >= since.max(self.last_heard) + LAST_REQUESTS);
             // An answer is given when the system has it, not when it is queued.
             let open = self.engine.open_calls() + self.requests.len();
@@ -236,22 +236,22 @@
         let began = Instant::now();
         let mut happened = std::mem::take(&mut self.happened);
         self.tcp.turn(Some(wait), &mut happened).map_err(NodeError::system("the poll"))?;
-        let mut came = Came { list: self.asker.more(), ..Came::default() };
+        let mut turn = TurnEvents { list: self.discovery.more(), ..TurnEvents::default() };
         // Those that have just come last: at the bound they push out who has nothing to lose, as far as was read.
         let new: BTreeSet<TcpKey> = happened.iter().filter_map(accepted).collect();
         let of_new = |event: &TcpEvent| event.key().is_some_and(|key| new.contains(&key));
         for event in happened.iter().filter(|event| !of_new(event)) {
-            self.read(*event, &mut came);
+            self.read(*event, &mut turn);
         }
         for event in happened.drain(..).filter(of_new) {
-            self.read(event, &mut came);
+            self.read(event, &mut turn);
         }
         self.happened = happened;
-        self.act(came);
+        self.act(turn);
         if self.reload_at.is_some_and(|at| Instant::now() >= at) {
             self.reload();
         }
-        self.asker.turn(self.tcp.registry(), &mut self.count);
+        self.discovery.turn(self.tcp.registry(), &mut self.count);
         self.tell(Event::Tick);
         self.work();
         let now = Instant::now();
@@ -273,11 +273,11 @@
         let timer =
             self.engine.next_timer().map(|at| Duration::from_micros(at.saturating_sub(self.clock.now())));
         let others = [
-            Some(self.asker.due()),
+            Some(self.discovery.due()),
             Some(self.next_figures),
             self.reload_at,
             // The look for the end is a turn of its own, as soon as it may be the last.
-            self.leaving.map(|since| {
+            self.draining.map(|since| {
                 let quiet = since.max(self.last_heard) + LAST_REQUESTS;
                 match self.looked {
                     _ if now < quiet => quiet,
@@ -291,20 +291,20 @@
     }
 
     /// Reads what one event brought; nothing is decided or sent on yet.
-    fn read(&mut self, event: TcpEvent, came: &mut Came) {
+    fn read(&mut self, event: TcpEvent, turn: &mut TurnEvents) {
         let (tcp, count) = (&mut self.tcp, &mut self.count);
-        let (heard, told) = (&mut self.heard, &mut self.told);
+        let (events, told) = (&mut self.client_events, &mut self.told);
         let client = event.key().is_some_and(|key| self.front.owns(key));
         if client && matches!(event, TcpEvent::Data(_)) || matches!(event, TcpEvent::Accepted(_)) {
             self.last_heard = Instant::now();
         }
         match event {
             TcpEvent::Accepted(key) => self.front.accepted(tcp, key, count),
-            TcpEvent::Data(key) if client => self.front.data(tcp, key, heard, count),
-            TcpEvent::Alarm(key) if client => self.front.alarm(tcp, key, heard, count),
-            TcpEvent::Ended(key) if client => self.front.ended(tcp, key, heard),
-            TcpEvent::Closed(key, _) if client => self.front.closed(key, heard),
-            TcpEvent::Connected(key) => came.connected.push(key),
+            TcpEvent::Data(key) if client => self.front.data(tcp, key, events, count),
+            TcpEvent::Alarm(key) if client => self.front.alarm(tcp, key, events, count),
+            TcpEvent::Ended(key) if client => self.front.ended(tcp, key, events),
+            TcpEvent::Closed(key, _) if client => self.front.closed(key, events),
+            TcpEvent::Connected(key) => turn.connected.push(key),
             TcpEvent::Data(key) => self.links.data(tcp, key, told, count),
             TcpEvent::Alarm(key) => self.links.alarm(tcp, key, told, count),
             TcpEvent::Ended(key) => {
@@ -313,30 +313,30 @@
             }
             TcpEvent::Closed(key, why) => self.links.closed(tcp, key, why, told),
             TcpEvent::Source(SIGNALS) => self.signalled(),
-            TcpEvent::Source(_) => came.list = true,
+            TcpEvent::Source(_) => turn.list = true,
         }
     }
 
     /// Acts on what one turn brought: the order is told at [`Node::turn`].
-    fn act(&mut self, came: Came) {
+    fn act(&mut self, turn: TurnEvents) {
         let mut left = Vec::new();
-        for heard in self.heard.drain(..) {
-            match heard {
-                Heard::Left(one) => left.push(one),
-                Heard::Request(taken) => self.requests.push_back(taken),
+        for event in self.client_events.drain(..) {
+            match event {
+                ClientEvent::Left(one) => left.push(one),
+                ClientEvent::Request(request) => self.requests.push_back(request),
             }
         }
         if !left.is_empty() {
             self.tell(Event::ClientsLeft { calls: left });
         }
-        if came.list
-            && let Some(list) = self.asker.ready(&mut self.count)
+        if turn.list
+            && let Some(list) = self.discovery.ready(&mut self.count)
         {
             info!(serial = list.serial, invokers = list.invokers.len(), "the list changed");
             self.list(ListForm::Complete, &list);
         }
         self.work();
-        for key in came.connected {
+        for key in turn.connected {
             self.links.connected(&mut self.tcp, key, &mut self.told);
             self.work();
         }
@@ -347,8 +347,8 @@
         self.work();
         self.tcp.flush_all();
         let now = self.requests.len().min(OPENED_A_TURN);
-        for taken in self.requests.drain(..now).collect::<Vec<_>>() {
-            self.open(taken);
+        for request in self.requests.drain(..now).collect::<Vec<_>>() {
+            self.open(request);
         }
         self.work();
     }
@@ -362,32 +362,32 @@
         }
     }
 
-    fn open(&mut self, taken: Taken) {
-        let mark = taken.mark;
+    fn open(&mut self, request: Incoming) {
+        let mark = request.mark;
         if !self.front.waits(mark) {
             return;
         }
-        let waited = taken.came.elapsed().as_micros() as u64;
+        let waited = request.came.elapsed().as_micros() as u64;
         self.count.read_late_most = self.count.read_late_most.max(waited);
-        let left = self.until_end(taken.left.saturating_sub(waited));
+        let left = self.until_end(request.left.saturating_sub(waited));
         if left == 0 {
             // It could not be answered after it was tried: a try elsewhere does no harm.
             return self.front.end(&mut self.tcp, mark, &NO_TIME, &mut self.count);
         }
         let open = Open {
             front: mark,
-            class: taken.class,
-            tenant: taken.tenant,
-            model: taken.row,
+            class: request.class,
+            tenant: request.tenant,
+            model: request.function,
             version: Arc::from(""),
             left,
-            work_hint: taken.work_hint,
-            lanes: taken.lanes,
-            load_time: taken.load_time,
-            repeat: taken.repeat,
+            work_hint: request.work_hint,
+            lanes: request.lanes,
+            load_time: request.load_time,
+            repeat: request.repeat,
             group: 0,
             streamed: false,
-            body: taken.body,
+            body: request.body,
         };
         let call = self.engine.open(self.clock.now(), open, &mut self.commands);
         self.front.opened(mark, call);
@@ -397,7 +397,7 @@
     /// The time that a call has, microseconds: what its client gives it, and after SIGTERM no more than is left until
     /// the platform kills this process. What comes so late has little of it, and its answer all the same.
     fn until_end(&mut self, left: u64) -> u64 {
-        let Some(since) = self.leaving else { return left };
+        let Some(since) = self.draining else { return left };
         let most = until_kill(since, Instant::now(), self.longest, left);
         self.count.after_end += u64::from(most < left);
         most
@@ -425,7 +425,7 @@
                         id: attempt,
                         name: Arc::clone(&call.name),
                         sort,
-                        asset: Arc::clone(&call.row),
+                        asset: Arc::clone(&call.function),
                         key: call.key.clone(),
                         until: Instant::now() + Duration::from_micros(left),
                         body,
@@ -444,7 +444,7 @@
                     self.links.probe(tcp, worker, errand, &mut self.told, count);
                 }
                 Command::Forget { errand } => self.links.forget(tcp, errand),
-                Command::WatchList | Command::FetchList => self.asker.ask(),
+                Command::WatchList | Command::FetchList => self.discovery.ask(),
                 Command::Log(line) => info!("{line}"),
                 // Answers here come whole: no parts, nothing to hold back.
                 Command::Part { .. } | Command::Pause { .. } | Command::Resume { .. } => {}
@@ -464,7 +464,7 @@
             let born_ms = (invoker.started_ms > 0).then_some(invoker.started_ms);
             if let Some(address) = invoker.address.filter(|_| state != WorkerState::Gone) {
                 let on = state == WorkerState::On;
-                listed.insert(self.engine.worker_id(&invoker.id), Listed { address, born_ms, on });
+                listed.insert(self.engine.worker_id(&invoker.id), Endpoint { address, born_ms, on });
             }
             members.push(Member {
                 name: invoker.id.clone(),
@@ -495,9 +495,9 @@
 
     /// Asks it to end, as SIGTERM does: what comes is served, and the end follows the last answer.
     pub fn leave(&mut self) {
-        if self.leaving.is_none() {
+        if self.draining.is_none() {
             info!("asked to end: what comes is served, and the end follows the last answer");
-            self.leaving = Some(Instant::now());
+            self.draining = Some(Instant::now());
             self.looked = None;
             self.front.go_away(&mut self.tcp);
         }
@@ -508,7 +508,7 @@
         match read(&self.path) {
             Ok(config) => {
                 self.reload_at = None;
-                self.asker.moved(self.tcp.registry(), config.resolver);
+                self.discovery.moved(self.tcp.registry(), config.resolver);
             }
             Err(error) => {
                 warn!(%error, "the new configuration is not used yet");
