serve: the spare handle is had again before anybody is accepted

Cause: the hub gives its spare handle back for a moment to accept and close one connection; the thread that reads the list, each 5 ms there, may take it in that moment, so that the spare could not be opened again, ever (Hub::accept). Now it is opened again before the next is accepted.

--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -222,6 +222,30 @@
     });
 }
 
+#[test]
+fn a_handle_that_the_list_s_reader_took_is_had_again_before_anybody_is_accepted() {
+    let fleet = Fleet::new(1, SPEC);
+    let dir = tempfile::tempdir().expect("a folder");
+    std::fs::write(dir.path().join("workers.sexp"), fleet.list()).expect("written");
+    // The list is read over and over: its file wants a handle in every moment in which the spare one is given back.
+    let settings = SETTINGS.replace("(check-every 5ms)", "(check-every 1ms)");
+    assert_ne!(settings, SETTINGS, "the settings tell how often the list is looked at");
+    let gateway = serve_in(dir, &settings, Some(24));
+    let mut held = Vec::new();
+    let mut closed = 0;
+    let end = std::time::Instant::now() + Duration::from_secs(20);
+    while closed < 40 {
+        assert!(std::time::Instant::now() < end, "{closed} were told at once, then all wait in silence");
+        let mut raw = TcpStream::connect(gateway.address).expect("the kernel completes it");
+        raw.set_read_timeout(Some(Duration::from_millis(100))).expect("set");
+        match raw.read(&mut [0; 1]) {
+            Ok(0) => closed += 1,
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => closed += 1,
+            _ => held.push(raw),
+        }
+    }
+}
+
 #[test]
 fn other_content_types_are_415() {
     let gateway = serve(SETTINGS, "");
--- a/crates/net/src/hub/mod.rs
+++ b/crates/net/src/hub/mod.rs
@@ -552,6 +552,11 @@
     }
 
     fn accept(&mut self, index: usize) {
+        // Another thread, such as the one that reads the list, may have taken the spare handle in the moment in which it
+        // was given back. It is had again before anybody is accepted: without it clients would wait in silence for good.
+        if self.spare.is_none() {
+            self.spare = spare_handle();
+        }
         loop {
             let Some(listener) = self.listeners.get(index).filter(|l| !l.frozen) else { return };
             match listener.socket.accept() {
