tcp: one field tells since when bytes may stand unread

Read again: a connection kept beside it whether it had been read before, only so that an accepted one counts from when it may have come; the field begins at that moment instead.

--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -163,8 +163,6 @@
     unread: Option<Instant>,
     /// When what was read last may have come at the earliest.
     came: Instant,
-    /// It was read before.
-    looked: bool,
     /// A write failed.
     failed: bool,
     /// It broke, and that was told.
@@ -314,9 +312,9 @@
             halved: false,
             shut: false,
             rests: false,
-            unread: None,
+            // What was accepted may hold something since it may have come.
+            unread: accepted.then_some(self.since),
             came: self.since,
-            looked: false,
             failed: false,
             ended: false,
             ready: false,
@@ -711,10 +709,7 @@
         }
         if let Some(conn) = self.get_mut(key).filter(|c| c.stage != Stage::Connecting && !c.ended) {
             flush(conn);
-            // A connection that was just accepted holds when it may have come; what was left unread, since when.
-            let fresh = if conn.accepted && !conn.looked { conn.came } else { since };
-            conn.looked = true;
-            conn.came = conn.unread.unwrap_or(fresh);
+            conn.came = conn.unread.unwrap_or(since);
             let more = read(conn, &mut scratch, most, turn);
             conn.unread = matches!(more, Ok(true)).then_some(conn.came);
             let told = conn.stage == Stage::Open;
