scale: a crate and a command that measure how cost grows with the fleet

Nothing here measured what a call, a change of the list or a follower costs at the sizes to plan for, at several sizes and by one command. The crate reads a file (sizes, bounds, target), refuses sizes that do not fit in half of the machine's memory, 300 processes, its descriptors, ports or the deadline before anything starts, runs each measure at each size, fits a line and a power of the size, and judges bounds. Measures stand behind one trait; the first drives the decision module by its own clock. Children have process groups of their own and are ended by their ids. Not run yet: no figure stands here.

--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -1,5 +1,5 @@
-//! The command line. Exit codes: 0 done; 1 a rule broke (`day`), the call was not served (`call`), or alert
-//! rules have findings (`alerts`); 2 the
+//! The command line. Exit codes: 0 done; 1 a rule broke (`day`), a bound broke (`scale`), the call was not served
+//! (`call`), or alert rules have findings (`alerts`); 2 the
 //! command line is wrong; 3 a file can't be read or is not sound; 4 the system refused something (an address,
 //! a thread, a process); 130 stopped at once by a second signal or with calls still open.
 
@@ -12,6 +12,7 @@
 mod fleet;
 mod load;
 mod node;
+mod scale;
 mod serve;
 mod simulate;
 mod top;
@@ -30,7 +31,7 @@
     name = "nettleferry",
     version,
     propagate_version = true,
-    after_help = "Exit codes: 0 done; 1 a rule broke (day), the call was not served (call) alert rules have findings (alerts) or the administration refused (admin); 2 wrong command line; 3 a \
+    after_help = "Exit codes: 0 done; 1 a rule broke (day), a bound broke (scale), the call was not served (call) alert rules have findings (alerts) or the administration refused (admin); 2 wrong command line; 3 a \
                   file can't be read or is not sound; 4 the system refused something; 130 stopped at once with calls open."
 )]
 pub struct Arguments {
@@ -64,6 +65,8 @@
     Fleet(fleet::Fleet),
     /// Show tenants, classes, workers and held calls, live; q ends it
     Top(top::Top),
+    /// Measure how cost grows with the size of the fleet, and judge it by the bounds of a file
+    Scale(scale::Scale),
     /// Run one stand-in worker
     Worker(worker::WorkerCommand),
 }
@@ -105,6 +108,16 @@
     /// The administration refused, or could not be asked.
     #[error("the administration: {0}")]
     Api(String),
+    /// A scale run could not go on.
+    #[error("{measure} {size}: {error}")]
+    Scale {
+        /// What was measured.
+        measure: &'static str,
+        /// At which size.
+        size: u64,
+        /// Why it ended.
+        error: nettleferry_scale::measure::MeasureError,
+    },
     /// Words that clap can't judge.
     #[error("{0}")]
     Usage(String),
@@ -117,7 +130,7 @@
             Self::Usage(_) => 2,
             Self::Read { .. } | Self::Unsound(_) | Self::File(_) => 3,
             Self::Controller(ControllerError::Settings(_)) => 3,
-            Self::Controller(_) | Self::System { .. } | Self::Day(_) => 4,
+            Self::Controller(_) | Self::System { .. } | Self::Day(_) | Self::Scale { .. } => 4,
             Self::Node(error) => node::code(error),
             Self::Api(_) => 1,
         }
@@ -143,6 +156,7 @@
         Command::Fleet(fleet) => fleet.run(),
         Command::Top(top) => top.run(),
         Command::Alerts(alerts) => alerts.run(),
+        Command::Scale(scale) => scale.run(),
         Command::Worker(worker) => worker.run(),
     }
 }
--- /dev/null
+++ b/crates/scale/src/children.rs
@@ -0,0 +1,269 @@
+//! Child processes of a run: started in process groups of their own, listened to, and ended by their ids.
+
+use std::collections::VecDeque;
+use std::ffi::OsStr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::os::unix::process::CommandExt;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::measure::MeasureError;
+use crate::process::Process;
+
+/// Lines of a child's log that are kept, and the length of one in bytes.
+const KEPT_LINES: usize = 20;
+const LONGEST_LINE: usize = 400;
+/// Lines of a child's standard output that wait to be read; more are let go.
+const WAITING_LINES: usize = 4_096;
+/// Longest line of standard output that is taken, in bytes.
+const LONGEST_OUTPUT: u64 = 1 << 20;
+/// A child that was told to end has so long before it is killed.
+const END_LIMIT: Duration = Duration::from_secs(3);
+/// How often its end is looked for.
+const END_LOOK: Duration = Duration::from_millis(5);
+
+/// A child of this run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChildId(usize);
+
+struct Running {
+    label: String,
+    child: Child,
+    output: Receiver<String>,
+    log: Arc<Mutex<Log>>,
+}
+
+/// The end of a child's log.
+#[derive(Default)]
+struct Log {
+    last: VecDeque<String>,
+    lines: u64,
+}
+
+impl Log {
+    fn push(&mut self, mut line: String) {
+        let mut end = line.len().min(LONGEST_LINE);
+        while !line.is_char_boundary(end) {
+            end -= 1;
+        }
+        line.truncate(end);
+        if self.last.len() == KEPT_LINES {
+            self.last.pop_front();
+        }
+        self.last.push_back(line);
+        self.lines += 1;
+    }
+}
+
+/// Child processes, all ended when this is dropped.
+pub struct Children {
+    program: PathBuf,
+    most: u64,
+    running: Vec<Option<Running>>,
+}
+
+impl Children {
+    /// No children yet. `program` is what [`Children::start`] starts, at most `most` at once.
+    pub fn new(program: PathBuf, most: u64) -> Self {
+        Self { program, most, running: Vec::new() }
+    }
+
+    /// Starts the program with arguments. `label` names the child in errors. Its standard input stays open until
+    /// it is stopped.
+    pub fn start<A: AsRef<OsStr>>(
+        &mut self,
+        label: &str,
+        arguments: impl IntoIterator<Item = A>,
+    ) -> Result<ChildId, MeasureError> {
+        if self.ids().count() as u64 >= self.most {
+            return Err(MeasureError::Unexpected(format!("{label}: more than {} processes", self.most)));
+        }
+        let mut command = Command::new(&self.program);
+        command.args(arguments).process_group(0);
+        command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        let mut child = command.spawn().map_err(MeasureError::system(format!("can't start {label}")))?;
+        let (told, output) = sync_channel(WAITING_LINES);
+        let log = Arc::new(Mutex::new(Log::default()));
+        if let Some(out) = child.stdout.take() {
+            thread::spawn(move || forward_lines(out, &told));
+        }
+        if let Some(err) = child.stderr.take() {
+            let log = Arc::clone(&log);
+            thread::spawn(move || keep_lines(err, &log));
+        }
+        self.running.push(Some(Running { label: label.to_owned(), child, output, log }));
+        Ok(ChildId(self.running.len() - 1))
+    }
+
+    /// Process ids of the children that run.
+    pub fn ids(&self) -> impl Iterator<Item = u32> + '_ {
+        self.running.iter().flatten().map(|running| running.child.id())
+    }
+
+    /// A child's process, to look at what it uses.
+    pub fn process(&self, id: ChildId) -> Option<Process> {
+        self.get(id).map(|running| Process::by_id(running.child.id()))
+    }
+
+    /// Resident memory of all children, in bytes.
+    pub fn resident(&self) -> u64 {
+        self.ids().filter_map(|id| Process::by_id(id).resident().ok()).sum()
+    }
+
+    /// The next line of a child's standard output; an error where none comes within `limit`.
+    pub fn next_line(&mut self, id: ChildId, limit: Duration) -> Result<String, MeasureError> {
+        let until = Instant::now() + limit;
+        let Some(running) = self.get(id) else {
+            return Err(MeasureError::Unexpected("a child was asked that has been stopped".to_owned()));
+        };
+        match running.output.recv_timeout(until.saturating_duration_since(Instant::now())) {
+            Ok(line) => Ok(line),
+            Err(RecvTimeoutError::Timeout) => Err(self.complaint(id, "it said nothing in time")),
+            Err(RecvTimeoutError::Disconnected) => {
+                self.wait_for_end(id, END_LIMIT);
+                self.check()?;
+                Err(self.complaint(id, "it closed its standard output"))
+            }
+        }
+    }
+
+    /// The next line of a child's standard output, where one has come.
+    pub fn try_line(&mut self, id: ChildId) -> Option<String> {
+        self.get(id)?.output.try_recv().ok()
+    }
+
+    /// Writes a line to a child's standard input.
+    pub fn say(&mut self, id: ChildId, line: &str) -> Result<(), MeasureError> {
+        let stdin = self.get_mut(id).and_then(|running| running.child.stdin.as_mut());
+        let Some(stdin) = stdin else { return Ok(()) };
+        let written = writeln!(stdin, "{line}").and_then(|()| stdin.flush());
+        written.map_err(MeasureError::system("a child's standard input"))
+    }
+
+    /// Lines that a child has logged so far.
+    pub fn logged(&self, id: ChildId) -> u64 {
+        self.get(id).map_or(0, |running| lock(&running.log).lines)
+    }
+
+    /// The last lines of a child's log.
+    pub fn last_log(&self, id: ChildId) -> Vec<String> {
+        self.get(id).map_or_else(Vec::new, |running| lock(&running.log).last.iter().cloned().collect())
+    }
+
+    /// An error that names a child, with its last log lines.
+    pub fn complaint(&self, id: ChildId, what: &str) -> MeasureError {
+        let label = self.get(id).map_or_else(String::new, |running| running.label.clone());
+        MeasureError::Child { label, what: what.to_owned(), log: self.last_log(id).join("\n") }
+    }
+
+    /// Is any child dead that was not stopped? The first is named, with its last log lines.
+    pub fn check(&mut self) -> Result<(), MeasureError> {
+        for slot in &mut self.running {
+            let Some(running) = slot else { continue };
+            let Ok(Some(status)) = running.child.try_wait() else { continue };
+            let Some(running) = slot.take() else { continue };
+            // Its log is whole when nobody but us holds it: its reader has seen the end.
+            wait_until(END_LIMIT, || Arc::strong_count(&running.log) == 1);
+            let log: Vec<String> = lock(&running.log).last.iter().cloned().collect();
+            let (label, status) = (running.label, status.to_string());
+            return Err(MeasureError::ChildDied { label, status, log: log.join("\n") });
+        }
+        Ok(())
+    }
+
+    /// Ends one child: its standard input closes, it is sent SIGTERM, and killed where that is not enough.
+    pub fn stop(&mut self, id: ChildId) {
+        if let Some(running) = self.running.get_mut(id.0).and_then(Option::take) {
+            end(vec![running]);
+        }
+    }
+
+    /// Ends all children.
+    pub fn stop_all(&mut self) {
+        end(self.running.iter_mut().filter_map(Option::take).collect());
+    }
+
+    fn get(&self, id: ChildId) -> Option<&Running> {
+        self.running.get(id.0)?.as_ref()
+    }
+
+    fn get_mut(&mut self, id: ChildId) -> Option<&mut Running> {
+        self.running.get_mut(id.0)?.as_mut()
+    }
+
+    fn wait_for_end(&mut self, id: ChildId, limit: Duration) {
+        if let Some(running) = self.get_mut(id) {
+            wait_until(limit, || !matches!(running.child.try_wait(), Ok(None)));
+        }
+    }
+}
+
+impl Drop for Children {
+    fn drop(&mut self) {
+        self.stop_all();
+    }
+}
+
+/// Tells all to end before it waits for any.
+fn end(mut ending: Vec<Running>) {
+    for running in &mut ending {
+        drop(running.child.stdin.take());
+        // It has not been waited for: its id is still ours.
+        let _ = kill_process(Pid::from_child(&running.child), Signal::TERM);
+    }
+    let until = Instant::now() + END_LIMIT;
+    for running in &mut ending {
+        let left = until.saturating_duration_since(Instant::now());
+        if !wait_until(left, || !matches!(running.child.try_wait(), Ok(None))) {
+            let _ = running.child.kill();
+            let _ = running.child.wait();
+        }
+    }
+}
+
+/// Waits until something holds; false where it does not within the limit.
+fn wait_until(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + limit;
+    while !holds() {
+        if Instant::now() >= until {
+            return false;
+        }
+        thread::sleep(END_LOOK);
+    }
+    true
+}
+
+fn forward_lines(out: impl Read, told: &SyncSender<String>) {
+    let mut reader = BufReader::new(out);
+    while let Some(line) = bounded_line(&mut reader) {
+        // A line that finds no room is let go: the child must not wait for its reader.
+        if let Err(TrySendError::Disconnected(_)) = told.try_send(line) {
+            return;
+        }
+    }
+}
+
+fn keep_lines(err: impl Read, log: &Mutex<Log>) {
+    let mut reader = BufReader::new(err);
+    while let Some(line) = bounded_line(&mut reader) {
+        lock(log).push(line);
+    }
+}
+
+/// The next line, cut where it is too long; none at the end.
+fn bounded_line(reader: &mut impl BufRead) -> Option<String> {
+    let mut bytes = Vec::new();
+    let read = reader.by_ref().take(LONGEST_OUTPUT).read_until(b'\n', &mut bytes).ok()?;
+    let text = String::from_utf8_lossy(&bytes);
+    (read > 0).then(|| text.trim_end_matches(['\n', '\r']).to_owned())
+}
+
+fn lock(log: &Mutex<Log>) -> std::sync::MutexGuard<'_, Log> {
+    log.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/scale/src/measure/module/mod.rs
@@ -0,0 +1,163 @@
+//! `module`: the decision module inside this process, driven by its own clock. What a call, a change of the worker
+//! list and the state of functions cost, by the workers in the list.
+
+mod driver;
+mod figures;
+mod play;
+
+use std::time::Duration;
+
+use nettleferry::{Class, Controller, Discovery, Effect, Limits, Loading, Micros, Reports, Rules, Settings};
+use nettleferry_config::form::Form;
+
+use self::figures::{FIGURES, LIST_REPLACED, LIST_WHOLE, REMEMBERED, STATE};
+use self::play::Play;
+use super::{Figure, Measure, MeasureError, Observations, Sizes};
+use crate::context::Context;
+use crate::process::Process;
+use crate::room::Needs;
+
+/// Its key in a file.
+pub const NAME: &str = "module";
+
+/// Most functions, and most calls at one size.
+const MOST_FUNCTIONS: u64 = 1_000_000;
+const MOST_CALLS: u64 = 10_000_000;
+/// Most calls a second by the module's clock.
+const MOST_RATE: f64 = 1_000_000.0;
+/// Estimates from above, for the refusal of sizes that can't fit: bytes of a worker, of a function, and of a worker
+/// in a function's order; nanoseconds of a call, and of a worker in a call.
+const WORKER_BYTES: u64 = 2_000;
+const FUNCTION_BYTES: u64 = 4_000;
+const ORDER_BYTES: u64 = 10;
+const CALL_NANOSECONDS: u64 = 50_000;
+const CALL_WORKER_NANOSECONDS: u64 = 200;
+
+/// Reads `(module ...)`.
+pub fn read(form: &mut Form) -> Option<Box<dyn Measure>> {
+    let sizes = Sizes::read(form, "workers");
+    let functions = whole(form, "functions", 10_000, MOST_FUNCTIONS);
+    let calls = whole(form, "calls", 20_000, MOST_CALLS);
+    let again = whole(form, "again", 2_000, MOST_CALLS);
+    let rate: f64 = form.or("calls-per-second", 125.0);
+    if !(0.001..=MOST_RATE).contains(&rate) {
+        form.fault(format!("(calls-per-second ...): write 0.001 to {MOST_RATE}"));
+    }
+    let script = Script {
+        functions,
+        calls,
+        again,
+        call_every: (1e6 / rate.clamp(0.001, MOST_RATE)) as Micros,
+        replace_every: form.span_or("replace-every", 20_000_000),
+        answer_after: form.span_or("answer-after", 20_000),
+        keep_alive: form.span_or("keep-alive", 8_000_000),
+        probes: form.or("probes", true),
+    };
+    if script.answer_after >= 1_000_000 {
+        form.fault("(answer-after ...): write less than 1s");
+    }
+    Some(Box::new(Module { sizes: sizes?, script, held: Vec::new() }))
+}
+
+fn whole(form: &mut Form, key: &'static str, usual: u64, most: u64) -> u64 {
+    let value = form.or(key, usual);
+    if !(1..=most).contains(&value) {
+        form.fault(format!("({key} ...): write 1 to {most}"));
+    }
+    value.clamp(1, most)
+}
+
+/// What is played at each size.
+struct Script {
+    functions: u64,
+    calls: u64,
+    again: u64,
+    call_every: Micros,
+    replace_every: Micros,
+    answer_after: Micros,
+    keep_alive: Micros,
+    probes: bool,
+}
+
+impl Script {
+    fn settings(&self) -> Settings {
+        let class = Class {
+            aim: 600_000,
+            deadline: 4_000_000,
+            effect: Effect::Safe,
+            worth: 1.0,
+            late_share: 0.3,
+            stream: false,
+        };
+        Settings {
+            controllers: 1,
+            classes: vec![class],
+            over_quota_worth: 1.0,
+            discovery: Discovery::Push,
+            reports: Reports::Answers,
+            loading: Loading { keep_alive: self.keep_alive, notes: true, ..Loading::default() },
+            limits: Limits { max_attempts: 3, probes: self.probes, ..Limits::default() },
+            rules: Rules { start_capacity: 1.0, overload_factor: 1.0, ..Rules::default() },
+            step: 1_000,
+            ..Settings::default()
+        }
+    }
+}
+
+struct Module {
+    sizes: Sizes,
+    script: Script,
+    /// Controllers of sizes that are done. They are kept so that memory they would free does not hide the growth of
+    /// the next one.
+    held: Vec<Controller>,
+}
+
+impl Module {
+    fn bytes(&self, workers: u64) -> u64 {
+        let functions = self.script.functions.min(self.script.calls);
+        let function = FUNCTION_BYTES.saturating_add(workers.saturating_mul(ORDER_BYTES));
+        functions.saturating_mul(function).saturating_add(workers.saturating_mul(WORKER_BYTES))
+    }
+}
+
+impl Measure for Module {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    fn sizes(&self) -> &Sizes {
+        &self.sizes
+    }
+
+    fn figures(&self) -> &'static [&'static Figure] {
+        FIGURES
+    }
+
+    fn needs(&self, size: u64) -> Needs {
+        let before = self.sizes.values.iter().filter(|smaller| **smaller < size);
+        let memory = before.map(|smaller| self.bytes(*smaller)).fold(self.bytes(size), u64::saturating_add);
+        let call = CALL_NANOSECONDS.saturating_add(size.saturating_mul(CALL_WORKER_NANOSECONDS));
+        let calls = self.script.calls + self.script.again;
+        Needs { memory, time: Duration::from_nanos(calls.saturating_mul(call)), ..Needs::default() }
+    }
+
+    fn run_at(&mut self, size: u64, context: &mut Context<'_>) -> Result<Observations, MeasureError> {
+        let mut play = Play::new(&self.script, size, context)?;
+        let mut observations = Observations { in_process: true, ..Observations::default() };
+        observations.add(&LIST_WHOLE, play.first_list());
+        let before = resident()?;
+        play.rare_calls(context)?;
+        let after = resident()?;
+        observations.add(&STATE, after.saturating_sub(before) as f64);
+        observations.add(&REMEMBERED, play.remembered() as f64);
+        play.recent_calls(context)?;
+        observations.add(&LIST_REPLACED, play.replace_all());
+        play.observe(&mut observations)?;
+        self.held.push(play.into_controller());
+        Ok(observations)
+    }
+}
+
+fn resident() -> Result<u64, MeasureError> {
+    Process::own().resident().map_err(MeasureError::system("the rig's own memory"))
+}
--- /dev/null
+++ b/crates/scale/src/measure/module/play.rs
@@ -0,0 +1,207 @@
+//! What is played at one size: a list, calls of rare functions while workers are replaced, calls of functions called
+//! a moment ago, and a list with nothing in common.
+
+use nettleferry::{
+    CellId, Controller, Event, FunctionId, KindId, ListForm, Micros, WorkerEntry, WorkerId, WorkerState,
+    ZoneId,
+};
+use rand::{Rng, RngExt};
+
+use super::Script;
+use super::driver::{Cost, Driver};
+use super::figures::*;
+use crate::context::Context;
+use crate::measure::{MeasureError, Observations};
+
+/// The module's clock begins here.
+const START: Micros = 100_000_000;
+/// Functions that were called last: the calls of functions seen again are drawn among so many.
+const RECENT: usize = 500;
+/// Calls between two looks for an end of the run.
+const CALLS_A_LOOK: u64 = 64;
+/// Zones, and workers of a cell.
+const ZONES: u64 = 15;
+const WORKERS_IN_CELL: u64 = 50;
+
+/// One size, being measured.
+pub struct Play<'script> {
+    script: &'script Script,
+    driver: Driver,
+    workers: Vec<WorkerEntry>,
+    functions: Vec<FunctionId>,
+    calls: u64,
+    workers_made: u64,
+    next_change: Micros,
+    first: Option<Cost>,
+    returning: Option<Cost>,
+    recent: Option<Cost>,
+    /// Nanoseconds of each change of the list.
+    changes: Vec<u64>,
+}
+
+impl<'script> Play<'script> {
+    /// A controller that has seen nothing, `size` workers and the file's functions.
+    pub fn new(script: &'script Script, size: u64, context: &mut Context<'_>) -> Result<Self, MeasureError> {
+        let controller = Controller::new(script.settings(), context.random.next_u64())
+            .map_err(|error| MeasureError::Unexpected(error.to_string()))?;
+        let functions = (0..script.functions).map(|_| FunctionId(context.random.next_u64())).collect();
+        let mut play = Self {
+            script,
+            driver: Driver::new(controller, START, script.answer_after)?,
+            workers: Vec::new(),
+            functions,
+            calls: 0,
+            workers_made: 0,
+            next_change: START.saturating_add(script.replace_every),
+            first: None,
+            returning: None,
+            recent: None,
+            changes: Vec::new(),
+        };
+        play.workers = (0..size).map(|_| play.new_worker(None)).collect();
+        Ok(play)
+    }
+
+    fn new_worker(&mut self, born: Option<Micros>) -> WorkerEntry {
+        self.workers_made += 1;
+        let number = self.workers_made;
+        WorkerEntry {
+            worker: WorkerId(number),
+            zone: ZoneId((number % ZONES) as u32),
+            kind: KindId(0),
+            weight: 1.0,
+            cell: CellId(number / WORKERS_IN_CELL),
+            state: WorkerState::On,
+            born,
+        }
+    }
+
+    /// Hands in the first list; microseconds.
+    pub fn first_list(&mut self) -> f64 {
+        let event = Event::Workers { form: ListForm::Complete, entries: self.workers.clone() };
+        microseconds(self.driver.change_list(event))
+    }
+
+    /// Calls of rare functions: each one in turn, round after round.
+    pub fn rare_calls(&mut self, context: &mut Context<'_>) -> Result<(), MeasureError> {
+        let firsts = self.script.calls.min(self.script.functions);
+        self.round(firsts, context)?;
+        self.first = Some(self.driver.take_cost()?);
+        self.round(self.script.calls - firsts, context)?;
+        self.returning = Some(self.driver.take_cost()?);
+        Ok(())
+    }
+
+    fn round(&mut self, calls: u64, context: &mut Context<'_>) -> Result<(), MeasureError> {
+        for _ in 0..calls {
+            let at = (self.calls % self.script.functions) as usize;
+            self.call(self.functions[at], context)?;
+        }
+        self.finish_calls();
+        Ok(())
+    }
+
+    /// Calls of functions that were called a moment ago.
+    pub fn recent_calls(&mut self, context: &mut Context<'_>) -> Result<(), MeasureError> {
+        let count = self.functions.len() as u64;
+        let seen = count.min(self.calls).min(RECENT as u64);
+        let recent: Vec<FunctionId> =
+            (1..=seen).map(|back| self.functions[((self.calls - back) % count) as usize]).collect();
+        for _ in 0..self.script.again {
+            let at = context.random.random_range(0..recent.len());
+            self.call(recent[at], context)?;
+        }
+        self.finish_calls();
+        self.recent = Some(self.driver.take_cost()?);
+        Ok(())
+    }
+
+    fn call(&mut self, function: FunctionId, context: &mut Context<'_>) -> Result<(), MeasureError> {
+        if self.calls.is_multiple_of(CALLS_A_LOOK) {
+            context.check()?;
+        }
+        self.calls += 1;
+        self.driver.run_until(self.driver.now() + self.script.call_every);
+        if self.script.replace_every > 0 && self.driver.now() >= self.next_change {
+            self.next_change += self.script.replace_every;
+            self.replace_one(context);
+        }
+        self.driver.call(function);
+        Ok(())
+    }
+
+    /// Lets the calls that are under way end.
+    fn finish_calls(&mut self) {
+        self.driver.run_until(self.driver.now() + self.script.answer_after * 2);
+    }
+
+    fn replace_one(&mut self, context: &mut Context<'_>) {
+        let at = context.random.random_range(0..self.workers.len());
+        let fresh = self.new_worker(Some(self.driver.now()));
+        let mut leaving = std::mem::replace(&mut self.workers[at], fresh.clone());
+        leaving.state = WorkerState::Gone;
+        let event = Event::Workers { form: ListForm::Changes, entries: vec![leaving, fresh] };
+        let nanoseconds = self.driver.change_list(event);
+        self.changes.push(nanoseconds);
+    }
+
+    /// Hands in a list with nothing in common; microseconds.
+    pub fn replace_all(&mut self) -> f64 {
+        self.workers = (0..self.workers.len()).map(|_| self.new_worker(None)).collect();
+        self.first_list()
+    }
+
+    /// Things that the module remembers.
+    pub fn remembered(&self) -> usize {
+        self.driver.remembered()
+    }
+
+    /// The controller, when nothing more is played.
+    pub fn into_controller(self) -> Controller {
+        self.driver.into_controller()
+    }
+
+    /// Adds the figures of all calls and changes.
+    pub fn observe(&mut self, to: &mut Observations) -> Result<(), MeasureError> {
+        let costs = (self.first.take(), self.returning.take(), self.recent.take());
+        let (Some(mut rare), Some(returning), Some(recent)) = costs else {
+            return Err(MeasureError::Unexpected("calls were not played".to_owned()));
+        };
+        to.add(&FIRST_MEAN, mean(&rare));
+        to.add(&FIRST_P50, microseconds(rare.calls.value_at_quantile(0.5)));
+        to.add(&RETURNING_MEAN, mean(&returning));
+        rare.merge(&returning)?;
+        observe_rare(&rare, to);
+        to.add(&RECENT_MEAN, mean(&recent));
+        to.add(&RECENT_P50, microseconds(recent.calls.value_at_quantile(0.5)));
+        to.add(&RECENT_MAX, microseconds(recent.calls.max()));
+        to.add(&NOT_SERVED, (rare.not_served + recent.not_served) as f64);
+        if let Some(longest) = self.changes.iter().max() {
+            let all: u64 = self.changes.iter().sum();
+            to.add(&CHANGE_MEAN, microseconds(all) / self.changes.len() as f64);
+            to.add(&CHANGE_MAX, microseconds(*longest));
+        }
+        Ok(())
+    }
+}
+
+fn observe_rare(cost: &Cost, to: &mut Observations) {
+    to.add(&CALL_MEAN, mean(cost));
+    to.add(&CALL_P50, microseconds(cost.calls.value_at_quantile(0.5)));
+    to.add(&CALL_P99, microseconds(cost.calls.value_at_quantile(0.99)));
+    to.add(&CALL_MAX, microseconds(cost.calls.max()));
+    to.add(&HANDLE_MEAN, cost.handles.mean() / 1e3);
+    to.add(&HANDLE_P50, microseconds(cost.handles.value_at_quantile(0.5)));
+    to.add(&HANDLE_P99, microseconds(cost.handles.value_at_quantile(0.99)));
+    to.add(&HANDLE_MAX, microseconds(cost.handles.max()));
+    to.add(&PROBES, cost.probes as f64 / cost.begun as f64);
+}
+
+/// All time over all calls; no number where there were none.
+fn mean(cost: &Cost) -> f64 {
+    microseconds(cost.total) / cost.begun as f64
+}
+
+fn microseconds(nanoseconds: u64) -> f64 {
+    nanoseconds as f64 / 1e3
+}
--- /dev/null
+++ b/crates/scale/src/process.rs
@@ -0,0 +1,79 @@
+//! Processor time, memory and bytes of a process, read from `/proc`.
+
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What a process had used at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sample {
+    /// Processor time of all its threads that live.
+    pub processor: Duration,
+    /// Resident memory, in bytes.
+    pub resident: u64,
+    /// Bytes read by read calls on files and pipes.
+    pub read: u64,
+    /// Bytes written by write calls on files and pipes.
+    pub written: u64,
+    /// Descriptors that are open.
+    pub descriptors: u64,
+}
+
+/// A process to look at.
+#[derive(Clone, Debug)]
+pub struct Process {
+    folder: PathBuf,
+}
+
+impl Process {
+    /// A process by its id.
+    pub fn by_id(id: u32) -> Self {
+        Self { folder: PathBuf::from(format!("/proc/{id}")) }
+    }
+
+    /// This process.
+    pub fn own() -> Self {
+        Self { folder: PathBuf::from("/proc/self") }
+    }
+
+    /// What it has used by now.
+    pub fn sample(&self) -> io::Result<Sample> {
+        let io = self.text("io").unwrap_or_default();
+        Ok(Sample {
+            processor: self.processor()?,
+            resident: self.resident()?,
+            read: field(&io, "rchar:").unwrap_or(0),
+            written: field(&io, "wchar:").unwrap_or(0),
+            descriptors: fs::read_dir(self.folder.join("fd")).map_or(0, |open| open.count() as u64),
+        })
+    }
+
+    /// Processor time of its living threads, to the nanosecond: the clock of `stat` counts in steps of 10 ms.
+    pub fn processor(&self) -> io::Result<Duration> {
+        let mut nanoseconds = 0;
+        for task in fs::read_dir(self.folder.join("task"))? {
+            // A thread may end between the listing and the reading.
+            let Ok(text) = fs::read_to_string(task?.path().join("schedstat")) else { continue };
+            nanoseconds += text.split_whitespace().next().and_then(|word| word.parse().ok()).unwrap_or(0);
+        }
+        Ok(Duration::from_nanos(nanoseconds))
+    }
+
+    /// Its resident memory, in bytes.
+    pub fn resident(&self) -> io::Result<u64> {
+        let status = self.text("status")?;
+        let kilobytes = field(&status, "VmRSS:");
+        kilobytes.map(|kb| kb * 1024).ok_or_else(|| io::Error::other("no resident size is told"))
+    }
+
+    fn text(&self, name: &str) -> io::Result<String> {
+        fs::read_to_string(self.folder.join(name))
+    }
+}
+
+/// The first number after a name at the beginning of a line.
+fn field(text: &str, name: &str) -> Option<u64> {
+    let rest = text.lines().find_map(|line| line.strip_prefix(name))?;
+    rest.split_whitespace().next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/scale/src/report/plots.rs
@@ -0,0 +1,62 @@
+//! Plots: each figure against the size, with its fitted line.
+
+use std::error::Error;
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::measure::Unit;
+use crate::run::{Fitted, Report};
+
+const PICTURE: (u32, u32) = (800, 480);
+/// Points of the drawn line: it is bent where the axes are logarithmic.
+const LINE_POINTS: u32 = 64;
+
+/// Writes `MEASURE-FIGURE.svg` into a folder for each figure that was fitted.
+pub fn write(report: &Report, folder: &Path) -> io::Result<()> {
+    fs::create_dir_all(folder)?;
+    for fitted in &report.fitted {
+        let file = folder.join(format!("{}-{}.svg", fitted.measure, fitted.figure));
+        let observed = report.observed.iter();
+        let ours = observed.filter(|one| one.measure == fitted.measure && one.figure == fitted.figure);
+        let values: Vec<(f64, f64)> = ours.map(|one| (one.size as f64, one.value)).collect();
+        draw(fitted, &values, &file).map_err(|error| io::Error::other(error.to_string()))?;
+    }
+    Ok(())
+}
+
+fn unit(unit: Unit) -> &'static str {
+    match unit {
+        Unit::Microseconds => "us",
+        Unit::Bytes => "bytes",
+        Unit::Count => "count",
+        Unit::Cores => "cores",
+        Unit::BytesPerSecond => "bytes a second",
+    }
+}
+
+fn draw(fitted: &Fitted, values: &[(f64, f64)], file: &Path) -> Result<(), Box<dyn Error>> {
+    let smallest = values.iter().map(|(size, _)| *size).fold(f64::MAX, f64::min).max(1.0);
+    let largest = values.iter().map(|(size, _)| *size).fold(smallest, f64::max);
+    let highest = values.iter().map(|(_, value)| *value).fold(f64::MIN_POSITIVE, f64::max) * 1.1;
+    let area = SVGBackend::new(file, PICTURE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(format!("{}: {}", fitted.measure, fitted.figure), ("sans-serif", 16))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(72)
+        .build_cartesian_2d((smallest * 0.8..largest * 1.2).log_scale(), 0.0..highest)?;
+    chart.configure_mesh().x_desc(fitted.of).y_desc(unit(fitted.unit)).draw()?;
+    let line = (0..=LINE_POINTS).map(|step| {
+        let part = f64::from(step) / f64::from(LINE_POINTS);
+        let size = smallest * (largest / smallest).powf(part);
+        (size, fitted.fit.line.at(size).clamp(0.0, highest))
+    });
+    chart.draw_series(LineSeries::new(line, BLUE.stroke_width(1)))?;
+    chart.draw_series(values.iter().map(|point| Circle::new(*point, 4, RED.filled())))?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/scale/src/report/table.rs
@@ -0,0 +1,137 @@
+//! Tables for people.
+
+use comfy_table::{Table, presets};
+
+use crate::measure::Unit;
+use crate::rig::RigBound;
+use crate::run::{End, Report};
+use crate::verdict::Outcome;
+
+/// A value with its unit, in a width that can be read.
+pub fn amount(value: f64, unit: Option<Unit>) -> String {
+    match unit {
+        Some(Unit::Microseconds) => scaled(value, &[(1e6, "s"), (1e3, "ms"), (1.0, "us")]),
+        Some(Unit::Bytes) => scaled(value, BYTES),
+        Some(Unit::BytesPerSecond) => format!("{}/s", scaled(value, BYTES)),
+        Some(Unit::Cores) => format!("{value:.4} cores"),
+        Some(Unit::Count) => format!("{value:.1}"),
+        None => format!("{value:.3}"),
+    }
+}
+
+const BYTES: &[(f64, &str)] = &[(1073741824.0, "GiB"), (1048576.0, "MiB"), (1024.0, "KiB"), (1.0, "B")];
+
+fn scaled(value: f64, units: &[(f64, &str)]) -> String {
+    let fitting = units.iter().find(|(factor, _)| value.abs() >= *factor).or(units.last());
+    fitting.map_or_else(String::new, |(factor, name)| format!("{:.2} {name}", value / factor))
+}
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(presets::UTF8_FULL_CONDENSED).set_header(header.to_vec());
+    table
+}
+
+fn rig(bound: RigBound) -> &'static str {
+    match bound {
+        RigBound::None => "",
+        RigBound::Process => "the rig's process",
+        RigBound::Machine => "the machine",
+    }
+}
+
+/// All of a report.
+pub fn render(report: &Report) -> String {
+    let mut parts = vec![observations(report)];
+    if !report.fitted.is_empty() {
+        parts.push(fits(report));
+    }
+    if !report.targets.is_empty() {
+        parts.push(targets(report));
+    }
+    if !report.verdicts.is_empty() {
+        parts.push(verdicts(report));
+    }
+    match &report.end {
+        End::Done => {}
+        End::Interrupted => parts.push("interrupted: this is what there was".to_owned()),
+        End::Failed { measure, size, error } => parts.push(format!("{measure} {size} failed: {error}")),
+    }
+    parts.join("\n")
+}
+
+fn observations(report: &Report) -> String {
+    let mut table = table(&["measure", "figure", "size", "value", "bounded by"]);
+    for one in &report.observed {
+        let size = format!("{} {}", one.size, one.of);
+        let value = amount(one.value, Some(one.unit));
+        table.add_row([one.measure, one.figure, &size, &value, rig(one.rig)]);
+    }
+    table.to_string()
+}
+
+fn fits(report: &Report) -> String {
+    let mut table = table(&["measure", "figure", "slope, each", "+-", "at 0", "exponent", "+-", "rig"]);
+    for fitted in &report.fitted {
+        let (line, exponent) = (fitted.fit.line, fitted.fit.exponent);
+        let slope =
+            format!("{} a {}", amount(line.slope, Some(fitted.unit)), fitted.of.trim_end_matches('s'));
+        let power = exponent.map_or_else(String::new, |e| format!("{:.2}", e.power));
+        let error = exponent.map_or_else(String::new, |e| format!("{:.2}", e.error));
+        table.add_row([
+            fitted.measure,
+            fitted.figure,
+            &slope,
+            &amount(line.slope_error, Some(fitted.unit)),
+            &amount(line.intercept, Some(fitted.unit)),
+            &power,
+            &error,
+            if fitted.rig_bound { "bounds" } else { "" },
+        ]);
+    }
+    table.to_string()
+}
+
+fn targets(report: &Report) -> String {
+    let mut table = table(&["measure", "figure", "target", "value", "+-", "budget", "factor", "from"]);
+    for target in &report.targets {
+        let unit = Some(target.unit);
+        let text = |value: Option<f64>| value.map_or_else(String::new, |value| amount(value, unit));
+        let factor = target.factor.map_or_else(String::new, |factor| format!("{factor:.2}"));
+        let from = match (target.observed, target.value) {
+            (true, _) => "observed",
+            (false, Some(_)) => "the line",
+            (false, None) => "not measured",
+        };
+        table.add_row([
+            target.measure,
+            target.figure,
+            &target.size.to_string(),
+            &text(target.value),
+            &text(target.error),
+            &amount(target.budget, unit),
+            &factor,
+            from,
+        ]);
+    }
+    table.to_string()
+}
+
+fn verdicts(report: &Report) -> String {
+    let mut table = table(&["bound", "at most", "observed", "", "rig"]);
+    for verdict in &report.verdicts {
+        let outcome = match verdict.outcome {
+            Outcome::Kept => "kept",
+            Outcome::Broken => "BROKEN",
+            Outcome::NotMeasured => "NOT MEASURED",
+        };
+        table.add_row([
+            verdict.bound.as_str(),
+            &amount(verdict.most, verdict.unit),
+            &verdict.value.map_or_else(String::new, |value| amount(value, verdict.unit)),
+            outcome,
+            if verdict.rig_bound { "bounds" } else { "" },
+        ]);
+    }
+    table.to_string()
+}
--- /dev/null
+++ b/crates/scale/src/room.rs
@@ -0,0 +1,118 @@
+//! What a run may use of the machine, and whether a size fits into it.
+
+use std::fmt;
+use std::fs;
+use std::time::Duration;
+
+use rustix::process::{Resource, getrlimit};
+
+/// Memory of a run at the most, in bytes, on however large a machine.
+pub const MOST_MEMORY: u64 = 12 << 30;
+/// Processes of a run at the most.
+pub const MOST_PROCESSES: u64 = 300;
+/// Descriptors that are kept for the rig's own use.
+const OWN_DESCRIPTORS: u64 = 64;
+/// Local ports where the system does not say how many it has.
+const USUAL_PORTS: u64 = 28_000;
+
+/// What one size needs, estimated with care from above.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Needs {
+    /// Memory of all processes, in bytes.
+    pub memory: u64,
+    /// Processes, the rig's own not counted.
+    pub processes: u64,
+    /// Descriptors of the process that has most of them open.
+    pub descriptors: u64,
+    /// Local ports.
+    pub ports: u64,
+    /// Time.
+    pub time: Duration,
+}
+
+/// What there is for a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Memory, in bytes.
+    pub memory: u64,
+    /// Processes.
+    pub processes: u64,
+    /// Descriptors of one process.
+    pub descriptors: u64,
+    /// Local ports.
+    pub ports: u64,
+}
+
+/// One thing that is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shortage {
+    what: &'static str,
+    needed: u64,
+    there: u64,
+    bytes: bool,
+}
+
+impl fmt::Display for Shortage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let gib = |bytes: u64| bytes as f64 / (1u64 << 30) as f64;
+        let Self { what, needed, there, bytes } = *self;
+        if bytes {
+            write!(f, "{:.1} GiB of {what}; there are {:.1} GiB for a run", gib(needed), gib(there))
+        } else {
+            write!(f, "{needed} {what}; there are {there} for a run")
+        }
+    }
+}
+
+impl Room {
+    /// What this machine has for a run: half of its memory, and the process's own limits.
+    pub fn of_machine() -> Self {
+        let half = memory_of_machine().map_or(MOST_MEMORY, |all| all / 2);
+        let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+        Self {
+            memory: half.min(MOST_MEMORY),
+            processes: MOST_PROCESSES,
+            descriptors: descriptors.saturating_sub(OWN_DESCRIPTORS),
+            ports: ports_of_machine().unwrap_or(USUAL_PORTS),
+        }
+    }
+
+    /// What is short for these needs, if anything is.
+    pub fn shortage(&self, needs: &Needs) -> Option<Shortage> {
+        let short =
+            |what, needed, there, bytes| (needed > there).then_some(Shortage { what, needed, there, bytes });
+        short("memory", needs.memory, self.memory, true)
+            .or_else(|| short("processes", needs.processes, self.processes, false))
+            .or_else(|| short("descriptors of one process", needs.descriptors, self.descriptors, false))
+            .or_else(|| short("local ports", needs.ports, self.ports, false))
+    }
+
+    /// The largest size up to `size` whose needs fit; 0 where none does. Needs must grow with the size.
+    pub fn largest_fit(&self, size: u64, needs: impl Fn(u64) -> Needs) -> u64 {
+        let (mut fits, mut fails) = (0, size.saturating_add(1));
+        while fails - fits > 1 {
+            let middle = fits + (fails - fits) / 2;
+            if self.shortage(&needs(middle)).is_none() {
+                fits = middle;
+            } else {
+                fails = middle;
+            }
+        }
+        fits
+    }
+}
+
+fn memory_of_machine() -> Option<u64> {
+    let text = fs::read_to_string("/proc/meminfo").ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:"))?;
+    let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(kilobytes * 1024)
+}
+
+fn ports_of_machine() -> Option<u64> {
+    let text = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").ok()?;
+    let mut words = text.split_whitespace();
+    let first: u64 = words.next()?.parse().ok()?;
+    let last: u64 = words.next()?.parse().ok()?;
+    Some(last.saturating_sub(first))
+}
--- /dev/null
+++ b/crates/scale/src/settings.rs
@@ -0,0 +1,252 @@
+//! The file of a scale run, checked whole before anything starts.
+
+use std::time::Duration;
+
+use nettleferry_config::Errors;
+use nettleferry_config::form::{Bytes, Form, Source, TimeSpan, nearest};
+
+use crate::fit::FEWEST_SIZES;
+use crate::measure::{Figure, KINDS, Measure, Unit};
+use crate::room::Room;
+use crate::verdict::{Bound, Budget, FigureOf, Subject};
+
+/// A run's length where the file does not say it, and at the most.
+const USUAL_DEADLINE: u64 = 180_000_000;
+const LONGEST_DEADLINE: u64 = 1_800_000_000;
+
+/// What a run does.
+pub struct Settings {
+    /// The only source of chance.
+    pub seed: u64,
+    /// It ends after this span at the latest.
+    pub deadline: Duration,
+    /// What is measured.
+    pub measures: Vec<Box<dyn Measure>>,
+    /// What must hold.
+    pub bounds: Vec<Bound>,
+    /// What figures may cost at the target size.
+    pub budgets: Vec<Budget>,
+}
+
+/// Reads a file; sizes that do not fit into `room` are refused, with what would fit.
+pub fn read(file: &str, text: &str, room: &Room) -> Result<Settings, Errors> {
+    let (source, mut top) = Source::open(file, text);
+    let seed = top.or("seed", 1);
+    let deadline = top.sub("deadline");
+    let (span, deadline) = match deadline {
+        Some(form) => (form.span(), read_deadline(form)),
+        None => (top.span(), USUAL_DEADLINE),
+    };
+    let deadline = Duration::from_micros(deadline);
+    let measures = read_measures(&mut top);
+    check_sizes(&source, &measures, room);
+    check_time(&source, &measures, (span, deadline));
+    let bounds = top.sub("bounds").map_or_else(Vec::new, |form| read_bounds(form, &measures));
+    let budgets = top.sub("target").map_or_else(Vec::new, |form| read_target(form, &measures));
+    top.end();
+    source.finish(Some(Settings { seed, deadline, measures, bounds, budgets }))
+}
+
+fn read_deadline(mut form: Form) -> u64 {
+    let span = form.want::<TimeSpan>("its span").map_or(USUAL_DEADLINE, |span| span.0);
+    if !(1_000_000..=LONGEST_DEADLINE).contains(&span) {
+        form.fault("(deadline ...): write 1s to 30min");
+    }
+    form.end();
+    span
+}
+
+fn read_measures(top: &mut Form) -> Vec<Box<dyn Measure>> {
+    let mut measures = Vec::new();
+    let mut named = false;
+    for kind in KINDS {
+        if let Some(mut form) = top.sub(kind.name) {
+            named = true;
+            measures.extend((kind.read)(&mut form));
+            form.end();
+        }
+    }
+    if !named {
+        let names: Vec<String> = KINDS.iter().map(|kind| format!("({} ...)", kind.name)).collect();
+        top.fault(format!("nothing is measured: write {}", names.join(" or ")));
+    }
+    measures
+}
+
+/// Each size by itself: measures and sizes run one after another.
+fn check_sizes(source: &Source, measures: &[Box<dyn Measure>], room: &Room) {
+    for measure in measures {
+        let sizes = measure.sizes();
+        for size in &sizes.values {
+            let Some(short) = room.shortage(&measure.needs(*size)) else { continue };
+            let fits = room.largest_fit(*size, |size| measure.needs(size));
+            let what = format!("{} {size} can't fit: needs {short}; write at most {fits}", sizes.of);
+            source.fault(sizes.span, what);
+            break;
+        }
+    }
+}
+
+fn check_time(
+    source: &Source,
+    measures: &[Box<dyn Measure>],
+    (span, deadline): (nettleferry_config::syntax::Span, Duration),
+) {
+    let mut needed = Duration::ZERO;
+    let mut parts = Vec::new();
+    for measure in measures {
+        let time: Duration = measure.sizes().values.iter().map(|size| measure.needs(*size).time).sum();
+        parts.push(format!("{} {} s", measure.name(), time.as_secs_f64().ceil()));
+        needed = needed.saturating_add(time);
+    }
+    if needed > deadline {
+        let seconds = needed.as_secs_f64().ceil();
+        let parts = parts.join(", ");
+        source.fault(
+            span,
+            format!("the run may take {seconds} s ({parts}): write (deadline {seconds}s), or smaller or fewer sizes"),
+        );
+    }
+}
+
+fn read_bounds(mut form: Form, measures: &[Box<dyn Measure>]) -> Vec<Bound> {
+    let mut bounds = Vec::new();
+    for mut at_most in form.all("at-most") {
+        bounds.extend(read_subject(&mut at_most, measures, SubjectKind::At));
+        at_most.end();
+    }
+    for mut ratio in form.all("ratio") {
+        bounds.extend(read_subject(&mut ratio, measures, SubjectKind::Ratio));
+        ratio.end();
+    }
+    for mut exponent in form.all("exponent") {
+        bounds.extend(read_subject(&mut exponent, measures, SubjectKind::Exponent));
+        exponent.end();
+    }
+    form.end();
+    bounds
+}
+
+#[derive(Clone, Copy)]
+enum SubjectKind {
+    At,
+    Ratio,
+    Exponent,
+}
+
+/// Reads `(MEASURE FIGURE SIZE...) MOST` out of a bound.
+fn read_subject(form: &mut Form, measures: &[Box<dyn Measure>], kind: SubjectKind) -> Option<Bound> {
+    let most = match kind {
+        SubjectKind::At => None,
+        SubjectKind::Ratio | SubjectKind::Exponent => Some(form.want::<f64>("what is at most allowed")),
+    };
+    let Some((mut subject, measure, of)) = read_figure(form, measures) else {
+        let _ = form.take::<String>();
+        return None;
+    };
+    let bound = match kind {
+        SubjectKind::At => {
+            let size = read_size(&mut subject, measure);
+            let most = read_amount(form, of.figure);
+            size.zip(most).map(|(size, most)| Bound { subject: Subject::At { of, size }, most })
+        }
+        SubjectKind::Ratio => {
+            let (size, over) = (read_size(&mut subject, measure), read_size(&mut subject, measure));
+            let sizes = size.zip(over).zip(most.flatten());
+            sizes.map(|((size, over), most)| Bound { subject: Subject::Ratio { of, size, over }, most })
+        }
+        SubjectKind::Exponent => {
+            enough_sizes(&subject, measure, "an exponent");
+            most.flatten().map(|most| Bound { subject: Subject::Exponent { of }, most })
+        }
+    };
+    subject.end();
+    bound
+}
+
+/// Reads the list `(MEASURE FIGURE ...)` that stands in a form, up to its figure.
+fn read_figure<'m>(
+    form: &mut Form,
+    measures: &'m [Box<dyn Measure>],
+) -> Option<(Form, &'m dyn Measure, FigureOf)> {
+    let mut lists = form.rest().into_iter();
+    let Some(mut subject) = lists.next() else {
+        form.fault(format!("({} ...) lacks its figure: write (MEASURE FIGURE ...)", form.name()));
+        return None;
+    };
+    for more in lists {
+        more.fault("one figure a bound: write another bound for this one");
+    }
+    let Some(measure) = measures.iter().find(|measure| measure.name() == subject.name()) else {
+        let names = || measures.iter().map(|measure| measure.name());
+        let hint = nearest(subject.name(), names());
+        let all = names().collect::<Vec<_>>().join(", ");
+        subject.fault(format!("this file measures {all}, not {}{hint}", subject.name()));
+        return None;
+    };
+    let words: Vec<(&str, &'static Figure)> = measure.figures().iter().map(|f| (f.name, *f)).collect();
+    let figure = subject.word("the figure", &words)?;
+    Some((subject, &**measure, FigureOf { measure: measure.name(), figure }))
+}
+
+fn read_size(subject: &mut Form, measure: &dyn Measure) -> Option<u64> {
+    let size = subject.want::<u64>("a size")?;
+    let sizes = measure.sizes();
+    if !sizes.values.contains(&size) {
+        let all: Vec<String> = sizes.values.iter().map(u64::to_string).collect();
+        subject.fault(format!("size {size} is not measured: write one of {}", all.join(", ")));
+        return None;
+    }
+    Some(size)
+}
+
+/// An amount in a figure's unit.
+fn read_amount(form: &mut Form, figure: &Figure) -> Option<f64> {
+    let amount = match figure.unit {
+        Unit::Microseconds => form.want::<TimeSpan>("what is at most allowed")?.0 as f64,
+        Unit::Bytes | Unit::BytesPerSecond => form.want::<Bytes>("what is at most allowed")?.0 as f64,
+        Unit::Count | Unit::Cores => form.want::<f64>("what is at most allowed")?,
+    };
+    Some(amount)
+}
+
+fn enough_sizes(subject: &Form, measure: &dyn Measure, what: &str) {
+    let sizes = measure.sizes();
+    if sizes.values.len() < FEWEST_SIZES {
+        subject.fault(format!(
+            "{what} needs a fit over at least {FEWEST_SIZES} sizes; ({} ({} ...)) has {}",
+            measure.name(),
+            sizes.of,
+            sizes.values.len()
+        ));
+    }
+}
+
+/// Reads `(target (SIZE-NAME N)... (budget (MEASURE FIGURE) MOST)...)`.
+fn read_target(mut form: Form, measures: &[Box<dyn Measure>]) -> Vec<Budget> {
+    let mut sizes: Vec<(&'static str, u64)> = Vec::new();
+    for measure in measures {
+        let of = measure.sizes().of;
+        if !sizes.iter().any(|(known, _)| *known == of) {
+            sizes.extend(form.get::<u64>(of).map(|size| (of, size)));
+        }
+    }
+    let mut budgets = Vec::new();
+    for mut budget in form.all("budget") {
+        if let Some((subject, measure, of)) = read_figure(&mut budget, measures) {
+            let target = sizes.iter().find(|(known, _)| *known == measure.sizes().of).map(|(_, size)| *size);
+            if target.is_none() {
+                subject.fault(format!("the target lacks ({} SIZE)", measure.sizes().of));
+            }
+            enough_sizes(&subject, measure, "a target");
+            let most = read_amount(&mut budget, of.figure).filter(|most| *most > 0.0);
+            budgets.extend(target.zip(most).map(|(size, most)| Budget { of, size, most }));
+            subject.end();
+        } else {
+            let _ = budget.take::<String>();
+        }
+        budget.end();
+    }
+    form.end();
+    budgets
+}
