A function's rendezvous order is found only as far as it is needed

`src/rendezvous.rs` keeps the list of workers in service once for all functions, with a log of its last 1,024 changes, and per function the first homes of its order (24, or all of up to 64 workers). A function that is used again takes in the changes it missed by exact score; it is computed anew, by one pass that takes a logarithm only for the few workers that may be among the first, where the log does not reach back. Further workers are computed on demand, in three parts of rising size, the last two among the workers that are open to the class at all, asked once an event. Nothing there decides: the expression of the score, the ties and every choice are as they were.

Ruled out: orders by zone or shard, jump and maglev tables (other decisions), a sort per function in the background (same memory).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,14 +7,16 @@
 //! fixed at arrival; each answer releases the lowest held that has room. All else is a guard: on whether a
 //! worker may take a request now (`may_take`), or at a request's end (`attempt_ended`, `answer`).
 
+use std::cell::OnceCell;
 use std::collections::BTreeSet;
 
 use crate::interface::*;
+use crate::rendezvous::Candidates;
 use crate::state::*;
 
 /// Served latencies kept per function, and the span over which its arrivals count: the design page's.
 const SAMPLES: usize = 10;
-const COUNT_SPAN: Micros = 10_000_000;
+pub(crate) const COUNT_SPAN: Micros = 10_000_000;
 /// Held requests looked at for one answer: bounds the work per event.
 const SCAN: usize = 512;
 /// How often held requests are looked at without an answer, in steps and at the least: room comes with time.
@@ -66,7 +68,7 @@
 const TURNED_AWAY: u32 = 3;
 /// Waits before asking a list that failed again: the first, doubled up to a share of `must_ask_in`.
 const ASK_FIRST: Micros = 200_000;
-const FORGET_SPANS: Micros = 3;
+pub(crate) const FORGET_SPANS: Micros = 3;
 
 impl Controller {
     /// A controller that has seen nothing yet. `seed` is its only source of chance.
@@ -81,7 +83,8 @@
             return Err(error);
         }
         let class_work = vec![None; settings.classes.len()];
-        Ok(Self { settings, random: seed, class_work, epoch: 1, ask_wait: ASK_FIRST, ..Self::default() })
+        let open = settings.classes.iter().map(|_| OnceCell::new()).collect();
+        Ok(Self { settings, random: seed, class_work, open, ask_wait: ASK_FIRST, ..Self::default() })
     }
 
     /// Takes in one event at the time `now`, and appends what is to be done to `actions`.
@@ -132,8 +135,10 @@
         }
         if form != ListForm::Changes {
             let named: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
-            for (_, worker) in self.workers.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            for (id, worker) in self.workers.iter_mut().filter(|(id, _)| !named.contains(id)) {
                 worker.entry.state = WorkerState::Gone;
+                self.fleet.set(*id, None);
+                self.gone.insert(*id);
             }
         }
         for entry in entries {
@@ -142,6 +147,9 @@
             let known = self.workers.contains_key(&id);
             let worker = self.workers.entry(id).or_insert_with(fresh);
             let anew = entry.born.is_some() && entry.born != worker.entry.born;
+            self.fleet.set(id, (entry.state == WorkerState::On).then(|| weight(&self.settings, &entry)));
+            let gone = entry.state == WorkerState::Gone;
+            _ = if gone { self.gone.insert(id) } else { self.gone.remove(&id) };
             worker.entry = entry;
             if anew {
                 // A restart: it is empty and cold, and past failures say nothing of it.
@@ -154,15 +162,14 @@
                 }
             }
         }
-        let gone = self.workers.iter().filter(|(_, w)| w.entry.state == WorkerState::Gone);
-        for id in gone.map(|(id, _)| *id).collect::<Vec<_>>() {
+        for id in self.gone.clone() {
             self.forget_copies(id);
             // A cold one may be back, as cold as it was.
             if self.workers[&id].out == 0 && !self.cold(&self.workers[&id]) {
                 self.workers.remove(&id);
+                self.gone.remove(&id);
             }
         }
-        self.epoch += 1;
         self.release(None);
         if self.nobody() {
             for id in self.held.values().copied().collect::<Vec<_>>() {
@@ -174,7 +181,7 @@
     /// No worker is in service: waiting would be silence, so that calls are answered at once. Harm: where a
     /// replacement leaves none in service for a moment, calls are refused that might have waited.
     fn nobody(&self) -> bool {
-        self.workers.values().all(|w| w.entry.state != WorkerState::On)
+        self.fleet.is_empty()
     }
 
     // ---- the ordinary path ----
@@ -187,12 +194,13 @@
             self.taken.push_back(self.now);
         }
         let over = self.over_quota(request.tenant);
-        let function = self.functions.entry(request.function).or_default();
+        let now = self.now;
+        let function = self.remember(request.function);
         function.lanes = request.lanes.max(1);
-        function.last = self.now;
+        function.last = now;
         function.load_time = request.load_time.map(|told| told as f64).or(function.load_time);
-        function.arrivals.push_back(self.now);
-        while function.arrivals.front().is_some_and(|&t| t + COUNT_SPAN < self.now) {
+        function.arrivals.push_back(now);
+        while function.arrivals.front().is_some_and(|&t| t + COUNT_SPAN < now) {
             function.arrivals.pop_front();
         }
         let mut priority = function.arrivals.len() as f64 * function.mean();
@@ -231,6 +239,7 @@
         if self.nobody() {
             return self.answer(id);
         }
+        self.forget_open();
         if let Some((function, class)) = self.calls.get(&id).map(|call| (call.function, call.class)) {
             self.spread(function, class);
         }
@@ -313,13 +322,17 @@
         self.order(self.calls.get(&id)?.function);
         let call = &self.calls[&id];
         let function = self.functions.get(&call.function)?;
+        if !self.repeatable(call) {
+            return None;
+        }
         let warm = |w: &WorkerId| self.warm_at(function, *w);
         let last =
             function.warm.iter().filter(|(w, _)| warm(w)).max_by_key(|(w, at)| (**at, **w)).map(|(w, _)| *w);
         let strain = |w: WorkerId| self.strain(function, w, call.class);
         let may = |w: WorkerId| self.may_take(w, call, function, false);
         // Warm workers first, by the order; where all are strained, the least strained; then absent ones.
-        let along = || last.into_iter().chain(function.order.iter().copied());
+        let order = |only| self.along(call.function, function, call.class, only);
+        let along = || last.into_iter().chain(order(Some(&function.warm)));
         let stand = || along().filter(|w| warm(w) && may(*w) && call.avoid != Some(*w));
         let aim = self.settings.classes[call.class].aim as f64;
         let wait = (aim * NEWS_WAIT) as Micros;
@@ -331,17 +344,20 @@
         let fits = |w: &WorkerId| call.avoid != Some(*w) && !warm(w) && strain(*w) < STRAIN_MOST && may(*w);
         // Asked once for all workers: a sound copy stands, so that none may be begun.
         let began = self.settings.loading.when_absent == WhenAbsent::Load && !function.loading.is_empty();
-        let closed = !began && function.warm.keys().any(|w| warm(w) && self.sound(*w));
+        let sound = function.warm.keys().any(|w| warm(w) && self.sound(*w));
+        let closed = !began && sound;
+        // None may be begun: it may at most wait where one is under way.
+        let under_way = Some(&function.loading).filter(|_| sound || self.begun(function));
         let first = || {
-            let first = along().filter(|w| fits(w)).take(ABSENT).find(|w| strain(*w) < 1.0);
-            first.or_else(|| along().find(|w| fits(w)))
+            let first = order(under_way).filter(|w| fits(w)).take(ABSENT).find(|w| strain(*w) < 1.0);
+            first.or_else(|| order(under_way).find(|w| fits(w)))
         };
         // Where only orders load, a full home is waited for: others would not look for a copy elsewhere.
         let turned = |w: WorkerId| function.shun.get(&w).is_some_and(|(_, turned)| *turned >= TURNED_AWAY);
         let open = |w: &WorkerId| self.workers.get(w).is_some_and(|w| !self.shut(w) && !self.cold(w));
-        let home = |w: &&WorkerId| open(w) && strain(**w) < STRAIN_MOST && !turned(**w);
-        let only = self.settings.loading.when_absent == WhenAbsent::Miss;
-        let home = || function.order.iter().find(home).copied().filter(|_| only);
+        let home = |w: &WorkerId| open(w) && strain(*w) < STRAIN_MOST && !turned(*w);
+        let only = self.settings.loading.when_absent == WhenAbsent::Miss && under_way.is_none();
+        let home = || if only { order(None).find(home) } else { None };
         let awaited = |w: &WorkerId| self.workers.get(w).is_some_and(|w| w.loads > 0);
         let absent = || home().filter(awaited).map_or_else(first, |w| Some(w).filter(fits));
         let found = found
@@ -351,32 +367,25 @@
             return found;
         }
         // Never all barred: with every worker suspect, the least bad takes it.
-        let may = |w: &&WorkerId| self.may_take(**w, call, function, true);
+        let may = |w: &WorkerId| self.may_take(*w, call, function, true);
         let failing = |w: &WorkerId| self.workers.get(w).map_or(1.0, |x| x.failing);
-        function.order.iter().filter(may).min_by(|a, b| failing(a).total_cmp(&failing(b))).copied()
+        let place = |w: &WorkerId| self.fleet.place(call.function, *w).map_or(f64::INFINITY, |place| place.0);
+        let better = |a: &WorkerId, b: &WorkerId| {
+            failing(a).total_cmp(&failing(b)).then_with(|| place(a).total_cmp(&place(b)))
+        };
+        self.workers.keys().copied().filter(may).min_by(better)
     }
 
-    /// The function's rendezvous order, the same at every controller that holds the same list.
-    fn order(&mut self, id: FunctionId) {
-        let Some(function) = self.functions.get_mut(&id) else { return };
-        if function.epoch == self.epoch {
-            return;
-        }
-        let sized = matches!(self.settings.weights, Weights::Nominal | Weights::Rough);
-        let mut scored: Vec<(f64, WorkerId)> = Vec::with_capacity(self.workers.len());
-        for (worker, w) in &self.workers {
-            if w.entry.state != WorkerState::On {
-                continue;
+    /// Workers that calls of this class may go to, or be ordered at, as far as it depends on no function.
+    pub(crate) fn open(&self, class: usize) -> Candidates {
+        let mut open = Candidates::default();
+        for (id, worker) in &self.workers {
+            let on = worker.entry.state == WorkerState::On;
+            if on && !self.shut(worker) && self.cold_room(worker, class) {
+                open.push(*id, weight(&self.settings, &worker.entry));
             }
-            let hash = mix(mix(id.0) ^ mix(worker.0.wrapping_mul(0x2545_f491_4f6c_dd1d)));
-            let unit = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
-            let weight = if sized && w.entry.weight > 0.0 { w.entry.weight } else { 1.0 };
-            scored.push((-unit.min(0.999_999_999).ln() / weight, *worker));
-        }
-        scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        function.order.clear();
-        function.order.extend(scored.iter().map(|(_, w)| *w));
-        function.epoch = self.epoch;
+        }
+        open
     }
 
     fn may_take(&self, id: WorkerId, call: &Call, function: &Function, desperate: bool) -> bool {
@@ -513,15 +522,13 @@
         let used = self.workers.get(&to).map_or(0.0, |w| self.cold_part(w, class).1);
         let Some(function) = self.functions.get_mut(&fid) else { return };
         let warm = function.warm.get(&to).is_some_and(|&at| at + self.settings.loading.keep_alive > self.now);
+        let loads = !warm && self.settings.loading.when_absent == WhenAbsent::Load;
+        let begins = loads && !function.loading.contains_key(&to);
         *function.out.entry(to).or_insert(0) += 1;
-        let Some(worker) = self.workers.get_mut(&to) else { return };
-        if !warm
-            && self.settings.loading.when_absent == WhenAbsent::Load
-            && !function.loading.contains_key(&to)
-        {
-            function.loading.insert(to, self.now);
-            worker.loads += 1;
+        if begins {
+            self.load_begins(fid, to);
         }
+        let Some(worker) = self.workers.get_mut(&to) else { return };
         if worker.out == 0 {
             worker.heard = self.now;
         }
@@ -584,10 +591,8 @@
                 // The copy has gone, or its load failed: nothing brings it back by itself. Missed again after
                 // an order, it is a new version: what was found warm before that order is void as well.
                 let begun = self.functions.get(&flight.function).is_some_and(|f| self.begun(f));
-                if let Some(function) = self.functions.get_mut(&flight.function) {
-                    function.warm.remove(&at);
-                    function.warm.retain(|_, found| function.ordered.is_none_or(|since| *found > since));
-                }
+                let ordered = self.functions.get(&flight.function).and_then(|f| f.ordered);
+                self.missed(flight.function, at, ordered);
                 if self.settings.loading.when_absent == WhenAbsent::Miss && !begun {
                     self.order_copy(flight.function, at);
                 }
@@ -615,8 +620,8 @@
 
     fn served(&mut self, flight: &Flight, elapsed: f64, note: Option<LoadNote>, crowd: Option<u32>) {
         let at = flight.worker;
+        self.found(flight.function, at);
         let Some(function) = self.functions.get_mut(&flight.function) else { return };
-        function.warm.insert(at, self.now);
         let loaded = matches!(note, Some(LoadNote::Began | LoadNote::Waited));
         let aim = self.settings.classes[flight.class].aim.max(1) as f64;
         let ours = function.out.get(&at).copied().unwrap_or(0);
@@ -643,13 +648,13 @@
         self.order(id);
         let Some(function) = self.functions.get(&id) else { return };
         let stands = |w: &WorkerId| self.warm_at(function, *w);
-        let eased = |w: &&WorkerId| self.sound(**w) && self.strain(function, **w, class) < 1.0;
+        let eased = |w: &WorkerId| self.sound(*w) && self.strain(function, *w, class) < 1.0;
         let mut standing = function.warm.keys().filter(|w| stands(w)).peekable();
-        if !function.loading.is_empty() || standing.peek().is_none() || standing.any(|w| eased(&w)) {
+        if !function.loading.is_empty() || standing.peek().is_none() || standing.any(eased) {
             return;
         }
         let shunned = |w: &WorkerId| function.shun.get(w).is_some_and(|&(until, _)| until > self.now);
-        let next = function.order.iter().find(|w| !stands(w) && !shunned(w) && eased(w)).copied();
+        let next = self.along(id, function, class, None).find(|w| !stands(w) && !shunned(w) && eased(w));
         if let Some(at) = next {
             self.order_copy(id, at);
         }
@@ -734,9 +739,7 @@
             worker.busy += 1;
         }
         self.load_over(function, at);
-        if let Some(function) = self.functions.get_mut(&function) {
-            function.warm.insert(at, self.now);
-        }
+        self.found(function, at);
         self.learn_load(function, span);
         self.release(Some(at));
     }
@@ -879,6 +882,7 @@
 
     /// After a miss one copy is ordered there, within the ration.
     fn order_copy(&mut self, id: FunctionId, at: WorkerId) {
+        self.settle(id);
         let on = self.workers.get(&at).is_some_and(|w| w.entry.state == WorkerState::On);
         let ordered = self.functions.get(&id).is_none_or(|f| f.loading.contains_key(&at));
         if !on || !self.settings.loading.orders || ordered {
@@ -889,8 +893,7 @@
         }
         let function = self.functions.get_mut(&id).expect("just seen");
         function.ordered = Some(self.now);
-        function.loading.insert(at, self.now);
-        self.workers.get_mut(&at).expect("just seen").loads += 1;
+        self.load_begins(id, at);
         self.out.push(Action::Load { worker: at, function: id, count: 1 });
     }
 
@@ -934,9 +937,8 @@
         }
         self.load_over(id, at);
         if outcome == Outcome::Ok || copies > 0 {
-            let function = self.functions.get_mut(&id).expect("just seen");
-            function.warm.insert(at, self.now);
-            function.shun.remove(&at);
+            self.found(id, at);
+            self.functions.get_mut(&id).expect("just seen").shun.remove(&at);
             if elapsed > TICK_LEAST {
                 // One answered at once found a copy that stood: no load.
                 self.learn_load(id, elapsed as f64);
@@ -957,6 +959,7 @@
 
     /// An answer, or a change anywhere: the lowest held that have room go, each along its own order.
     fn release(&mut self, at: Option<WorkerId>) {
+        self.forget_open();
         let mut without = BTreeSet::new();
         for id in self.held.values().take(SCAN).copied().collect::<Vec<_>>() {
             let Some(call) = self.calls.get(&id) else { continue };
@@ -993,14 +996,9 @@
             }
         }
         if self.now > self.swept + COUNT_SPAN {
-            self.swept = self.now;
-            let old = FORGET_SPANS * COUNT_SPAN.max(self.settings.loading.keep_alive);
-            self.functions.retain(|_, f| {
-                f.shun.retain(|_, (until, _)| *until + COUNT_SPAN > self.now);
-                f.told.retain(|_, told| told.1 + COUNT_SPAN > self.now);
-                f.last + old > self.now || f.held > 0 || !f.out.is_empty() || !f.loading.is_empty()
-            });
+            self.sweep();
         }
+        self.sweep_resting();
     }
 
     /// A worker that owes answers and has sent nothing for long is barred; safe calls there are withdrawn and
@@ -1059,3 +1057,8 @@
         self.watch(id);
     }
 }
+
+fn weight(settings: &Settings, entry: &WorkerEntry) -> f64 {
+    let sized = matches!(settings.weights, Weights::Nominal | Weights::Rough);
+    if sized && entry.weight > 0.0 { entry.weight } else { 1.0 }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,7 +59,10 @@
 
 mod choice;
 mod interface;
+mod memory;
+mod rendezvous;
 mod state;
+mod walk;
 
 pub use interface::*;
 pub use state::Controller;
--- /dev/null
+++ b/src/rendezvous.rs
@@ -0,0 +1,299 @@
+//! The rendezvous order of a function over the workers in service, found only as far as it is needed.
+//!
+//! Every worker has a score for every function, by a hash of both and the worker's weight; a function's order
+//! is its workers by rising score, equal scores by id. [`Fleet`] is the list of workers in service, one for
+//! all functions, with a bounded log of its latest changes. [`Homes`] is what one function keeps: the first
+//! workers of its order, mended from that log when the function is next used, and made anew by one pass over
+//! the list where the log does not reach back. The rest of an order is computed on demand, and not kept.
+//!
+//! Nothing here decides anything, and how much is kept never changes an order.
+
+#[cfg(test)]
+mod tests;
+
+use std::cell::Cell;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::interface::{FunctionId, WorkerId};
+use crate::state::mix;
+
+/// A list of at most this many workers is kept whole by each function.
+const WHOLE: usize = 64;
+/// Homes kept of a longer list.
+const KEPT: usize = 24;
+/// Homes that a pass over a longer list aims at: a few more than are kept, as their number is up to chance.
+const AIMED: f64 = 36.0;
+/// With fewer homes than this left, they are made anew.
+const FEWEST: usize = 8;
+/// Changes of the list that are remembered.
+const LOGGED: usize = 1_024;
+/// A function that missed more than the list's length divided by this makes its homes anew: that is cheaper.
+const MENDED: usize = 16;
+/// Each pass that goes further looks for scores up to this many times as high.
+const WIDER: f64 = 16.0;
+/// After so many passes that found too few, the whole list is sorted: weights are far apart.
+const PASSES: u32 = 8;
+/// Relative error of a score that is provided for; it is a few units of the last place, near 1e-15.
+const ROUNDING: f64 = 1e-9;
+
+/// A place in an order: a score, and the worker's id, by which equal scores are ordered.
+type Place = (f64, WorkerId);
+
+const START: Place = (f64::NEG_INFINITY, WorkerId(0));
+
+fn by_place(a: &Place, b: &Place) -> Ordering {
+    a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
+}
+
+/// The part of a score's hash that depends on the worker alone.
+fn worker_hash(worker: WorkerId) -> u64 {
+    mix(worker.0.wrapping_mul(0x2545_f491_4f6c_dd1d))
+}
+
+fn score(function_hash: u64, worker_hash: u64, weight: f64) -> f64 {
+    let hash = mix(function_hash ^ worker_hash);
+    let unit = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+    -unit.min(0.999_999_999).ln() / weight
+}
+
+/// Some workers with what their scores are made from, side by side in memory.
+#[derive(Default)]
+pub(crate) struct Candidates {
+    workers: Vec<WorkerId>,
+    hashes: Vec<u64>,
+    weights: Vec<f64>,
+}
+
+impl Candidates {
+    pub(crate) fn push(&mut self, worker: WorkerId, weight: f64) {
+        self.workers.push(worker);
+        self.hashes.push(worker_hash(worker));
+        self.weights.push(weight);
+    }
+
+    fn swap_remove(&mut self, index: usize) {
+        self.workers.swap_remove(index);
+        self.hashes.swap_remove(index);
+        self.weights.swap_remove(index);
+    }
+
+    /// The candidates from place `from` on with a score below `below`, or all from there on where that is
+    /// infinite, in the function's order.
+    ///
+    /// The logarithm is computed only where it may matter: with `unit` in (0, 1], `-ln(unit) >= 1 - unit`, and
+    /// `1 - unit` is the complement of the hash's upper bits over 2^53, exactly. A worker whose complement is
+    /// beyond `below * weight` (and a margin for rounding) has a score beyond `below`, and is left out.
+    fn between(&self, function_hash: u64, from: Place, below: f64) -> Vec<Place> {
+        let reach = below * (1u64 << 53) as f64 * (1.0 + ROUNDING);
+        let mut found = Vec::new();
+        for (index, (worker_hash, weight)) in self.hashes.iter().zip(&self.weights).enumerate() {
+            let complement = !mix(function_hash ^ worker_hash) >> 11;
+            if complement as f64 > reach * weight {
+                continue;
+            }
+            let place = (score(function_hash, *worker_hash, *weight), self.workers[index]);
+            let beyond = place.0 >= below && below < f64::INFINITY;
+            if !beyond && by_place(&place, &from).is_ge() {
+                found.push(place);
+            }
+        }
+        found.sort_unstable_by(by_place);
+        found
+    }
+}
+
+/// The workers in service, and the log of changes to them.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    all: Candidates,
+    index: BTreeMap<WorkerId, usize>,
+    changed: VecDeque<WorkerId>,
+    /// Changes so far, the forgotten ones as well.
+    changes: u64,
+    /// The score below which a pass looks for homes; 0: to be worked out. It sets the cost, not the result.
+    below: f64,
+    hashes: Cell<u64>,
+}
+
+impl Fleet {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.all.workers.is_empty()
+    }
+
+    /// Puts a worker in service with this weight (positive, as the scores divide by it), or out of service.
+    pub(crate) fn set(&mut self, worker: WorkerId, weight: Option<f64>) {
+        match (self.index.get(&worker).copied(), weight) {
+            (None, None) => return,
+            (Some(index), Some(weight)) if self.all.weights[index].to_bits() == weight.to_bits() => return,
+            (Some(index), Some(weight)) => self.all.weights[index] = weight,
+            (None, Some(weight)) => {
+                self.index.insert(worker, self.all.workers.len());
+                self.all.push(worker, weight);
+            }
+            (Some(index), None) => {
+                self.index.remove(&worker);
+                self.all.swap_remove(index);
+                if let Some(moved) = self.all.workers.get(index) {
+                    self.index.insert(*moved, index);
+                }
+            }
+        }
+        self.changes += 1;
+        self.below = 0.0;
+        self.changed.push_back(worker);
+        if self.changed.len() > LOGGED {
+            self.changed.pop_front();
+        }
+    }
+
+    /// Hashes of a function with a worker computed so far: the work that a long list costs.
+    pub(crate) fn hashes(&self) -> u64 {
+        self.hashes.get()
+    }
+
+    fn count(&self, hashes: usize) {
+        self.hashes.set(self.hashes.get() + hashes as u64);
+    }
+
+    /// A worker's place in a function's order, where it is in service.
+    pub(crate) fn place(&self, function: FunctionId, worker: WorkerId) -> Option<Place> {
+        let index = *self.index.get(&worker)?;
+        self.count(1);
+        Some((score(mix(function.0), self.all.hashes[index], self.all.weights[index]), worker))
+    }
+
+    /// Those of some workers that are in service, in the function's order.
+    pub(crate) fn ranked(
+        &self,
+        function: FunctionId,
+        workers: impl Iterator<Item = WorkerId>,
+    ) -> Vec<WorkerId> {
+        let mut places: Vec<Place> = workers.filter_map(|w| self.place(function, w)).collect();
+        places.sort_unstable_by(by_place);
+        places.into_iter().map(|place| place.1).collect()
+    }
+
+    /// A part of a function's order beyond its homes, of all workers or of those in `among` alone: the parts
+    /// from 0 on, until `None`, give each worker once, in order.
+    pub(crate) fn further(
+        &self,
+        function: FunctionId,
+        homes: &Homes,
+        part: u32,
+        among: Option<&Candidates>,
+    ) -> Option<Vec<WorkerId>> {
+        let end = homes.end?;
+        let first = end.0.max(f64::MIN_POSITIVE);
+        let limit = |part: u32| match part {
+            0 => first * WIDER,
+            1 => first * WIDER * WIDER,
+            _ => f64::INFINITY,
+        };
+        let from = match part {
+            0 => end,
+            1 | 2 => (limit(part - 1), WorkerId(0)),
+            _ => return None,
+        };
+        if from.0 == f64::INFINITY && part > 0 {
+            return None;
+        }
+        let among = among.unwrap_or(&self.all);
+        self.count(among.workers.len());
+        let places = among.between(mix(function.0), from, limit(part));
+        Some(places.into_iter().map(|place| place.1).collect())
+    }
+
+    /// A score below which about `AIMED` workers lie, where weights are alike.
+    fn likely_limit(&self) -> f64 {
+        let sum: f64 = self.all.weights.iter().filter(|w| w.is_finite()).sum();
+        let limit = if sum > 0.0 { AIMED / sum } else { 1.0 };
+        limit.clamp(f64::MIN_POSITIVE, f64::MAX)
+    }
+}
+
+/// The first workers of a function's order.
+#[derive(Default)]
+pub(crate) struct Homes {
+    workers: Vec<WorkerId>,
+    /// All workers before this place are kept, and no other; `None`: the order ends with them.
+    end: Option<Place>,
+    /// Changes of the list taken in, and one; 0: nothing was computed yet.
+    taken_in: u64,
+}
+
+impl Homes {
+    pub(crate) fn workers(&self) -> &[WorkerId] {
+        &self.workers
+    }
+
+    /// The order ends with the homes.
+    pub(crate) fn whole(&self) -> bool {
+        self.end.is_none()
+    }
+
+    /// Takes in what changed in the list since this was last called.
+    pub(crate) fn update(&mut self, function: FunctionId, fleet: &mut Fleet) {
+        let now = fleet.changes + 1;
+        if self.taken_in == now {
+            return;
+        }
+        let missed = (now - self.taken_in) as usize;
+        let worth = missed <= fleet.changed.len() && missed <= fleet.all.workers.len() / MENDED;
+        if self.taken_in == 0 || !worth || !self.mend(function, fleet, missed) {
+            self.compute(function, fleet);
+        }
+        self.taken_in = now;
+    }
+
+    /// Takes in the latest changes one by one. False: too few homes are left.
+    fn mend(&mut self, function: FunctionId, fleet: &Fleet, missed: usize) -> bool {
+        let changed = || fleet.changed.range(fleet.changed.len() - missed..);
+        for worker in changed() {
+            self.workers.retain(|home| home != worker);
+        }
+        for worker in changed() {
+            let Some(place) = fleet.place(function, *worker) else { continue };
+            if self.end.is_some_and(|end| by_place(&place, &end).is_ge()) || self.workers.contains(worker) {
+                continue;
+            }
+            let before = |home: &WorkerId| {
+                fleet.place(function, *home).is_some_and(|other| by_place(&other, &place).is_lt())
+            };
+            let at = self.workers.partition_point(before);
+            self.workers.insert(at, *worker);
+        }
+        let most = if self.whole() { WHOLE } else { 2 * KEPT };
+        if self.workers.len() > most {
+            self.end = fleet.place(function, self.workers[KEPT]);
+            self.workers.truncate(KEPT);
+        }
+        self.whole() || self.workers.len() >= FEWEST
+    }
+
+    fn compute(&mut self, function: FunctionId, fleet: &mut Fleet) {
+        let (all, hash) = (fleet.all.workers.len(), mix(function.0));
+        if fleet.below == 0.0 {
+            fleet.below = fleet.likely_limit();
+        }
+        let (mut below, mut pass) = (fleet.below, 1);
+        let places = loop {
+            if all <= WHOLE || pass > PASSES {
+                below = f64::INFINITY;
+            }
+            fleet.count(all);
+            let places = fleet.all.between(hash, START, below);
+            if places.len() >= FEWEST || below == f64::INFINITY {
+                break places;
+            }
+            (below, pass) = (below * WIDER, pass + 1);
+        };
+        if below < f64::INFINITY {
+            fleet.below = if places.len() as f64 > AIMED * WIDER { below / WIDER.sqrt() } else { below };
+        }
+        let kept = if all <= WHOLE { all } else { places.len().min(KEPT) };
+        let limit = Some((below, WorkerId(0))).filter(|_| below < f64::INFINITY);
+        self.end = places.get(kept).copied().or(limit);
+        self.workers = places[..kept].iter().map(|place| place.1).collect();
+    }
+}
--- /dev/null
+++ b/src/rendezvous/tests.rs
@@ -0,0 +1,186 @@
+//! The order found as far as needed, held against the whole order hashed and sorted anew, as it was before.
+
+use super::*;
+
+/// A generator of its own, so that the draws are the same wherever the tests run.
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_add(1);
+        mix(self.0) % n
+    }
+}
+
+/// The order as every function kept it before: all workers in service, hashed and sorted.
+fn reference(function: FunctionId, listed: &BTreeMap<WorkerId, f64>) -> Vec<WorkerId> {
+    let mut scored: Vec<(f64, WorkerId)> = Vec::with_capacity(listed.len());
+    for (worker, weight) in listed {
+        let hash = mix(mix(function.0) ^ mix(worker.0.wrapping_mul(0x2545_f491_4f6c_dd1d)));
+        let unit = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+        scored.push((-unit.min(0.999_999_999).ln() / weight, *worker));
+    }
+    scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    scored.iter().map(|(_, worker)| *worker).collect()
+}
+
+/// The whole order, as a walk that never ends early sees it.
+fn walked(function: FunctionId, homes: &Homes, fleet: &Fleet, open: Option<&Candidates>) -> Vec<WorkerId> {
+    let further = (0..).map_while(|part| fleet.further(function, homes, part, open));
+    homes.workers().iter().copied().chain(further.flatten()).collect()
+}
+
+/// A fleet, and the same list as a plain map.
+#[derive(Default)]
+struct Pair {
+    fleet: Fleet,
+    listed: BTreeMap<WorkerId, f64>,
+}
+
+impl Pair {
+    fn set(&mut self, worker: u64, weight: Option<f64>) {
+        self.fleet.set(WorkerId(worker), weight);
+        match weight {
+            Some(weight) => _ = self.listed.insert(WorkerId(worker), weight),
+            None => _ = self.listed.remove(&WorkerId(worker)),
+        }
+    }
+
+    fn check(&mut self, function: FunctionId, homes: &mut Homes) {
+        homes.update(function, &mut self.fleet);
+        let whole = reference(function, &self.listed);
+        assert_eq!(homes.workers(), &whole[..homes.workers().len()], "the homes are the order's first");
+        assert_eq!(homes.whole(), homes.workers().len() == whole.len() || whole.is_empty());
+        assert!(homes.workers().len() >= FEWEST.min(whole.len()), "enough of them");
+        assert!(homes.workers().len() <= WHOLE, "and not too many");
+        assert_eq!(walked(function, homes, &self.fleet, None), whole, "the order goes on");
+    }
+
+    /// A walk over open workers alone sees those, and the homes, in the order's sequence.
+    fn check_open(&self, function: FunctionId, homes: &Homes, draw: &mut Draw) {
+        let mut open = Candidates::default();
+        for (worker, weight) in &self.listed {
+            if draw.below(5) == 0 {
+                open.push(*worker, *weight);
+            }
+        }
+        let mut expected = reference(function, &self.listed);
+        expected.retain(|w| homes.workers().contains(w) || open.workers.contains(w));
+        assert_eq!(walked(function, homes, &self.fleet, Some(&open)), expected);
+    }
+
+    fn check_ranked(&self, function: FunctionId, draw: &mut Draw) {
+        let some: Vec<WorkerId> = (0..9).map(|_| WorkerId(draw.below(900))).collect();
+        let mut expected = reference(function, &self.listed);
+        expected.retain(|w| some.contains(w));
+        let mut ranked = self.fleet.ranked(function, some.into_iter());
+        ranked.dedup();
+        assert_eq!(ranked, expected);
+    }
+}
+
+/// Sizes as a list may tell them: alike, all different, far apart, and at the edges of what a float holds.
+fn weight(draw: &mut Draw, kind: u64) -> f64 {
+    let edges = [f64::INFINITY, f64::MAX, f64::MIN_POSITIVE, 5e-324, 1e9, 1e-9, 1.0];
+    match kind {
+        0 => 1.0,
+        1 => 0.25 * (1 + draw.below(16)) as f64,
+        2 => 0.1 + draw.below(1 << 40) as f64 / 1e11,
+        _ => edges[draw.below(edges.len() as u64) as usize],
+    }
+}
+
+#[test]
+fn the_order_is_the_one_that_sorting_all_gives() {
+    for seed in 0..40 {
+        let mut draw = Draw(seed << 32);
+        let (size, kind) = ([1, 9, 70, 200, 700][seed as usize % 5], draw.below(4));
+        let mut pair = Pair::default();
+        for worker in 0..size {
+            let weight = weight(&mut draw, kind);
+            pair.set(worker, Some(weight));
+        }
+        let mut functions: Vec<(FunctionId, Homes)> =
+            (0..6).map(|_| (FunctionId(draw.below(u64::MAX)), Homes::default())).collect();
+        for _ in 0..60 {
+            let most = [1, 3, 12, size][draw.below(4) as usize];
+            for _ in 0..1 + draw.below(most) {
+                let worker = draw.below(size + size / 4 + 1);
+                let weight = Some(weight(&mut draw, kind)).filter(|_| draw.below(3) > 0);
+                pair.set(worker, weight);
+            }
+            // Some functions are used after every change, others miss many.
+            for (function, homes) in &mut functions {
+                if draw.below(3) == 0 {
+                    pair.check(*function, homes);
+                    pair.check_open(*function, homes, &mut draw);
+                    pair.check_ranked(*function, &mut draw);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn homes_that_leave_one_after_another_are_filled_up_in_order() {
+    let mut pair = Pair::default();
+    (0..500).for_each(|worker| pair.set(worker, Some(1.0)));
+    let (function, mut homes) = (FunctionId(7), Homes::default());
+    pair.check(function, &mut homes);
+    for _ in 0..450 {
+        let home = homes.workers()[0];
+        pair.set(home.0, None);
+        pair.check(function, &mut homes);
+    }
+}
+
+#[test]
+fn a_list_replaced_whole_is_taken_in_and_back() {
+    let mut pair = Pair::default();
+    let (function, mut homes) = (FunctionId(99), Homes::default());
+    for round in 0..4 {
+        let (from, other) = if round % 2 == 0 { (0, 10_000) } else { (10_000, 0) };
+        (0..1_500).for_each(|worker| pair.set(other + worker, None));
+        (0..1_500).for_each(|worker| pair.set(from + worker, Some(1.0)));
+        pair.check(function, &mut homes);
+    }
+}
+
+/// Groups: one change at a time; all at once; a few at a time with workers that come and go unseen.
+#[test]
+fn the_grouping_of_changes_makes_no_difference() {
+    let function = FunctionId(3);
+    for step in [1, 7, 40, 4_000] {
+        let (mut pair, mut homes, mut draw) = (Pair::default(), Homes::default(), Draw(5));
+        (0..300).for_each(|worker| pair.set(worker, Some(1.0)));
+        pair.check(function, &mut homes);
+        for change in 0..3_000 {
+            let worker = draw.below(400);
+            let weight = Some(1.0).filter(|_| draw.below(4) > 0);
+            pair.set(worker, weight);
+            if change % step == 0 {
+                pair.check(function, &mut homes);
+            }
+        }
+        // The draws are the same for each grouping, and so is the list: all end with the reference's order.
+        pair.check(function, &mut homes);
+    }
+}
+
+#[test]
+fn a_changed_list_costs_a_known_function_hashes_by_change_not_by_worker() {
+    let hashes = |size: u64| {
+        let (mut fleet, mut homes) = (Fleet::default(), Homes::default());
+        (0..size).for_each(|worker| fleet.set(WorkerId(worker), Some(1.0)));
+        homes.update(FunctionId(1), &mut fleet);
+        let before = fleet.hashes();
+        for change in 0..100 {
+            fleet.set(WorkerId(change), None);
+            fleet.set(WorkerId(size + change), Some(1.0));
+            homes.update(FunctionId(1), &mut fleet);
+        }
+        fleet.hashes() - before
+    };
+    let (few, many) = (hashes(1_000), hashes(16_000));
+    assert!(many <= 2 * few.max(200), "{few} hashes for 200 changes of 1,000 workers, {many} of 16,000");
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,10 @@
 //! What a controller remembers, as plain types. Nothing here decides anything: see `choice.rs`.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
+use crate::rendezvous::{Candidates, Fleet, Homes};
 
 #[derive(Default)]
 pub(crate) struct Worker {
@@ -64,8 +66,12 @@
     pub(crate) told: BTreeMap<WorkerId, (f64, Micros)>,
     pub(crate) held: u32,
     pub(crate) last: Micros,
-    pub(crate) order: Vec<WorkerId>,
-    pub(crate) epoch: u64,
+    /// The first workers of its rendezvous order.
+    pub(crate) homes: Homes,
+    /// The sweep that it last went through, as in `Controller::swept`.
+    pub(crate) settled: Micros,
+    /// Where it stands in `Controller::resting`.
+    pub(crate) rests: Micros,
 }
 
 impl Function {
@@ -138,8 +144,17 @@
     pub(crate) out: Vec<Action>,
     pub(crate) started: Option<Micros>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
-    pub(crate) epoch: u64,
+    /// The workers in service, as the rendezvous orders need them, and those that are gone and still known.
+    pub(crate) fleet: Fleet,
+    pub(crate) gone: BTreeSet<WorkerId>,
+    /// Per class, the workers that are open to its calls, where this event asked for them.
+    pub(crate) open: Vec<OnceCell<Candidates>>,
     pub(crate) functions: BTreeMap<FunctionId, Function>,
+    /// What `warm` and `loading` of all functions hold, by worker, and the functions with loads under way.
+    pub(crate) copies: BTreeSet<(WorkerId, FunctionId)>,
+    pub(crate) loads: BTreeSet<FunctionId>,
+    /// When each function is looked at next by a sweep, in spans of `REST_BUCKET`.
+    pub(crate) resting: BTreeMap<Micros, Vec<FunctionId>>,
     pub(crate) calls: BTreeMap<RequestId, Call>,
     pub(crate) held: BTreeMap<Priority, RequestId>,
     pub(crate) flights: BTreeMap<(RequestId, u32), Flight>,
@@ -169,28 +184,23 @@
         })
     }
 
+    /// Rendezvous hashes computed so far: the work that grows with the number of workers, for figures.
+    pub fn hashes(&self) -> u64 {
+        self.fleet.hashes()
+    }
+
     /// Things remembered in all, so that an owner can show that they stay bounded.
     pub fn remembered(&self) -> usize {
         let of = |f: &Function| {
             let maps = f.warm.len() + f.loading.len() + f.shun.len() + f.out.len() + f.told.len();
-            1 + maps + f.arrivals.len() + f.latencies.len() + f.order.len()
+            1 + maps + f.arrivals.len() + f.latencies.len() + f.homes.workers().len()
         };
         let functions: usize = self.functions.values().map(of).sum();
         let workers: usize = self.workers.values().map(|w| 1 + w.lost.len()).sum();
         let calls = self.calls.len() + self.held.len() + self.flights.len() + self.due.len();
         let tenants: usize = self.tenant_taken.values().map(VecDeque::len).sum();
-        functions + workers + calls + tenants + self.orders.len() + self.taken.len()
-    }
-
-    pub(crate) fn forget_copies(&mut self, id: WorkerId) {
-        for function in self.functions.values_mut() {
-            function.warm.remove(&id);
-            function.loading.remove(&id);
-        }
-        if let Some(worker) = self.workers.get_mut(&id) {
-            worker.loads = 0;
-            worker.lost.clear();
-        }
+        let lists = self.orders.len() + self.taken.len() + self.copies.len() + self.gone.len();
+        functions + workers + calls + tenants + lists
     }
 
     /// Sets a worker's one check for silence, in place of one that is set.
@@ -243,14 +253,6 @@
         }
     }
 
-    pub(crate) fn load_over(&mut self, function: FunctionId, worker: WorkerId) {
-        if self.functions.get_mut(&function).is_some_and(|f| f.loading.remove(&worker).is_some())
-            && let Some(w) = self.workers.get_mut(&worker)
-        {
-            w.loads = w.loads.saturating_sub(1);
-        }
-    }
-
     pub(crate) fn unhold(&mut self, id: RequestId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         if call.held {
