follow: requests, timing and waits of a follower stand where others can use them

Need: hollow followers of a scale run are to ask exactly as a follower does. The query of an ask, how long a watch waits, how long its answer may take, the waits after failures and the HTTP/1.1 exchange stood inside the gateway's follower, the book that follows and the pushing client, and would have been written a second time.

Ruled out: Poster as it is for thousands of peers (a poll of its own for each); a copy in the new crate.

The follower uses them; what it sends and when is unchanged. New tests of timing and query stand in fleet::watch.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,7 +1,7 @@
 //! Decisions of a fleet whose members may all have lost power in one second: what each believes of before
 //! ([`trust`]), which book of tenants stands ([`stamp`], [`authority`], [`seek`]), and how many calls are taken
 //! while little can be served ([`gate`]); and of a fleet of which some stand behind: until when each may act on what
-//! it last heard ([`lease`]), and when a change is in force everywhere ([`roll`]).
+//! it last heard ([`lease`]), how it asks ([`watch`]), and when a change is in force everywhere ([`roll`]).
 //!
 //! No I/O, clock or chance of its own: times are milliseconds that are passed in, chance is a number that is.
 
@@ -13,6 +13,7 @@
 pub mod seek;
 pub mod stamp;
 pub mod trust;
+pub mod watch;
 
 /// Milliseconds of whatever clock the owner has.
 pub type Millis = u64;
--- /dev/null
+++ b/crates/fleet/src/watch.rs
@@ -0,0 +1,154 @@
+//! The asks of a follower: what it tells its administration with each, how long a watch may wait there for a change,
+//! and how long its answer may take.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::lease::ASKS_IN_A_SPAN;
+use crate::stamp::Stamp;
+
+/// How long a watch may wait for a change where no leases are given.
+const WAIT_WITHOUT_LEASES: Duration = Duration::from_secs(20);
+/// How long the answer to such a watch may take.
+const PATIENCE_WITHOUT_LEASES: Duration = Duration::from_secs(30);
+/// Where leases are given, a watch waits for a part of one, and its answer may take as long again, but not less than
+/// this: a silent link is found well within a lease.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// While what was taken is not yet in force and on the disk, the administration is asked again after so long.
+const WAIT_WHILE_BEHIND: Duration = Duration::from_millis(50);
+/// A snapshot is there at once or not at all.
+pub const SNAPSHOT_PATIENCE: Duration = Duration::from_secs(2);
+/// A follower that ends in order tries so long to say that it takes no calls any more.
+pub const FAREWELL_PATIENCE: Duration = Duration::from_millis(300);
+/// Entries of a page that a follower asks for.
+const PAGE_ENTRIES: u32 = 1_000;
+
+/// What a follower knows of its administration's leases.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LeaseSpan {
+    /// Nothing yet: the first answer is to tell.
+    #[default]
+    Unknown,
+    /// None are given.
+    NotGiven,
+    /// They are given for this span.
+    Given(Duration),
+}
+
+/// How a watch is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// The administration may hold it for so long.
+    pub wait: Duration,
+    /// Its answer may take so long.
+    pub patience: Duration,
+}
+
+impl LeaseSpan {
+    /// How the next watch is asked. `behind`: what was taken is not yet in force and on the disk.
+    pub fn timing(self, behind: bool) -> Timing {
+        match self {
+            Self::Unknown => Timing { wait: Duration::ZERO, patience: SNAPSHOT_PATIENCE },
+            Self::NotGiven => {
+                let wait = if behind { WAIT_WHILE_BEHIND } else { WAIT_WITHOUT_LEASES };
+                Timing { wait, patience: PATIENCE_WITHOUT_LEASES }
+            }
+            Self::Given(span) => {
+                let part = span / ASKS_IN_A_SPAN as u32;
+                let wait = if behind { part.min(WAIT_WHILE_BEHIND) } else { part };
+                Timing { wait, patience: (part * 2).max(LEAST_PATIENCE) }
+            }
+        }
+    }
+}
+
+/// What a follower tells with each ask; written as the query of its request.
+#[derive(Clone, Copy, Debug)]
+pub struct Report<'a> {
+    /// The controller's number.
+    pub controller: u32,
+    /// Its life.
+    pub life: u64,
+    /// The revision that its calls act on.
+    pub in_force: u64,
+    /// The revision that is synced to its disk.
+    pub kept: u64,
+    /// It takes no call without a lease.
+    pub ends: bool,
+    /// It has heard that it is shut out.
+    pub fenced: bool,
+    /// The book that it holds.
+    pub holds: Option<&'a Stamp>,
+}
+
+impl fmt::Display for Report<'_> {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { controller, life, in_force, kept, .. } = self;
+        let (ends, ended) = (u8::from(self.ends), u8::from(self.fenced));
+        write!(out, "controller={controller}&life={life}&in_force={in_force}&kept={kept}")?;
+        write!(out, "&ends={ends}&ended={ended}")?;
+        match self.holds {
+            Some(Stamp { store, epoch, revision, sum }) => {
+                write!(out, "&store={store}&epoch={epoch}&after={revision}&sum={sum}")
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl Report<'_> {
+    /// The target of a request for the whole book.
+    pub fn snapshot_target(&self) -> String {
+        format!("/v1/snapshot?{self}")
+    }
+
+    /// The target of a request for changes, which may wait so long for one.
+    pub fn watch_target(&self, wait: Duration) -> String {
+        format!("/v1/watch?{self}&limit={PAGE_ENTRIES}&wait_ms={}", wait.as_millis())
+    }
+}
+
+/// The target of the last request of a follower that ends in order.
+pub fn farewell_target(controller: u32, life: u64) -> String {
+    format!("/v1/watch?controller={controller}&life={life}&ended=1&wait_ms=0")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn four_asks_fit_into_a_span_and_their_answers_into_half_of_one() {
+        let timing = LeaseSpan::Given(Duration::from_secs(6)).timing(false);
+        assert_eq!(timing.wait, Duration::from_millis(1_500));
+        assert_eq!(timing.patience, Duration::from_secs(3));
+        let timing = LeaseSpan::Given(Duration::from_millis(200)).timing(true);
+        assert_eq!((timing.wait, timing.patience), (WAIT_WHILE_BEHIND, LEAST_PATIENCE));
+        assert_eq!(LeaseSpan::Unknown.timing(false).wait, Duration::ZERO);
+        assert_eq!(LeaseSpan::NotGiven.timing(false).wait, WAIT_WITHOUT_LEASES);
+        assert_eq!(LeaseSpan::NotGiven.timing(true).wait, WAIT_WHILE_BEHIND);
+    }
+
+    #[test]
+    fn an_ask_tells_what_is_held_and_in_force() {
+        let stamp = Stamp { store: "s".to_owned(), epoch: 3, revision: 9, sum: 5 };
+        let report = Report {
+            controller: 1,
+            life: 7,
+            in_force: 8,
+            kept: 6,
+            ends: true,
+            fenced: false,
+            holds: Some(&stamp),
+        };
+        assert_eq!(
+            report.watch_target(Duration::from_millis(1_500)),
+            "/v1/watch?controller=1&life=7&in_force=8&kept=6&ends=1&ended=0\
+             &store=s&epoch=3&after=9&sum=5&limit=1000&wait_ms=1500"
+        );
+        assert_eq!(
+            Report { holds: None, ..report }.snapshot_target(),
+            "/v1/snapshot?controller=1&life=7&in_force=8&kept=6&ends=1&ended=0"
+        );
+    }
+}
--- a/crates/gateway/src/admin/follow.rs
+++ b/crates/gateway/src/admin/follow.rs
@@ -10,11 +10,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use nettleferry_fleet::lease::{self, ASKS_IN_A_SPAN, LEAST_SPAN, MOST_SPAN};
+use nettleferry_fleet::lease::{self, LEAST_SPAN, MOST_SPAN};
 use nettleferry_fleet::roll::At;
 use nettleferry_fleet::seek::{self, Seeker, Step};
 use nettleferry_fleet::stamp::{Stamp, Standing};
 use nettleferry_fleet::trust::Thing;
+use nettleferry_fleet::watch::{FAREWELL_PATIENCE, LeaseSpan, Report, SNAPSHOT_PATIENCE, farewell_target};
 use nettleferry_net::clock;
 use nettleferry_net::post::{Answer, PostError, Poster};
 use nettleferry_tenancy::Entry;
@@ -28,20 +29,10 @@
 use crate::kept::Kept;
 use crate::trail::{Shared, lock as lock_lines};
 
-/// How long a watch may wait for a change where no leases are given, and how long its answer may take.
-const WATCH: Duration = Duration::from_secs(20);
-const PATIENCE: Duration = Duration::from_secs(30);
-/// Where leases are given, a watch waits for a part of one, and its answer may take as long again, but not less than
-/// this: a silent link is found well within a lease.
-const LEAST_PATIENCE: Duration = Duration::from_millis(250);
 /// What was taken is to be in force and on the disk within this span; else the administration is told how far it is.
 const SETTLE: Duration = Duration::from_millis(100);
-/// While it is not, the administration is asked again after so long, not after a watch.
-const BEHIND: Duration = Duration::from_millis(50);
 /// A start waits so long for what was kept.
 const KEPT_WAIT: Duration = Duration::from_secs(1);
-/// A snapshot is there at once or not at all.
-const SNAPSHOT: Duration = Duration::from_secs(2);
 
 #[derive(Deserialize)]
 struct Page {
@@ -77,8 +68,6 @@
     held_ms: u64,
 }
 
-/// An ordered end tries so long to say that it takes no calls any more.
-const FAREWELL: Duration = Duration::from_millis(300);
 /// Bytes of lines delivered in one exchange.
 const PAGE_BYTES: usize = 256 << 10;
 
@@ -132,14 +121,14 @@
     held: Option<Shared>,
     delivered: u64,
     borrows: Option<Arc<Mutex<Shown>>>,
-    /// The span of leases as told last; `None`: nothing was told yet.
-    span: Option<Option<Duration>>,
+    /// The span of leases as told last.
+    span: LeaseSpan,
 }
 
 impl<T: Fn(Told)> Follow<T> {
     pub fn new(whom: &Whom, number: u32, mirror: Mirror, tell: T) -> io::Result<Self> {
         let token = token(whom.key_file)?;
-        let watches = Poster::new(whom.to, 1, PATIENCE)?;
+        let watches = Poster::new(whom.to, 1, SNAPSHOT_PATIENCE)?;
         let waker = watches.waker();
         let written = move || _ = waker.wake();
         let mut kept = Kept::open_and_tell(whom.kept.to_owned(), "tenants' book", KEPT_WAIT, written);
@@ -154,7 +143,7 @@
         let peers = Peers::new(whom.peers, &token, number)?;
         Ok(Self {
             watches,
-            snapshots: Poster::new(whom.to, 1, SNAPSHOT)?,
+            snapshots: Poster::new(whom.to, 1, SNAPSHOT_PATIENCE)?,
             seeker: Seeker::new(peers.count(), rand::random()),
             given: Vec::new(),
             peers,
@@ -179,7 +168,7 @@
             held: whom.held.clone(),
             delivered: 0,
             borrows: whom.borrows.clone(),
-            span: None,
+            span: LeaseSpan::default(),
         })
     }
 
@@ -239,16 +228,16 @@
 
     /// It takes no calls any more: what it had is others' at once, and no change waits for it.
     fn farewell(&mut self) -> io::Result<()> {
-        if self.span.flatten().is_none() {
+        if !matches!(self.span, LeaseSpan::Given(_)) {
             return Ok(());
         }
-        let target = format!("/v1/watch?controller={}&life={}&ended=1&wait_ms=0", self.number, self.life);
+        let target = farewell_target(self.number, self.life);
         let bearer = format!("Bearer {}", self.token);
-        self.snapshots.patience(FAREWELL);
+        self.snapshots.patience(FAREWELL_PATIENCE);
         self.snapshots.send(0, "GET", &target, &[("Authorization", &bearer)], b"");
-        let (mut heard, until) = (Vec::new(), Instant::now() + FAREWELL);
+        let (mut heard, until) = (Vec::new(), Instant::now() + FAREWELL_PATIENCE);
         while heard.is_empty() && Instant::now() < until {
-            self.snapshots.turn(Some(FAREWELL), &mut heard)?;
+            self.snapshots.turn(Some(FAREWELL_PATIENCE), &mut heard)?;
         }
         Ok(())
     }
@@ -284,11 +273,11 @@
     fn post(&mut self, target: &str, body: &[u8]) -> io::Result<Option<Answer>> {
         let bearer = format!("Bearer {}", self.token);
         let headers = [("Authorization", bearer.as_str()), ("Content-Type", "application/json")];
-        self.snapshots.patience(SNAPSHOT);
+        self.snapshots.patience(SNAPSHOT_PATIENCE);
         self.snapshots.send(0, "POST", target, &headers, body);
         let mut heard = Vec::new();
         while heard.is_empty() && !self.ended.load(Ordering::Acquire) {
-            self.snapshots.turn(Some(SNAPSHOT), &mut heard)?;
+            self.snapshots.turn(Some(SNAPSHOT_PATIENCE), &mut heard)?;
         }
         Ok(heard.pop().and_then(|(_, answer)| answer.ok()))
     }
@@ -296,10 +285,11 @@
     /// It may act on what was told so far, for a span from when it asked.
     fn leased(&mut self, asked: Instant, lease: Option<Lease>) {
         let Some(Lease { lease_ms: span_ms, place }) = lease else { return };
-        let span = span_ms.map(|ms| Duration::from_millis(ms.clamp(LEAST_SPAN, MOST_SPAN)));
-        if self.span != Some(span) {
+        let given = |ms: u64| LeaseSpan::Given(Duration::from_millis(ms.clamp(LEAST_SPAN, MOST_SPAN)));
+        let span = span_ms.map_or(LeaseSpan::NotGiven, given);
+        if self.span != span {
             info!(span_ms, "leases of the administration");
-            self.span = Some(span);
+            self.span = span;
         }
         if let Some(span_ms) = span_ms {
             let until = asked + Duration::from_millis(lease::ends(0, span_ms));
@@ -385,46 +375,25 @@
         self.kept_at
     }
 
-    /// How long a watch may wait, and its answer take.
-    fn patience(&mut self) -> (Duration, Duration) {
-        let behind = self.is_behind();
-        match self.span {
-            // Nothing is known yet: the first answer is to tell.
-            None => (Duration::ZERO, SNAPSHOT),
-            Some(None) if behind => (BEHIND, PATIENCE),
-            Some(None) => (WATCH, PATIENCE),
-            Some(Some(span)) => {
-                let part = span / ASKS_IN_A_SPAN as u32;
-                let wait = if behind { part.min(BEHIND) } else { part };
-                (wait, (part * 2).max(LEAST_PATIENCE))
-            }
-        }
-    }
-
     /// Asks the administration, telling it what is held. `None`: the end came first.
     fn ask(&mut self, ask: &Ask) -> io::Result<Option<Result<Answer, PostError>>> {
-        let held = self.stamp().map_or_else(String::new, |s| {
-            format!("&store={}&epoch={}&after={}&sum={}", s.store, s.epoch, s.revision, s.sum)
-        });
+        let stamp = self.stamp();
         let (in_force, kept, epoch) = (self.marks.in_force(), self.kept_at(), self.epoch.unwrap_or(0));
         // Of another epoch it has nothing.
         let of = |at: At| if at.epoch == epoch { at.revision } else { 0 };
-        let who = format!(
-            "controller={}&life={}&in_force={}&kept={}&ends={}&ended={}{held}",
-            self.number,
-            self.life,
-            of(in_force),
-            of(kept),
-            u8::from(self.ends),
-            u8::from(self.fenced)
-        );
-        let (wait, patience) = self.patience();
+        let report = Report {
+            controller: self.number,
+            life: self.life,
+            in_force: of(in_force),
+            kept: of(kept),
+            ends: self.ends,
+            fenced: self.fenced,
+            holds: stamp.as_ref(),
+        };
+        let timing = self.span.timing(self.is_behind());
         let (poster, patience, target) = match ask {
-            Ask::Snapshot => (&mut self.snapshots, SNAPSHOT, format!("/v1/snapshot?{who}")),
-            Ask::Watch { .. } => {
-                let target = format!("/v1/watch?{who}&limit=1000&wait_ms={}", wait.as_millis());
-                (&mut self.watches, patience, target)
-            }
+            Ask::Snapshot => (&mut self.snapshots, SNAPSHOT_PATIENCE, report.snapshot_target()),
+            Ask::Watch { .. } => (&mut self.watches, timing.patience, report.watch_target(timing.wait)),
         };
         poster.patience(patience);
         poster.send(0, "GET", &target, &[("Authorization", &format!("Bearer {}", self.token))], b"");
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! * [`hub`]: connections and streams. [`io`]: a mio socket as `AsyncRead`/`AsyncWrite`.
 //! * [`http1`]: a small HTTP/1.1 server for side listeners.
-//! * [`post`]: an HTTP/1.1 client for pushing.
+//! * [`post`]: an HTTP/1.1 client for pushing; [`http1_client`]: one connection of it.
 //! * [`framing`]: length-prefixed messages. [`grpc`]: status, time-outs, percent and base64 headers.
 //! * [`tcp`]: plain connections, for protocols other than HTTP/2. [`clock`]: the time.
 //! * [`limits`]: every bound, and its counter.
@@ -20,6 +20,7 @@
 pub mod framing;
 pub mod grpc;
 pub mod http1;
+pub mod http1_client;
 pub mod hub;
 pub mod io;
 pub mod limits;
--- a/crates/tenancy/src/follow.rs
+++ b/crates/tenancy/src/follow.rs
@@ -51,15 +51,49 @@
     Began(Book),
 }
 
+/// Waits after failures in a row: each up to twice as long as the one before, half of it by chance.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    failures: u32,
+    random: u64,
+}
+
+impl Backoff {
+    /// One that has not failed. `seed`: for the jitter.
+    pub fn new(seed: u64) -> Self {
+        Self { failures: 0, random: seed | 1 }
+    }
+
+    /// How often in a row it failed.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// It failed once more; how long to wait now.
+    pub fn failed(&mut self) -> Millis {
+        self.failures = self.failures.saturating_add(1);
+        let most = WAIT_FIRST.saturating_mul(1 << (self.failures - 1).min(16)).min(WAIT_MOST);
+        // Xorshift: followers that lost the same peer come back apart.
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        most / 2 + self.random % (most / 2 + 1)
+    }
+
+    /// It succeeded.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+}
+
 /// A book that follows.
 #[derive(Clone, Debug)]
 pub struct Follower {
     book: Book,
     store: String,
     whole: bool,
-    failures: u32,
+    backoff: Backoff,
     not_before: Millis,
-    random: u64,
 }
 
 impl Follower {
@@ -67,7 +101,7 @@
     pub fn new(kept: Option<(String, Book)>, seed: u64) -> Self {
         let whole = kept.is_none();
         let (store, book) = kept.unwrap_or_default();
-        Self { book, store, whole, failures: 0, not_before: 0, random: seed | 1 }
+        Self { book, store, whole, backoff: Backoff::new(seed), not_before: 0 }
     }
 
     /// The book as it stands.
@@ -90,7 +124,7 @@
 
     /// How often in a row no answer came.
     pub fn failures(&self) -> u32 {
-        self.failures
+        self.backoff.failures()
     }
 
     /// Takes an answer in; what is to be put in force is appended to `news`.
@@ -99,14 +133,14 @@
             Heard::Snapshot { store, book } => {
                 self.store = store;
                 self.whole = false;
-                self.failures = 0;
+                self.backoff.succeeded();
                 if book != self.book {
                     self.book = book.clone();
                     news.push(News::Began(book));
                 }
             }
             Heard::Entries(entries) => {
-                self.failures = 0;
+                self.backoff.succeeded();
                 for entry in entries {
                     // One that was taken before says nothing new.
                     if entry.revision <= self.book.revision() {
@@ -130,12 +164,6 @@
     }
 
     fn wait(&mut self, now: Millis) {
-        self.failures = self.failures.saturating_add(1);
-        let most = WAIT_FIRST.saturating_mul(1 << (self.failures - 1).min(16)).min(WAIT_MOST);
-        // Xorshift: followers that lost the same peer come back apart.
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        self.not_before = now.saturating_add(most / 2 + self.random % (most / 2 + 1));
+        self.not_before = now.saturating_add(self.backoff.failed());
     }
 }
