hollow: thousands of followers in one process that keep the protocol and do no work

Need: what an administration spends by follower can't be measured with real followers alone: hundreds of processes fill the machine, and their own work stands in every figure.

Ruled out: threads around the real follower (a poll, two descriptors more and a book each); simulated followers, which spend nothing at the real administration.

Each follower has its number, life, two connections, lease, checksums and waits as a real one has; all share one poll and one book. JSON lines a second, by change and at the end, and a summary of an interval at each line of standard input. Loopback only; more peers than descriptors or memory allow are refused with what fits.

--- /dev/null
+++ b/crates/gateway/src/commands/hollow.rs
@@ -0,0 +1,99 @@
+//! `hollow`: peers for scale runs that keep a protocol and do no work, thousands in one process.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use clap::{Args, Subcommand};
+use nettleferry_hollow::bounds::Refused;
+use nettleferry_hollow::followers::{Followers, Settings};
+use nettleferry_hollow::process::Machine;
+
+use super::{CommandError, read};
+
+/// Run hollow peers: they keep a protocol and its timing and do no work; JSON lines, until standard input closes.
+#[derive(Args)]
+pub struct Hollow {
+    #[command(subcommand)]
+    role: Role,
+}
+
+#[derive(Subcommand)]
+enum Role {
+    /// Controllers that follow an administration
+    Followers(FollowersCommand),
+}
+
+#[derive(Args)]
+struct FollowersCommand {
+    /// The administration's API
+    #[arg(long, value_name = "ADDR:PORT")]
+    administration: SocketAddr,
+    /// Its key for controllers, NAME.SECRET, or a file that holds it
+    #[arg(long, value_name = "TOKEN|FILE", env = "NETTLEFERRY_KEY", hide_env_values = true)]
+    key: String,
+    /// How many
+    #[arg(long)]
+    count: u32,
+    /// The controller's number of the first
+    #[arg(long, default_value_t = 1)]
+    first_number: u32,
+    /// What draws begin with
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// End after so long; else when standard input closes
+    #[arg(long)]
+    seconds: Option<u64>,
+    /// They begin to ask spread over so long
+    #[arg(long, value_name = "MS", default_value_t = 1_000)]
+    begin_within: u64,
+    /// They go on without a lease, like (without-lease serve)
+    #[arg(long)]
+    goes_on: bool,
+    /// The chance that a request or an answer is lost, and comes 200 ms later as TCP sends it again
+    #[arg(long, value_name = "P", default_value_t = 0.0)]
+    loss: f64,
+    /// How long one way takes, beyond what loopback does
+    #[arg(long, value_name = "MS", default_value_t = 0)]
+    delay: u64,
+}
+
+impl Hollow {
+    pub fn run(self) -> Result<u8, CommandError> {
+        match self.role {
+            Role::Followers(followers) => followers.run(),
+        }
+    }
+}
+
+impl FollowersCommand {
+    fn run(self) -> Result<u8, CommandError> {
+        let settings = Settings {
+            administration: self.administration,
+            token: token(&self.key)?,
+            count: self.count,
+            first_number: self.first_number,
+            seed: self.seed,
+            time: self.seconds.map(Duration::from_secs),
+            begin_within: Duration::from_millis(self.begin_within),
+            goes_on: self.goes_on,
+            loss: self.loss,
+            delay: Duration::from_millis(self.delay),
+        };
+        settings.check(Machine::read()).map_err(refused)?;
+        let followers = Followers::new(settings).map_err(CommandError::system("can't begin"))?;
+        let ran = followers.run(std::io::stdin(), std::io::stdout());
+        ran.map_err(CommandError::system("the run ended"))?;
+        Ok(0)
+    }
+}
+
+fn refused(why: Refused) -> CommandError {
+    CommandError::Usage(why.to_string())
+}
+
+/// A token, or what the file of this name holds.
+fn token(key: &str) -> Result<String, CommandError> {
+    let path = Path::new(key);
+    if path.is_file() { Ok(read(path)?.trim().to_owned()) } else { Ok(key.to_owned()) }
+}
--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod day;
 mod demo;
 mod fleet;
+mod hollow;
 mod load;
 mod node;
 mod scale;
@@ -69,6 +70,8 @@
     Scale(scale::Scale),
     /// Run one stand-in worker
     Worker(worker::WorkerCommand),
+    #[command(hide = true)]
+    Hollow(hollow::Hollow),
 }
 
 /// Why a command ended without success.
@@ -158,6 +161,7 @@
         Command::Alerts(alerts) => alerts.run(),
         Command::Scale(scale) => scale.run(),
         Command::Worker(worker) => worker.run(),
+        Command::Hollow(hollow) => hollow.run(),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/hollow.rs
@@ -0,0 +1,203 @@
+//! Hollow followers beside real processes: an administration and a follower of the program, over loopback.
+
+mod common;
+use common::desk::*;
+use common::rig::*;
+use common::*;
+
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+
+use nettleferry_hollow::followers::report::{Change, Second, Summary};
+use nettleferry_hollow::report::Line;
+use serde_json::json;
+
+const HOLLOW: u32 = 50;
+
+/// A process of hollow peers.
+struct Hollow {
+    child: Child,
+    input: Option<ChildStdin>,
+    lines: Receiver<Line>,
+}
+
+impl Hollow {
+    fn followers(rig: &Rig, more: &[&str]) -> Self {
+        let (api, count) = (rig.api.to_string(), HOLLOW.to_string());
+        let mut command = Command::new(PROGRAM);
+        command
+            .args(["hollow", "followers", "--administration", &api, "--key", &rig.key, "--count", &count])
+            .args(["--first-number", "2"])
+            .args(more);
+        let spawned = command.stdin(Stdio::piped()).stdout(Stdio::piped()).spawn();
+        let mut child = spawned.expect("it starts");
+        let (input, out) = (child.stdin.take(), child.stdout.take().expect("piped"));
+        let (said, lines) = channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                let _ = said.send(serde_json::from_str(&line).expect("a line of the report"));
+            }
+        });
+        Self { child, input, lines }
+    }
+
+    #[track_caller]
+    fn wait<T>(&self, what: &str, mut pick: impl FnMut(Line) -> Option<T>) -> T {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("never: {what}"));
+            if let Some(found) = pick(line) {
+                return found;
+            }
+        }
+    }
+
+    #[track_caller]
+    fn second(&self, what: &str, mut holds: impl FnMut(&Second) -> bool) -> Second {
+        self.wait(what, |line| match line {
+            Line::FollowersSecond(second) if holds(&second) => Some(second),
+            _ => None,
+        })
+    }
+
+    #[track_caller]
+    fn change(&self, of: u64) -> Change {
+        self.wait("a change came to all", |line| match line {
+            Line::FollowersChange(change) if change.revision == of => Some(change),
+            _ => None,
+        })
+    }
+
+    /// Its next summary.
+    #[track_caller]
+    fn next_summary(&self) -> Summary {
+        self.wait("a summary", |line| match line {
+            Line::FollowersSummary(summary) => Some(*summary),
+            _ => None,
+        })
+    }
+
+    /// A summary of the interval since the last one.
+    #[track_caller]
+    fn interval(&mut self) -> Summary {
+        writeln!(self.input.as_mut().expect("open"), "summary").expect("it listens");
+        self.next_summary()
+    }
+
+    /// Its summary, once its standard input was closed, or its time was over.
+    #[track_caller]
+    fn summary(mut self, close: bool) -> Summary {
+        if close {
+            self.input = None;
+        }
+        let summary = self.next_summary();
+        assert!(self.child.wait().expect("ours").success());
+        summary
+    }
+}
+
+impl Drop for Hollow {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Suspends a tenant or lets it in again, and waits until that is in force everywhere: its revision. The answer to
+/// what takes something away says so itself.
+#[track_caller]
+fn change_everywhere(desk: &Desk, what: &str) -> u64 {
+    let token = &desk.http.token;
+    let (status, head, body) = desk.raw(&format!(
+        "POST /v1/tenants/t0/{what} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer {token}\r\n\
+         If-Match: *\r\nContent-Length: 0\r\n\r\n"
+    ));
+    assert_eq!(status, 200, "{body}");
+    if what == "suspend" {
+        assert!(head.lines().any(|line| line == "Nettleferry-In-Force: everywhere"), "{head}");
+    }
+    eventually("it is in force everywhere", || desk.get("/v1/fleet/change")["everywhere"] == true);
+    let told: serde_json::Value = serde_json::from_str(&body).expect("a tenant");
+    told["revision"].as_u64().expect("a revision")
+}
+
+#[test]
+fn hollow_followers_take_each_change_and_come_back_to_another_life_of_the_administration() {
+    let rig = Rig::new("127.0.42.1", HOLLOW + 2);
+    let lease = "(lease 2s)";
+    let desk = rig.administration(rig.dir(), lease);
+    desk.create(json!({ "name": "t0" }));
+    let real = rig.follower(rig.dir(), 1, rig.api, "(without-lease refuse)");
+    let mut hollow = Hollow::followers(&rig, &["--begin-within", "300"]);
+    let all = u64::from(HOLLOW) + 1;
+    let leases = |desk: &Desk| desk.get("/v1/fleet")["leases"] == all;
+    eventually("each has a lease", || leases(&desk));
+    for what in ["suspend", "resume", "suspend"] {
+        let revision = change_everywhere(&desk, what);
+        assert_eq!(hollow.change(revision).followers, u64::from(HOLLOW));
+    }
+    eventually("the real one follows too", || {
+        takes(&real, "t0") == nettleferry_net::grpc::Code::PermissionDenied
+    });
+    let before = hollow.interval();
+    assert_eq!((before.lapses, before.change_to_last.count, before.changes_incomplete), (0, 3, 0));
+    // The administration is lost, and back with its store.
+    desk.program.signal("KILL");
+    let store = left(desk.program, &["tenants.redb", "tenants.lease", "workers.sexp", "key"]);
+    hollow.second("none has a lease", |second| second.leased == 0);
+    let desk = rig.administration(store, lease);
+    eventually("each has a lease again", || leases(&desk));
+    hollow.second("as they see it", |second| second.leased == u64::from(HOLLOW));
+    let revision = change_everywhere(&desk, "resume");
+    assert_eq!(hollow.change(revision).followers, u64::from(HOLLOW));
+    let summary = hollow.summary(true);
+    assert_eq!((summary.followers, summary.never_leased), (u64::from(HOLLOW), 0));
+    assert_eq!(summary.lapses, u64::from(HOLLOW), "one for each, while the administration was gone");
+    assert_eq!(summary.change_to_last.count, 1, "those of the interval alone");
+    assert_eq!((summary.counts.malformed, summary.counts.fenced), (0, 0));
+    eventually("they said that they ended", || desk.get("/v1/fleet")["leases"] == 1);
+}
+
+#[test]
+fn hollow_followers_on_a_slow_lossy_link_keep_their_leases_and_end_by_their_time() {
+    let rig = Rig::new("127.0.42.2", HOLLOW + 2);
+    let desk = rig.administration(rig.dir(), "(lease 4s)");
+    desk.create(json!({ "name": "t0" }));
+    let hollow = Hollow::followers(&rig, &["--loss", "0.05", "--delay", "20", "--seconds", "6"]);
+    hollow.second("each has a lease", |second| second.leased == u64::from(HOLLOW));
+    let revision = change_everywhere(&desk, "suspend");
+    let change = hollow.change(revision);
+    assert_eq!(change.followers, u64::from(HOLLOW));
+    assert!(change.p50_ms >= 20, "one way takes so long: {change:?}");
+    let summary = hollow.summary(false);
+    assert!(summary.ran_ms >= 6_000);
+    assert_eq!((summary.lapses, summary.never_leased), (0, 0), "{summary:?}");
+}
+
+/// How `hollow followers` ends with these words, under a limit on descriptors.
+fn refused(words: &[&str]) -> String {
+    let out = Command::new("/bin/sh")
+        .args(["-c", "ulimit -n 200; exec \"$0\" hollow followers --key a.b \"$@\"", PROGRAM])
+        .args(words)
+        .stdin(Stdio::null())
+        .output()
+        .expect("it runs");
+    assert_eq!(out.status.code(), Some(2));
+    assert!(out.stdout.is_empty(), "nothing was begun");
+    String::from_utf8_lossy(&out.stderr).into_owned()
+}
+
+#[test]
+fn other_machines_and_what_does_not_fit_are_refused_before_anything_is_begun() {
+    let told = refused(&["--administration", "192.0.2.1:80", "--count", "5"]);
+    assert!(told.contains("192.0.2.1:80 is no loopback address"), "{told}");
+    let here = ["--administration", "127.0.42.3:9"];
+    let told = refused(&[&here[..], &["--count", "69"]].concat());
+    assert!(told.contains("69 peers need 138 descriptors, and 136 may be used: 68 fit"), "{told}");
+    let told = refused(&[&here[..], &["--count", "0"]].concat());
+    assert!(told.contains("at least one peer"), "{told}");
+    let told = refused(&[&here[..], &["--count", "1", "--loss", "2"]].concat());
+    assert!(told.contains("--loss: from 0 to 0.9"), "{told}");
+    let told = refused(&[&here[..], &["--count", "2", "--first-number", "4294967295"]].concat());
+    assert!(told.contains("--first-number"), "{told}");
+}
