--- /dev/null
+++ b/crates/gateway/tests/scale.rs
@@ -0,0 +1,145 @@
+//! `scale` as a process: its lines, its exit codes, and the children of a run that is cut.
+
+use std::fs;
+use std::io::{BufRead, BufReader, Read};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A process of the program that is ended with the test.
+struct Run(Child);
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn command(file: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nettleferry"));
+    command.arg("scale").arg(file).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+fn write(folder: &Path, text: &str) -> PathBuf {
+    let file = folder.join("scale.sexp");
+    fs::write(&file, text).expect("written");
+    file
+}
+
+fn lines(output: &Output) -> Vec<Value> {
+    let text = String::from_utf8_lossy(&output.stdout);
+    text.lines().map(|line| serde_json::from_str(line).expect("a line of JSON")).collect()
+}
+
+fn children_of(parent: u32) -> Vec<u32> {
+    let text = fs::read_to_string(format!("/proc/{parent}/task/{parent}/children")).unwrap_or_default();
+    text.split_whitespace().filter_map(|id| id.parse().ok()).collect()
+}
+
+fn eventually<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(value) = found() {
+            return value;
+        }
+        assert!(Instant::now() < until, "never: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn lists_of_two_sizes_are_measured_at_a_real_process() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = write(
+        folder.path(),
+        "(deadline 60s) (list (workers 4 40) (changes 2) (rest 50ms) (settle 50ms))
+         (bounds (ratio (list list-bytes 40 4) 12) (at-most (list not-served 40) 0))",
+    );
+    let output = command(&file).args(["--commit", "abc"]).output().expect("run");
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(0), "{told}");
+    let lines = lines(&output);
+    for size in [4, 40] {
+        for figure in
+            ["memory", "list-bytes", "rest", "change", "change-longest", "replace", "replace-longest"]
+        {
+            let found = lines.iter().any(|line| {
+                line["kind"] == "observation"
+                    && line["figure"] == figure
+                    && line["size"] == size
+                    && line["commit"] == "abc"
+            });
+            assert!(found, "{figure} at {size}: {lines:?}");
+        }
+    }
+    let verdicts: Vec<&Value> = lines.iter().filter(|line| line["kind"] == "verdict").collect();
+    assert_eq!(verdicts.len(), 2);
+    assert!(verdicts.iter().all(|verdict| verdict["outcome"] == "kept"), "{verdicts:?}");
+    assert_eq!(lines.last().map(|line| line["how"].clone()), Some("done".into()));
+    assert!(told.contains("list-bytes"), "a table for people: {told}");
+}
+
+#[test]
+fn a_bound_that_breaks_is_exit_code_1() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = write(
+        folder.path(),
+        "(module (workers 5 10 20 40) (functions 20) (calls 40) (again 10))
+         (target (workers 1000) (budget (module remembered) 1000))
+         (bounds (at-most (module remembered 40) 1))",
+    );
+    let plots = folder.path().join("plots");
+    let output = command(&file).arg("--plots").arg(&plots).output().expect("run");
+    assert_eq!(output.status.code(), Some(1), "{}", String::from_utf8_lossy(&output.stderr));
+    let lines = lines(&output);
+    let of = |kind: &str| lines.iter().filter(|line| line["kind"] == kind).collect::<Vec<_>>();
+    assert_eq!(of("verdict")[0]["outcome"], "broken");
+    assert_eq!(of("target")[0]["observed"], false);
+    assert!(of("fit").iter().any(|fit| fit["figure"] == "remembered" && fit["sizes"] == 4));
+    assert!(plots.join("module-remembered.svg").is_file());
+}
+
+#[test]
+fn a_file_that_is_not_sound_is_refused_before_anything_starts() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = write(folder.path(), "(list\n  (workers 10 20000000))");
+    let output = command(&file).output().expect("run");
+    assert_eq!(output.status.code(), Some(3));
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(told.contains("scale.sexp:2:3: workers 20000000 can't fit"), "{told}");
+    assert!(output.stdout.is_empty());
+}
+
+#[test]
+fn an_interrupted_run_ends_its_children_and_says_what_it_had() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = write(
+        folder.path(),
+        "(deadline 10min) (module (workers 5) (functions 10) (calls 10) (again 10))
+         (list (workers 4) (changes 1) (rest 60s) (settle 50ms))",
+    );
+    for signal in [Signal::INT, Signal::TERM] {
+        let mut run = Run(command(&file).spawn().expect("started"));
+        let mut out = BufReader::new(run.0.stdout.take().expect("standard output"));
+        let mut first = String::new();
+        out.read_line(&mut first).expect("a line");
+        let children = eventually("both children run", || {
+            Some(children_of(run.0.id())).filter(|children| children.len() == 2)
+        });
+        kill_process(Pid::from_child(&run.0), signal).expect("told");
+        let status = eventually("it ends", || run.0.try_wait().expect("its status"));
+        assert_eq!(status.code(), Some(130), "{signal:?}");
+        assert!(children.iter().all(|id| !Path::new(&format!("/proc/{id}")).exists()), "{children:?}");
+        let mut rest = String::new();
+        out.read_to_string(&mut rest).expect("its lines");
+        assert!(first.contains("\"measure\":\"module\""), "{first}");
+        assert!(rest.contains("\"how\":\"interrupted\""), "{rest}");
+    }
+}
--- a/crates/scale/src/children.rs
+++ b/crates/scale/src/children.rs
@@ -151,6 +151,15 @@
         self.get(id).map_or(0, |running| lock(&running.log).lines)
     }
 
+    /// The lines of its log that follow the first `after` and are still kept.
+    pub fn logged_after(&self, id: ChildId, after: u64) -> Vec<String> {
+        let Some(running) = self.get(id) else { return Vec::new() };
+        let log = lock(&running.log);
+        let fresh = usize::try_from(log.lines.saturating_sub(after)).unwrap_or(usize::MAX);
+        let known = log.last.len().saturating_sub(fresh);
+        log.last.iter().skip(known).cloned().collect()
+    }
+
     /// The last lines of a child's log.
     pub fn last_log(&self, id: ChildId) -> Vec<String> {
         self.get(id).map_or_else(Vec::new, |running| lock(&running.log).last.iter().cloned().collect())
--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -47,6 +47,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Fit {
     /// The line through sizes and values.
+    #[serde(flatten)]
     pub line: Line,
     /// The power of the size with which the value grows, and its standard error: the line through their logarithms.
     /// None where a value is not above zero.
--- a/crates/scale/src/measure/mod.rs
+++ b/crates/scale/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! What a run measures: one module a measure, each behind the trait [`Measure`]. A new one is a module here and a
 //! line in [`KINDS`].
 
+pub mod list;
 pub mod module;
 
 use std::io;
@@ -39,6 +40,19 @@
     pub what: &'static str,
 }
 
+/// Defines figures as statics, and `FIGURES` with all of them.
+macro_rules! figures {
+    ($($constant:ident = $name:literal, $unit:ident, $what:literal;)*) => {
+        $(
+            #[doc = $what]
+            pub static $constant: Figure = Figure { name: $name, unit: $unit, what: $what };
+        )*
+        /// All of them.
+        pub static FIGURES: &[&Figure] = &[$(&$constant),*];
+    };
+}
+pub(crate) use figures;
+
 /// The figures of one size.
 #[derive(Debug, Default)]
 pub struct Observations {
@@ -180,4 +194,5 @@
 }
 
 /// All measures, in the order in which they run.
-pub const KINDS: &[Kind] = &[Kind { name: module::NAME, read: module::read }];
+pub const KINDS: &[Kind] =
+    &[Kind { name: module::NAME, read: module::read }, Kind { name: list::NAME, read: list::read }];
--- a/crates/scale/src/measure/module/figures.rs
+++ b/crates/scale/src/measure/module/figures.rs
@@ -2,17 +2,7 @@
 
 use crate::measure::Figure;
 use crate::measure::Unit::{Bytes, Count, Microseconds};
-
-macro_rules! figures {
-    ($($constant:ident = $name:literal, $unit:ident, $what:literal;)*) => {
-        $(
-            #[doc = $what]
-            pub static $constant: Figure = Figure { name: $name, unit: $unit, what: $what };
-        )*
-        /// All of them.
-        pub static FIGURES: &[&Figure] = &[$(&$constant),*];
-    };
-}
+use crate::measure::figures;
 
 figures! {
     CALL_MEAN = "call-mean", Microseconds, "all handle calls but those of list changes, over calls of rare functions";
--- a/crates/scale/src/report/lines.rs
+++ b/crates/scale/src/report/lines.rs
@@ -17,7 +17,7 @@
 
 /// A line.
 #[derive(Serialize)]
-#[serde(tag = "line", rename_all = "kebab-case")]
+#[serde(tag = "kind", rename_all = "kebab-case")]
 enum Line<'a> {
     Observation(&'a Observed),
     Fit(&'a Fitted),
--- /dev/null
+++ b/crates/scale/tests/children.rs
@@ -0,0 +1,104 @@
+//! Children are ended by their ids on every way out, and one that dies is named.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use nettleferry_scale::children::Children;
+use nettleferry_scale::context::{Context, Ends, NoProgress};
+use nettleferry_scale::interrupt::Interrupt;
+use nettleferry_scale::measure::MeasureError;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Children that are shells.
+fn shells(most: u64) -> Children {
+    Children::new(PathBuf::from("/bin/sh"), most)
+}
+
+/// Runs until its standard input closes; says so first.
+const WAITS: &str = "echo ready; read line; exit 0";
+/// Runs on, whatever it is told.
+const STUBBORN: &str = "trap '' TERM; echo ready; while :; do sleep 1; done";
+
+fn runs(id: u32) -> bool {
+    Path::new(&format!("/proc/{id}")).exists()
+}
+
+fn ends(interrupt: &Interrupt) -> Ends {
+    Ends { deadline: Instant::now() + PATIENCE, interrupt: interrupt.clone(), memory: u64::MAX }
+}
+
+#[test]
+fn a_child_that_dies_is_named_with_its_last_log_lines() {
+    let mut children = shells(4);
+    let script = "for i in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20 21 22 23 24 25; do echo line $i >&2; done; exit 7";
+    children.start("controller 3", ["-c", script]).expect("started");
+    let interrupt = Interrupt::default();
+    let ends = ends(&interrupt);
+    let mut context = Context::new(&mut children, &NoProgress, Path::new("/"), &ends, 1);
+    let error = context.wait(PATIENCE).expect_err("the child is dead");
+    let MeasureError::ChildDied { label, status, log } = &error else { panic!("{error}") };
+    assert_eq!((label.as_str(), status.as_str()), ("controller 3", "exit status: 7"));
+    let lines: Vec<&str> = log.lines().collect();
+    assert_eq!((lines.len(), lines[0], lines[19]), (20, "line 6", "line 25"), "bounded, and the last ones");
+    assert!(error.to_string().contains("child controller 3 ended (exit status: 7)"), "{error}");
+}
+
+#[test]
+fn a_child_that_ends_before_it_speaks_is_named_too() {
+    let mut children = shells(4);
+    let id = children.start("serve", ["-c", "echo no such file >&2; exit 3"]).expect("started");
+    let error = children.next_line(id, PATIENCE).expect_err("it is dead").to_string();
+    assert!(
+        error.contains("child serve ended (exit status: 3)") && error.contains("no such file"),
+        "{error}"
+    );
+}
+
+#[test]
+fn lines_go_both_ways() {
+    let mut children = shells(4);
+    let id = children.start("echo", ["-c", "while read line; do echo got $line; done"]).expect("started");
+    children.say(id, "one").expect("written");
+    assert_eq!(children.next_line(id, PATIENCE).expect("a line"), "got one");
+    assert_eq!(children.try_line(id), None);
+}
+
+#[test]
+fn an_interrupt_ends_the_wait_and_the_children_end_with_it() {
+    let mut children = shells(4);
+    let first = children.start("waits", ["-c", WAITS]).expect("started");
+    let second = children.start("stubborn", ["-c", STUBBORN]).expect("started");
+    for id in [first, second] {
+        assert_eq!(children.next_line(id, PATIENCE).expect("a line"), "ready");
+    }
+    let ids: Vec<u32> = children.ids().collect();
+    assert!(ids.len() == 2 && ids.iter().all(|id| runs(*id)));
+    let interrupt = Interrupt::default();
+    let ends = ends(&interrupt);
+    let mut context = Context::new(&mut children, &NoProgress, Path::new("/"), &ends, 1);
+    interrupt.set();
+    assert!(matches!(context.wait(PATIENCE), Err(MeasureError::Interrupted)));
+    drop(children);
+    assert!(ids.iter().all(|id| !runs(*id)), "both have ended, and were waited for");
+}
+
+#[test]
+fn the_deadline_and_the_memory_end_a_wait() {
+    let mut children = shells(1);
+    let interrupt = Interrupt::default();
+    let late = Ends { deadline: Instant::now(), ..ends(&interrupt) };
+    let mut context = Context::new(&mut children, &NoProgress, Path::new("/"), &late, 1);
+    assert!(matches!(context.wait(PATIENCE), Err(MeasureError::Deadline)));
+    let small = Ends { memory: 1, ..ends(&interrupt) };
+    let mut context = Context::new(&mut children, &NoProgress, Path::new("/"), &small, 1);
+    assert!(matches!(context.wait(PATIENCE), Err(MeasureError::Memory { allowed: 1, .. })));
+}
+
+#[test]
+fn more_children_than_allowed_are_not_started() {
+    let mut children = shells(1);
+    children.start("first", ["-c", WAITS]).expect("started");
+    let error = children.start("second", ["-c", WAITS]).expect_err("one too many").to_string();
+    assert!(error.contains("second: more than 1 processes"), "{error}");
+}
--- /dev/null
+++ b/crates/scale/tests/fit.rs
@@ -0,0 +1,62 @@
+//! Fits against lines and powers that are known, and verdicts on them.
+
+use nettleferry_scale::fit::{Fit, Line};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SIZES: [f64; 5] = [100.0, 1_000.0, 5_000.0, 10_000.0, 20_000.0];
+
+fn points(value: impl FnMut(f64) -> f64) -> Vec<(f64, f64)> {
+    let mut value = value;
+    SIZES.iter().map(|size| (*size, value(*size))).collect()
+}
+
+fn near(found: f64, wanted: f64, part: f64) -> bool {
+    (found - wanted).abs() <= part * wanted.abs().max(1e-9)
+}
+
+#[test]
+fn an_exact_line_is_found_without_error() {
+    let fit = Fit::of(&points(|size| 7.0 + 0.1 * size)).expect("five sizes");
+    assert!(near(fit.line.slope, 0.1, 1e-9) && near(fit.line.intercept, 7.0, 1e-6), "{fit:?}");
+    assert!(fit.line.slope_error < 1e-9, "{fit:?}");
+    assert!(near(fit.line.at(40_000.0), 4_007.0, 1e-9));
+}
+
+#[test]
+fn the_standard_error_is_the_textbook_s() {
+    // y = 2, 4, 5, 4, 5 over x = 1..5: slope 0.6, residue 2.4, spread 10: error sqrt(2.4 / 3 / 10).
+    let line = Line::through(&[(1.0, 2.0), (2.0, 4.0), (3.0, 5.0), (4.0, 4.0), (5.0, 5.0)]).expect("a line");
+    assert!(near(line.slope, 0.6, 1e-12) && near(line.intercept, 2.2, 1e-12), "{line:?}");
+    assert!(near(line.slope_error, (2.4f64 / 3.0 / 10.0).sqrt(), 1e-12), "{line:?}");
+}
+
+#[test]
+fn powers_are_told_apart() {
+    for power in [0.0, 0.5, 1.0, 1.5, 2.0] {
+        let fit = Fit::of(&points(|size| 3.0 * size.powf(power))).expect("five sizes");
+        let found = fit.exponent.expect("all above zero");
+        assert!((found.power - power).abs() < 1e-9 && found.error < 1e-9, "{power}: {found:?}");
+    }
+}
+
+#[test]
+fn noise_of_a_tenth_leaves_the_slope_within_its_error() {
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let (mut within, rounds) = (0, 400);
+    for _ in 0..rounds {
+        let noisy = points(|size| 20.0 + 0.1 * size + 50.0 * (random.random::<f64>() - 0.5));
+        let line = Fit::of(&noisy).expect("five sizes").line;
+        // With three degrees of freedom, 99 in 100 lie within 5.84 standard errors.
+        within += u32::from((line.slope - 0.1).abs() <= 5.84 * line.slope_error);
+    }
+    assert!(within >= rounds * 97 / 100, "{within} of {rounds}");
+}
+
+#[test]
+fn what_can_t_be_fitted_is_not() {
+    assert_eq!(Fit::of(&[(1.0, 1.0), (2.0, 2.0), (3.0, 3.0)]), None, "three sizes");
+    assert_eq!(Fit::of(&[(1.0, 1.0); 4]), None, "one size four times");
+    let zero = Fit::of(&points(|_| 0.0)).expect("a flat line");
+    assert_eq!((zero.line.slope, zero.exponent), (0.0, None), "no logarithm of zero");
+}
--- /dev/null
+++ b/crates/scale/tests/settings.rs
@@ -0,0 +1,121 @@
+//! Files of a scale run: what is refused, where it stands and what to write instead.
+
+use nettleferry_scale::room::Room;
+use nettleferry_scale::settings;
+
+const GIB: u64 = 1 << 30;
+
+/// A machine of a known size.
+fn room() -> Room {
+    Room { memory: 4 * GIB, processes: 300, descriptors: 1_000, ports: 28_000 }
+}
+
+fn refused(text: &str) -> String {
+    match settings::read("x.sexp", text, &room()) {
+        Ok(_) => panic!("taken: {text}"),
+        Err(errors) => errors.to_string(),
+    }
+}
+
+#[test]
+fn the_examples_are_sound() {
+    for text in
+        [include_str!("../../../examples/scale.sexp"), include_str!("../../../examples/scale-quick.sexp")]
+    {
+        let large = Room { memory: 12 * GIB, descriptors: 20_000, ..room() };
+        let settings = settings::read("example", text, &large).unwrap_or_else(|errors| panic!("{errors}"));
+        assert!(!settings.measures.is_empty());
+        assert!(!settings.bounds.is_empty());
+    }
+}
+
+#[test]
+fn a_word_that_is_not_known_is_told_with_line_column_and_the_nearest_one() {
+    let errors = refused("(module\n  (workers 1 2)\n  (functoins 10))");
+    assert!(
+        errors.contains("x.sexp:3:3: module has no key (functoins ...): did you mean functions?"),
+        "{errors}"
+    );
+    let errors = refused("(modul (workers 1 2))");
+    assert!(errors.contains("x.sexp:1:1: the file has no key (modul ...): did you mean module?"), "{errors}");
+}
+
+#[test]
+fn a_file_that_measures_nothing_is_refused() {
+    let errors = refused("(seed 3)");
+    assert!(errors.contains("x.sexp:1:1: nothing is measured: write (module ...) or (list ...)"), "{errors}");
+}
+
+#[test]
+fn sizes_are_wanted_in_growing_order() {
+    for sizes in ["5 5", "9 3", "0 1", ""] {
+        let errors = refused(&format!("(module (workers {sizes}))"));
+        assert!(errors.contains("x.sexp:1:9: (workers ...): "), "{errors}");
+    }
+}
+
+#[test]
+fn a_size_that_takes_too_much_memory_is_refused_with_what_would_fit() {
+    let text = |size: u64| format!("(deadline 30min)\n(list\n  (workers 10 {size}))");
+    let many_descriptors = room();
+    let small = Room { memory: GIB, ..many_descriptors };
+    let errors = match settings::read("x.sexp", &text(100_000), &small) {
+        Ok(_) => panic!("taken"),
+        Err(errors) => errors.to_string(),
+    };
+    assert!(errors.contains("x.sexp:3:3: workers 100000 can't fit: needs "), "{errors}");
+    assert!(errors.contains("GiB of memory; there are 1.0 GiB for a run; write at most "), "{errors}");
+    let fits: u64 = errors
+        .split("write at most ")
+        .nth(1)
+        .and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next())
+        .and_then(|digits| digits.parse().ok())
+        .expect("a number");
+    assert!(settings::read("x.sexp", &text(fits), &small).is_ok(), "{fits} fits");
+    assert!(settings::read("x.sexp", &text(fits + 1), &small).is_err(), "{fits} is the most that fits");
+}
+
+#[test]
+fn too_few_descriptors_processes_or_ports_are_told() {
+    let text = "(list (workers 10))";
+    let rooms = [
+        (Room { descriptors: 10, ..room() }, "descriptors of one process; there are 10 for a run"),
+        (Room { processes: 1, ..room() }, "2 processes; there are 1 for a run"),
+        (Room { ports: 1, ..room() }, "local ports; there are 1 for a run"),
+    ];
+    for (room, wanted) in rooms {
+        let errors = settings::read("x.sexp", text, &room).err().expect("refused").to_string();
+        assert!(errors.contains("x.sexp:1:7: workers 10 can't fit: needs "), "{errors}");
+        assert!(errors.contains(wanted), "{errors}");
+    }
+}
+
+#[test]
+fn a_run_that_can_pass_its_deadline_is_refused_with_one_that_fits() {
+    let errors = refused("(seed 1)\n(deadline 1s)\n(module (workers 1 2 3 20000))");
+    assert!(errors.contains("x.sexp:2:1: the run may take "), "{errors}");
+    assert!(errors.contains("write (deadline "), "{errors}");
+}
+
+#[test]
+fn bounds_name_figures_and_sizes_that_are_measured() {
+    let bound = |bound: &str| refused(&format!("(module (workers 10 20))\n(bounds {bound})"));
+    let errors = bound("(at-most (module call-maen 10) 5us)");
+    assert!(errors.contains("x.sexp:2:26: the figure is one of "), "{errors}");
+    assert!(errors.contains("did you mean call-mean?"), "{errors}");
+    let errors = bound("(at-most (module call-mean 11) 5us)");
+    assert!(errors.contains("x.sexp:2:18: size 11 is not measured: write one of 10, 20"), "{errors}");
+    let errors = bound("(at-most (list change 10) 5us)");
+    assert!(errors.contains("x.sexp:2:18: this file measures module, not list"), "{errors}");
+    let errors = bound("(at-most (module call-mean 10) 5)");
+    assert!(errors.contains("x.sexp:2:40: (at-most ...): write a span with its unit"), "{errors}");
+    let errors = bound("(exponent (module call-mean) 0.5)");
+    assert!(errors.contains("x.sexp:2:19: an exponent needs a fit over at least 4 sizes"), "{errors}");
+}
+
+#[test]
+fn a_target_needs_a_size_and_a_fit() {
+    let errors = refused("(module (workers 10 20))\n(target (budget (module state) 64MiB))");
+    assert!(errors.contains("x.sexp:2:17: the target lacks (workers SIZE)"), "{errors}");
+    assert!(errors.contains("a target needs a fit over at least 4 sizes"), "{errors}");
+}
--- a/examples/scale-quick.sexp
+++ b/examples/scale-quick.sexp
@@ -10,3 +10,6 @@
   (again 200)
   (calls-per-second 125)
   (replace-every 1s))
+
+(bounds
+  (ratio (module call-p50 3200 400) 3)) ; eight times the workers, at most three times the cost
--- a/examples/scale.sexp
+++ b/examples/scale.sexp
@@ -12,3 +12,23 @@
   (answer-after 20ms)               ; a worker answers so long after a call was sent (default 20ms)
   (keep-alive 8s)                   ; as in the settings of a controller (default 8s)
   (probes yes))                     ; workers may be probed (default yes)
+
+(list                               ; a process of `nettleferry serve` with a list in a file, while calls flow
+  (workers 100 1000 5000 20000)     ; sizes; all have the address of one stand-in worker
+  (changes 5)                       ; of one worker each, at each size (default 5)
+  (calls-per-second 200)            ; through the process (default 200)
+  (rest 1s)                         ; what passes without a change is measured for so long (default 1s)
+  (settle 400ms))                   ; after each change (default 400ms)
+
+(target                             ; figures are carried on to this size by their line
+  (workers 20000)
+  (budget (module call-mean) 112us) ; 1.4% of a core at 125 calls a second
+  (budget (module state) 64MiB)
+  (budget (list memory) 128MiB))    ; what a controller may spend for control
+
+(bounds                             ; exit code 1 where one does not hold
+  (at-most (module call-mean 20000) 60us)
+  (at-most (module call-max 20000) 5ms)
+  (at-most (module state 20000) 64MiB)
+  (ratio (module call-p50 20000 100) 4) ; a figure at one size over the same at another
+  (exponent (module call-mean) 0.3))    ; the power of the size with which a figure grows; four sizes at least
