config: settings are read by eight modules of one part of the file each

Two tuples between functions became named types, readers over one purpose were divided, defaults got names. Forms are asked in the order as before, so that faults come in the same order; keys, defaults and messages are the same. The tests moved to a file of their own; only their imports and the example's path changed.

--- /dev/null
+++ b/crates/config/src/settings/tests.rs
@@ -0,0 +1,69 @@
+//! The example, suggestions and faults.
+
+use nettleferry::{Effect, Group};
+
+use super::*;
+
+const SMALL: &str = "(listen (grpc \"127.0.0.1:0\")) (workers (file \"w.sexp\"))
+    (class c (effect safe) (aim 600ms) (deadline 4s))";
+
+fn errors(text: &str) -> String {
+    read("n.sexp", text).map(|_| ()).expect_err("wrong").to_string()
+}
+
+#[test]
+fn the_example_is_sound_and_tells_every_setting() {
+    let text = include_str!("../../../../examples/nettleferry.sexp");
+    let config = read("examples/nettleferry.sexp", text).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!(config.classes, ["quick", "keyed", "once"]);
+    assert_eq!(config.settings.classes[1].effect, Effect::Keyed { group: Group::Zone, window: 5_000_000 });
+    assert_eq!(config.settings.loading.ration_window, 10_000_000);
+    assert_eq!(config.models.find("climb-windhoek").expect("by prefix").lanes, 4);
+}
+
+#[test]
+fn the_longest_beginning_wins() {
+    let text = format!(
+        "{SMALL} (model \"*\" (class c)) (model \"echo-*\" (class c) (lanes 2))
+         (model \"echo-big-*\" (class c) (lanes 3)) (model echo-big-1 (class c) (lanes 4))"
+    );
+    let models = read("n", &text).expect("sound").models;
+    let lanes = |name| models.find(name).expect("all match").lanes;
+    assert_eq!(
+        ["echo-big-1", "echo-big-2", "echo-c", "echo-", "echo", "zebra"].map(lanes),
+        [4, 3, 2, 2, 1, 1]
+    );
+}
+
+#[test]
+fn what_is_missing_is_told_with_the_fix() {
+    let told = errors("");
+    for part in ["lacks (listen ...)", "lacks (workers ...)", "no (class ...)", "no (model ...)"] {
+        assert!(told.contains(part), "{part} in {told}");
+    }
+}
+
+#[test]
+fn a_class_that_is_not_there_gets_a_suggestion() {
+    let told = errors(&format!(
+        "{SMALL} (class credit (effect unsafe) (aim 1s) (deadline 2s)) (model m (class credti))"
+    ));
+    assert!(told.contains("there is no class credti: did you mean credit?"), "{told}");
+}
+
+#[test]
+fn what_can_never_work_is_refused() {
+    let told = errors(&format!(
+        "{SMALL} (model m (class c)) (class d (effect (keyed zone)) (aim 5s) (deadline 4s))
+         (loading (when-absent miss) (orders no)) (controller (number 3) (of 3)) (limits (attempts 0) (idle 30))"
+    ));
+    for part in [
+        "the aim is above zero and not longer",
+        "no model would ever be loaded",
+        "numbers go from 0 to 2",
+        "(attempts 0): 1 at the least",
+        "(idle ...): write a span with its unit",
+    ] {
+        assert!(told.contains(part), "{part} in {told}");
+    }
+}
