standin: the test worker's server is divided into requests, responses, faults, observations

The way in which streams' calls are found stood twice and stands once. Nothing that is sent, recorded or measured changes. No test was changed.

--- /dev/null
+++ b/crates/standin/src/server/request.rs
@@ -0,0 +1,262 @@
+//! Requests at a test worker: streams that open, end and break, and the messages on them.
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue};
+use nettleferry_net::grpc::{Code, Status};
+use nettleferry_net::{ConnKey, ListenerKey, NetEvent, StreamKey};
+use nettleferry_proto::inference::*;
+use nettleferry_proto::marks;
+use prost::Message;
+use rand::RngExt;
+use std::sync::Arc;
+
+use super::{Call, Rpc, Seen, Server, lock};
+use crate::models;
+use crate::store::Micros;
+use crate::worker::{Asked, CallNo};
+
+impl Server {
+    /// Takes an event of the connections.
+    pub(super) fn event(&mut self, event: NetEvent) {
+        match event {
+            NetEvent::Accepted { conn, listener, .. } if self.slow_handshake > 0 => {
+                self.delay_handshake(conn, listener);
+            }
+            NetEvent::Request { conn, stream, head } => self.open(conn, stream, &head),
+            NetEvent::Message { stream, payload } => self.message(stream, payload),
+            NetEvent::HalfClosed { stream } => self.half_closed(stream),
+            NetEvent::Malformed { stream, error } => {
+                self.finish(
+                    stream,
+                    Status::new(Code::ResourceExhausted, error.to_string()),
+                    HeaderMap::new(),
+                );
+            }
+            NetEvent::Failed { stream, .. } if self.rpcs.remove(&stream).is_some() => {
+                self.see(Seen::Gone { stream: stream.number() });
+                self.withdraw(stream);
+            }
+            NetEvent::Sent { stream } => {
+                self.rpcs.remove(&stream);
+            }
+            NetEvent::Drained { stream } => {
+                for no in self.calls_of(stream) {
+                    self.send_parts(no);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Leaves a new connection unread for as long as the fault says.
+    fn delay_handshake(&mut self, conn: ConnKey, listener: ListenerKey) {
+        self.hub.freeze(conn, true);
+        self.thaw.push_back((self.now() + self.slow_handshake, conn, listener.0));
+        self.see(Seen::Link { door: listener.0, conn: Some(conn.number()), cut: true });
+    }
+
+    /// A stream has opened.
+    fn open(&mut self, conn: ConnKey, stream: StreamKey, head: &Parts) {
+        if self.refuse {
+            self.hub.reset(stream, h2::Reason::REFUSED_STREAM);
+            return;
+        }
+        let method = head.uri.path().strip_prefix(SERVICE).unwrap_or("").to_owned();
+        let header = |name| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+        if header("grpc-encoding") == "gzip" {
+            self.hub.allow_gzip(stream);
+        }
+        let controller = header(marks::CONTROLLER);
+        let attempt = header(marks::ATTEMPT).parse().ok();
+        let fenced = self.is_fenced(&controller, header(marks::FENCE).parse().ok());
+        let rpc = Rpc {
+            conn,
+            method,
+            controller,
+            fenced,
+            attempt,
+            answered: false,
+            half_closed: false,
+            pending: 0,
+            sent: 0,
+        };
+        self.rpcs.insert(stream, rpc);
+    }
+
+    /// The client sends nothing more on a stream.
+    fn half_closed(&mut self, stream: StreamKey) {
+        let silent = self.silent;
+        let Some(rpc) = self.rpcs.get_mut(&stream) else { return };
+        rpc.half_closed = true;
+        if rpc.method == "ModelStreamInfer" && rpc.pending == 0 && !silent {
+            self.finish(stream, Status::new(Code::Ok, ""), HeaderMap::new());
+        }
+    }
+
+    /// Calls of a stream without their whole answer.
+    fn calls_of(&self, stream: StreamKey) -> Vec<CallNo> {
+        self.calls.iter().filter(|(_, call)| call.stream == stream).map(|(no, _)| *no).collect()
+    }
+
+    /// Cancels the calls of a stream that is gone.
+    fn withdraw(&mut self, stream: StreamKey) {
+        let gone = self.calls_of(stream);
+        let (now, store) = (self.now(), Arc::clone(&self.options.store));
+        for no in gone {
+            self.calls.remove(&no);
+            if let Some(worker) = self.worker.as_mut().filter(|_| !self.silent) {
+                let mut done = Vec::new();
+                worker.cancel(now, no, &mut lock(&store), &mut done);
+                self.done(done);
+            }
+        }
+    }
+
+    /// Has a later life of this controller been seen? What tells no life is heeded as it is.
+    fn is_fenced(&mut self, controller: &str, life: Option<u64>) -> bool {
+        let Some(life) = life else { return false };
+        let seen = self.fences.entry(controller.to_owned()).or_default();
+        *seen = (*seen).max(life);
+        life < *seen
+    }
+
+    /// Takes a whole message of a stream.
+    fn message(&mut self, stream: StreamKey, payload: Bytes) {
+        let Some((method, fenced)) = self.rpcs.get(&stream).map(|rpc| (rpc.method.clone(), rpc.fenced))
+        else {
+            return;
+        };
+        if fenced && matches!(method.as_str(), "ModelInfer" | "ModelStreamInfer" | "RepositoryModelLoad") {
+            let mut trailers = HeaderMap::new();
+            trailers.insert(marks::NEVER_RAN, HeaderValue::from_static(marks::FENCED));
+            let words = "a later life of this controller was seen";
+            return self.finish(stream, Status::new(Code::Unavailable, words), trailers);
+        }
+        match method.as_str() {
+            "ModelInfer" => self.infer(stream, payload, false),
+            "ModelStreamInfer" => self.infer(stream, payload, true),
+            _ if self.silent => {}
+            "ServerReady" => {
+                self.see(Seen::Probe);
+                self.reply(stream, &ServerReadyResponse { ready: true });
+            }
+            "ServerLive" => self.reply(stream, &ServerLiveResponse { live: true }),
+            "ServerMetadata" => self.reply(
+                stream,
+                &ServerMetadataResponse {
+                    name: self.options.name.clone(),
+                    version: env!("CARGO_PKG_VERSION").to_owned(),
+                    extensions: vec!["model_repository".to_owned()],
+                },
+            ),
+            "ModelReady" => {
+                let name = ModelReadyRequest::decode(payload).map(|r| r.name).unwrap_or_default();
+                self.reply(stream, &ModelReadyResponse { ready: models::exists(&name) });
+            }
+            "RepositoryModelLoad" => self.load(stream, payload),
+            "RepositoryModelUnload" => {
+                if let (Ok(request), Some(worker)) =
+                    (RepositoryModelUnloadRequest::decode(payload), &mut self.worker)
+                {
+                    worker.unload(&request.model_name);
+                }
+                self.reply(stream, &RepositoryModelUnloadResponse {});
+            }
+            _ => {
+                let status = Status::new(Code::Unimplemented, format!("no method {method}"));
+                self.finish(stream, status, HeaderMap::new());
+            }
+        }
+    }
+
+    /// A request's message; a malformed one is answered.
+    fn decoded<M: Message + Default>(&mut self, stream: StreamKey, payload: Bytes) -> Option<M> {
+        let read = M::decode(payload);
+        if let Err(error) = &read {
+            self.finish(stream, Status::new(Code::InvalidArgument, error.to_string()), HeaderMap::new());
+        }
+        read.ok()
+    }
+
+    /// Begins a call.
+    fn infer(&mut self, stream: StreamKey, payload: Bytes, streamed: bool) {
+        let Some(request) = self.decoded::<ModelInferRequest>(stream, payload) else { return };
+        let model = request.model_name.clone();
+        let work = (self.options.spec.model(&model).work as f64 * self.slow) as Micros;
+        let rpc = self.rpcs.get(&stream).map(|rpc| (rpc.controller.clone(), rpc.attempt));
+        let (controller, attempt) = rpc.unwrap_or_default();
+        let number = stream.number();
+        self.see(Seen::Call {
+            stream: number,
+            id: request.id.clone(),
+            model: model.clone(),
+            controller,
+            attempt,
+            work,
+        });
+        if self.silent || self.hang.as_ref().is_some_and(|prefix| model.starts_with(prefix)) {
+            // It is owed for ever: the end of the client's side must not end the stream.
+            if let Some(rpc) = self.rpcs.get_mut(&stream) {
+                rpc.pending += 1;
+            }
+            return;
+        }
+        let answer = match models::answer(&request) {
+            Ok(answer) => answer,
+            Err(error) => return self.mistake(stream, &request.id, streamed, error.to_string()),
+        };
+        if self.fail_fast > 0.0 && self.random.random::<f64>() < self.fail_fast {
+            self.see(Seen::Runs { stream: number });
+            return self.finish(stream, Status::new(Code::Internal, "failing fast"), HeaderMap::new());
+        }
+        self.next += 1;
+        let no = self.next;
+        let steps = if streamed { answer.parts() as u32 } else { 1 };
+        if let Some(rpc) = self.rpcs.get_mut(&stream) {
+            rpc.pending += 1;
+        }
+        self.calls.insert(no, Call { stream, answer, streamed, ready: 0, sent: 0 });
+        let (now, store) = (self.now(), Arc::clone(&self.options.store));
+        let Some(worker) = &mut self.worker else { return };
+        let mut done = Vec::new();
+        let asked = Asked { no, model: &model, work, steps };
+        worker.call(now, asked, &mut lock(&store), &mut done);
+        self.done(done);
+    }
+
+    /// The caller's mistake. On a stream with other calls it ends that call alone.
+    fn mistake(&mut self, stream: StreamKey, id: &str, streamed: bool, message: String) {
+        let alone = self.rpcs.get(&stream).is_none_or(|rpc| rpc.pending == 0 && rpc.sent == 0);
+        if streamed && !alone {
+            let response = ModelInferResponse { id: id.to_owned(), ..Default::default() };
+            let whole = ModelStreamInferResponse { error_message: message, infer_response: Some(response) };
+            self.hub.send(stream, whole.encode_to_vec().into());
+        } else {
+            self.finish(stream, Status::new(Code::InvalidArgument, message), HeaderMap::new());
+        }
+    }
+
+    /// Takes a load order.
+    fn load(&mut self, stream: StreamKey, payload: Bytes) {
+        let Some(request) = self.decoded::<RepositoryModelLoadRequest>(stream, payload) else { return };
+        let copies = request.parameters.get(COPIES).and_then(|p| match p.parameter_choice {
+            Some(model_repository_parameter::ParameterChoice::Int64Param(n)) => u32::try_from(n).ok(),
+            _ => None,
+        });
+        let copies = copies.unwrap_or(1);
+        let controller = self.rpcs.get(&stream).map(|rpc| rpc.controller.clone()).unwrap_or_default();
+        let model = request.model_name;
+        if copies > 0 {
+            self.see(Seen::Order { controller, model: model.clone(), copies });
+        }
+        self.next += 1;
+        let no = self.next;
+        self.orders.insert(no, stream);
+        let (now, store) = (self.now(), Arc::clone(&self.options.store));
+        let Some(worker) = &mut self.worker else { return };
+        let mut done = Vec::new();
+        worker.order(now, no, &model, copies, &mut lock(&store), &mut done);
+        self.done(done);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/server/response.rs
@@ -0,0 +1,214 @@
+//! Responses of a test worker: what its model has worked out, as messages, trailers and load reports.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Response};
+use nettleferry_net::StreamKey;
+use nettleferry_net::grpc::{Code, Status, write_binary};
+use nettleferry_proto::inference::*;
+use nettleferry_proto::{marks, orca};
+use prost::Message;
+
+use super::{Seen, Server};
+use crate::worker::{Away, CallNo, Done, Worker};
+
+/// Room for frame heads of what is queued when a connection is to be cut after it.
+const CUT_SLACK: u64 = 64;
+
+impl Server {
+    /// Passes on what the worker model has done.
+    pub(super) fn done(&mut self, done: Vec<Done>) {
+        for what in done {
+            match what {
+                Done::Runs(no) => {
+                    if let Some(call) = self.calls.get(&no) {
+                        self.see(Seen::Runs { stream: call.stream.number() });
+                    }
+                }
+                Done::Step(no, step) => {
+                    if let Some(call) = self.calls.get_mut(&no) {
+                        call.ready = step as usize + 1;
+                        self.send_parts(no);
+                    }
+                }
+                Done::Away(no, why) => self.away(no, why),
+                Done::Order(no, copies, stand) => self.ordered(no, copies, stand),
+                Done::Fell => self.die(Seen::Fell),
+            }
+        }
+    }
+
+    /// Rejects a call unseen.
+    fn away(&mut self, no: CallNo, why: Away) {
+        let Some(call) = self.calls.remove(&no) else { return };
+        let note = self.worker.as_mut().and_then(|w| w.note(no));
+        let (mark, words) = match why {
+            Away::Full => (marks::FULL, "no room"),
+            Away::Miss => (marks::MISS, "the model is not loaded"),
+            Away::LoadFailed => (marks::LOAD_FAILED, "the load failed"),
+        };
+        let mut trailers = HeaderMap::new();
+        trailers.insert(marks::NEVER_RAN, HeaderValue::from_static(mark));
+        let mut report = self.report();
+        if let Some((_, crowd)) = note {
+            report.named_metrics.insert(orca::CROWD.to_owned(), f64::from(crowd));
+        }
+        if why == Away::LoadFailed {
+            report.named_metrics.insert(orca::NOTE.to_owned(), 4.0);
+        }
+        put(&mut trailers, &report);
+        self.finish(call.stream, Status::new(Code::Unavailable, words), trailers);
+    }
+
+    /// Answers a load order.
+    fn ordered(&mut self, no: u64, copies: u32, stand: bool) {
+        let Some(stream) = self.orders.remove(&no) else { return };
+        let mut report = self.report();
+        report.named_metrics.insert(orca::STANDING.to_owned(), f64::from(copies));
+        let mut trailers = HeaderMap::new();
+        put(&mut trailers, &report);
+        if stand {
+            self.hub.respond(stream, grpc_head());
+            self.hub.send(stream, Bytes::new());
+            let status = Status::new(Code::Ok, "").trailers();
+            self.hub.finish(stream, Some(merged(status, trailers)));
+        } else {
+            trailers.insert(marks::NEVER_RAN, HeaderValue::from_static(marks::FULL));
+            self.finish(stream, Status::new(Code::Unavailable, "no room, or the load failed"), trailers);
+        }
+    }
+
+    /// Sends what is worked out, as far as the caller takes it.
+    pub(super) fn send_parts(&mut self, no: CallNo) {
+        loop {
+            let Some(call) = self.calls.get_mut(&no) else { return };
+            let parts = if call.streamed { call.answer.parts() } else { 1 };
+            if call.sent == call.ready || self.hub.is_full(call.stream) {
+                return;
+            }
+            let (stream, n) = (call.stream, call.sent);
+            call.sent += 1;
+            let last = call.sent == parts;
+            let payload = if call.streamed {
+                let response = Some(call.answer.part(n));
+                ModelStreamInferResponse { error_message: String::new(), infer_response: response }
+                    .encode_to_vec()
+            } else {
+                call.answer.whole().encode_to_vec()
+            };
+            self.answer_part(stream, payload.into());
+            if last {
+                self.calls.remove(&no);
+                self.answered(no, stream);
+            }
+        }
+    }
+
+    /// Sends one part of an answer, broken off where a fault says so.
+    fn answer_part(&mut self, stream: StreamKey, payload: Bytes) {
+        let Some(rpc) = self.rpcs.get_mut(&stream) else { return };
+        if !rpc.answered {
+            rpc.answered = true;
+            self.hub.respond(stream, grpc_head());
+        }
+        rpc.sent += 1;
+        let (conn, sent) = (rpc.conn, rpc.sent);
+        if std::mem::take(&mut self.half_frame) {
+            // The prefix promises more than comes; the connection breaks inside the frame.
+            let mut raw = vec![0, 0, 0, 0xff, 0xff];
+            raw.extend_from_slice(&payload);
+            self.hub.send_raw(stream, raw.into());
+            self.hub.cut_after(conn, 16);
+            return;
+        }
+        self.hub.send(stream, payload);
+        if self.cut_after.is_some_and(|n| sent >= n) {
+            // What stands in the queue still leaves; then the peer finds the connection closed.
+            self.cut_after = None;
+            self.hub.cut_after(conn, self.hub.queued(stream) as u64 + 9 + CUT_SLACK);
+            self.hub.send_raw(stream, vec![0, 0, 0, 0xff, 0xff].into());
+            self.hub.send_raw(stream, Bytes::from(vec![0; 4096]));
+        }
+    }
+
+    /// A call's last part is sent: its note and the load go with the trailers.
+    fn answered(&mut self, no: CallNo, stream: StreamKey) {
+        let note = self.worker.as_mut().and_then(|w| w.note(no));
+        let mut report = self.report();
+        if let Some((note, crowd)) = note {
+            report.named_metrics.insert(orca::NOTE.to_owned(), f64::from(note as u8));
+            report.named_metrics.insert(orca::CROWD.to_owned(), f64::from(crowd));
+        }
+        let mut trailers = HeaderMap::new();
+        put(&mut trailers, &report);
+        let Some(rpc) = self.rpcs.get_mut(&stream) else { return };
+        rpc.pending = rpc.pending.saturating_sub(1);
+        if rpc.method == "ModelInfer" || rpc.half_closed && rpc.pending == 0 {
+            self.finish(stream, Status::new(Code::Ok, ""), trailers);
+        }
+    }
+
+    /// Answers a request that is no call, with one message.
+    pub(super) fn reply(&mut self, stream: StreamKey, message: &impl Message) {
+        let mut trailers = Status::new(Code::Ok, "").trailers();
+        put(&mut trailers, &self.report());
+        self.hub.respond(stream, grpc_head());
+        self.hub.send(stream, message.encode_to_vec().into());
+        self.hub.finish(stream, Some(trailers));
+    }
+
+    /// Ends a stream with a status.
+    pub(super) fn finish(&mut self, stream: StreamKey, status: Status, more: HeaderMap) {
+        let Some(rpc) = self.rpcs.get(&stream) else { return };
+        if rpc.method.ends_with("Infer") {
+            let served = status.code == Code::Ok;
+            let never_ran = more.contains_key(marks::NEVER_RAN);
+            self.see(Seen::Answered { stream: stream.number(), served, never_ran });
+        }
+        let trailers = merged(status.trailers(), more);
+        if rpc.answered {
+            self.hub.finish(stream, Some(trailers));
+        } else {
+            let mut head = grpc_head();
+            head.headers_mut().extend(trailers);
+            self.hub.respond_only(stream, head);
+        }
+    }
+
+    /// The load, as old as the fault says.
+    fn report(&self) -> orca::OrcaLoadReport {
+        let now = self.now();
+        let past = self.history.iter().rev().find(|(at, _)| at + self.late <= now).map(|(_, load)| *load);
+        let load = match (self.late > 0, past) {
+            (true, Some(past)) => past,
+            _ => self.worker.as_ref().map(Worker::load).unwrap_or_default(),
+        };
+        let named = [
+            (orca::INFLIGHT, load.inflight as f64),
+            (orca::QUEUE, load.queue as f64),
+            (orca::LOADS, load.loads as f64),
+        ];
+        orca::OrcaLoadReport {
+            cpu_utilization: load.util,
+            mem_utilization: load.memory_held,
+            named_metrics: named.into_iter().map(|(k, v)| (k.to_owned(), v)).collect(),
+            ..Default::default()
+        }
+    }
+}
+
+fn grpc_head() -> Response<()> {
+    let mut head = Response::new(());
+    head.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
+    head
+}
+
+fn merged(mut status: HeaderMap, more: HeaderMap) -> HeaderMap {
+    status.extend(more);
+    status
+}
+
+fn put(trailers: &mut HeaderMap, report: &orca::OrcaLoadReport) {
+    if let Some(value) = write_binary(&report.encode_to_vec()) {
+        trailers.insert(orca::TRAILER, value);
+    }
+}
