--- /dev/null
+++ b/crates/figures/src/tests.rs
@@ -0,0 +1,58 @@
+//! All series at zero, counting in one series alone, and the bound on series.
+
+use super::*;
+
+fn names(prefix: &str, count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("{prefix}{n}")).collect()
+}
+
+#[test]
+fn everything_is_at_zero_from_the_start() {
+    let slots = Slots::new(names("c", 2), &names("t", 1), &names("m", 1), 1000);
+    let text = Figures::new(slots, &["open_calls"]).text().expect("text");
+    let series = |name: &str| text.lines().filter(|l| l.starts_with(name)).count();
+    // Two classes, six ends, t0 / other / none, m0 / other.
+    assert_eq!(series("nettleferry_calls_total"), 2 * 6 * 3 * 2);
+    assert_eq!(series("nettleferry_attempts_total"), REASONS.len());
+    assert_eq!(series("nettleferry_call_duration_seconds_count"), 2);
+    assert!(text.contains("nettleferry_limit_hits_total{limit=\"open_calls\"} 0"));
+    assert!(text.ends_with("# EOF\n"));
+    let zero = |l: &str| l.starts_with('#') || l.ends_with(" 0") || l.ends_with(" 0.0");
+    assert!(text.lines().all(zero), "{text}");
+}
+
+#[test]
+fn what_is_counted_is_found_in_its_series_alone() {
+    let slots = Slots::new(names("c", 2), &names("t", 2), &names("m", 2), 1000);
+    let figures = Figures::new(slots, &[]);
+    figures.call(1, End::Late, Some(1), 0, 300_000);
+    figures.call(0, End::Refused, None, 9, 0);
+    figures.attempt(2);
+    let text = figures.text().expect("text");
+    let counted: Vec<&str> =
+        text.lines().filter(|l| l.starts_with("nettleferry_calls_total") && !l.ends_with(" 0")).collect();
+    assert_eq!(counted.len(), 2, "{counted:?}");
+    assert!(text.contains(
+        "nettleferry_calls_total{class=\"c1\",end=\"served_late\",tenant=\"t1\",model_group=\"m0\"} 1"
+    ));
+    assert!(text.contains(
+        "nettleferry_calls_total{class=\"c0\",end=\"refused\",tenant=\"none\",model_group=\"other\"} 1"
+    ));
+    assert!(text.contains("nettleferry_attempts_total{reason=\"full\"} 1"));
+    assert!(text.contains("nettleferry_call_duration_seconds_bucket{le=\"0.5\",class=\"c1\"} 1"), "{text}");
+}
+
+#[test]
+fn ten_thousand_tenants_and_models_stay_in_their_bound() {
+    let slots = Slots::new(names("c", 3), &names("t", 10_000), &names("m", 10_000), 2_000);
+    assert!(slots.series() <= 2_000);
+    let figures = Figures::new(slots, &[]);
+    for n in 0..10_000 {
+        figures.call(n % 3, End::InTime, Some(n), n, 10_000);
+    }
+    let text = figures.text().expect("text");
+    let series: Vec<&str> = text.lines().filter(|l| l.starts_with("nettleferry_calls_total")).collect();
+    assert!(series.len() <= 2_000, "{}", series.len());
+    let sum: u64 = series.iter().filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum();
+    assert_eq!(sum, 10_000, "the rest is counted under other");
+}
