admin: one function per operation of the API, in modules by purpose

A request that was found and permitted is an `Invocation` now; `operate` names one function per operation. changes.rs makes changes, replication.rs answers followers, reads.rs reads, ports.rs holds what the API needs of its surroundings, query.rs the query parameters; both allows are gone. Arguments are judged in the order as before, so that the same fault is told first. No test was changed.

--- /dev/null
+++ b/crates/admin/src/api/query.rs
@@ -0,0 +1,60 @@
+//! Query parameters of a request.
+
+use crate::problem::Problem;
+use crate::routes::Route;
+
+use super::{MOST_ROWS, ROWS};
+
+/// Query parameters, each known and given once.
+pub(super) struct Query(Vec<(String, String)>);
+
+impl Query {
+    /// Reads the parameters that a route knows.
+    pub(super) fn read(query: &str, route: &Route) -> Result<Self, Problem> {
+        let mut all: Vec<(String, String)> = Vec::new();
+        for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+            if !route.query.iter().any(|(known, _)| *known == name) {
+                let known: Vec<&str> = route.query.iter().map(|q| q.0).collect();
+                let known = if known.is_empty() { "none".to_owned() } else { known.join(", ") };
+                return Err(Problem::field(&*name, format!("no such query parameter; known here: {known}")));
+            }
+            if all.iter().any(|(n, _)| *n == name) {
+                return Err(Problem::field(&*name, "given twice"));
+            }
+            all.push((name.into_owned(), value.into_owned()));
+        }
+        Ok(Self(all))
+    }
+
+    /// A parameter as it was written.
+    pub(super) fn text(&self, name: &str) -> Option<&str> {
+        self.0.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// A whole number within bounds; `usual` where it is not given.
+    pub(super) fn number(&self, name: &str, least: u64, most: u64, usual: u64) -> Result<u64, Problem> {
+        let Some(text) = self.text(name) else { return Ok(usual) };
+        let number = text.parse().ok().filter(|n| (least..=most).contains(n));
+        number.ok_or_else(|| Problem::field(name, format!("a whole number from {least} to {most}")))
+    }
+
+    /// The number of a controller, which is to be told.
+    pub(super) fn controller(&self) -> Result<u32, Problem> {
+        let number = self.number("controller", 0, u64::from(u32::MAX), u64::MAX)?;
+        u32::try_from(number).map_err(|_| Problem::field("controller", "the number of the controller"))
+    }
+
+    /// Rows of a page.
+    pub(super) fn rows(&self) -> Result<usize, Problem> {
+        Ok(self.number("limit", 1, MOST_ROWS as u64, ROWS as u64)? as usize)
+    }
+
+    /// Is the change to be judged only?
+    pub(super) fn dry_run(&self) -> Result<bool, Problem> {
+        match self.text("dry_run") {
+            None | Some("false") => Ok(false),
+            Some("true") => Ok(true),
+            Some(_) => Err(Problem::field("dry_run", "true or false")),
+        }
+    }
+}
