settings: a field that is not what it must be is refused by its path

The controller started with rules of its own making. Times below 0 were 0. Ruled out: unknown fields (they are still left alone), null (absent), 3.0 for 3 (read as 3). Change: one small reader of fields (settings::fields) that knows the path; the module's own four faults are told with their fields. Tests: settings/tests/faults.rs (25 spoilt fields, and bounds), gateway/tests/node.rs (20 more configurations and start lists).

--- a/crates/gateway/tests/node.rs
+++ b/crates/gateway/tests/node.rs
@@ -52,7 +52,7 @@
         "listen": "127.0.0.1:0", "seed": "1f", "resolver": resolver.to_string(), "unknown": {"to": "us"},
         "settings": {
             "classes": [{"name": "safe", "deadline_ms": 4000, "effect": "free", "unknown": 1}],
-            "n_instances": 1, "limits": {"max_attempts": 3, "connect_timeout_ms": 250}, "unknown": [],
+            "me": 0, "n_instances": 1, "limits": {"max_attempts": 3, "connect_timeout_ms": 250}, "unknown": [],
         },
     })
     .to_string()
@@ -67,6 +67,16 @@
         config[name] = value;
         config.to_string()
     };
+    let instance = |name: &str, value: serde_json::Value| {
+        let mut one = serde_json::json!({"instanceId": "s-1", "hostPort": "127.0.0.1:9", "lifecycle": "up"});
+        one[name] = value;
+        serde_json::json!({"pos": 1, "entries": [{"pos": 1, "hosts": {"instances": [one]}}]})
+    };
+    let setting = |path: &str, value: serde_json::Value| {
+        let mut config: serde_json::Value = serde_json::from_str(&config(directory().1)).expect("sound");
+        *config["settings"].pointer_mut(path).expect("it is there") = value;
+        Some(config.to_string())
+    };
     let texts = [
         (None, ""),
         (Some("{\"listen\":".to_owned()), ""),
@@ -80,6 +90,27 @@
             Some(spoilt("settings", serde_json::json!({"classes": [{"name": "a", "deadline_ms": "x"}]}))),
             "deadline_ms",
         ),
+        (Some(spoilt("listen", "127.0.0.1".into())), "listen"),
+        (Some(spoilt("seed", 5.into())), "seed"),
+        (Some(spoilt("limits", serde_json::json!({"sockets": -1}))), "limits"),
+        (Some(spoilt("settings", serde_json::Value::Null)), "settings"),
+        (Some(spoilt("settings", serde_json::json!([]))), "settings"),
+        (Some(spoilt("settings", serde_json::json!({}))), "classes"),
+        // Lists at the start.
+        (Some(spoilt("known", instance("hostPort", "nowhere".into()))), "s-1"),
+        (Some(spoilt("known", instance("hostPort", "127.0.0.1:65536".into()))), "s-1"),
+        (Some(spoilt("known", instance("instanceId", 7.into()))), "known"),
+        (Some(spoilt("known", instance("lifecycle", "asleep".into()))), "known"),
+        (Some(spoilt("known", serde_json::json!({"pos": 4294967296u64}))), "known"),
+        // Settings, wherever they stand.
+        (setting("/classes/0/effect", "harmless".into()), "classes[0].effect"),
+        (setting("/classes/0/deadline_ms", (-4).into()), "classes[0].deadline_ms"),
+        (setting("/limits/max_attempts", "3".into()), "limits.max_attempts"),
+        (setting("/limits/max_attempts", 0.into()), "limits.max_attempts"),
+        (setting("/limits/connect_timeout_ms", serde_json::json!({})), "limits.connect_timeout_ms"),
+        (setting("/n_instances", 0.into()), "n_instances"),
+        (setting("/n_instances", 1.5.into()), "n_instances"),
+        (setting("/me", 1.into()), "field me"),
     ];
     for (text, named) in texts {
         if let Some(text) = &text {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -46,7 +46,7 @@
     #[error("the settings: {0}")]
     Settings(#[from] SettingsFault),
     /// The module can't work with them.
-    #[error("the settings: {0}")]
+    #[error("the settings: field {field}: {0}", field = module_field(.0))]
     Module(#[from] nettleferry::SettingsError),
     /// Its list is not sound.
     #[error("the list: {0}")]
@@ -67,6 +67,16 @@
     }
 }
 
+/// Which field of the settings the module can't work with.
+fn module_field(error: &nettleferry::SettingsError) -> &'static str {
+    match error {
+        nettleferry::SettingsError::NoClasses => "classes",
+        nettleferry::SettingsError::NoControllers => "n_instances",
+        nettleferry::SettingsError::NotAmongControllers => "me",
+        nettleferry::SettingsError::NoAttempts => "limits.max_attempts",
+    }
+}
+
 const SIGNALS: usize = 0;
 const DIRECTORY: usize = 1;
 /// A configuration that could not be read is read again after this span: it may have been half written.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,14 +2,19 @@
 //! real controller share.
 //!
 //! May know: the module's types. Must not know: sockets, the clock, decisions. A value that is absent takes its
-//! documented meaning; nothing here is tuned.
+//! documented meaning; one that is there and is not what it must be is refused by its field's name; nothing here is tuned.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod fields;
+
 use nettleferry::*;
 use serde_json::Value;
 
+use fields::Fields;
+pub use fields::SettingsFault;
+
 /// Settings, with the names whose places the module's types use.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -29,126 +34,146 @@
     pub open_calls: Option<u64>,
 }
 
-/// Settings that can't be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum SettingsFault {
-    /// A class lacks a value that it needs.
-    #[error("a class has no {0}")]
-    Class(&'static str),
-    /// A tenant lacks its name.
-    #[error("a tenant has no name")]
-    Tenant,
-}
-
 /// Milliseconds to whole microseconds; `None`: no time.
 pub fn micros(value: &Value) -> Option<Micros> {
     let ms = value.as_f64()?;
-    (ms.is_finite() && ms < 1e15).then(|| (ms.max(0.0) * 1000.0).round() as Micros)
+    (ms.is_finite() && ms < LONGEST_MS).then(|| (ms.max(0.0) * 1000.0).round() as Micros)
 }
 
+/// Times of so many milliseconds or more are none.
+const LONGEST_MS: f64 = 1e15;
+
 /// The settings object of an instance's first message. What is absent takes its documented meaning.
 pub fn read(info: &Value) -> Result<Site, SettingsFault> {
-    let at = |path: &str| path.split('.').try_fold(info, |v, key| v.get(key)).filter(|v| !v.is_null());
-    let span = |path: &str| at(path).and_then(micros).unwrap_or(0);
-    let real = |path: &str| at(path).and_then(Value::as_f64).unwrap_or(0.0);
-    let yes = |path: &str| at(path).and_then(Value::as_bool).unwrap_or(false);
-    let word = |path: &str| at(path).and_then(Value::as_str).unwrap_or("");
-    let list = |path: &str| at(path).and_then(Value::as_array).map(Vec::as_slice).unwrap_or(&[]);
-    let whole = |path: &str| at(path).and_then(Value::as_u64);
-    let (mut classes, mut class_names) = (Vec::new(), Vec::new());
-    for value in list("classes") {
-        let key = |name: &str| value.get(name).filter(|v| !v.is_null());
-        let name = key("name").and_then(Value::as_str).ok_or(SettingsFault::Class("name"))?;
-        let time = |name: &str| key(name).and_then(micros);
-        let deadline = time("deadline_ms").ok_or(SettingsFault::Class("deadline_ms"))?;
-        class_names.push(name.to_owned());
-        let group = match key("key_scope").and_then(Value::as_str) {
-            Some("zone") => Group::Zone,
-            Some("cell") => Group::Cell,
-            _ => Group::All,
-        };
-        let effect = match key("effect").and_then(Value::as_str) {
-            Some("free") => Effect::Safe,
-            Some("guarded") => Effect::Keyed { group, window: time("repeat_window_ms").unwrap_or(0) },
-            _ => Effect::Unsafe,
-        };
-        classes.push(Class {
-            aim: time("goal_time_ms").unwrap_or(deadline),
-            deadline,
-            effect,
-            worth: key("points").and_then(Value::as_f64).unwrap_or(1.0),
-            late_share: key("late_share").and_then(Value::as_f64).unwrap_or(0.0),
-            stream: key("stream").and_then(Value::as_bool).unwrap_or(false),
-        });
-    }
-    let (mut tenants, mut tenant_names) = (Vec::new(), Vec::new());
-    for value in list("accounts") {
-        let name = value.get("name").and_then(Value::as_str).ok_or(SettingsFault::Tenant)?;
-        tenant_names.push(name.to_owned());
-        tenants.push(Tenant { quota_per_s: value.get("quota_per_s").and_then(Value::as_f64) });
-    }
-    let small = |value: Option<u64>, none: u32| value.map_or(none, |n| n.min(u64::from(u32::MAX)) as u32);
+    let fields = Fields::of(info)?;
+    let (class_names, classes) = classes(&fields)?;
+    let (tenant_names, tenants) = tenants(&fields)?;
+    let stats = fields.object("stats")?;
+    let limits = fields.object("limits")?;
     let settings = Settings {
-        me: small(whole("me"), 0),
-        controllers: small(whole("n_instances"), 1),
+        me: fields.small("me")?.unwrap_or(0),
+        controllers: fields.small("n_instances")?.unwrap_or(1),
         zone: None,
         classes,
         tenants,
-        over_quota_worth: at("over_share_worth").and_then(Value::as_f64).unwrap_or(1.0),
-        discovery: if word("discovery") == "ask" { Discovery::Ask } else { Discovery::Push },
-        reports: match word("stats.how") {
-            "answers" => Reports::Answers,
-            "probe" => Reports::Probe,
-            _ => Reports::None,
-        },
-        weights: match word("weights") {
-            "nominal" => Weights::Nominal,
-            "rough" => Weights::Rough,
-            "live" => Weights::Live,
-            _ => Weights::None,
-        },
-        loading: Loading {
-            when_absent: match word("family_info.when_absent") {
-                "miss" => WhenAbsent::Miss,
-                _ => WhenAbsent::Load,
-            },
-            keep_alive: span("family_info.linger_idle_ms"),
-            orders: yes("family_info.orders"),
-            order_timeout: span("family_info.order_timeout_ms"),
-            notes: yes("family_info.warm_notes"),
-            crowd: yes("family_info.counts_alike"),
-            ration_window: span("family_info.load_period_ms"),
-            ration_floor: real("family_info.load_floor"),
-            ration_share: real("family_info.load_share"),
-            spent: false,
-            memory_price: real("family_info.memory_price"),
-        },
-        limits: Limits {
-            max_attempts: small(whole("limits.max_attempts"), u32::MAX),
-            parallel: yes("limits.parallel_tries"),
-            probes: yes("limits.probes"),
-            cancel: yes("limits.cancel"),
-            retry_after: yes("limits.retry_after").then(|| span("limits.max_retry_after_ms")),
-            connect_timeout: span("limits.connect_timeout_ms"),
-        },
-        rules: Rules {
-            answer_grace: span("obligations.grace_to_answer_ms"),
-            drain_grace: span("obligations.stop_sending_within_ms"),
-            must_ask_in: span("obligations.must_ask_in_ms"),
-            start_capacity: at("obligations.start_capacity").and_then(Value::as_f64).unwrap_or(1.0),
-            cold: span("obligations.cold_ms"),
-            overload_factor: at("obligations.overload_factor").and_then(Value::as_f64).unwrap_or(1.0),
-            fall: span("obligations.fall_ms"),
-        },
-        step: span("step_ms"),
+        over_quota_worth: fields.real("over_share_worth")?.unwrap_or(1.0),
+        discovery: fields
+            .word("discovery", &[("push", Discovery::Push), ("ask", Discovery::Ask)])?
+            .unwrap_or(Discovery::Push),
+        reports: stats
+            .word(
+                "how",
+                &[("none", Reports::None), ("answers", Reports::Answers), ("probe", Reports::Probe)],
+            )?
+            .unwrap_or(Reports::None),
+        weights: fields.word("weights", &WEIGHTS)?.unwrap_or(Weights::None),
+        loading: loading(&fields.object("family_info")?)?,
+        limits: self::limits(&limits)?,
+        rules: rules(&fields.object("obligations")?)?,
+        step: fields.span("step_ms")?.unwrap_or(0),
     };
     Ok(Site {
         settings,
         classes: class_names,
         tenants: tenant_names,
-        zone: at("zone").and_then(Value::as_str).map(str::to_owned),
-        streams: small(whole("limits.max_streams"), 1).max(1),
-        idle: span("limits.conn_idle_ms"),
-        open_calls: whole("limits.max_open"),
+        zone: fields.text("zone")?.map(str::to_owned),
+        streams: limits.small("max_streams")?.unwrap_or(1).max(1),
+        idle: limits.span("conn_idle_ms")?.unwrap_or(0),
+        open_calls: limits.whole("max_open")?,
+    })
+}
+
+const WEIGHTS: [(&str, Weights); 4] = [
+    ("none", Weights::None),
+    ("nominal", Weights::Nominal),
+    ("rough", Weights::Rough),
+    ("live", Weights::Live),
+];
+
+fn classes(fields: &Fields) -> Result<(Vec<String>, Vec<Class>), SettingsFault> {
+    let (mut names, mut classes) = (Vec::new(), Vec::new());
+    for class in fields.list("classes")? {
+        let name = class.text("name")?.ok_or_else(|| class.missing("name"))?;
+        if names.iter().any(|known| known == name) {
+            return Err(class.fault("name", "stands twice"));
+        }
+        names.push(name.to_owned());
+        let deadline = class.span("deadline_ms")?.ok_or_else(|| class.missing("deadline_ms"))?;
+        if deadline == 0 {
+            return Err(class.fault("deadline_ms", "is no time"));
+        }
+        classes.push(Class {
+            aim: class.span("goal_time_ms")?.unwrap_or(deadline),
+            deadline,
+            effect: effect(&class)?,
+            worth: class.real("points")?.unwrap_or(1.0),
+            late_share: class.real("late_share")?.unwrap_or(0.0),
+            stream: class.yes("stream")?,
+        });
+    }
+    Ok((names, classes))
+}
+
+/// What a repeat of a class may do; where nothing is told, it may do anything.
+fn effect(class: &Fields) -> Result<Effect, SettingsFault> {
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let group = class.word("key_scope", &groups)?.unwrap_or(Group::All);
+    let window = class.span("repeat_window_ms")?.unwrap_or(0);
+    let effects = [
+        ("free", Effect::Safe),
+        ("guarded", Effect::Keyed { group, window }),
+        ("single_shot", Effect::Unsafe),
+    ];
+    Ok(class.word("effect", &effects)?.unwrap_or(Effect::Unsafe))
+}
+
+fn tenants(fields: &Fields) -> Result<(Vec<String>, Vec<Tenant>), SettingsFault> {
+    let (mut names, mut tenants) = (Vec::new(), Vec::new());
+    for tenant in fields.list("accounts")? {
+        let name = tenant.text("name")?.ok_or_else(|| tenant.missing("name"))?;
+        names.push(name.to_owned());
+        tenants.push(Tenant { quota_per_s: tenant.real("quota_per_s")? });
+    }
+    Ok((names, tenants))
+}
+
+fn loading(family: &Fields) -> Result<Loading, SettingsFault> {
+    let absent = [("load", WhenAbsent::Load), ("miss", WhenAbsent::Miss)];
+    Ok(Loading {
+        when_absent: family.word("when_absent", &absent)?.unwrap_or(WhenAbsent::Load),
+        keep_alive: family.span("linger_idle_ms")?.unwrap_or(0),
+        orders: family.yes("orders")?,
+        order_timeout: family.span("order_timeout_ms")?.unwrap_or(0),
+        notes: family.yes("warm_notes")?,
+        crowd: family.yes("counts_alike")?,
+        ration_window: family.span("load_period_ms")?.unwrap_or(0),
+        ration_floor: family.real("load_floor")?.unwrap_or(0.0),
+        ration_share: family.real("load_share")?.unwrap_or(0.0),
+        spent: false,
+        memory_price: family.real("memory_price")?.unwrap_or(0.0),
+    })
+}
+
+fn limits(limits: &Fields) -> Result<Limits, SettingsFault> {
+    let retry_after = limits.span("max_retry_after_ms")?.unwrap_or(0);
+    Ok(Limits {
+        max_attempts: limits.small("max_attempts")?.unwrap_or(u32::MAX),
+        parallel: limits.yes("parallel_tries")?,
+        probes: limits.yes("probes")?,
+        cancel: limits.yes("cancel")?,
+        retry_after: limits.yes("retry_after")?.then_some(retry_after),
+        connect_timeout: limits.span("connect_timeout_ms")?.unwrap_or(0),
+    })
+}
+
+fn rules(obligations: &Fields) -> Result<Rules, SettingsFault> {
+    Ok(Rules {
+        answer_grace: obligations.span("grace_to_answer_ms")?.unwrap_or(0),
+        drain_grace: obligations.span("stop_sending_within_ms")?.unwrap_or(0),
+        must_ask_in: obligations.span("must_ask_in_ms")?.unwrap_or(0),
+        start_capacity: obligations.real("start_capacity")?.unwrap_or(1.0),
+        cold: obligations.span("cold_ms")?.unwrap_or(0),
+        overload_factor: obligations.real("overload_factor")?.unwrap_or(1.0),
+        fall: obligations.span("fall_ms")?.unwrap_or(0),
     })
 }
--- /dev/null
+++ b/crates/settings/tests/faults.rs
@@ -0,0 +1,77 @@
+//! Settings that are spoilt are refused by the path of the field; what is absent, or at its bound, is not.
+
+use nettleferry::{Effect, Group, Weights};
+use nettleferry_settings::read;
+use serde_json::{Value, json};
+
+fn sound() -> Value {
+    json!({
+        "classes": [
+            {"name": "a", "deadline_ms": 4000.0, "effect": "free"},
+            {"name": "b", "deadline_ms": 1, "effect": "guarded", "key_scope": "cell", "repeat_window_ms": 0},
+        ],
+        "accounts": [{"name": "ada", "quota_per_s": null}],
+        "me": 0, "n_instances": 3.0, "weights": "live", "stats": {"how": "none", "fields": []},
+        "limits": {"max_attempts": 3.0, "max_open": 4294967296u64, "max_streams": 4294967296u64, "cancel": null},
+        "obligations": {"cold_ms": 0, "start_capacity": 0},
+        "family_info": {"load_share": 0.25, "more": {}}, "more": [1],
+    })
+}
+
+/// The settings with one field set.
+fn with(path: &str, value: Value) -> Value {
+    let mut settings = sound();
+    *settings.pointer_mut(path).unwrap_or_else(|| panic!("{path} is there")) = value;
+    settings
+}
+
+#[test]
+fn what_is_absent_or_at_its_bound_is_read() {
+    let site = read(&sound()).expect("sound");
+    assert_eq!((site.settings.controllers, site.settings.limits.max_attempts), (3, 3), "3.0 is 3");
+    assert_eq!((site.streams, site.open_calls), (u32::MAX, Some(1 << 32)), "no more than fits");
+    assert_eq!(site.settings.weights, Weights::Live);
+    let keyed = Effect::Keyed { group: Group::Cell, window: 0 };
+    assert_eq!((site.settings.classes[0].effect, site.settings.classes[1].effect), (Effect::Safe, keyed));
+    assert_eq!(site.settings.tenants[0].quota_per_s, None);
+    assert!(!site.settings.limits.cancel, "null is absent");
+}
+
+#[test]
+fn a_field_that_is_not_what_it_must_be_is_named() {
+    let spoilt = [
+        ("/classes", json!({}), "classes"),
+        ("/classes/1", json!(7), "classes[1]"),
+        ("/classes/1/name", json!("a"), "classes[1].name"),
+        ("/classes/1/name", json!(null), "classes[1].name"),
+        ("/classes/0/deadline_ms", json!("4000"), "classes[0].deadline_ms"),
+        ("/classes/0/deadline_ms", json!(-1), "classes[0].deadline_ms"),
+        ("/classes/0/deadline_ms", json!(0), "classes[0].deadline_ms"),
+        ("/classes/0/deadline_ms", json!(1e15), "classes[0].deadline_ms"),
+        ("/classes/0/effect", json!("harmless"), "classes[0].effect"),
+        ("/classes/1/key_scope", json!("everywhere"), "classes[1].key_scope"),
+        ("/classes/1/repeat_window_ms", json!([5]), "classes[1].repeat_window_ms"),
+        ("/accounts/0/name", json!(5), "accounts[0].name"),
+        ("/accounts/0/quota_per_s", json!("much"), "accounts[0].quota_per_s"),
+        ("/n_instances", json!(2.5), "n_instances"),
+        ("/me", json!(-1), "me"),
+        ("/weights", json!("heavy"), "weights"),
+        ("/stats", json!("none"), "stats"),
+        ("/stats/how", json!(true), "stats.how"),
+        ("/limits", json!([]), "limits"),
+        ("/limits/max_attempts", json!("3"), "limits.max_attempts"),
+        ("/limits/max_attempts", json!(-3), "limits.max_attempts"),
+        ("/limits/cancel", json!("no"), "limits.cancel"),
+        ("/obligations/cold_ms", json!({}), "obligations.cold_ms"),
+        ("/obligations/start_capacity", json!(-0.1), "obligations.start_capacity"),
+        ("/family_info/load_share", json!("a quarter"), "family_info.load_share"),
+    ];
+    for (path, value, named) in spoilt {
+        let fault = read(&with(path, value.clone())).expect_err(path);
+        assert_eq!(fault.path, named, "{value}");
+        assert!(fault.to_string().contains(named), "{fault}");
+    }
+    for value in [json!(null), json!([]), json!("settings")] {
+        assert_eq!(read(&value).expect_err("no object").path, "settings");
+    }
+}
