--- a/crates/node/tests/common/hand.rs
+++ b/crates/node/tests/common/hand.rs
@@ -255,6 +255,11 @@
     }
 }
 
+/// An id as it stands on the wire.
+pub fn name(id: u64) -> String {
+    format!("{id:016x}")
+}
+
 /// Writes an answer of an invoker.
 pub fn say(socket: &mut TcpStream, id: &str, word: &str, fields: &str) {
     let mut out = Vec::new();
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod hand;
+pub mod leaving;
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -6,100 +6,21 @@
 use std::io::Write;
 use std::net::Shutdown;
 
-use common::hand::{Client, Hand, request, say};
-use common::{FAILED, REFUSED};
+use common::hand::{Client, Hand, name, request, say};
+use common::leaving::{WAYS, served, with_something_unread};
+use common::{FAILED, REFUSED, SERVED};
 use nettleferry_platform::frames;
 
 const FIRST: u64 = 1;
 const WAITS: u64 = 2;
 const ROW: u64 = 9;
 
-fn name(id: u64) -> String {
-    format!("{id:016x}")
-}
-
-/// Every way in which a client leaves.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Leaves {
-    /// Type 9.
-    Withdraws,
-    /// Its connection ends in order, after all that it sent.
-    Ends,
-    /// It closes with an answer unread: its end resets the connection.
-    Resets,
-    /// It sends what can't be read, and is closed by us.
-    IsClosed,
-    /// Nine frames that no client sends.
-    IsGivenUp,
-}
-
-const WAYS: [Leaves; 5] =
-    [Leaves::Withdraws, Leaves::Ends, Leaves::Resets, Leaves::IsClosed, Leaves::IsGivenUp];
-
-impl Leaves {
-    /// The client as it is afterwards, where it still is.
-    fn go(self, mut client: Client, stream: u32) -> Option<Client> {
-        match self {
-            Self::Withdraws => client.withdraw(stream),
-            Self::Ends => client.socket.shutdown(Shutdown::Write).expect("open"),
-            Self::Resets => {
-                drop(client);
-                return None;
-            }
-            Self::IsClosed => client.socket.write_all(&[0, 0, 0, 1, 0]).expect("written"),
-            Self::IsGivenUp => {
-                let mut out = Vec::new();
-                for _ in 0..9 {
-                    frames::bare(&mut out, 77, 0);
-                }
-                client.socket.write_all(&out).expect("written");
-            }
-        }
-        Some(client)
-    }
-
-    /// What its client is owed on the stream: an answer at once where it can still be read.
-    fn check(self, hand: &mut Hand, client: Option<Client>, stream: u32, code: u8) {
-        let Some(mut client) = client else { return };
-        match self {
-            Self::Withdraws => assert!(client.codes(stream).is_empty(), "no answer is owed"),
-            _ => {
-                let codes =
-                    hand.until("its answer", |_| Some(client.codes(stream)).filter(|c| !c.is_empty()));
-                assert_eq!(codes, [code], "{self:?}: one answer, at once");
-            }
-        }
-    }
-}
-
-/// A client whose end will reset its connection: what it was sent lies unread.
-fn with_something_unread(hand: &mut Hand) -> Client {
-    let mut client = hand.client();
-    let mut ready = Vec::new();
-    frames::bare(&mut ready, frames::kind::READY, 0);
-    client.socket.write_all(&ready).expect("written");
-    hand.until("the answer lies there", |_| {
-        let mut one = [0];
-        client.socket.peek(&mut one).is_ok().then_some(())
-    });
-    client
-}
-
-/// Has a call of the function served, on its client's first stream; gives the connection at the invoker.
-fn served(hand: &mut Hand, client: &mut Client, id: u64) -> usize {
-    client.ask(1, "safe", id, ROW, b"");
-    let conn = hand.at(0, "CALL", &name(id));
-    hand.invokers[0].serve(|_| true);
-    hand.until("it is served", |_| (!client.codes(1).is_empty()).then_some(()));
-    conn
-}
-
 /// A hand with a call that waits: the first one has the one lane of the function's copy.
 fn one_runs_and_one_waits() -> (Hand, Client, Client) {
     let mut hand = Hand::start(1, |_| ());
     let mut first = hand.client();
     // The copy is found by a call that is served.
-    served(&mut hand, &mut first, 77);
+    served(&mut hand, &mut first, 77, ROW);
     first.ask(2, "safe", FIRST, ROW, b"");
     hand.at(0, "CALL", &name(FIRST));
     let mut waits = with_something_unread(&mut hand);
@@ -297,7 +218,7 @@
 fn a_process_that_started_anew_at_its_address_is_not_sent_anything_over_what_stood_before() {
     let mut hand = Hand::start(1, |_| ());
     let mut client = hand.client();
-    let old = served(&mut hand, &mut client, 77);
+    let old = served(&mut hand, &mut client, 77, ROW);
     let query = hand.query();
     let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("now").as_millis();
     // A machine that vanished and came back says nothing on what stood: the connection looks sound.
@@ -313,7 +234,7 @@
 fn an_address_that_goes_to_another_invoker_takes_no_connection_along() {
     let mut hand = Hand::start(1, |_| ());
     let mut client = hand.client();
-    let old = served(&mut hand, &mut client, 77);
+    let old = served(&mut hand, &mut client, 77, ROW);
     let query = hand.query();
     hand.answer_named(query, 2, &[("s-new", 0)]);
     client.ask(2, "safe", 78, ROW, b"");
@@ -343,7 +264,7 @@
 fn a_connection_past_its_idle_time_is_not_used_though_its_alarm_has_not_rung() {
     let mut hand = Hand::start(1, |config| config["settings"]["limits"]["conn_idle_ms"] = 80.into());
     let mut client = hand.client();
-    let old = served(&mut hand, &mut client, 77);
+    let old = served(&mut hand, &mut client, 77, ROW);
     // The process is stopped for longer than that; then the request is there with the alarm.
     std::thread::sleep(std::time::Duration::from_millis(80));
     client.ask(2, "once", 78, ROW, b"");
@@ -429,7 +350,7 @@
     let mut client = hand.client();
     hand.turn();
     assert!(client.frames().is_empty(), "the request that it came for is awaited");
-    served(&mut hand, &mut client, WAITS);
+    served(&mut hand, &mut client, WAITS, ROW);
     let away = client.frames().iter().filter(|f| f.0 == frames::kind::GO_AWAY).count();
     assert_eq!(away, 1);
 }
@@ -485,7 +406,7 @@
 fn an_end_behind_more_than_one_turn_reads_is_heard_before_what_stands_in_front_of_it_is_sent_on() {
     let mut hand = Hand::start(1, |_| ());
     let mut client = hand.client();
-    served(&mut hand, &mut client, 77);
+    served(&mut hand, &mut client, 77, ROW);
     client.ask(2, "safe", FIRST, ROW, b"");
     hand.at(0, "CALL", &name(FIRST));
     let mut waits = hand.client();
--- a/crates/node/tests/shared.rs
+++ b/crates/node/tests/shared.rs
@@ -6,7 +6,7 @@
 use std::io::Write;
 use std::time::{Duration, Instant};
 
-use common::hand::{Client, Hand};
+use common::hand::{Client, Hand, name};
 use common::{FAILED, REFUSED, SERVED};
 use nettleferry_node::limits::{CLIENT_FAULTS, CLIENT_STREAMS, OPENED_A_TURN, SHORT_ANSWER};
 use nettleferry_platform::{frames, resp};
@@ -15,10 +15,6 @@
 /// The deadline of the class `safe`, milliseconds.
 const DEADLINE: u64 = 4_000;
 
-fn name(id: u64) -> String {
-    format!("{id:016x}")
-}
-
 /// A request with a time of its own, as bytes; its function runs many at once.
 fn request(out: &mut Vec<u8>, stream: u32, id: u64, ttl_ms: u64) {
     let (id, row, ttl) = (name(id), name(ROW), ttl_ms.to_string());
