front: the idle time can be set, so that half a request at its end is tested

It was read, not tested, that a connection is not closed as idle while half a request stands on it, and that a request which crosses the alarm is found by the last look: 6 s are too long for a test. No behaviour changes.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use nettleferry::{ClassId, TenantId};
@@ -124,6 +124,8 @@
     /// The classes' deadlines, milliseconds: no request has longer, whatever its client says.
     deadlines: Vec<f64>,
     bounds: Bounds,
+    /// A connection without open requests is closed after this span: [`CLIENT_IDLE`].
+    idle: Duration,
     clients: BTreeMap<TcpKey, Client>,
     calls: BTreeMap<u64, Call>,
     marks: BTreeMap<CallId, u64>,
@@ -143,6 +145,7 @@
             tenants: tenants.iter().enumerate().map(|(at, name)| (name.clone(), TenantId(at))).collect(),
             deadlines,
             bounds,
+            idle: CLIENT_IDLE,
             clients: BTreeMap::new(),
             calls: BTreeMap::new(),
             marks: BTreeMap::new(),
@@ -559,7 +562,7 @@
         let first = (!client.known).then(|| client.came + FIRST_FRAME);
         // One that is within a frame is not idle: its frame has a time of its own.
         let idle = client.streams.is_empty() && client.began.is_none();
-        let idle = idle.then(|| client.quiet + CLIENT_IDLE);
+        let idle = idle.then(|| client.quiet + self.idle);
         tcp.alarm(key, [frame, first, idle].into_iter().flatten().min());
     }
 
@@ -570,7 +573,7 @@
         let now = Instant::now();
         let slow = client.began.is_some_and(|began| now >= began + WHOLE_FRAME);
         let silent = !client.known && now >= client.came + FIRST_FRAME;
-        let idle = client.streams.is_empty() && client.began.is_none() && now >= client.quiet + CLIENT_IDLE;
+        let idle = client.streams.is_empty() && client.began.is_none() && now >= client.quiet + self.idle;
         if !(slow || silent || idle) {
             self.set_alarm(tcp, key);
         } else if !tcp.silent(key) {
@@ -619,3 +622,6 @@
 fn gone(call: CallId) -> ClientEvent {
     ClientEvent::Left(Left { call, answered: false })
 }
+
+#[cfg(test)]
+mod tests;
