node: requests that were withdrawn leave the queue of those to be opened at once

Seen: beside a connection on which requests come and are withdrawn with the same bytes, without end, a sound request on another connection is not opened in the turn that finds it. Cause: a turn reads some 220 such requests of 290 bytes (64 KiB of a connection) and takes 64 off the queue, the withdrawn among them; so the queue grows by 150 a turn, with the bodies, bounded by nothing, and what comes behind it waits ever longer. Change: the withdrawn are taken out before the 64 are counted. Ruled out: that the bound of a turn's reading is at fault (it holds), that opening costs the time (a withdrawn request is not opened).

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -356,6 +356,9 @@
         self.tell(Event::Tick);
         self.work();
         self.tcp.flush_all();
+        // What was withdrawn since it was read waits for nothing: a flood of such would hold up all that comes behind it,
+        // and never be worked off.
+        self.requests.retain(|request| self.front.waits(request.mark));
         let now = self.requests.len().min(OPENED_A_TURN);
         for request in self.requests.drain(..now).collect::<Vec<_>>() {
             self.open(request);
--- a/crates/node/tests/common/hand.rs
+++ b/crates/node/tests/common/hand.rs
@@ -122,10 +122,28 @@
         self.until(&format!("{word} {id} at {invoker}"), |hand| hand.invokers[invoker].find(word, id))
     }
 
+    /// Turns until a request stands unread at an invoker; gives its connection. To drop that socket resets it.
+    pub fn unread_at(&mut self, invoker: usize, id: u64) -> usize {
+        let (end, wanted) = (Instant::now() + PATIENCE, name(id).into_bytes());
+        while Instant::now() < end {
+            self.node.turn(Some(Duration::from_millis(1))).expect("a turn");
+            self.invokers[invoker].accept();
+            let mut buffer = [0; 4096];
+            let found = self.invokers[invoker].conns.iter().position(|conn| {
+                let length = conn.socket.peek(&mut buffer).unwrap_or(0);
+                buffer[..length].windows(wanted.len()).any(|bytes| bytes == wanted)
+            });
+            if let Some(conn) = found {
+                return conn;
+            }
+        }
+        panic!("it did not come: {id}");
+    }
+
     /// How often a request was sent, to whomever.
     pub fn sends(&self, id: &str) -> usize {
         let all = self.invokers.iter().flat_map(|i| &i.conns).flat_map(|c| &c.got);
-        all.filter(|got| got[0] == "CALL" && got[1] == id).count()
+        all.filter(|got| got[0].starts_with("CALL") && got[1] == id).count()
     }
 
     /// Commands with this word, to whomever.
@@ -205,13 +223,17 @@
 }
 
 impl Invoker {
-    fn look(&mut self) {
+    fn accept(&mut self) {
         while let Ok((socket, _)) = self.listener.accept() {
             socket.set_nonblocking(true).expect("set");
             // Or a small write waits for the other end's word on the one before, and comes a turn later.
             socket.set_nodelay(true).expect("set");
             self.conns.push(Conn { socket, input: Vec::new(), got: Vec::new(), ended: false });
         }
+    }
+
+    fn look(&mut self) {
+        self.accept();
         for conn in &mut self.conns {
             conn.ended |= drain(&mut conn.socket, &mut conn.input);
             loop {
@@ -231,7 +253,7 @@
 
     /// Answers, as served or green, what came and is wanted; once.
     pub fn serve(&mut self, wanted: impl Fn(&[String]) -> bool) {
-        for conn in &mut self.conns {
+        for conn in self.conns.iter_mut().filter(|conn| !conn.ended) {
             for got in conn.got.iter_mut().filter(|got| matches!(got[0].as_str(), "CALL" | "PING")) {
                 if wanted(got) {
                     let word = if got[0] == "PING" { "green" } else { "served" };
@@ -296,6 +318,11 @@
         all
     }
 
+    /// Has the other end ended the connection?
+    pub fn ended(&mut self) -> bool {
+        drain(&mut self.socket, &mut self.input)
+    }
+
     /// The codes of the answers on a stream.
     pub fn codes(&mut self, stream: u32) -> Vec<u8> {
         let answer = |f: &(u8, u32, Vec<u8>)| f.0 == frames::kind::ANSWER && f.1 == stream;
