An id that is open fails; another customer's tenant and another service's list are kept out

Three faults by reading, each with a test. 1. A request whose id is open already was refused, and a refusal says that a new try does no harm, though the first with this id may run: failed now, promises nothing. 2. Where the settings hold tenants, a request of one that they do not know was served as one of none, outside all shares: failed and counted (bad_requests). Where they hold none, the name is still left alone. 3. In an answer of the directory SRV records of any name were taken for ours: such an answer is kept out whole and counted (bad_lists).

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -362,8 +362,17 @@
         let id = u64::from_str_radix(request.call, 16).map_err(|e| bad(count, e.to_string()))?;
         if self.ids.contains(&id) {
             count.ids_open += 1;
-            return Err((Code::Refused, "this id is open already".to_owned()));
+            // The first with this id may run: a refusal would say that a new try does no harm.
+            return Err((Code::Failed, "this id is open already".to_owned()));
         }
+        // Where there are tenants, one that the settings do not know is no customer of this controller.
+        let tenant = match request.org.filter(|_| !self.tenants.is_empty()) {
+            Some(org) => {
+                let known = self.tenants.get(org).copied();
+                Some(known.ok_or_else(|| bad(count, "there is no such tenant".to_owned()))?)
+            }
+            None => None,
+        };
         if self.bytes + request.body.len() > self.bounds.body_bytes {
             count.over_bodies += 1;
             return Err((Code::Refused, "too many bytes are held".to_owned()));
@@ -405,7 +414,7 @@
             mark,
             class,
             function,
-            tenant: request.org.and_then(|org| self.tenants.get(org).copied()),
+            tenant,
             repeat: request.repeat,
             work_hint: request.work_ms.map(micros),
             came,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -118,7 +118,7 @@
 }
 
 /// Lines of the list: id, address, draining.
-type Lines = Vec<(String, SocketAddr, bool)>;
+pub type Lines = Vec<(String, SocketAddr, bool)>;
 
 /// A directory whose list can be changed.
 pub struct Directory {
@@ -156,6 +156,30 @@
 
 /// A list in which each invoker has these words besides.
 pub fn reply_with(id: u16, serial: u32, invokers: &[(String, SocketAddr, bool)], words: &[&str]) -> Vec<u8> {
+    reply_changed(id, serial, invokers, words, |_| ())
+}
+
+/// An answer of the directory, to be spoilt.
+pub struct Reply {
+    pub id: u16,
+    pub serial: u32,
+    pub list: Lines,
+}
+
+impl Reply {
+    /// It with a change.
+    pub fn bytes(&self, change: impl Fn(&mut Packet)) -> Vec<u8> {
+        reply_changed(self.id, self.serial, &self.list, &[], change)
+    }
+}
+
+fn reply_changed(
+    id: u16,
+    serial: u32,
+    invokers: &[(String, SocketAddr, bool)],
+    words: &[&str],
+    change: impl Fn(&mut Packet),
+) -> Vec<u8> {
     let mut packet = Packet::new_reply(id);
     let targets: Vec<String> = invokers.iter().map(|(id, ..)| format!("{id}.east.hosts")).collect();
     for ((_, address, draining), target) in invokers.iter().zip(&targets) {
@@ -175,6 +199,7 @@
     let soa =
         SOA { mname: zone.clone(), rname: zone.clone(), serial, refresh: 0, retry: 0, expire: 0, minimum: 0 };
     packet.name_servers.push(ResourceRecord::new(zone, CLASS::IN, 0, RData::SOA(soa)));
+    change(&mut packet);
     packet.build_bytes_vec_compressed().expect("a message")
 }
 
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -428,3 +428,42 @@
     let sent: usize = (100..112).chain([WAITS]).map(|id| hand.sends(&name(id))).sum();
     assert_eq!(sent, 0);
 }
+
+#[test]
+fn an_id_that_is_open_already_fails_as_the_first_with_it_may_run() {
+    // The same connection, and another one.
+    for same in [true, false] {
+        let mut hand = Hand::start(1, |_| ());
+        let mut first = hand.client();
+        first.ask(1, "once", FIRST, ROW, b"one");
+        let conn = hand.at(0, "CALL", &name(FIRST));
+        let mut other = hand.client();
+        let (again, stream) = if same { (&mut first, 2) } else { (&mut other, 1) };
+        again.ask(stream, "once", FIRST, ROW, b"two");
+        let codes = hand.until("its answer", |_| Some(again.codes(stream)).filter(|c| !c.is_empty()));
+        assert_eq!(codes, [FAILED], "a refusal would say that a new try does no harm");
+        say(&mut hand.invokers[0].conns[conn].socket, &name(FIRST), "served", "n=w");
+        let codes = hand.until("its answer", |_| Some(first.codes(1)).filter(|c| !c.is_empty()));
+        assert_eq!(codes, [SERVED], "the first goes on");
+        assert_eq!((hand.sends(&name(FIRST)), hand.node.counters().ids_open), (1, 1));
+    }
+}
+
+#[test]
+fn a_request_of_another_s_customer_is_not_served_where_there_are_tenants() {
+    for (accounts, code) in [(serde_json::json!([{"name": "ada"}]), FAILED), (serde_json::json!([]), SERVED)]
+    {
+        let mut hand = Hand::start(1, |config| config["settings"]["accounts"] = accounts);
+        let mut client = hand.client();
+        let (id, row) = (name(WAITS), name(ROW));
+        let fields = [("op", "safe"), ("call", id.as_str()), ("ttl", "3000"), ("row", &row), ("org", "bob")];
+        let mut out = Vec::new();
+        frames::request(&mut out, 1, &fields, b"");
+        client.socket.write_all(&out).expect("written");
+        let codes = hand.until("its answer", |hand| {
+            hand.invokers[0].serve(|_| true);
+            Some(client.codes(1)).filter(|codes| !codes.is_empty())
+        });
+        assert_eq!((codes, hand.node.counters().bad_requests), (vec![code], u64::from(code == FAILED)));
+    }
+}
--- a/crates/platform/src/directory.rs
+++ b/crates/platform/src/directory.rs
@@ -86,13 +86,18 @@
     packet.build_bytes_vec().map_err(bad)
 }
 
+/// Is it the name of our list? Names are alike in either case of letters.
+fn is_list_name(name: &Name) -> bool {
+    name.to_string().eq_ignore_ascii_case(LIST_NAME)
+}
+
 /// Reads the answer to the query with this id: a whole list or none.
 pub fn answer(id: u16, bytes: &[u8]) -> Result<List, ListError> {
     let packet = Packet::parse(bytes).map_err(|e| ListError::Dns(e.to_string()))?;
     if packet.id() != id || !packet.has_flags(PacketFlag::RESPONSE) {
         return Err(ListError::Other);
     }
-    if packet.questions.iter().any(|q| q.qname.to_string() != LIST_NAME) {
+    if packet.questions.iter().any(|q| !is_list_name(&q.qname)) {
         return Err(ListError::Other);
     }
     if packet.has_flags(PacketFlag::TRUNCATION) {
@@ -129,6 +134,9 @@
     let mut invokers = BTreeMap::new();
     for record in &packet.answers {
         let RData::SRV(srv) = &record.rdata else { continue };
+        if !is_list_name(&record.name) {
+            return Err(ListError::Record(format!("{}: the list of another service", record.name)));
+        }
         let target = srv.target.to_string();
         let missing = |what: &str| ListError::Record(format!("{target}: {what}"));
         let mut labels = target.split('.');
