node: a repeat that waited for its connection does not leave after its window

Rule: a keyed request that may have run is sent again only while its repeats are still dropped. The module asks for the window as it places an attempt; the attempt may then wait for its connection for as long as the settings allow one to come about, and was written whenever that came up, so long as its client waited. With connections that come up late and a short window it left after the window's end. Seen by a crossing forced on sockets: two invokers, a window of 1 s, the first attempt's connection breaks within it, the second one's is up after it. Ruled out: the module's own bound (it holds, a mutant of it fails another test); the engine's time (it ends an attempt by the client's deadline alone). Change: the node knows of each keyed call when its first attempt that may have run was begun (RepeatWindow), and a command that waits for its connection is not written from the window's end on: it ends as not written, and the module answers. The span that bytes lie in the sockets of an invoker that takes none is not covered.

--- a/crates/gateway/tests/common/process.rs
+++ b/crates/gateway/tests/common/process.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 /// No wait is longer; each is for an event.
@@ -59,6 +59,18 @@
         }
     }
 
+    /// Waits until it has ended by itself.
+    pub fn ended(&mut self) -> ExitStatus {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("ours") {
+                return status;
+            }
+            assert!(Instant::now() < end, "it ends");
+            std::thread::yield_now();
+        }
+    }
+
     /// Descriptors in use, and resident memory in KiB.
     pub fn holds(&self) -> (usize, usize) {
         let proc = Path::new("/proc").join(self.child.id().to_string());
--- /dev/null
+++ b/crates/gateway/tests/signals.rs
@@ -0,0 +1,140 @@
+//! A new configuration, a list in which an invoker drains, and the word to end, in every order one right behind another:
+//! what is open is answered, what comes is served by the newest list, and the process ends in order.
+
+#[path = "../../node/tests/common/mod.rs"]
+mod common;
+#[path = "common/process.rs"]
+mod process;
+
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Instant;
+
+use common::{Client, Directory, Does, Invoker, PATIENCE, SERVED, Told, config};
+use nettleferry_platform::frames::kind;
+use process::Node;
+
+/// What comes, one right behind another.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Word {
+    /// SIGHUP: the directory has another address.
+    Reload,
+    /// The list: one invoker drains, another is new.
+    Drain,
+    /// SIGTERM.
+    End,
+}
+
+const ORDERS: [[Word; 3]; 6] = [
+    [Word::Reload, Word::Drain, Word::End],
+    [Word::Reload, Word::End, Word::Drain],
+    [Word::Drain, Word::Reload, Word::End],
+    [Word::Drain, Word::End, Word::Reload],
+    [Word::End, Word::Reload, Word::Drain],
+    [Word::End, Word::Drain, Word::Reload],
+];
+
+/// A gate that invokers wait at.
+#[derive(Default)]
+struct Gate(Mutex<bool>, Condvar);
+
+impl Gate {
+    fn open(&self) {
+        *self.0.lock().expect("no panic holds it") = true;
+        self.1.notify_all();
+    }
+    fn wait(&self) {
+        let closed = self.0.lock().expect("no panic holds it");
+        drop(self.1.wait_timeout_while(closed, PATIENCE, |open| !*open).expect("no panic holds it"));
+    }
+}
+
+/// An invoker that serves with the body that it got, and holds what says so until the gate opens.
+fn invoker(gate: &Arc<Gate>) -> Invoker {
+    let gate = Arc::clone(gate);
+    Invoker::start(move |told: &Told| match told.word() {
+        "CALL" => {
+            if told.parts[3] == b"hold" {
+                gate.wait();
+            }
+            Does::Says("served", "n=w", told.parts[3].clone())
+        }
+        "PING" | "STATS" => Does::Says("green", "-", vec![]),
+        "LOAD" => Does::Says("served", "instances=1", vec![]),
+        _ => Does::Nothing,
+    })
+}
+
+fn calls(invoker: &Invoker) -> usize {
+    invoker.got().iter().filter(|got| got.starts_with("CALL")).count()
+}
+
+fn plays(order: [Word; 3]) {
+    let gate = Arc::new(Gate::default());
+    let (old, new) = (invoker(&gate), invoker(&gate));
+    let at_first = vec![("s-0".to_owned(), old.address, false)];
+    let (here, there) = (Directory::start(at_first.clone()), Directory::start(at_first.clone()));
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("config.json");
+    let mut told = config(here.address, &at_first);
+    std::fs::write(&path, told.to_string()).expect("written");
+    let mut node = Node::of(Node::spawn(&path, 256));
+    let mut client = Client::connect(node.address);
+    let held = client.ask("once", 1, 9, b"hold");
+    let end = Instant::now() + PATIENCE;
+    while calls(&old) == 0 {
+        assert!(Instant::now() < end, "{order:?}: it runs");
+        std::thread::yield_now();
+    }
+    told["resolver"] = there.address.to_string().into();
+    std::fs::write(&path, told.to_string()).expect("written");
+    let list = vec![("s-0".to_owned(), old.address, true), ("s-1".to_owned(), new.address, false)];
+    let (began, mut reloaded) = (Instant::now(), false);
+    for word in order {
+        match word {
+            Word::Reload => {
+                node.signal("HUP");
+                reloaded = true;
+            }
+            Word::Drain => {
+                // Where the directory has moved, its old address tells nothing new.
+                there.change(list.clone());
+                if !reloaded {
+                    here.change(list.clone());
+                }
+            }
+            Word::End => node.signal("TERM"),
+        }
+    }
+    println!("{order:?} within {:?}", began.elapsed());
+    // What comes on an open connection is served, and soon by the new one alone.
+    let mut id = 100;
+    let mut next = |client: &mut Client| {
+        id += 1;
+        let stream = client.ask("safe", id, id, b"ab");
+        assert_eq!(client.answer(stream), (SERVED, b"ab".to_vec()), "{order:?}");
+    };
+    while calls(&new) == 0 {
+        assert!(Instant::now() < end, "{order:?}: the list is heard");
+        next(&mut client);
+    }
+    let before = calls(&old);
+    (0..5).for_each(|_| next(&mut client));
+    assert_eq!(calls(&old), before, "{order:?}: nothing new goes to one that drains");
+    // So is what comes on a new connection, which is asked for no more.
+    let mut late = Client::connect(node.address);
+    let stream = late.ask("safe", 50, 50, b"ab");
+    assert_eq!(late.frame(), Some((kind::GO_AWAY, 0, vec![])), "{order:?}");
+    assert_eq!(late.answer(stream), (SERVED, b"ab".to_vec()), "{order:?}");
+    gate.open();
+    assert_eq!(client.answer(held), (SERVED, b"hold".to_vec()), "{order:?}: what was open is answered");
+    assert_eq!(node.ended().code(), Some(0), "{order:?}");
+    assert_eq!(client.frame(), None, "{order:?}: its connection ends with the process");
+}
+
+#[test]
+fn reload_drain_and_end_within_50_ms_in_every_order_lose_nothing() {
+    let plays = ORDERS.map(|order| std::thread::spawn(move || plays(order)));
+    for play in plays {
+        play.join().expect("no panic");
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -15,6 +15,7 @@
 use tracing::debug;
 
 use crate::limits::*;
+use crate::repeat::RepeatWindow;
 
 /// A sound request, to be opened.
 pub struct Incoming {
@@ -65,6 +66,8 @@
     pub function: Arc<str>,
     /// The key by which invokers drop repeats.
     pub key: Option<Arc<str>>,
+    /// Its attempts, as far as its repeat window goes.
+    pub repeats: RepeatWindow,
 }
 
 struct Client {
@@ -403,6 +406,7 @@
             class,
             function: Arc::clone(&function),
             key: request.dedupe.map(Arc::from),
+            repeats: RepeatWindow::default(),
         };
         self.calls.insert(mark, call);
         if let Some(client) = self.clients.get_mut(&key) {
@@ -439,8 +443,8 @@
     }
 
     /// What a link must know of a call.
-    pub fn call(&self, id: CallId) -> Option<&Call> {
-        self.calls.get(self.marks.get(&id)?)
+    pub fn call(&mut self, id: CallId) -> Option<&mut Call> {
+        self.calls.get_mut(self.marks.get(&id)?)
     }
 
     /// A call has its final answer.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions. One thread, one poll.
 //!
 //! * [`node`]: the loop and the wiring. [`front`]: towards clients. [`links`]: towards invokers.
+//! * [`repeat`]: until when a repeat may leave.
 //! * [`directory`]: asks for the list of invokers. [`limits`]: every bound, and its counter.
 
 #![forbid(unsafe_code)]
@@ -14,5 +15,6 @@
 pub mod limits;
 pub mod links;
 pub mod node;
+pub mod repeat;
 
 pub use node::{Node, NodeError};
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -64,9 +64,10 @@
         }
     }
 
-    /// Its time is over.
+    /// Its time is over, or a repeat of it would not be dropped any more.
     fn late(&self, now: Instant) -> bool {
-        matches!(self, Self::Call(call) if call.until <= now)
+        let over = |call: &Attempt| call.until <= now || call.leave_by.is_some_and(|by| by <= now);
+        matches!(self, Self::Call(call) if over(call))
     }
 }
 
@@ -148,6 +149,8 @@
     pub key: Option<Arc<str>>,
     /// Until when we wait.
     pub until: Instant,
+    /// Until when it may leave, where repeats of what may have run are dropped for a while only.
+    pub leave_by: Option<Instant>,
     /// The body.
     pub body: Bytes,
 }
--- a/crates/node/src/links/tests.rs
+++ b/crates/node/src/links/tests.rs
@@ -49,7 +49,7 @@
         let (name, body) = (format!("{:016x}", self.next), Bytes::from(vec![b'x'; bytes]));
         let until = Instant::now() + self.time;
         let (name, sort, asset) = (Arc::from(name), Arc::from("safe"), Arc::from("f"));
-        let attempt = Attempt { id, name, sort, asset, key: None, until, body };
+        let attempt = Attempt { id, name, sort, asset, key: None, until, leave_by: None, body };
         self.links.start(&mut self.tcp, W, attempt, &mut self.told, &mut self.count);
         id
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use mio::Interest;
-use nettleferry::{ListForm, Reports, WorkerState};
+use nettleferry::{Effect, ListForm, Reports, WorkerState};
 use nettleferry_engine::{Command, End, Ended, Engine, EngineLimits, Event, Member, News, Open, Refusal};
 use nettleferry_net::clock::Clock;
 use nettleferry_net::tcp::{Gone, Tcp, TcpCounters, TcpEvent, TcpKey, TcpLimits};
@@ -87,6 +87,24 @@
 /// The answer of a request that came with no time left.
 const NO_TIME: End = End::Refused { why: Refusal::NoRoom, retry_after: None };
 
+/// What attempts of a class must know of it.
+#[derive(Clone)]
+struct ClassTerms {
+    name: Arc<str>,
+    /// For how long invokers drop repeats, where it is keyed.
+    window: Option<Duration>,
+}
+
+impl ClassTerms {
+    fn of(name: &str, class: &nettleferry::Class) -> Self {
+        let window = match class.effect {
+            Effect::Keyed { window, .. } => Some(Duration::from_micros(window)),
+            _ => None,
+        };
+        Self { name: Arc::from(name), window }
+    }
+}
+
 /// What one turn brought that is acted on once all of it was read.
 #[derive(Default)]
 struct TurnEvents {
@@ -104,7 +122,7 @@
     links: Links,
     discovery: DiscoveryClient,
     signals: Option<Signals>,
-    classes: Vec<Arc<str>>,
+    classes: Vec<ClassTerms>,
     /// How long a client waits at the longest.
     longest: Duration,
     local: SocketAddr,
@@ -161,6 +179,8 @@
             probe_timeout: (connect.as_micros() as u64).min(longest.max(1)),
             ..EngineLimits::default()
         };
+        let terms = site.classes.iter().zip(&site.settings.classes);
+        let classes = terms.map(|(name, class)| ClassTerms::of(name, class)).collect();
         let discovery = DiscoveryClient::new(config.resolver, tcp.source_token(DIRECTORY), config.known.pos);
         let engine = Engine::new(site.settings, site.zone.as_deref(), engine_limits, config.seed_number())?;
         let now = Instant::now();
@@ -173,7 +193,7 @@
             links: Links::new(bounds, site.streams as usize, idle, reports),
             discovery,
             signals,
-            classes: site.classes.iter().map(|name| Arc::from(name.as_str())).collect(),
+            classes,
             longest: Duration::from_micros(longest),
             local,
             count: Counters::default(),
@@ -370,6 +390,12 @@
     fn work(&mut self) {
         while !self.told.is_empty() {
             for event in std::mem::take(&mut self.told) {
+                if let Event::Ended { attempt, how, .. } = &event
+                    && how.never_ran()
+                    && let Some(call) = self.front.call(attempt.call)
+                {
+                    call.repeats.never_ran();
+                }
                 self.tell(event);
             }
         }
@@ -426,21 +452,23 @@
         for command in self.commands.drain(..) {
             match command {
                 Command::Start { attempt, worker, left, body, .. } => {
-                    let sort = |call: &crate::front::Call| self.classes.get(call.class.0).cloned();
-                    let known = self.front.call(attempt.call).and_then(|call| Some((call, sort(call)?)));
-                    let Some((call, sort)) = known else {
+                    let class = |call: &crate::front::Call| self.classes.get(call.class.0).cloned();
+                    let known = self.front.call(attempt.call).and_then(|call| class(call).zip(Some(call)));
+                    let Some((class, call)) = known else {
                         // Its client has left, and the engine hears of it next.
                         let how = Ended::Cancelled;
                         self.told.push(Event::Ended { attempt, how, news: News::default() });
                         continue;
                     };
+                    let now = Instant::now();
                     let begin = Attempt {
                         id: attempt,
                         name: Arc::clone(&call.name),
-                        sort,
+                        sort: class.name,
                         asset: Arc::clone(&call.function),
                         key: call.key.clone(),
-                        until: Instant::now() + Duration::from_micros(left),
+                        until: now + Duration::from_micros(left),
+                        leave_by: class.window.and_then(|window| call.repeats.begin(now, window)),
                         body,
                     };
                     self.links.start(tcp, worker, begin, &mut self.told, count);
