scale: (administration ...) measures an administration and its followers by their number

Need: what an administration spends by follower and by change was known from made-up time alone (docs/fleet.md), and what a real follower spends from no run.

Change: a measure of `nettleferry scale`: a real administration, real followers, and hollow ones in processes of 500; an interval without changes, then one in which each change lowers a limit and waits until it is in force everywhere. Processor time, memory, descriptors, asks, bytes both ways, time until everywhere as the API answers it, time without a lease. A hollow process gives a summary of the interval since the last one at each line of its standard input.

Ruled out: bytes from /proc (socket calls by send and recv aren't counted there); the hollow side counts them.

--- a/crates/gateway/tests/hollow.rs
+++ b/crates/gateway/tests/hollow.rs
@@ -201,3 +201,43 @@
     let told = refused(&[&here[..], &["--count", "2", "--first-number", "4294967295"]].concat());
     assert!(told.contains("--first-number"), "{told}");
 }
+
+/// `nettleferry scale` with this file: its exit code, its lines and what it said beside them.
+fn scale(text: &str) -> (Option<i32>, Vec<serde_json::Value>, String) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("scale.sexp");
+    std::fs::write(&file, text).expect("written");
+    let out = Command::new(PROGRAM).arg("scale").arg(&file).output().expect("it runs");
+    let lines = String::from_utf8_lossy(&out.stdout);
+    let lines = lines.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
+    (out.status.code(), lines, String::from_utf8_lossy(&out.stderr).into_owned())
+}
+
+#[test]
+fn a_scale_run_measures_an_administration_by_its_followers() {
+    let (code, lines, said) = scale(
+        "(administration (followers 8 32) (real 1) (lease 1s) (tenants 3) (changes-per-second 10) (interval 1s))",
+    );
+    assert_eq!(code, Some(0), "{said}");
+    let value = |figure: &str, size: u64| {
+        let found = lines.iter().find(|line| line["figure"] == figure && line["size"] == size);
+        found.and_then(|line| line["value"].as_f64()).unwrap_or_else(|| panic!("{figure} at {size}: {said}"))
+    };
+    for size in [8, 32] {
+        assert_eq!(value("not-everywhere", size), 0.0);
+        assert!(value("everywhere-max", size) > 0.0 && value("bytes-to", size) > 0.0);
+        assert!(value("memory", size) > 1e6 && value("follower-memory", size) > 1e6);
+    }
+    let connections = value("descriptors", 32) - value("descriptors", 8);
+    // Two for each of 24 followers; a file may stand open at one of the moments.
+    assert!((46.0..=50.0).contains(&connections), "{connections}");
+    let asks = value("asks", 32) / value("asks", 8);
+    assert!((2.0..8.0).contains(&asks), "asks grow like the followers: {asks}");
+}
+
+#[test]
+fn a_scale_run_of_more_followers_than_leases_is_refused_with_what_fits() {
+    let (code, lines, said) = scale("(administration\n  (followers 64 1024)\n  (real 2))");
+    assert_eq!((code, lines.len()), (Some(3), 0), "{said}");
+    assert!(said.contains("1024 lives; write at most 1022"), "{said}");
+}
--- /dev/null
+++ b/crates/scale/src/measure/administration/fleet.rs
@@ -0,0 +1,195 @@
+//! The processes of the measure: an administration, real followers, and hollow ones in processes of their own.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use nettleferry_hollow::followers::report::Summary;
+use nettleferry_hollow::report::Line;
+use rand::RngExt;
+
+use super::Script;
+use super::api::Api;
+use crate::children::ChildId;
+use crate::context::Context;
+use crate::measure::MeasureError;
+
+/// Hollow followers of one process.
+pub const HOLLOW_A_PROCESS: u64 = 500;
+/// A process has so long to say what is waited for.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// How often it is asked whether all have leases.
+const LEASES_EVERY: Duration = Duration::from_millis(100);
+/// Settings that all real processes share. There are no workers: no call is made.
+const SETTINGS: &str = "(listen (grpc \"127.0.0.1:0\"))\n(workers (file \"workers.sexp\"))\n\
+    (class quick (effect safe) (aim 1s) (deadline 20s))\n(model \"echo\" (class quick) (lanes 64))\n";
+
+/// The processes.
+pub struct Fleet {
+    /// The administration.
+    pub administration: ChildId,
+    /// Its API.
+    pub api: Api,
+    /// Real followers.
+    pub real: Vec<ChildId>,
+    /// Processes of hollow followers.
+    pub hollow: Vec<ChildId>,
+    address: SocketAddr,
+    key_file: PathBuf,
+}
+
+/// A key: what its holder shows, and what the settings say of it.
+struct Key {
+    token: String,
+    settings: String,
+}
+
+impl Fleet {
+    /// Starts the administration, with the tenants of the script.
+    pub fn start(script: &Script, size: u64, context: &mut Context<'_>) -> Result<Self, MeasureError> {
+        let (admin, follower) = (key("scale", "admin", context)?, key("fleet", "controller", context)?);
+        let key_file = context.folder().join("key");
+        write(&key_file, &follower.token)?;
+        let controllers = size + u64::from(script.real) + 1;
+        let settings = format!(
+            "(admin (listen \"127.0.0.1:0\") (store \"tenants.redb\") (lease {}us) {} {})\n\
+             (controller (number 0) (of {controllers}))\n",
+            script.lease, admin.settings, follower.settings
+        );
+        let administration = serve("administration", &settings, context)?;
+        let address = address(administration, "listening admin ", context)?;
+        let mut api = Api::new(address, &admin.token)?;
+        for n in 0..script.tenants {
+            api.create(&tenant(n), context)?;
+        }
+        Ok(Self { administration, api, real: Vec::new(), hollow: Vec::new(), address, key_file })
+    }
+
+    /// Starts all followers, and waits until each has a lease.
+    pub fn follow(
+        &mut self,
+        script: &Script,
+        size: u64,
+        context: &mut Context<'_>,
+    ) -> Result<(), MeasureError> {
+        let controllers = size + u64::from(script.real) + 1;
+        for number in 1..=script.real {
+            let settings = format!(
+                "(admin (follow \"{}\") (key-file \"{}\") (kept \"kept.json\") (without-lease refuse))\n\
+                 (controller (number {number}) (of {controllers}))\n",
+                self.address,
+                self.key_file.display()
+            );
+            let child = serve(&format!("follower-{number}"), &settings, context)?;
+            address(child, "listening grpc ", context)?;
+            self.real.push(child);
+        }
+        let mut begun = 0;
+        while begun < size {
+            let count = HOLLOW_A_PROCESS.min(size - begun);
+            let child = self.start_hollow(count, u64::from(script.real) + 1 + begun, context)?;
+            self.hollow.push(child);
+            begun += count;
+        }
+        self.wait_for_leases(size + u64::from(script.real), context)
+    }
+
+    fn start_hollow(
+        &self,
+        count: u64,
+        first_number: u64,
+        context: &mut Context<'_>,
+    ) -> Result<ChildId, MeasureError> {
+        let seed = context.random.random::<u32>();
+        let arguments = [
+            "hollow".to_owned(),
+            "followers".to_owned(),
+            format!("--administration={}", self.address),
+            format!("--key={}", self.key_file.display()),
+            format!("--count={count}"),
+            format!("--first-number={first_number}"),
+            format!("--seed={seed}"),
+        ];
+        context.children.start(&format!("hollow followers from {first_number}"), arguments)
+    }
+
+    fn wait_for_leases(&mut self, wanted: u64, context: &mut Context<'_>) -> Result<(), MeasureError> {
+        let until = std::time::Instant::now() + PATIENCE;
+        loop {
+            let leases = self.api.leases(context)?;
+            if leases >= wanted {
+                return Ok(());
+            }
+            if std::time::Instant::now() > until {
+                let what = format!("{leases} of {wanted} followers have a lease after {PATIENCE:?}");
+                return Err(context.children.complaint(self.administration, &what));
+            }
+            context.wait(LEASES_EVERY)?;
+        }
+    }
+
+    /// What hollow followers counted since they were asked last, a summary a process.
+    pub fn summaries(&self, context: &mut Context<'_>) -> Result<Vec<Summary>, MeasureError> {
+        for child in &self.hollow {
+            context.children.say(*child, "summary")?;
+        }
+        self.hollow.iter().map(|child| summary(*child, context)).collect()
+    }
+}
+
+/// The name of a tenant.
+pub fn tenant(n: u64) -> String {
+    format!("tenant-{n}")
+}
+
+/// A key that the program makes.
+fn key(name: &str, role: &str, context: &mut Context<'_>) -> Result<Key, MeasureError> {
+    let child = context.children.start(&format!("key {name}"), ["admin", "key", name, role])?;
+    let (mut token, mut settings) = (None, None);
+    while token.is_none() || settings.is_none() {
+        let line = context.children.next_line(child, PATIENCE)?;
+        token = token.or(line.strip_prefix("token: ").map(str::to_owned));
+        settings = settings.or(line.strip_prefix("settings: ").map(str::to_owned));
+    }
+    context.children.stop(child);
+    Ok(Key { token: token.unwrap_or_default(), settings: settings.unwrap_or_default() })
+}
+
+/// A real process in a folder of its own.
+fn serve(label: &str, settings: &str, context: &mut Context<'_>) -> Result<ChildId, MeasureError> {
+    let folder = context.folder().join(label);
+    fs::create_dir_all(&folder).map_err(MeasureError::system("a folder for files"))?;
+    write(&folder.join("workers.sexp"), "")?;
+    let file = folder.join("settings.sexp");
+    write(&file, &format!("{SETTINGS}{settings}"))?;
+    context.children.start(label, [Path::new("serve"), &file])
+}
+
+/// The address behind these words in a process's output.
+fn address(child: ChildId, words: &str, context: &mut Context<'_>) -> Result<SocketAddr, MeasureError> {
+    loop {
+        let line = context.children.next_line(child, PATIENCE)?;
+        let told = line.strip_prefix(words).map(|address| address.parse());
+        match told {
+            Some(Ok(address)) => return Ok(address),
+            Some(Err(_)) => return Err(context.children.complaint(child, &format!("no address: {line}"))),
+            None => {}
+        }
+    }
+}
+
+fn summary(child: ChildId, context: &mut Context<'_>) -> Result<Summary, MeasureError> {
+    loop {
+        let line = context.children.next_line(child, PATIENCE)?;
+        match serde_json::from_str::<Line>(&line) {
+            Ok(Line::FollowersSummary(summary)) => return Ok(*summary),
+            Ok(_) => {}
+            Err(error) => return Err(context.children.complaint(child, &format!("{error}: {line}"))),
+        }
+    }
+}
+
+fn write(path: &Path, text: &str) -> Result<(), MeasureError> {
+    fs::write(path, text).map_err(MeasureError::system(format!("can't write {}", path.display())))
+}
--- /dev/null
+++ b/crates/scale/src/measure/administration/interval.rs
@@ -0,0 +1,135 @@
+//! One interval of the measure: what each process spent in it.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use nettleferry_hollow::followers::report::Summary;
+
+use super::fleet::Fleet;
+use crate::children::ChildId;
+use crate::context::Context;
+use crate::measure::MeasureError;
+use crate::process::Sample;
+
+/// What processes had used at one moment.
+struct Moment {
+    at: Instant,
+    administration: Sample,
+    real: Vec<Sample>,
+}
+
+impl Moment {
+    fn now(fleet: &Fleet, context: &Context<'_>) -> Result<Self, MeasureError> {
+        let real = fleet.real.iter().map(|child| sample(*child, context)).collect::<Result<_, _>>()?;
+        Ok(Self { at: Instant::now(), administration: sample(fleet.administration, context)?, real })
+    }
+}
+
+fn sample(child: ChildId, context: &Context<'_>) -> Result<Sample, MeasureError> {
+    let process = context.children.process(child);
+    let process = process.ok_or_else(|| MeasureError::Unexpected("a process was stopped".to_owned()))?;
+    process.sample().map_err(MeasureError::system("what a process uses"))
+}
+
+/// An interval, over.
+pub struct Interval {
+    /// How long it was.
+    pub span: Duration,
+    /// Processor time of the administration.
+    pub administration: Duration,
+    /// What the administration had at its end.
+    pub end: Sample,
+    /// Processor time of a real follower, their mean; none: there are none.
+    pub real: Option<Duration>,
+    /// Resident memory of a real follower at its end, their mean, in bytes.
+    pub real_resident: Option<u64>,
+    /// What hollow followers saw, a summary a process.
+    pub hollow: Vec<Summary>,
+}
+
+impl Interval {
+    /// Measures what happens while `work` runs.
+    pub fn measure(
+        fleet: &mut Fleet,
+        context: &mut Context<'_>,
+        work: impl FnOnce(&mut Fleet, &mut Context<'_>) -> Result<(), MeasureError>,
+    ) -> Result<Self, MeasureError> {
+        // What was before is not of this interval.
+        fleet.summaries(context)?;
+        let begin = Moment::now(fleet, context)?;
+        work(fleet, context)?;
+        let end = Moment::now(fleet, context)?;
+        let hollow = fleet.summaries(context)?;
+        let spent = |begin: &Sample, end: &Sample| end.processor.saturating_sub(begin.processor);
+        let count = end.real.len() as u32;
+        let real: Duration = begin.real.iter().zip(&end.real).map(|(begin, end)| spent(begin, end)).sum();
+        let resident: u64 = end.real.iter().map(|sample| sample.resident).sum();
+        Ok(Self {
+            span: end.at - begin.at,
+            administration: spent(&begin.administration, &end.administration),
+            end: end.administration,
+            real: (count > 0).then(|| real / count),
+            real_resident: resident.checked_div(u64::from(count)),
+            hollow,
+        })
+    }
+
+    /// A sum over the hollow processes.
+    pub fn sum(&self, of: impl Fn(&Summary) -> u64) -> f64 {
+        self.hollow.iter().map(of).sum::<u64>() as f64
+    }
+
+    /// The greatest of the hollow processes.
+    pub fn greatest(&self, of: impl Fn(&Summary) -> f64) -> f64 {
+        self.hollow.iter().map(of).fold(0.0, f64::max)
+    }
+
+    /// The part of the hollow followers' time without a lease.
+    pub fn unleased(&self) -> f64 {
+        let followers = self.sum(|summary| summary.followers).max(1.0);
+        let without = |summary: &Summary| (1.0 - summary.coverage_since_first) * summary.followers as f64;
+        self.hollow.iter().map(without).sum::<f64>() / followers
+    }
+}
+
+/// What the changes of an interval came to.
+pub struct Changes {
+    /// How many were made.
+    pub made: u64,
+    /// Until one was answered to be in force everywhere, microseconds.
+    pub everywhere: Histogram<u64>,
+    /// Changes that were answered otherwise.
+    pub not_everywhere: u64,
+}
+
+impl Changes {
+    /// Makes so many changes a second for a span, one after another.
+    pub fn make(
+        rate: f64,
+        span: Duration,
+        tenants: u64,
+        fleet: &mut Fleet,
+        context: &mut Context<'_>,
+    ) -> Result<Self, MeasureError> {
+        let everywhere = Histogram::new_with_bounds(1, 60_000_000, 3)
+            .map_err(|error| MeasureError::Unexpected(format!("a histogram: {error}")))?;
+        let mut changes = Self { made: 0, everywhere, not_everywhere: 0 };
+        let begun = Instant::now();
+        loop {
+            let due = begun + Duration::from_secs_f64(changes.made as f64 / rate);
+            if due >= begun + span || begun.elapsed() >= span {
+                context.wait((begun + span).saturating_duration_since(Instant::now()))?;
+                return Ok(changes);
+            }
+            context.wait(due.saturating_duration_since(Instant::now()))?;
+            let asked = Instant::now();
+            let name = super::fleet::tenant(changes.made % tenants);
+            if fleet.api.lower_limit(&name, context)? {
+                changes.everywhere.saturating_record(asked.elapsed().as_micros() as u64);
+            } else {
+                changes.not_everywhere += 1;
+            }
+            changes.made += 1;
+        }
+    }
+}
--- a/crates/scale/src/measure/mod.rs
+++ b/crates/scale/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! What a run measures: one module a measure, each behind the trait [`Measure`]. A new one is a module here and a
 //! line in [`KINDS`].
 
+pub mod administration;
 pub mod list;
 pub mod module;
 
@@ -194,5 +195,8 @@
 }
 
 /// All measures, in the order in which they run.
-pub const KINDS: &[Kind] =
-    &[Kind { name: module::NAME, read: module::read }, Kind { name: list::NAME, read: list::read }];
+pub const KINDS: &[Kind] = &[
+    Kind { name: module::NAME, read: module::read },
+    Kind { name: list::NAME, read: list::read },
+    Kind { name: administration::NAME, read: administration::read },
+];
