hollow: controllers with a connection to a worker each; scale: (worker ...) measures by them

Need: what 20,000 connections of controllers cost one worker was known from no run.

Change: `nettleferry hollow controllers`: a connection each over the program's own reactor, calls and probes at drawn times, counts and times by JSON lines.

--- a/crates/gateway/src/commands/hollow.rs
+++ b/crates/gateway/src/commands/hollow.rs
@@ -6,8 +6,8 @@
 
 use clap::{Args, Subcommand};
 use nettleferry_hollow::bounds::Refused;
-use nettleferry_hollow::followers::{Followers, Settings};
 use nettleferry_hollow::process::Machine;
+use nettleferry_hollow::{controllers, followers};
 
 use super::{CommandError, read};
 
@@ -22,6 +22,8 @@
 enum Role {
     /// Controllers that follow an administration
     Followers(FollowersCommand),
+    /// Controllers with a connection to a worker each, which make calls and probes
+    Controllers(ControllersCommand),
 }
 
 #[derive(Args)]
@@ -58,17 +60,52 @@
     delay: u64,
 }
 
+#[derive(Args)]
+struct ControllersCommand {
+    /// The worker
+    #[arg(long, value_name = "ADDR:PORT")]
+    worker: SocketAddr,
+    /// How many
+    #[arg(long)]
+    count: u32,
+    /// The controller's number of the first
+    #[arg(long, default_value_t = 1)]
+    first_number: u32,
+    /// What draws begin with
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// End after so long; else when standard input closes
+    #[arg(long)]
+    seconds: Option<u64>,
+    /// They open their connections spread over so long
+    #[arg(long, value_name = "MS", default_value_t = 1_000)]
+    begin_within: u64,
+    /// Calls a second, over all of them
+    #[arg(long, value_name = "R", default_value_t = 0.0)]
+    calls_per_second: f64,
+    /// Probes a second, over all of them
+    #[arg(long, value_name = "R", default_value_t = 0.0)]
+    probes_per_second: f64,
+    /// The model that is called
+    #[arg(long, default_value = "echo")]
+    model: String,
+    /// A call has so long
+    #[arg(long, value_name = "MS", default_value_t = 4_000)]
+    deadline: u64,
+}
+
 impl Hollow {
     pub fn run(self) -> Result<u8, CommandError> {
         match self.role {
             Role::Followers(followers) => followers.run(),
+            Role::Controllers(controllers) => controllers.run(),
         }
     }
 }
 
 impl FollowersCommand {
     fn run(self) -> Result<u8, CommandError> {
-        let settings = Settings {
+        let settings = followers::Settings {
             administration: self.administration,
             token: token(&self.key)?,
             count: self.count,
@@ -81,13 +118,36 @@
             delay: Duration::from_millis(self.delay),
         };
         settings.check(Machine::read()).map_err(refused)?;
-        let followers = Followers::new(settings).map_err(CommandError::system("can't begin"))?;
+        let followers = followers::Followers::new(settings).map_err(CommandError::system("can't begin"))?;
         let ran = followers.run(std::io::stdin(), std::io::stdout());
         ran.map_err(CommandError::system("the run ended"))?;
         Ok(0)
     }
 }
 
+impl ControllersCommand {
+    fn run(self) -> Result<u8, CommandError> {
+        let settings = controllers::Settings {
+            worker: self.worker,
+            count: self.count,
+            first_number: self.first_number,
+            seed: self.seed,
+            time: self.seconds.map(Duration::from_secs),
+            begin_within: Duration::from_millis(self.begin_within),
+            calls_per_second: self.calls_per_second,
+            probes_per_second: self.probes_per_second,
+            model: self.model,
+            deadline: Duration::from_millis(self.deadline),
+        };
+        settings.check(Machine::read()).map_err(refused)?;
+        let controllers =
+            controllers::Controllers::new(settings).map_err(CommandError::system("can't begin"))?;
+        let ran = controllers.run(std::io::stdin(), std::io::stdout());
+        ran.map_err(CommandError::system("the run ended"))?;
+        Ok(0)
+    }
+}
+
 fn refused(why: Refused) -> CommandError {
     CommandError::Usage(why.to_string())
 }
--- a/crates/gateway/tests/hollow.rs
+++ b/crates/gateway/tests/hollow.rs
@@ -11,6 +11,7 @@
 
 use nettleferry_hollow::followers::report::{Change, Second, Summary};
 use nettleferry_hollow::report::Line;
+use nettleferry_standin::Seen;
 use serde_json::json;
 
 const HOLLOW: u32 = 50;
@@ -25,11 +26,13 @@
 impl Hollow {
     fn followers(rig: &Rig, more: &[&str]) -> Self {
         let (api, count) = (rig.api.to_string(), HOLLOW.to_string());
+        let words = ["followers", "--administration", &api, "--key", &rig.key, "--count", &count];
+        Self::run(&[&words[..], &["--first-number", "2"], more].concat())
+    }
+
+    fn run(words: &[&str]) -> Self {
         let mut command = Command::new(PROGRAM);
-        command
-            .args(["hollow", "followers", "--administration", &api, "--key", &rig.key, "--count", &count])
-            .args(["--first-number", "2"])
-            .args(more);
+        command.arg("hollow").args(words);
         let spawned = command.stdin(Stdio::piped()).stdout(Stdio::piped()).spawn();
         let mut child = spawned.expect("it starts");
         let (input, out) = (child.stdin.take(), child.stdout.take().expect("piped"));
@@ -91,9 +94,14 @@
             self.input = None;
         }
         let summary = self.next_summary();
-        assert!(self.child.wait().expect("ours").success());
+        self.ends_well();
         summary
     }
+
+    #[track_caller]
+    fn ends_well(&mut self) {
+        assert!(self.child.wait().expect("ours").success());
+    }
 }
 
 impl Drop for Hollow {
@@ -174,6 +182,48 @@
     assert_eq!((summary.lapses, summary.never_leased), (0, 0), "{summary:?}");
 }
 
+#[test]
+fn hollow_controllers_keep_connections_and_make_their_share_of_calls_and_probes() {
+    let mut fleet = Fleet::new(1, SPEC);
+    let worker = fleet.handles[0].doors[0].to_string();
+    let words = ["controllers", "--worker", &worker, "--count", "100", "--begin-within", "200"];
+    let mut hollow =
+        Hollow::run(&[&words[..], &["--calls-per-second", "200", "--probes-per-second", "50"]].concat());
+    let all = |line: Line| match line {
+        Line::ControllersSecond(second) if second.connections == 100 && second.counts.served > 0 => {
+            Some(second)
+        }
+        _ => None,
+    };
+    hollow.wait("a connection for each, and calls on them", all);
+    let of_the_last =
+        |seen: &Seen| matches!(seen, Seen::Call { controller, attempt: Some(1), .. } if controller == "100");
+    fleet.wait_for("a call of the last controller at the worker", of_the_last);
+    hollow.input = None;
+    let summary = hollow.wait("a summary", |line| match line {
+        Line::ControllersSummary(summary) => Some(*summary),
+        _ => None,
+    });
+    hollow.ends_well();
+    let counts = summary.counts;
+    assert_eq!((summary.controllers, counts.connected), (100, 100));
+    assert_eq!((counts.not_served, counts.broken, counts.not_begun, counts.closed), (0, 0, 0, 0));
+    assert!(counts.calls > counts.probes && counts.probes_served > 0, "{counts:?}");
+    assert_eq!((summary.call_time.count, summary.probe_time.count), (counts.served, counts.probes_served));
+}
+
+#[test]
+fn hollow_controllers_say_when_a_worker_is_not_there() {
+    let nobody = place("127.0.42.4").to_string();
+    let words = ["controllers", "--worker", &nobody, "--count", "5", "--begin-within", "0", "--seconds", "1"];
+    let hollow = Hollow::run(&words);
+    let summary = hollow.wait("a summary", |line| match line {
+        Line::ControllersSummary(summary) => Some(*summary),
+        _ => None,
+    });
+    assert_eq!((summary.counts.connected, summary.counts.not_connected, summary.connections), (0, 5, 0));
+}
+
 /// How `hollow followers` ends with these words, under a limit on descriptors.
 fn refused(words: &[&str]) -> String {
     let out = Command::new("/bin/sh")
@@ -241,3 +291,18 @@
     assert_eq!((code, lines.len()), (Some(3), 0), "{said}");
     assert!(said.contains("1024 lives; write at most 1022"), "{said}");
 }
+
+#[test]
+fn a_scale_run_measures_a_worker_by_its_controllers() {
+    let (code, lines, said) = scale("(worker (controllers 20 60) (calls-per-second 200) (interval 500ms))");
+    assert_eq!(code, Some(0), "{said}");
+    let value = |figure: &str, size: u64| {
+        let found = lines.iter().find(|line| line["figure"] == figure && line["size"] == size);
+        found.and_then(|line| line["value"].as_f64()).unwrap_or_else(|| panic!("{figure} at {size}: {said}"))
+    };
+    for size in [20, 60] {
+        assert_eq!(value("connections", size), size as f64);
+        assert_eq!((value("not-connected", size), value("not-served", size)), (0.0, 0.0));
+        assert!(value("calls", size) > 0.0 && value("call-p99", size) >= value("call-p50", size));
+    }
+}
--- a/crates/hollow/src/report.rs
+++ b/crates/hollow/src/report.rs
@@ -5,6 +5,7 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
+use crate::controllers::report as controllers;
 use crate::followers::report as followers;
 
 /// A line of a run's standard output.
@@ -19,6 +20,10 @@
     FollowersChange(followers::Change),
     /// What hollow followers saw since the start or the last summary.
     FollowersSummary(Box<followers::Summary>),
+    /// What hollow controllers did in a second.
+    ControllersSecond(controllers::Second),
+    /// What hollow controllers saw since the start or the last summary.
+    ControllersSummary(Box<controllers::Summary>),
 }
 
 /// A run begins.
--- a/crates/scale/src/measure/mod.rs
+++ b/crates/scale/src/measure/mod.rs
@@ -4,6 +4,7 @@
 pub mod administration;
 pub mod list;
 pub mod module;
+pub mod worker;
 
 use std::io;
 
@@ -199,4 +200,5 @@
     Kind { name: module::NAME, read: module::read },
     Kind { name: list::NAME, read: list::read },
     Kind { name: administration::NAME, read: administration::read },
+    Kind { name: worker::NAME, read: worker::read },
 ];
--- /dev/null
+++ b/crates/scale/src/measure/worker/mod.rs
@@ -0,0 +1,248 @@
+//! `worker`: a process of a stand-in worker with the connections of hollow controllers. What a connection and a call
+//! cost it, by the number of controllers.
+
+mod figures;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nettleferry::Micros;
+use nettleferry_config::form::Form;
+use nettleferry_hollow::controllers::report::Summary;
+use nettleferry_hollow::report::Line;
+use rand::RngExt;
+
+use self::figures::*;
+use super::{Figure, Measure, MeasureError, Observations, Sizes};
+use crate::children::ChildId;
+use crate::context::Context;
+use crate::process::Sample;
+use crate::room::Needs;
+
+/// Its key in a file.
+pub const NAME: &str = "worker";
+
+const MOST_RATE: f64 = 50_000.0;
+const LONGEST_INTERVAL: Micros = 120_000_000;
+/// Hollow controllers of one process.
+const HOLLOW_A_PROCESS: u64 = 2_500;
+/// They open so many connections a second, so that no queue of the system is what refuses them.
+const CONNECTS_A_SECOND: u64 = 2_000;
+/// Estimates from above, for the refusal of sizes that can't fit.
+const PROCESS_BYTES: u64 = 128 << 20;
+const CONNECTION_BYTES: u64 = 256 << 10;
+const START_TIME: Duration = Duration::from_secs(5);
+const PATIENCE: Duration = Duration::from_secs(30);
+/// The stand-in worker: its calls take hardly any work.
+const WORKER: &str = "(listen \"127.0.0.1:0\") (cores 8) (queue 10000)\n\
+    (model \"\" (lanes 10000) (load-time 1ms) (work 1us))\n";
+
+/// Reads `(worker ...)`.
+pub fn read(form: &mut Form) -> Option<Box<dyn Measure>> {
+    let sizes = Sizes::read(form, "controllers");
+    let script = Script {
+        calls: form.or("calls-per-second", 1_000.0),
+        probes: form.or("probes-per-second", 0.0),
+        interval: form.span_or("interval", 3_000_000),
+    };
+    let sound = |rate: f64| (0.0..=MOST_RATE).contains(&rate);
+    if !sound(script.calls) || !sound(script.probes) || script.calls <= 0.0 {
+        form.fault(format!("(calls-per-second ...), (probes-per-second ...): write up to {MOST_RATE}"));
+    }
+    if !(100_000..=LONGEST_INTERVAL).contains(&script.interval) {
+        form.fault("(interval ...): write 100ms to 2min");
+    }
+    Some(Box::new(Worker { sizes: sizes?, script }))
+}
+
+/// What is played at each size.
+struct Script {
+    /// Calls a second, over all controllers.
+    calls: f64,
+    /// Probes a second, over all controllers.
+    probes: f64,
+    /// How long the worker is watched at rest, and under calls.
+    interval: Micros,
+}
+
+struct Worker {
+    sizes: Sizes,
+    script: Script,
+}
+
+impl Measure for Worker {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    fn sizes(&self) -> &Sizes {
+        &self.sizes
+    }
+
+    fn figures(&self) -> &'static [&'static Figure] {
+        FIGURES
+    }
+
+    fn needs(&self, size: u64) -> Needs {
+        let processes = 1 + 2 * size.div_ceil(HOLLOW_A_PROCESS);
+        let connecting = Duration::from_secs(2 * size / CONNECTS_A_SECOND);
+        Needs {
+            memory: processes
+                .saturating_mul(PROCESS_BYTES)
+                .saturating_add(size.saturating_mul(CONNECTION_BYTES)),
+            processes,
+            descriptors: size.saturating_add(64),
+            ports: size.saturating_mul(2),
+            time: START_TIME + connecting + 2 * Duration::from_micros(self.script.interval),
+        }
+    }
+
+    fn run_at(&mut self, size: u64, context: &mut Context<'_>) -> Result<Observations, MeasureError> {
+        let span = Duration::from_micros(self.script.interval);
+        let mut got = Observations::default();
+        context.doing(&format!("{NAME} {size}: connections"));
+        let (worker, address) = start_worker(context)?;
+        let idle = sample(worker, context)?;
+        let quiet = self.start_controllers(address, size, 0.0, context)?;
+        context.wait(connecting(size))?;
+        let connected = sample(worker, context)?;
+        context.wait(span)?;
+        let rested = sample(worker, context)?;
+        let rest = (rested.processor.saturating_sub(connected.processor)).as_secs_f64() / span.as_secs_f64();
+        let connections = summaries(&quiet, context)?;
+        let connect = connected.processor.saturating_sub(idle.processor);
+        observe_connections(connect, &rested, rest, &connections, &mut got);
+        quiet.into_iter().for_each(|child| context.children.stop(child));
+        context.doing(&format!("{NAME} {size}: calls"));
+        let calling = self.start_controllers(address, size, 1.0, context)?;
+        context.wait(connecting(size))?;
+        summaries(&calling, context)?;
+        let before = sample(worker, context)?;
+        context.wait(span)?;
+        let after = sample(worker, context)?;
+        let calls = summaries(&calling, context)?;
+        observe_calls(&before, &after, rest * span.as_secs_f64(), &calls, &mut got);
+        Ok(got)
+    }
+}
+
+/// How long all of them take to connect.
+fn connecting(size: u64) -> Duration {
+    Duration::from_millis(1_000 + size * 1_000 / CONNECTS_A_SECOND)
+}
+
+impl Worker {
+    /// Starts hollow controllers, which make this part of the calls and probes of the script.
+    fn start_controllers(
+        &self,
+        worker: SocketAddr,
+        size: u64,
+        part: f64,
+        context: &mut Context<'_>,
+    ) -> Result<Vec<ChildId>, MeasureError> {
+        let mut children = Vec::new();
+        let mut begun = 0;
+        while begun < size {
+            let count = HOLLOW_A_PROCESS.min(size - begun);
+            let share = part * count as f64 / size as f64;
+            let arguments = [
+                "hollow".to_owned(),
+                "controllers".to_owned(),
+                format!("--worker={worker}"),
+                format!("--count={count}"),
+                format!("--first-number={}", begun + 1),
+                format!("--seed={}", context.random.random::<u32>()),
+                format!("--begin-within={}", size * 1_000 / CONNECTS_A_SECOND),
+                format!("--calls-per-second={}", self.script.calls * share),
+                format!("--probes-per-second={}", self.script.probes * share),
+            ];
+            let label = format!("hollow controllers from {}", begun + 1);
+            children.push(context.children.start(&label, arguments)?);
+            begun += count;
+        }
+        Ok(children)
+    }
+}
+
+/// A stand-in worker, and where it listens.
+fn start_worker(context: &mut Context<'_>) -> Result<(ChildId, SocketAddr), MeasureError> {
+    let file = context.folder().join("worker.sexp");
+    fs::write(&file, WORKER).map_err(MeasureError::system("can't write the worker's file"))?;
+    let arguments = ["worker".to_owned(), file.display().to_string()];
+    let child = context.children.start("worker", arguments)?;
+    let line = context.children.next_line(child, PATIENCE)?;
+    let address = line.strip_prefix("listening grpc ").and_then(|address| address.parse().ok());
+    let address = address.ok_or_else(|| context.children.complaint(child, &format!("no address: {line}")))?;
+    Ok((child, address))
+}
+
+fn sample(child: ChildId, context: &Context<'_>) -> Result<Sample, MeasureError> {
+    let process = context.children.process(child);
+    let process = process.ok_or_else(|| MeasureError::Unexpected("the worker was stopped".to_owned()))?;
+    process.sample().map_err(MeasureError::system("what the worker uses"))
+}
+
+/// What hollow controllers counted since they were asked last, a summary a process.
+fn summaries(children: &[ChildId], context: &mut Context<'_>) -> Result<Vec<Summary>, MeasureError> {
+    for child in children {
+        context.children.say(*child, "summary")?;
+    }
+    children.iter().map(|child| summary(*child, context)).collect()
+}
+
+fn summary(child: ChildId, context: &mut Context<'_>) -> Result<Summary, MeasureError> {
+    loop {
+        let line = context.children.next_line(child, PATIENCE)?;
+        match serde_json::from_str::<Line>(&line) {
+            Ok(Line::ControllersSummary(summary)) => return Ok(*summary),
+            Ok(_) => {}
+            Err(error) => return Err(context.children.complaint(child, &format!("{error}: {line}"))),
+        }
+    }
+}
+
+fn sum(summaries: &[Summary], of: impl Fn(&Summary) -> u64) -> f64 {
+    summaries.iter().map(of).sum::<u64>() as f64
+}
+
+fn greatest(summaries: &[Summary], of: impl Fn(&Summary) -> f64) -> f64 {
+    summaries.iter().map(of).fold(0.0, f64::max)
+}
+
+fn observe_connections(
+    processor: Duration,
+    rested: &Sample,
+    rest: f64,
+    summaries: &[Summary],
+    got: &mut Observations,
+) {
+    let connected = sum(summaries, |summary| summary.counts.connected);
+    got.add(&CONNECTIONS, sum(summaries, |summary| summary.connections));
+    got.add(&NOT_CONNECTED, sum(summaries, |summary| summary.counts.not_connected));
+    got.add(&CLOSED, sum(summaries, |summary| summary.counts.closed));
+    got.add(&MEMORY, rested.resident as f64);
+    got.add(&DESCRIPTORS, rested.descriptors as f64);
+    got.add(&REST, rest);
+    got.add(&CONNECT_PROCESSOR, processor.as_secs_f64() * 1e6 / connected);
+}
+
+fn observe_calls(
+    before: &Sample,
+    after: &Sample,
+    at_rest: f64,
+    summaries: &[Summary],
+    got: &mut Observations,
+) {
+    let answered = sum(summaries, |summary| summary.counts.served + summary.counts.probes_served);
+    let processor = after.processor.saturating_sub(before.processor).as_secs_f64() - at_rest;
+    let seconds = greatest(summaries, |summary| summary.ran_ms as f64) / 1e3;
+    got.add(&CALL_PROCESSOR, processor * 1e6 / answered);
+    got.add(&CALLS, sum(summaries, |summary| summary.counts.served) / seconds);
+    got.add(&NOT_SERVED, sum(summaries, |summary| summary.counts.not_served + summary.counts.broken));
+    got.add(&CALL_P50, greatest(summaries, |summary| summary.call_time.p50 as f64));
+    got.add(&CALL_P99, greatest(summaries, |summary| summary.call_time.p99 as f64));
+    got.add(&MEMORY_AFTER, after.resident as f64);
+    let cores = |summary: &Summary| summary.processor_us as f64 / 1e3 / summary.ran_ms.max(1) as f64;
+    got.add(&HOLLOW_PROCESSOR, greatest(summaries, cores));
+}
