--- a/crates/gateway/tests/common/process.rs
+++ b/crates/gateway/tests/common/process.rs
@@ -71,6 +71,17 @@
         }
     }
 
+    /// Its threads, and the processes that it started.
+    pub fn threads_and_children(&self) -> (usize, usize) {
+        let tasks = Path::new("/proc").join(self.child.id().to_string()).join("task");
+        let threads: Vec<_> = std::fs::read_dir(tasks).expect("ours").filter_map(Result::ok).collect();
+        let children = |thread: &std::fs::DirEntry| {
+            let list = std::fs::read_to_string(thread.path().join("children")).unwrap_or_default();
+            list.split_whitespace().count()
+        };
+        (threads.len(), threads.iter().map(children).sum())
+    }
+
     /// Descriptors in use, and resident memory in KiB.
     pub fn holds(&self) -> (usize, usize) {
         let proc = Path::new("/proc").join(self.child.id().to_string());
--- /dev/null
+++ b/crates/gateway/tests/one_process.rs
@@ -0,0 +1,44 @@
+//! What the platform lets a controller be: one process without children, one thread, linked against the system's C
+//! library, and the directory and its clients the only ones that it speaks with unasked.
+
+#[path = "../../node/tests/common/mod.rs"]
+mod common;
+#[path = "common/process.rs"]
+mod process;
+
+use std::net::UdpSocket;
+
+use common::{Client, Does, Invoker, SERVED, Told, config};
+use process::Node;
+
+/// The system's loader, which a program that is linked dynamically names.
+const LOADER: &[u8] = b"ld-linux";
+
+#[test]
+fn a_controller_is_one_process_with_one_thread_that_is_linked_dynamically() {
+    let program = std::fs::read(env!("CARGO_BIN_EXE_nettleferry")).expect("the program is there");
+    assert!(program.windows(LOADER.len()).any(|bytes| bytes == LOADER), "it names the system's loader");
+
+    let invoker = Invoker::start(|told: &Told| match told.word() {
+        "CALL" => Does::Says("served", "n=w", told.parts[3].clone()),
+        _ => Does::Says("green", "-", vec![]),
+    });
+    let silent = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let listed = vec![("s-0".to_owned(), invoker.address, false)];
+    let mut told = config(silent.local_addr().expect("bound"), &listed);
+    told["peers"] = serde_json::json!([peer.local_addr().expect("bound").to_string()]);
+    told["peers_all"] = peer.local_addr().expect("bound").to_string().into();
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("config.json");
+    std::fs::write(&path, told.to_string()).expect("written");
+    let node = Node::of(Node::spawn(&path, 256));
+    let mut client = Client::connect(node.address);
+    for id in 1..20 {
+        let stream = client.ask("safe", id, id, b"ab");
+        assert_eq!(client.answer(stream), (SERVED, b"ab".to_vec()));
+    }
+    assert_eq!(node.threads_and_children(), (1, 0));
+    peer.set_nonblocking(true).expect("set");
+    assert!(peer.recv_from(&mut [0; 300]).is_err(), "nothing is sent to a peer");
+}
--- a/crates/node/tests/lists.rs
+++ b/crates/node/tests/lists.rs
@@ -6,7 +6,7 @@
 
 use common::hand::{Client, Hand, name};
 use common::leaving::served;
-use common::{Reply, SERVED, reply};
+use common::{REFUSED, Reply, SERVED, reply};
 
 const ROW: u64 = 9;
 
@@ -169,3 +169,16 @@
     hand.turn();
     assert_eq!(all_placed(&mut hand, &mut client, 100..112), [1]);
 }
+
+#[test]
+fn one_that_starts_without_an_invoker_refuses_at_once_and_serves_as_soon_as_a_list_tells_of_one() {
+    let mut hand = Hand::start(1, |config| config["known"] = serde_json::json!({"pos": 0, "entries": []}));
+    let mut client = hand.client();
+    client.ask(1, "once", 5, ROW, b"");
+    let codes = hand.until("its answer", |_| Some(client.codes(1)).filter(|codes| !codes.is_empty()));
+    assert_eq!(codes, [REFUSED], "nothing ran");
+    let query = hand.query();
+    hand.answer(query, 1, &[(0, false)]);
+    hand.turn();
+    assert_eq!(all_placed(&mut hand, &mut client, 10..14), [0]);
+}
