node: links by job: connection, choice, commands, answers

Code is moved as it was; a connection that is being made has its constructor; methods that another of these modules calls are pub(super). No behaviour changes, no test is changed but by what it imports.

--- /dev/null
+++ b/crates/node/src/links/link.rs
@@ -0,0 +1,94 @@
+//! One connection to an invoker: what is owed on it, what waits for it, what has ended there.
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::time::Instant;
+
+use nettleferry::WorkerId;
+use nettleferry_engine::{AttemptId, Ended, ErrandId, Event, News};
+
+use super::command::Outgoing;
+
+/// Ids that ended on a connection and are remembered: an answer that comes twice must not be taken for that of
+/// a later attempt.
+const REMEMBERED: usize = 512;
+
+/// Whose answer is awaited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Owed {
+    // In this order where a connection ends: what is told of it is known before what was lost with it.
+    Probe(ErrandId),
+    Attempt(AttemptId),
+    Order(ErrandId),
+}
+
+impl Owed {
+    /// It ended without an answer.
+    pub(super) fn ended(self, how: Ended) -> Event {
+        match self {
+            Self::Attempt(attempt) => Event::Ended { attempt, how, news: News::default() },
+            Self::Order(errand) => Event::Loaded { errand, how, copies: 0 },
+            Self::Probe(errand) => Event::Probed { errand, how, report: None },
+        }
+    }
+}
+
+pub(super) struct Item {
+    pub(super) owed: Owed,
+    pub(super) since: Instant,
+    /// Where its command begins and ends among the bytes queued there; `None`: it waits for the connection.
+    pub(super) place: Option<(u64, u64)>,
+}
+
+/// The place of what the connection did not take: it is never written.
+pub(super) const NOWHERE: (u64, u64) = (u64::MAX, u64::MAX);
+
+/// A connection to an invoker, and what is open on it.
+pub(super) struct Link {
+    pub(super) worker: WorkerId,
+    pub(super) up: bool,
+    pub(super) items: BTreeMap<String, Item>,
+    pub(super) waiting: VecDeque<(String, Outgoing)>,
+    /// When it came about, Unix milliseconds.
+    pub(super) since_ms: u64,
+    /// Nothing is open on it since then.
+    pub(super) idle_since: Option<Instant>,
+    pub(super) ended: HashSet<String>,
+    pub(super) ended_order: VecDeque<String>,
+    /// Takes nothing new: it closes after its last answer.
+    pub(super) draining: bool,
+    /// A probe sent there was not answered, and nothing has come since.
+    pub(super) suspect: bool,
+    /// When the answer in hand began.
+    pub(super) partial: Option<Instant>,
+}
+
+impl Link {
+    /// One that is being made.
+    pub(super) fn new(worker: WorkerId) -> Self {
+        Self {
+            worker,
+            up: false,
+            items: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            since_ms: 0,
+            idle_since: None,
+            ended: HashSet::new(),
+            ended_order: VecDeque::new(),
+            draining: false,
+            suspect: false,
+            partial: None,
+        }
+    }
+
+    /// What was open under this id is over.
+    pub(super) fn over(&mut self, tag: String) {
+        if self.ended.insert(tag.clone()) {
+            self.ended_order.push_back(tag);
+        }
+        if self.ended_order.len() > REMEMBERED
+            && let Some(old) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&old);
+        }
+    }
+}
--- a/crates/node/src/links/tests.rs
+++ b/crates/node/src/links/tests.rs
@@ -4,9 +4,14 @@
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
 
-use nettleferry_engine::CallId;
+use bytes::Bytes;
+use nettleferry_engine::{AttemptId, CallId};
 use nettleferry_net::tcp::{TcpEvent, TcpLimits};
+use nettleferry_platform::resp;
+
+use crate::limits::Counters;
 
 const W: WorkerId = WorkerId(7);
 
