--- a/crates/node/tests/floods.rs
+++ b/crates/node/tests/floods.rs
@@ -7,6 +7,7 @@
 use common::SERVED;
 use common::hand::{Client, Hand, name, request};
 use common::leaving::served;
+use nettleferry_net::tcp::TcpLimits;
 use nettleferry_platform::frames;
 
 const ROW: u64 = 9;
@@ -70,6 +71,8 @@
 
 #[test]
 fn a_flood_on_one_connection_holds_up_no_sound_client_on_another() {
+    // So many fit into what a turn reads of one connection: its last piece may go beyond the bound.
+    let most = (TcpLimits::default().turn * 5 / 4 / withdrawn(1).len()) as u64 + 1;
     for kind in [withdrawn as Kind, questions, long] {
         let mut hand = Hand::start(1, |_| ());
         let mut sound = hand.client();
@@ -85,7 +88,7 @@
             let before = hand.node.counters().requests;
             hand.turn();
             let taken = hand.node.counters().requests - before;
-            assert!(taken < 400, "{taken} requests in one turn");
+            assert!(taken <= most, "{taken} requests in one turn, {most} at the most");
             assert!(hand.node.engine_counters().opened >= id - 98, "{id}: in the turn that finds it");
             let mut turns = 0;
             while sound.codes(id as u32).is_empty() {
