--- a/crates/gateway/benches/outage.rs
+++ b/crates/gateway/benches/outage.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use nettleferry_proto::remote_write::{Kind, Series, Version, write};
-use nettleferry_push::{Answer, Batch, Keeper, Limits, Queue, Sample};
+use nettleferry_push::{Answer, Batch, Limits, Queue, RecordTracker, Sample};
 use nettleferry_spool::{FolderDisk, Limits as SpoolLimits, Position, Spool};
 use plotters::prelude::*;
 
@@ -19,7 +19,7 @@
 struct Push {
     queue: Queue,
     spool: Spool<FolderDisk>,
-    keeper: Keeper<Position>,
+    record_tracker: RecordTracker<Position>,
     labels: Vec<Series>,
 }
 
@@ -39,7 +39,7 @@
             (0..SERIES).map(|series| Sample { series, at_ms, value: (second * series) as f64 }).collect();
         for part in samples.chunks(RECORD) {
             let position = self.spool.append(&self.body(part)).expect("the disk takes it");
-            self.keeper.began(at_ms, position, part.len());
+            self.record_tracker.began(at_ms, position, part.len());
         }
         for sample in samples {
             self.queue.offer(second * S, sample);
@@ -49,7 +49,7 @@
 
     fn let_go(&mut self) {
         for at_ms in self.queue.gone().collect::<Vec<_>>() {
-            for position in self.keeper.gone(at_ms) {
+            for position in self.record_tracker.gone(at_ms) {
                 self.spool.acknowledge(position).expect("the disk takes it");
             }
         }
@@ -78,7 +78,7 @@
         created_ms: Some(1),
     });
     let queue = Queue::new(limits, 1);
-    let mut push = Push { queue, spool, keeper: Keeper::default(), labels: labels.collect() };
+    let mut push = Push { queue, spool, record_tracker: RecordTracker::default(), labels: labels.collect() };
     let (mut plot, mut due) = (Vec::new(), Vec::<Batch>::new());
     let (mut tries, mut back) = (0u64, None);
     let mut drained = (0u64, 0.0);
--- a/crates/gateway/src/push.rs
+++ b/crates/gateway/src/push.rs
@@ -21,7 +21,10 @@
 use nettleferry_figures::{Figures, LATENCY, sample};
 use nettleferry_net::post::{Answer as Heard, PostError, Poster};
 use nettleferry_proto::remote_write::{self, Kind, Native, Series, Version};
-use nettleferry_push::{Answer, Form, Keeper, Limits, Queue, Speech, Understood, Waits, Wall, Weigh};
+use nettleferry_push::{
+    Acceptance, Answer, Backoff, HeapSize, Limits, Negotiation, ProtocolVersion, Queue, RecordTracker,
+    SampleClock,
+};
 use nettleferry_spool::{FolderDisk, Limits as SpoolLimits, Position, Spool, SpoolError};
 use tracing::{info, warn};
 
@@ -42,8 +45,8 @@
     Native(Arc<Native>),
 }
 
-impl Weigh for Value {
-    fn heap(&self) -> usize {
+impl HeapSize for Value {
+    fn heap_size(&self) -> usize {
         match self {
             Self::Number(_) => 0,
             Self::Native(native) => size_of::<Native>() + native.buckets.len() * size_of::<(i32, u64)>(),
@@ -107,14 +110,14 @@
     poster: Poster,
     queue: Queue<Value>,
     spool: Spool<FolderDisk>,
-    keeper: Keeper<Position>,
+    record_tracker: RecordTracker<Position>,
     series: Vec<Known>,
     numbers: HashMap<Vec<(String, String)>, u64>,
     /// This life's counters began then.
     created_ms: i64,
     last_ms: i64,
-    wall: Wall,
-    speech: Speech,
+    sample_clock: SampleClock,
+    negotiation: Negotiation,
     /// What is out on a lane, and in which version.
     out: BTreeMap<usize, (Batch, Version)>,
     /// Batches of which the receiver wrote less than it took.
@@ -156,14 +159,14 @@
             poster,
             queue,
             spool,
-            keeper: Keeper::default(),
+            record_tracker: RecordTracker::default(),
             series: Vec::new(),
             numbers: HashMap::new(),
             // Until what earlier lives left is read, all is theirs.
             created_ms: i64::MAX,
             last_ms: i64::MIN,
-            wall: Wall::new(clock.now(), wall(), 0),
-            speech: Speech::new(Waits { first: ask_again, most: ask_again.saturating_mul(12) }),
+            sample_clock: SampleClock::new(clock.now(), wall(), 0),
+            negotiation: Negotiation::new(Backoff { first: ask_again, most: ask_again.saturating_mul(12) }),
             out: BTreeMap::new(),
             short: 0,
             spool_ails: false,
@@ -203,7 +206,7 @@
                 }
             }
             for (at_ms, count) in times {
-                self.keeper.began(at_ms, position, count);
+                self.record_tracker.began(at_ms, position, count);
             }
             for s in series {
                 let number = self.number(&s.labels, s.kind);
@@ -224,7 +227,7 @@
         }
         // The wall may have stepped back between the lives.
         let last = u64::try_from(self.last_ms).map_or(0, |ms| ms.saturating_mul(1000));
-        self.wall = Wall::new(now, wall(), last);
+        self.sample_clock = SampleClock::new(now, wall(), last);
         ended.sort_unstable();
         ended.dedup();
         self.close(ended);
@@ -255,7 +258,7 @@
 
     /// The time of a round, never twice the same.
     fn time(&mut self) -> i64 {
-        let now = self.wall.now(self.clock.now(), wall());
+        let now = self.sample_clock.now(self.clock.now(), wall());
         self.last_ms = ms(now).max(self.last_ms.saturating_add(1));
         self.last_ms
     }
@@ -297,7 +300,7 @@
             let series = self.described(part);
             let Ok(record) = remote_write::write(Version::Two, &series) else { continue };
             if let Some(position) = self.disk(|spool| spool.append(&record)) {
-                self.keeper.began(part[0].at_ms, position, part.len());
+                self.record_tracker.began(part[0].at_ms, position, part.len());
             }
         }
         self.disk(Spool::sync);
@@ -342,7 +345,7 @@
     fn let_go(&mut self) {
         let gone: Vec<i64> = self.queue.gone().collect();
         for at_ms in gone {
-            for position in self.keeper.gone(at_ms) {
+            for position in self.record_tracker.gone(at_ms) {
                 self.disk(|spool| spool.acknowledge(position));
             }
         }
@@ -363,7 +366,7 @@
             samples.push(Sample { series, at_ms, value: Value::Number(s.value) });
         }
         // The plain version carries classic buckets alone.
-        if self.speech.form() == Form::Preferred {
+        if self.negotiation.form() == ProtocolVersion::Preferred {
             let figures = Arc::clone(&self.figures);
             for (class, told) in figures.natives() {
                 let labels = [("__name__", LATENCY), ("class", class)];
@@ -415,7 +418,12 @@
         let totals = [c.taken, c.refused, c.dropped_full, c.dropped_old, c.dropped_order, c.dropped_series];
         let oldest = self.queue.oldest(self.clock.now()) / 1_000_000;
         self.figures.push(totals, c.retries, self.queue.kept(), oldest);
-        self.figures.receiver(self.speech.changes(), c.splits, self.short, self.wall.ahead() as f64 / 1e6);
+        self.figures.receiver(
+            self.negotiation.changes(),
+            c.splits,
+            self.short,
+            self.sample_clock.ahead() as f64 / 1e6,
+        );
         self.figures.spool(self.spool.bytes(), self.settings.spool_bytes, self.spool_failures);
     }
 
@@ -484,9 +492,9 @@
 
     fn send(&mut self, batch: Batch) {
         let lane = batch.shard;
-        let version = match self.speech.next(self.clock.now(), lane) {
-            Form::Preferred => Version::Two,
-            Form::Plain => Version::One,
+        let version = match self.negotiation.next(self.clock.now(), lane) {
+            ProtocolVersion::Preferred => Version::Two,
+            ProtocolVersion::Plain => Version::One,
         };
         let series = self.described(&batch.samples);
         let empty = version == Version::One && series.iter().all(|s| s.samples.is_empty());
@@ -506,7 +514,7 @@
             // What can't be written can't be written later.
             Err(_) => {
                 let now = self.clock.now();
-                self.speech.told(now, lane, Understood::Untold);
+                self.negotiation.told(now, lane, Acceptance::Untold);
                 self.queue.answered(now, lane, batch.number, Answer::Refused);
             }
         }
@@ -517,15 +525,17 @@
         let now = self.clock.now();
         let (answer, understood) = match &heard {
             Ok(heard) => self.meaning(&batch, version, heard),
-            Err(_) => (Answer::NotNow { retry_after: None }, Understood::Untold),
+            Err(_) => (Answer::NotNow { retry_after: None }, Acceptance::Untold),
         };
-        let before = self.speech.form();
-        self.speech.told(now, lane, understood);
-        match (before, self.speech.form()) {
-            (Form::Preferred, Form::Plain) => {
+        let before = self.negotiation.form();
+        self.negotiation.told(now, lane, understood);
+        match (before, self.negotiation.form()) {
+            (ProtocolVersion::Preferred, ProtocolVersion::Plain) => {
                 info!("the receiver does not speak remote write 2.0: 1.0 for now")
             }
-            (Form::Plain, Form::Preferred) => info!("the receiver speaks remote write 2.0"),
+            (ProtocolVersion::Plain, ProtocolVersion::Preferred) => {
+                info!("the receiver speaks remote write 2.0")
+            }
             _ => {}
         }
         self.queue.answered(now, lane, batch.number, answer);
@@ -542,15 +552,15 @@
     /// a receiver of 1.0 that does not look at the content type reads nothing in it. 415: this version is not
     /// spoken there. 429 and 5xx: not now. 400, 413 and 422: something in it is bad. Any other: refused for
     /// good.
-    fn meaning(&mut self, batch: &Batch, version: Version, heard: &Heard) -> (Answer, Understood) {
+    fn meaning(&mut self, batch: &Batch, version: Version, heard: &Heard) -> (Answer, Acceptance) {
         let not_now = |retry_after| Answer::NotNow { retry_after };
         let written = |kind: &str| -> Option<usize> {
             heard.header(&format!("x-prometheus-remote-write-{kind}-written"))?.trim().parse().ok()
         };
         match (heard.status, version) {
-            (200..300, Version::One) => (Answer::Taken, Understood::Untold),
+            (200..300, Version::One) => (Answer::Taken, Acceptance::Untold),
             (200..300, Version::Two) => match written("samples") {
-                None => (not_now(None), Understood::No),
+                None => (not_now(None), Acceptance::No),
                 Some(numbers) => {
                     let sent = batch.samples.iter().filter(|s| matches!(s.value, Value::Number(_))).count();
                     let natives = written("histograms").unwrap_or(0);
@@ -558,13 +568,13 @@
                         self.short += 1;
                         warn!(numbers, sent, natives, "the receiver wrote less than it took");
                     }
-                    (Answer::Taken, Understood::Yes)
+                    (Answer::Taken, Acceptance::Yes)
                 }
             },
-            (415, Version::Two) => (not_now(None), Understood::No),
-            (429 | 500..600, _) => (not_now(retry_after(heard)), Understood::Untold),
-            (400 | 413 | 422, _) => (Answer::Bad, Understood::Untold),
-            _ => (Answer::Refused, Understood::Untold),
+            (415, Version::Two) => (not_now(None), Acceptance::No),
+            (429 | 500..600, _) => (not_now(retry_after(heard)), Acceptance::Untold),
+            (400 | 413 | 422, _) => (Answer::Bad, Acceptance::Untold),
+            _ => (Answer::Refused, Acceptance::Untold),
         }
     }
 }
--- a/crates/push/src/lib.rs
+++ b/crates/push/src/lib.rs
@@ -4,20 +4,20 @@
 //! in, microseconds on any clock that never goes back; chance comes from a seed. Equal events give equal
 //! actions.
 //!
-//! * [`keeper`]: which record of a spool holds which samples.
-//! * [`speech`]: which form of the messages a receiver is spoken to in.
-//! * [`wall`]: the time of samples.
+//! * [`record_tracker`]: which record of a spool holds which samples.
+//! * [`negotiation`]: which form of the messages a receiver is spoken to in.
+//! * [`sample_clock`]: the time of samples.
 //! * [`queue`]: what is kept, what is dropped first, what is sent when, and what is tried again.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
-pub mod keeper;
+pub mod negotiation;
 pub mod queue;
-pub mod speech;
-pub mod wall;
+pub mod record_tracker;
+pub mod sample_clock;
 
-pub use keeper::Keeper;
-pub use queue::{Answer, Batch, Counters, Limits, Queue, Sample, Weigh};
-pub use speech::{Form, Speech, Understood, Waits};
-pub use wall::Wall;
+pub use negotiation::{Acceptance, Backoff, Negotiation, ProtocolVersion};
+pub use queue::{Answer, Batch, Counters, HeapSize, Limits, Queue, Sample};
+pub use record_tracker::RecordTracker;
+pub use sample_clock::SampleClock;
--- a/crates/push/src/queue.rs
+++ b/crates/push/src/queue.rs
@@ -72,13 +72,13 @@
 }
 
 /// What a value takes beside its own size.
-pub trait Weigh {
+pub trait HeapSize {
     /// Bytes on the heap, at the most.
-    fn heap(&self) -> usize;
+    fn heap_size(&self) -> usize;
 }
 
-impl Weigh for f64 {
-    fn heap(&self) -> usize {
+impl HeapSize for f64 {
+    fn heap_size(&self) -> usize {
         0
     }
 }
@@ -95,10 +95,10 @@
 }
 
 /// Bytes that a sample of a number takes here: its bound in memory.
-pub const SAMPLE_BYTES: usize = std::mem::size_of::<Kept<f64>>();
+pub const SAMPLE_BYTES: usize = std::mem::size_of::<QueuedSample<f64>>();
 
 #[derive(Clone, Copy, Debug)]
-struct Kept<V> {
+struct QueuedSample<V> {
     sample: Sample<V>,
     came: Micros,
     /// Order of arrival over all shards.
@@ -160,16 +160,16 @@
 }
 
 /// A batch, or what is left of one that was halved.
-struct Part<V> {
+struct PendingBatch<V> {
     number: u64,
     tries: u32,
-    samples: Vec<Kept<V>>,
+    samples: Vec<QueuedSample<V>>,
 }
 
 struct Shard<V> {
-    waiting: VecDeque<Kept<V>>,
+    waiting: VecDeque<QueuedSample<V>>,
     /// The first is out, or waits to be tried again; the others are further parts of the same batch.
-    parts: VecDeque<Part<V>>,
+    parts: VecDeque<PendingBatch<V>>,
     /// How often this batch was halved.
     splits: u32,
     /// Series of it that were refused alone, and whether anything of it was taken: else it is the receiver.
@@ -201,7 +201,7 @@
     gone: Vec<i64>,
 }
 
-impl<V: Clone + Weigh> Queue<V> {
+impl<V: Clone + HeapSize> Queue<V> {
     /// An empty queue.
     pub fn new(limits: Limits, seed: u64) -> Self {
         let shard = || Shard {
@@ -288,7 +288,7 @@
         }
         self.sequence += 1;
         let at = (mix(sample.series) % self.shards.len() as u64) as usize;
-        let kept = Kept { sample, came: now, sequence: self.sequence };
+        let kept = QueuedSample { sample, came: now, sequence: self.sequence };
         let bytes = weight(&kept);
         while self.bytes + bytes > self.limits.bytes {
             if !self.drop_oldest() {
@@ -317,7 +317,7 @@
     }
 
     /// Samples that are no longer kept.
-    fn let_go(&mut self, samples: &[Kept<V>]) {
+    fn let_go(&mut self, samples: &[QueuedSample<V>]) {
         self.kept -= samples.len();
         self.bytes -= samples.iter().map(weight).sum::<usize>();
         self.gone.extend(samples.iter().map(|k| k.sample.at_ms));
@@ -327,7 +327,7 @@
         let fronts =
             self.shards.iter().enumerate().filter_map(|(n, s)| Some((s.waiting.front()?.sequence, n)));
         let Some((_, at)) = fronts.min() else { return false };
-        let oldest: Vec<Kept<V>> = self.shards[at].waiting.pop_front().into_iter().collect();
+        let oldest: Vec<QueuedSample<V>> = self.shards[at].waiting.pop_front().into_iter().collect();
         self.let_go(&oldest);
         self.counters.dropped_full += 1;
         true
@@ -398,7 +398,7 @@
             self.number += 1;
             (shard.splits, shard.took) = (0, false);
             shard.culprits.clear();
-            shard.parts.push_back(Part { number: self.number, tries: 0, samples });
+            shard.parts.push_back(PendingBatch { number: self.number, tries: 0, samples });
         }
         let part = shard.parts.front_mut()?;
         shard.out = true;
@@ -433,8 +433,8 @@
             let (first, second) = halves(part.samples);
             self.number += 2;
             // What is left of the batch goes before what waits: a series stays in order.
-            s.parts.push_front(Part { number: self.number, tries: 0, samples: second });
-            s.parts.push_front(Part { number: self.number - 1, tries: 0, samples: first });
+            s.parts.push_front(PendingBatch { number: self.number, tries: 0, samples: second });
+            s.parts.push_front(PendingBatch { number: self.number - 1, tries: 0, samples: first });
             self.counters.splits += 1;
             return;
         }
@@ -480,12 +480,12 @@
 }
 
 /// Bytes that a sample takes.
-fn weight<V: Weigh>(kept: &Kept<V>) -> usize {
-    std::mem::size_of::<Kept<V>>() + kept.sample.value.heap()
+fn weight<V: HeapSize>(kept: &QueuedSample<V>) -> usize {
+    std::mem::size_of::<QueuedSample<V>>() + kept.sample.value.heap_size()
 }
 
 /// Halves by series where there are several, else by time; each series stays in order.
-fn halves<V>(samples: Vec<Kept<V>>) -> (Vec<Kept<V>>, Vec<Kept<V>>) {
+fn halves<V>(samples: Vec<QueuedSample<V>>) -> (Vec<QueuedSample<V>>, Vec<QueuedSample<V>>) {
     let series: BTreeSet<u64> = samples.iter().map(|k| k.sample.series).collect();
     match series.iter().nth(series.len() / 2).copied() {
         Some(middle) if series.len() > 1 => samples.into_iter().partition(|k| k.sample.series < middle),
--- a/crates/push/src/keeper.rs
+++ b/crates/push/src/record_tracker.rs
@@ -2,20 +2,20 @@
 
 use std::collections::BTreeMap;
 
-/// The book of records. `P` names a record.
+/// Records with samples that are not gone. `P` names a record.
 #[derive(Debug)]
-pub struct Keeper<P> {
+pub struct RecordTracker<P> {
     /// By the time of their samples: a round has one time and, as a rule, one record.
     open: BTreeMap<i64, (Vec<P>, usize)>,
 }
 
-impl<P> Default for Keeper<P> {
+impl<P> Default for RecordTracker<P> {
     fn default() -> Self {
         Self { open: BTreeMap::new() }
     }
 }
 
-impl<P> Keeper<P> {
+impl<P> RecordTracker<P> {
     /// A record holds so many samples of this time.
     pub fn began(&mut self, at_ms: i64, record: P, samples: usize) {
         let (records, left) = self.open.entry(at_ms).or_default();
@@ -45,13 +45,13 @@
 
     #[test]
     fn a_record_is_done_with_its_last_sample() {
-        let mut keeper = Keeper::default();
-        keeper.began(1000, 'a', 2);
-        keeper.began(2000, 'b', 1);
-        keeper.began(1000, 'c', 1);
-        assert!(keeper.gone(1000).is_empty() && keeper.gone(1000).is_empty());
-        assert_eq!(keeper.gone(2000), ['b']);
-        assert_eq!(keeper.gone(1000), ['a', 'c']);
-        assert_eq!((keeper.gone(1000).len(), keeper.rounds()), (0, 0));
+        let mut tracker = RecordTracker::default();
+        tracker.began(1000, 'a', 2);
+        tracker.began(2000, 'b', 1);
+        tracker.began(1000, 'c', 1);
+        assert!(tracker.gone(1000).is_empty() && tracker.gone(1000).is_empty());
+        assert_eq!(tracker.gone(2000), ['b']);
+        assert_eq!(tracker.gone(1000), ['a', 'c']);
+        assert_eq!((tracker.gone(1000).len(), tracker.rounds()), (0, 0));
     }
 }
