spool: the write-ahead log and its storage have the glossary's names

Spool is WriteAheadLog, SpoolError WalError, Disk SegmentStorage with DirectoryStorage and MemoryStorage, HEAD HEADER_BYTES; spool.rs is wal.rs, disk.rs storage.rs. Renamed with their users in gateway. Files stay NUMBER.spool, their format and the words of errors and log messages are the same. Tests changed in names only.

--- a/crates/gateway/benches/outage.rs
+++ b/crates/gateway/benches/outage.rs
@@ -7,7 +7,7 @@
 
 use nettleferry_proto::remote_write::{Kind, Series, Version, write};
 use nettleferry_push::{Answer, Batch, Limits, Queue, RecordTracker, Sample};
-use nettleferry_spool::{FolderDisk, Limits as SpoolLimits, Position, Spool};
+use nettleferry_spool::{DirectoryStorage, Limits as WalLimits, Position, WriteAheadLog};
 use plotters::prelude::*;
 
 const S: u64 = 1_000_000;
@@ -18,7 +18,7 @@
 
 struct Push {
     queue: Queue,
-    spool: Spool<FolderDisk>,
+    spool: WriteAheadLog<DirectoryStorage>,
     record_tracker: RecordTracker<Position>,
     labels: Vec<Series>,
 }
@@ -65,9 +65,9 @@
 
 pub fn measure() {
     let dir = tempfile::tempdir().expect("a folder");
-    let disk = FolderDisk::open(dir.path().join("spool")).expect("a folder");
-    let limits = SpoolLimits { bytes: SPOOL, segment_bytes: SPOOL / 16 };
-    let (spool, _) = Spool::open(disk, limits).expect("opens");
+    let disk = DirectoryStorage::open(dir.path().join("spool")).expect("a folder");
+    let limits = WalLimits { bytes: SPOOL, segment_bytes: SPOOL / 16 };
+    let (spool, _) = WriteAheadLog::open(disk, limits).expect("opens");
     let limits = Limits { shards: 4, ..Limits::default() };
     let label = |n: &str, v: String| (n.to_owned(), v);
     let labels = (0..SERIES).map(|n| Series {
--- a/crates/gateway/src/admin/records.rs
+++ b/crates/gateway/src/admin/records.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::path::PathBuf;
 
-use nettleferry_spool::{FolderDisk, Limits, Spool, SpoolError};
+use nettleferry_spool::{DirectoryStorage, Limits, WalError, WriteAheadLog};
 use nettleferry_trail::Line;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -35,7 +35,7 @@
 
 /// All of them.
 pub struct Records {
-    spool: Option<Spool<FolderDisk>>,
+    spool: Option<WriteAheadLog<DirectoryStorage>>,
     records: BTreeMap<String, Record>,
     /// Lines that found no room on the disk.
     pub unkept: u64,
@@ -45,8 +45,9 @@
     /// What was delivered before, from this folder.
     pub fn open(folder: PathBuf) -> Self {
         let limits = Limits { bytes: MOST_BYTES, segment_bytes: SEGMENT };
-        let opened =
-            FolderDisk::open(folder).map_err(SpoolError::from).and_then(|disk| Spool::open(disk, limits));
+        let opened = DirectoryStorage::open(folder)
+            .map_err(WalError::from)
+            .and_then(|disk| WriteAheadLog::open(disk, limits));
         let mut all = Self { spool: None, records: BTreeMap::new(), unkept: 0 };
         match opened {
             Ok((spool, found)) => {
--- a/crates/gateway/src/push.rs
+++ b/crates/gateway/src/push.rs
@@ -25,7 +25,7 @@
     Acceptance, Answer, Backoff, HeapSize, Limits, Negotiation, ProtocolVersion, Queue, RecordTracker,
     SampleClock,
 };
-use nettleferry_spool::{FolderDisk, Limits as SpoolLimits, Position, Spool, SpoolError};
+use nettleferry_spool::{DirectoryStorage, Limits as WalLimits, Position, WalError, WriteAheadLog};
 use tracing::{info, warn};
 
 use nettleferry_net::clock::{Clock, wall};
@@ -109,7 +109,7 @@
     clock: Clock,
     poster: Poster,
     queue: Queue<Value>,
-    spool: Spool<FolderDisk>,
+    spool: WriteAheadLog<DirectoryStorage>,
     record_tracker: RecordTracker<Position>,
     series: Vec<Known>,
     numbers: HashMap<Vec<(String, String)>, u64>,
@@ -129,13 +129,13 @@
 
 impl Work {
     fn new(settings: Push, figures: Arc<Figures>) -> io::Result<Self> {
-        let limits = SpoolLimits {
+        let limits = WalLimits {
             bytes: settings.spool_bytes,
             segment_bytes: (settings.spool_bytes / 16).max(1 << 16),
         };
-        let disk = FolderDisk::open(settings.spool.clone())?;
-        let (spool, found) = Spool::open(disk, limits).map_err(|e| match e {
-            SpoolError::Io(error) => error,
+        let disk = DirectoryStorage::open(settings.spool.clone())?;
+        let (spool, found) = WriteAheadLog::open(disk, limits).map_err(|e| match e {
+            WalError::Io(error) => error,
             other => io::Error::other(other.to_string()),
         })?;
         let clock = Clock::start();
@@ -274,7 +274,10 @@
         number
     }
 
-    fn disk<T>(&mut self, work: impl FnOnce(&mut Spool<FolderDisk>) -> Result<T, SpoolError>) -> Option<T> {
+    fn disk<T>(
+        &mut self,
+        work: impl FnOnce(&mut WriteAheadLog<DirectoryStorage>) -> Result<T, WalError>,
+    ) -> Option<T> {
         match work(&mut self.spool) {
             Ok(done) => {
                 if std::mem::take(&mut self.spool_ails) {
@@ -303,7 +306,7 @@
                 self.record_tracker.began(part[0].at_ms, position, part.len());
             }
         }
-        self.disk(Spool::sync);
+        self.disk(WriteAheadLog::sync);
         for sample in samples {
             self.queue.offer(now, sample);
         }
@@ -486,7 +489,7 @@
                 info!(samples = self.queue.kept(), "not delivered: the next life sends them");
             }
         }
-        self.disk(Spool::sync);
+        self.disk(WriteAheadLog::sync);
         Ok(())
     }
 
--- a/crates/gateway/src/trail.rs
+++ b/crates/gateway/src/trail.rs
@@ -11,7 +11,7 @@
 
 use nettleferry::{TenantId, WorkerId};
 use nettleferry_engine::Engine;
-use nettleferry_spool::{FolderDisk, Limits, Spool, SpoolError};
+use nettleferry_spool::{DirectoryStorage, Limits, WalError, WriteAheadLog};
 use nettleferry_trail::chain::{self, Checked};
 use nettleferry_trail::recorder::{Names, Recorder, Tail};
 use tracing::{info, warn};
@@ -84,8 +84,9 @@
 }
 
 /// A log opened for reading by hand, whole.
-pub fn read(folder: PathBuf) -> Result<Checked, SpoolError> {
-    let (_, found) = Spool::open(FolderDisk::open(folder).map_err(SpoolError::from)?, Limits::default())?;
+pub fn read(folder: PathBuf) -> Result<Checked, WalError> {
+    let (_, found) =
+        WriteAheadLog::open(DirectoryStorage::open(folder).map_err(WalError::from)?, Limits::default())?;
     let texts: Vec<String> =
         found.records.into_iter().filter_map(|(_, b)| String::from_utf8(b).ok()).collect();
     Ok(chain::check(texts.iter().map(String::as_str)))
@@ -146,9 +147,14 @@
     }
 }
 
-fn open(folder: PathBuf, bytes: u64, held: &Shared) -> Result<(Spool<FolderDisk>, Option<Tail>), SpoolError> {
+fn open(
+    folder: PathBuf,
+    bytes: u64,
+    held: &Shared,
+) -> Result<(WriteAheadLog<DirectoryStorage>, Option<Tail>), WalError> {
     let limits = Limits { bytes, segment_bytes: SEGMENT.min(bytes / 4).max(1) };
-    let (spool, found) = Spool::open(FolderDisk::open(folder).map_err(SpoolError::from)?, limits)?;
+    let (spool, found) =
+        WriteAheadLog::open(DirectoryStorage::open(folder).map_err(WalError::from)?, limits)?;
     let texts: Vec<String> =
         found.records.into_iter().filter_map(|(_, b)| String::from_utf8(b).ok()).collect();
     let checked = chain::check(texts.iter().map(String::as_str));
@@ -161,7 +167,7 @@
 }
 
 /// Writes until nobody hands on any more.
-fn write(mut spool: Spool<FolderDisk>, lines: &Receiver<Vec<String>>, held: &Shared) {
+fn write(mut spool: WriteAheadLog<DirectoryStorage>, lines: &Receiver<Vec<String>>, held: &Shared) {
     let mut failing = false;
     while let Ok(mut batch) = lines.recv() {
         while let Ok(more) = lines.try_recv() {
--- a/crates/spool/src/error.rs
+++ b/crates/spool/src/error.rs
@@ -7,7 +7,7 @@
 
 /// Why a record was not kept.
 #[derive(Debug, thiserror::Error)]
-pub enum SpoolError {
+pub enum WalError {
     /// It is longer than any may be.
     #[error("a record of {bytes} bytes; at most {} are kept", MOST_PAYLOAD)]
     TooLong {
--- a/crates/spool/src/record.rs
+++ b/crates/spool/src/record.rs
@@ -1,10 +1,10 @@
 //! A record on disk: length (u32, little-endian), CRC-32 of kind and payload (u32), kind (u8), payload.
 
 pub use crate::error::MOST_PAYLOAD;
-use crate::error::SpoolError;
+use crate::error::WalError;
 
 /// Bytes before the payload.
-pub const HEAD: usize = 9;
+pub const HEADER_BYTES: usize = 9;
 
 /// What a record is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,11 +48,11 @@
 }
 
 /// Encodes a record.
-pub fn write(kind: Kind, payload: &[u8]) -> Result<Vec<u8>, SpoolError> {
+pub fn write(kind: Kind, payload: &[u8]) -> Result<Vec<u8>, WalError> {
     if payload.len() > MOST_PAYLOAD {
-        return Err(SpoolError::TooLong { bytes: payload.len() });
+        return Err(WalError::TooLong { bytes: payload.len() });
     }
-    let mut out = Vec::with_capacity(HEAD + payload.len());
+    let mut out = Vec::with_capacity(HEADER_BYTES + payload.len());
     out.extend_from_slice(&(payload.len() as u32).to_le_bytes());
     out.extend_from_slice(&sum(kind.code(), payload).to_le_bytes());
     out.push(kind.code());
@@ -79,8 +79,8 @@
     if length > MOST_PAYLOAD {
         return Found::Torn;
     }
-    let Some(payload) = rest.get(HEAD..HEAD + length) else { return Found::Torn };
-    let next = at + HEAD + length;
+    let Some(payload) = rest.get(HEADER_BYTES..HEADER_BYTES + length) else { return Found::Torn };
+    let next = at + HEADER_BYTES + length;
     if sum(kind, payload) != told {
         return Found::Damaged { next };
     }
--- a/crates/spool/src/disk.rs
+++ b/crates/spool/src/storage.rs
@@ -1,4 +1,4 @@
-//! What a spool wants of files.
+//! The file operations that the log needs.
 
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 /// Files by number.
-pub trait Disk {
+pub trait SegmentStorage {
     /// Numbers of the files that are there, in order.
     fn list(&self) -> io::Result<Vec<u64>>;
     /// All bytes of a file.
@@ -22,12 +22,12 @@
 }
 
 /// Files `NUMBER.spool` of a folder. The last one written is kept open.
-pub struct FolderDisk {
+pub struct DirectoryStorage {
     folder: PathBuf,
     open: Option<(u64, File)>,
 }
 
-impl FolderDisk {
+impl DirectoryStorage {
     /// A folder, made where it is not there.
     pub fn open(folder: PathBuf) -> io::Result<Self> {
         fs::create_dir_all(&folder)?;
@@ -47,7 +47,7 @@
     }
 }
 
-impl Disk for FolderDisk {
+impl SegmentStorage for DirectoryStorage {
     fn list(&self) -> io::Result<Vec<u64>> {
         let mut numbers = Vec::new();
         for entry in fs::read_dir(&self.folder)? {
@@ -87,7 +87,7 @@
 
 /// Files in memory, for tests: with a room, and a will to fail.
 #[derive(Clone, Debug, Default)]
-pub struct MemoryDisk {
+pub struct MemoryStorage {
     /// Files.
     pub files: BTreeMap<u64, Vec<u8>>,
     /// Bytes that fit in all; none: any. What does not fit is written in part, as disks do.
@@ -96,13 +96,13 @@
     pub read_only: bool,
 }
 
-impl MemoryDisk {
+impl MemoryStorage {
     fn may(&self) -> io::Result<()> {
         if self.read_only { Err(io::ErrorKind::ReadOnlyFilesystem.into()) } else { Ok(()) }
     }
 }
 
-impl Disk for MemoryDisk {
+impl SegmentStorage for MemoryStorage {
     fn list(&self) -> io::Result<Vec<u64>> {
         Ok(self.files.keys().copied().collect())
     }
--- a/crates/spool/src/spool.rs
+++ b/crates/spool/src/wal.rs
@@ -7,9 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 
-use crate::disk::Disk;
-use crate::error::SpoolError;
+use crate::error::WalError;
 use crate::record::{self, Found, Kind};
+use crate::storage::SegmentStorage;
 
 /// Where a record stands: its name until it is acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -68,8 +68,8 @@
     open: BTreeSet<u64>,
 }
 
-/// A spool.
-pub struct Spool<D> {
+/// The log.
+pub struct WriteAheadLog<D> {
     disk: D,
     limits: Limits,
     segments: BTreeMap<u64, Segment>,
@@ -80,12 +80,12 @@
     dirty: bool,
 }
 
-impl<D: Disk> Spool<D> {
+impl<D: SegmentStorage> WriteAheadLog<D> {
     /// Opens what is there: a torn tail is cut off at the last good record, damage in the middle is passed over
     /// and counted.
-    pub fn open(disk: D, limits: Limits) -> Result<(Self, Recovered), SpoolError> {
+    pub fn open(disk: D, limits: Limits) -> Result<(Self, Recovered), WalError> {
         let numbers = disk.list()?;
-        let mut spool = Self {
+        let mut log = Self {
             disk,
             limits,
             segments: BTreeMap::new(),
@@ -96,18 +96,18 @@
         let mut records: BTreeMap<Position, Vec<u8>> = BTreeMap::new();
         for (place, number) in numbers.iter().copied().enumerate() {
             let newest = place + 1 == numbers.len();
-            spool.scan(number, newest, &mut records)?;
-            spool.last = number;
+            log.scan(number, newest, &mut records)?;
+            log.last = number;
         }
         for position in records.keys() {
-            if let Some(segment) = spool.segments.get_mut(&position.segment) {
+            if let Some(segment) = log.segments.get_mut(&position.segment) {
                 segment.open.insert(position.offset);
             }
         }
         // A new life writes to a segment of its own: what it finds is never written behind.
-        spool.last += 1;
-        spool.sweep()?;
-        Ok((spool, Recovered { records: records.into_iter().collect() }))
+        log.last += 1;
+        log.sweep()?;
+        Ok((log, Recovered { records: records.into_iter().collect() }))
     }
 
     fn scan(
@@ -115,7 +115,7 @@
         number: u64,
         newest: bool,
         records: &mut BTreeMap<Position, Vec<u8>>,
-    ) -> Result<(), SpoolError> {
+    ) -> Result<(), WalError> {
         let bytes = self.disk.read(number)?;
         let (mut at, mut end) = (0, bytes.len());
         loop {
@@ -186,13 +186,13 @@
         &mut self.disk
     }
 
-    /// Ends the spool and gives its disk back.
+    /// Ends the log and gives its storage back.
     pub fn into_disk(self) -> D {
         self.disk
     }
 
     /// Appends a record. On an error nothing of it stays.
-    pub fn append(&mut self, payload: &[u8]) -> Result<Position, SpoolError> {
+    pub fn append(&mut self, payload: &[u8]) -> Result<Position, WalError> {
         let position = self.write(Kind::Data, payload)?;
         self.counters.appended += 1;
         if let Some(segment) = self.segments.get_mut(&position.segment) {
@@ -202,7 +202,7 @@
     }
 
     /// Acknowledges a record; one that is acknowledged or gone is nothing.
-    pub fn acknowledge(&mut self, position: Position) -> Result<(), SpoolError> {
+    pub fn acknowledge(&mut self, position: Position) -> Result<(), WalError> {
         let known = self.segments.get_mut(&position.segment).is_some_and(|s| s.open.remove(&position.offset));
         if !known {
             return Ok(());
@@ -219,14 +219,14 @@
     }
 
     /// What was appended and acknowledged before is durable after this.
-    pub fn sync(&mut self) -> Result<(), SpoolError> {
+    pub fn sync(&mut self) -> Result<(), WalError> {
         if self.segments.contains_key(&self.last) {
             self.disk.sync(self.last)?;
         }
         Ok(())
     }
 
-    fn write(&mut self, kind: Kind, payload: &[u8]) -> Result<Position, SpoolError> {
+    fn write(&mut self, kind: Kind, payload: &[u8]) -> Result<Position, WalError> {
         let bytes = record::write(kind, payload)?;
         let full = self.segments.get(&self.last).is_some_and(|s| s.bytes >= self.limits.segment_bytes);
         if full || self.dirty && !self.clean() {
@@ -259,7 +259,7 @@
     }
 
     /// The oldest segments go until `more` bytes fit.
-    fn make_room(&mut self, more: u64) -> Result<(), SpoolError> {
+    fn make_room(&mut self, more: u64) -> Result<(), WalError> {
         while self.bytes() + more > self.limits.bytes {
             let Some((&oldest, segment)) = self.segments.first_key_value() else { break };
             self.counters.dropped_full += segment.open.len() as u64;
@@ -282,7 +282,7 @@
     }
 
     /// Removes segments that are of no use any more, the oldest first.
-    fn sweep(&mut self) -> Result<(), SpoolError> {
+    fn sweep(&mut self) -> Result<(), WalError> {
         while let Some((&oldest, segment)) = self.segments.first_key_value() {
             if !segment.open.is_empty() {
                 break;
--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -9,8 +9,8 @@
     Limits { bytes: 4_000, segment_bytes: 300 }
 }
 
-fn open(disk: MemoryDisk) -> (Spool<MemoryDisk>, Vec<(Position, Vec<u8>)>) {
-    let (spool, found) = Spool::open(disk, limits()).expect("opens");
+fn open(disk: MemoryStorage) -> (WriteAheadLog<MemoryStorage>, Vec<(Position, Vec<u8>)>) {
+    let (spool, found) = WriteAheadLog::open(disk, limits()).expect("opens");
     (spool, found.records)
 }
 
@@ -19,8 +19,8 @@
 }
 
 /// Ten records of 100 bytes, numbered by their bytes.
-fn ten() -> (Spool<MemoryDisk>, Vec<Position>) {
-    let (mut spool, _) = open(MemoryDisk::default());
+fn ten() -> (WriteAheadLog<MemoryStorage>, Vec<Position>) {
+    let (mut spool, _) = open(MemoryStorage::default());
     let positions = (0..10).map(|n| spool.append(&[n; 100]).expect("kept")).collect();
     (spool, positions)
 }
@@ -52,7 +52,7 @@
 
 #[test]
 fn the_bound_on_disk_lets_the_oldest_go_and_tells() {
-    let (mut spool, _) = open(MemoryDisk::default());
+    let (mut spool, _) = open(MemoryStorage::default());
     for n in 0..100 {
         spool.append(&[n; 100]).expect("kept");
         assert!(spool.bytes() <= limits().bytes);
@@ -89,7 +89,7 @@
     let (mut spool, positions) = ten();
     let used: usize = spool.disk().files.values().map(Vec::len).sum();
     spool.disk().room = Some(used + 50);
-    assert!(matches!(spool.append(&[77; 100]), Err(SpoolError::Io(_))));
+    assert!(matches!(spool.append(&[77; 100]), Err(WalError::Io(_))));
     assert_eq!(spool.counters().failed, 1);
     spool.disk().room = None;
     spool.append(&[78; 100]).expect("kept");
@@ -114,7 +114,8 @@
 fn a_folder_keeps_it_over_lives() {
     let folder = tempfile::tempdir().expect("a folder");
     let open = || {
-        Spool::open(FolderDisk::open(folder.path().join("spool")).expect("made"), limits()).expect("opens")
+        WriteAheadLog::open(DirectoryStorage::open(folder.path().join("spool")).expect("made"), limits())
+            .expect("opens")
     };
     let (mut spool, _) = open();
     let first = spool.append(b"one").expect("kept");
@@ -129,7 +130,7 @@
 
 #[test]
 fn a_record_that_is_too_long_is_told() {
-    let (mut spool, _) = open(MemoryDisk::default());
+    let (mut spool, _) = open(MemoryStorage::default());
     let error = spool.append(&vec![0; record::MOST_PAYLOAD + 1]).expect_err("too long").to_string();
     assert!(error.contains("at most 1048576"), "{error}");
 }
@@ -160,7 +161,7 @@
 
     #[test]
     fn noise_never_panics(files in prop::collection::btree_map(0u64..5, prop::collection::vec(any::<u8>(), 0..300), 0..4)) {
-        let (mut spool, _) = open(MemoryDisk { files, ..MemoryDisk::default() });
+        let (mut spool, _) = open(MemoryStorage { files, ..MemoryStorage::default() });
         spool.append(b"x").expect("kept");
     }
 
@@ -168,7 +169,7 @@
     fn any_life_gives_back_what_is_open(
         steps in prop::collection::vec((0u8..10, any::<prop::sample::Index>()), 1..120),
     ) {
-        let (mut spool, _) = open(MemoryDisk::default());
+        let (mut spool, _) = open(MemoryStorage::default());
         let mut model: BTreeMap<Position, Vec<u8>> = BTreeMap::new();
         let mut count = 0u32;
         for (what, pick) in steps {
