--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -1,4 +1,4 @@
-//! A kept file of the program: read and written by a keeper's thread, believed by the table of trust. Who keeps
+//! A kept file of the program: read and written by a writer's thread, believed by the table of trust. Who keeps
 //! something decides neither how it survives a loss of power nor how far it is believed after one.
 
 use std::path::PathBuf;
@@ -6,13 +6,13 @@
 
 use nettleferry_fleet::Millis;
 use nettleferry_fleet::trust::{self, Held, Thing, Verdict};
-use nettleferry_keep::{Folder, Found, Keeper};
+use nettleferry_keep::{FileSystem, Found, RecordWriter};
 use tracing::{info, warn};
 
 /// A kept file, and what it held at the start until that is taken.
 pub struct Kept {
     /// `None`: it can't be kept, which was said.
-    keeper: Option<Keeper>,
+    writer: Option<RecordWriter>,
     found: Found,
     file: PathBuf,
     what: &'static str,
@@ -24,7 +24,7 @@
         Self::open_and_tell(file, what, most, || ())
     }
 
-    /// The same; `written` is called after each write, on the keeper's thread.
+    /// The same; `written` is called after each write, on the writer's thread.
     pub fn open_and_tell(
         file: PathBuf,
         what: &'static str,
@@ -38,20 +38,20 @@
             }
             written();
         };
-        let opened = Keeper::start(Folder, &file, told)
-            .and_then(|keeper| keeper.found(most).map(|found| (keeper, found)));
-        let (keeper, found) = match opened {
-            Ok((keeper, Some(found))) => (Some(keeper), found),
-            Ok((keeper, None)) => {
+        let opened = RecordWriter::start(FileSystem, &file, told)
+            .and_then(|writer| writer.found(most).map(|found| (writer, found)));
+        let (writer, found) = match opened {
+            Ok((writer, Some(found))) => (Some(writer), found),
+            Ok((writer, None)) => {
                 warn!(file = %file.display(), "the kept {what} can't be read in time and is not used");
-                (Some(keeper), Found::Absent)
+                (Some(writer), Found::Absent)
             }
             Err(error) => {
                 warn!(file = %file.display(), %error, "the {what} can't be kept");
                 (None, Found::Absent)
             }
         };
-        Self { keeper, found, file, what }
+        Self { writer, found, file, what }
     }
 
     /// What was kept, where it is believed at this time of the wall clock; `at`: when it was kept, by its own word.
@@ -98,16 +98,16 @@
 
     /// Keeps this for the next start. Never waits for a disk. Which put this is; 0: it can't be kept.
     pub fn put(&self, payload: Vec<u8>) -> u64 {
-        self.keeper.as_ref().map_or(0, |keeper| keeper.put(payload))
+        self.writer.as_ref().map_or(0, |writer| writer.put(payload))
     }
 
     /// The last put that is durable.
     pub fn durable(&self) -> u64 {
-        self.keeper.as_ref().map_or(0, Keeper::durable)
+        self.writer.as_ref().map_or(0, RecordWriter::durable)
     }
 
     /// Waits until all that was put is durable, or the span is over: false. Not for a thread that answers calls.
     pub fn settle(&self, most: Duration) -> bool {
-        self.keeper.as_ref().is_some_and(|keeper| keeper.settle(most))
+        self.writer.as_ref().is_some_and(|writer| writer.flush(most))
     }
 }
--- a/crates/keep/src/lib.rs
+++ b/crates/keep/src/lib.rs
@@ -1,16 +1,16 @@
 //! Small records that survive a loss of power: each whole under a version and a checksum, the good one before
 //! held beside, and read back as sound, older, unsealed, damaged or absent. What is in them is the owner's.
 //!
-//! [`Keep`] writes and waits for the disk; [`Keeper`] is the thread that does so for those who may not wait.
+//! [`RecordFile`] writes and waits for the disk; [`RecordWriter`] is the thread that does so for those who may not wait.
 
-mod files;
-mod keep;
-mod keeper;
 mod memory;
 mod record;
+mod record_file;
+mod storage;
+mod writer;
 
-pub use files::{Files, Folder};
-pub use keep::{Found, Keep};
-pub use keeper::{Counters, Keeper};
-pub use memory::{Loss, Memory};
-pub use record::{Flaw, MOST_BYTES, Record, seal, unseal};
+pub use memory::{Loss, MemoryStorage};
+pub use record::{MOST_BYTES, Record, RecordError, decode, encode};
+pub use record_file::{Found, RecordFile};
+pub use storage::{FileSystem, Storage};
+pub use writer::{Counters, RecordWriter};
--- a/crates/keep/src/memory.rs
+++ b/crates/keep/src/memory.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-use crate::files::Files;
+use crate::storage::Storage;
 
 /// What becomes of bytes that were not durable when the power went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,7 +25,7 @@
 
 /// The disk. Names change in order, and the changes since the last sync may be lost from the end.
 #[derive(Clone, Debug, Default)]
-pub struct Memory {
+pub struct MemoryStorage {
     durable: BTreeMap<PathBuf, Vec<u8>>,
     /// Since names were last made durable.
     pending: Vec<Naming>,
@@ -39,7 +39,7 @@
     cut: Option<(PathBuf, Vec<u8>)>,
 }
 
-impl Memory {
+impl MemoryStorage {
     /// What is seen while the power is on.
     fn seen(&self) -> BTreeMap<PathBuf, Vec<u8>> {
         let mut files = self.durable.clone();
@@ -100,7 +100,7 @@
     }
 }
 
-impl Files for Memory {
+impl Storage for MemoryStorage {
     fn read(&self, path: &Path) -> io::Result<Option<Vec<u8>>> {
         Ok(self.seen().get(path).cloned())
     }
--- a/crates/keep/src/record.rs
+++ b/crates/keep/src/record.rs
@@ -20,7 +20,7 @@
 
 /// Why bytes are no record.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Flaw {
+pub enum RecordError {
     /// There is no head: another program wrote it, or an earlier version of this one.
     #[error("it has no seal")]
     Unsealed,
@@ -54,7 +54,7 @@
 }
 
 /// The bytes of a record.
-pub fn seal(version: u64, payload: &[u8]) -> Vec<u8> {
+pub fn encode(version: u64, payload: &[u8]) -> Vec<u8> {
     let head = format!("{MAGIC} {FORMAT} {version} {} {:08x}\n", payload.len(), sum(version, payload));
     let mut out = Vec::with_capacity(head.len() + payload.len());
     out.extend_from_slice(head.as_bytes());
@@ -63,31 +63,31 @@
 }
 
 /// Reads a record.
-pub fn unseal(bytes: &[u8]) -> Result<Record, Flaw> {
+pub fn decode(bytes: &[u8]) -> Result<Record, RecordError> {
     if bytes.is_empty() {
-        return Err(Flaw::Empty);
+        return Err(RecordError::Empty);
     }
     let seen = bytes.len().min(MAGIC.len());
     if bytes[..seen] != MAGIC.as_bytes()[..seen] {
-        return Err(Flaw::Unsealed);
+        return Err(RecordError::Unsealed);
     }
-    let end = bytes.iter().take(MOST_HEAD).position(|&b| b == b'\n').ok_or(Flaw::Head)?;
-    let head = std::str::from_utf8(&bytes[MAGIC.len().min(end)..end]).map_err(|_| Flaw::Head)?;
+    let end = bytes.iter().take(MOST_HEAD).position(|&b| b == b'\n').ok_or(RecordError::Head)?;
+    let head = std::str::from_utf8(&bytes[MAGIC.len().min(end)..end]).map_err(|_| RecordError::Head)?;
     let mut words = head.split_ascii_whitespace();
-    let mut word = || words.next().ok_or(Flaw::Head);
-    let format: u32 = word()?.parse().map_err(|_| Flaw::Head)?;
+    let mut word = || words.next().ok_or(RecordError::Head);
+    let format: u32 = word()?.parse().map_err(|_| RecordError::Head)?;
     if format != FORMAT {
-        return Err(Flaw::Format(format));
+        return Err(RecordError::Format(format));
     }
-    let version: u64 = word()?.parse().map_err(|_| Flaw::Head)?;
-    let told: usize = word()?.parse().map_err(|_| Flaw::Head)?;
-    let crc = u32::from_str_radix(word()?, 16).map_err(|_| Flaw::Head)?;
+    let version: u64 = word()?.parse().map_err(|_| RecordError::Head)?;
+    let told: usize = word()?.parse().map_err(|_| RecordError::Head)?;
+    let crc = u32::from_str_radix(word()?, 16).map_err(|_| RecordError::Head)?;
     let payload = &bytes[end + 1..];
     if payload.len() != told || told > MOST_BYTES {
-        return Err(Flaw::Length { is: payload.len(), told });
+        return Err(RecordError::Length { is: payload.len(), told });
     }
     if sum(version, payload) != crc {
-        return Err(Flaw::Sum);
+        return Err(RecordError::Sum);
     }
     Ok(Record { version, payload: payload.to_vec() })
 }
@@ -98,19 +98,19 @@
 
     #[test]
     fn every_flipped_bit_and_every_cut_is_found() {
-        let sealed = seal(7, b"(worker w1)");
-        assert_eq!(unseal(&sealed), Ok(Record { version: 7, payload: b"(worker w1)".to_vec() }));
+        let sealed = encode(7, b"(worker w1)");
+        assert_eq!(decode(&sealed), Ok(Record { version: 7, payload: b"(worker w1)".to_vec() }));
         for at in 0..sealed.len() {
             for bit in 0..8 {
                 let mut bad = sealed.clone();
                 bad[at] ^= 1 << bit;
                 // A checksum's letters may be read in either case: no other change passes.
-                let same = unseal(&bad).is_ok_and(|r| r.version == 7 && r.payload == b"(worker w1)");
-                assert!(unseal(&bad).is_err() || same, "byte {at}, bit {bit}");
+                let same = decode(&bad).is_ok_and(|r| r.version == 7 && r.payload == b"(worker w1)");
+                assert!(decode(&bad).is_err() || same, "byte {at}, bit {bit}");
             }
-            assert!(unseal(&sealed[..at]).is_err(), "cut at {at}");
+            assert!(decode(&sealed[..at]).is_err(), "cut at {at}");
         }
-        assert_eq!(unseal(b"(worker w1)"), Err(Flaw::Unsealed));
-        assert_eq!(unseal(b";nettleferry-keep 9 1 0 00000000\n"), Err(Flaw::Format(9)));
+        assert_eq!(decode(b"(worker w1)"), Err(RecordError::Unsealed));
+        assert_eq!(decode(b";nettleferry-keep 9 1 0 00000000\n"), Err(RecordError::Format(9)));
     }
 }
--- a/crates/keep/src/keep.rs
+++ b/crates/keep/src/record_file.rs
@@ -7,8 +7,8 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-use crate::files::Files;
-use crate::record::{Flaw, MOST_BYTES, Record, seal, unseal};
+use crate::record::{MOST_BYTES, Record, RecordError, decode, encode};
+use crate::storage::Storage;
 
 /// What a place holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,12 +20,12 @@
         /// The one before.
         record: Record,
         /// What is wrong with the newest.
-        flaw: Flaw,
+        flaw: RecordError,
     },
-    /// It was written without a seal, by an earlier version of the program: whole or not, nobody knows.
+    /// It was written without a encode, by an earlier version of the program: whole or not, nobody knows.
     Unsealed(Vec<u8>),
     /// Something is there and nothing of it can be used.
-    Damaged(Flaw),
+    Damaged(RecordError),
     /// Nothing was kept.
     Absent,
 }
@@ -45,7 +45,7 @@
 
 /// A place for a record.
 #[derive(Debug)]
-pub struct Keep {
+pub struct RecordFile {
     path: PathBuf,
     new: PathBuf,
     before: PathBuf,
@@ -56,20 +56,20 @@
     stray: Option<PathBuf>,
 }
 
-impl Keep {
+impl RecordFile {
     /// A place, with what it holds.
-    pub fn open(files: &impl Files, path: &Path) -> io::Result<(Self, Found)> {
+    pub fn open(files: &impl Storage, path: &Path) -> io::Result<(Self, Found)> {
         let beside = |word: &str| {
             let mut name = path.file_name().unwrap_or_default().to_owned();
             name.push(word);
             path.with_file_name(name)
         };
         let (new, before) = (beside(".new"), beside(".before"));
-        let look = |path: &Path| files.read(path).map(|bytes| bytes.map(|b| (unseal(&b), b)));
+        let look = |path: &Path| files.read(path).map(|bytes| bytes.map(|b| (decode(&b), b)));
         let mut stray = None;
         let found = match look(path)? {
             Some((Ok(record), _)) => Found::Sound(record),
-            Some((Err(Flaw::Unsealed), bytes)) => Found::Unsealed(bytes),
+            Some((Err(RecordError::Unsealed), bytes)) => Found::Unsealed(bytes),
             Some((Err(flaw), _)) => match look(&before)? {
                 Some((Ok(record), _)) => Found::Older { record, flaw },
                 _ => Found::Damaged(flaw),
@@ -105,7 +105,7 @@
     }
 
     /// Writes the next version; it is durable when this returns.
-    pub fn write(&mut self, files: &mut impl Files, payload: &[u8]) -> io::Result<u64> {
+    pub fn write(&mut self, files: &mut impl Storage, payload: &[u8]) -> io::Result<u64> {
         if payload.len() > MOST_BYTES {
             return Err(io::Error::new(io::ErrorKind::FileTooLarge, "a record is longer than is kept"));
         }
@@ -116,7 +116,7 @@
             files.sync_names(&self.path)?;
             self.stray = None;
         }
-        files.write(&self.new, &seal(version, payload))?;
+        files.write(&self.new, &encode(version, payload))?;
         if self.good {
             match files.rename(&self.path, &self.before) {
                 // It has its name still under `.new` or `.before`: nothing good is lost.
--- a/crates/keep/src/files.rs
+++ b/crates/keep/src/storage.rs
@@ -6,8 +6,8 @@
 
 use crate::record::MOST_BYTES;
 
-/// Files by path. Each call may wait for the disk.
-pub trait Files: Send {
+/// Storage by path. Each call may wait for the disk.
+pub trait Storage: Send {
     /// All bytes of a file; `None`: there is none.
     fn read(&self, path: &Path) -> io::Result<Option<Vec<u8>>>;
     /// Writes a file whole; its content is durable after this, its name need not be.
@@ -20,9 +20,9 @@
 
 /// The system's files.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Folder;
+pub struct FileSystem;
 
-impl Files for Folder {
+impl Storage for FileSystem {
     fn read(&self, path: &Path) -> io::Result<Option<Vec<u8>>> {
         let file = match File::open(path) {
             Ok(file) => file,
--- a/crates/keep/src/keeper.rs
+++ b/crates/keep/src/writer.rs
@@ -8,8 +8,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crate::files::Files;
-use crate::keep::{Found, Keep};
+use crate::record_file::{Found, RecordFile};
+use crate::storage::Storage;
 
 /// What came of what was put.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -19,7 +19,7 @@
     /// Written and durable.
     pub written: u64,
     /// Never written, as a newer one came first.
-    pub passed_over: u64,
+    pub superseded: u64,
     /// The disk refused them.
     pub failed: u64,
 }
@@ -52,15 +52,15 @@
 }
 
 /// The thread.
-pub struct Keeper {
+pub struct RecordWriter {
     shared: Arc<Shared>,
     found: Receiver<io::Result<Found>>,
     thread: Option<JoinHandle<()>>,
 }
 
-impl Keeper {
+impl RecordWriter {
     /// Starts the thread, which opens the place. `told` hears, on the keeper's thread, what became of each write.
-    pub fn start<F: Files + 'static>(
+    pub fn start<F: Storage + 'static>(
         mut files: F,
         path: &Path,
         told: impl Fn(io::Result<u64>) + Send + 'static,
@@ -70,7 +70,7 @@
         let (finding, found) = channel();
         let work = move || {
             // Whoever did not wait for what was found wants it no more.
-            let mut keep = match Keep::open(&files, &path) {
+            let mut keep = match RecordFile::open(&files, &path) {
                 Ok((keep, held)) => {
                     let _ = finding.send(Ok(held));
                     Some(keep)
@@ -110,13 +110,13 @@
         }
     }
 
-    /// Keeps these bytes, in time. Never waits for a disk. Which put this is, for [`Keeper::durable`].
+    /// Keeps these bytes, in time. Never waits for a disk. Which put this is, for [`RecordWriter::durable`].
     pub fn put(&self, payload: Vec<u8>) -> u64 {
         let mut queue = self.shared.lock();
         queue.counters.put += 1;
         let put = queue.counters.put;
         if queue.waiting.replace(payload).is_some() {
-            queue.counters.passed_over += 1;
+            queue.counters.superseded += 1;
         }
         drop(queue);
         self.shared.bell.notify_one();
@@ -134,7 +134,7 @@
     }
 
     /// Waits until all that was put is durable, or the span is over: false.
-    pub fn settle(&self, most: Duration) -> bool {
+    pub fn flush(&self, most: Duration) -> bool {
         let until = Instant::now() + most;
         let mut queue = self.shared.lock();
         while queue.busy || queue.waiting.is_some() {
@@ -151,9 +151,9 @@
 /// An ordered end waits so long for a disk, and then leaves the thread to it.
 const FAREWELL: Duration = Duration::from_secs(2);
 
-impl Drop for Keeper {
+impl Drop for RecordWriter {
     fn drop(&mut self) {
-        let settled = self.settle(FAREWELL);
+        let settled = self.flush(FAREWELL);
         self.shared.lock().ended = true;
         self.shared.bell.notify_one();
         if let Some(thread) = self.thread.take().filter(|_| settled) {
--- a/crates/keep/tests/keeper.rs
+++ b/crates/keep/tests/keeper.rs
@@ -5,16 +5,16 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
-use nettleferry_keep::{Files, Found, Keeper, Memory};
+use nettleferry_keep::{Found, MemoryStorage, RecordWriter, Storage};
 
 /// A disk whose writes wait until they are let through.
 struct Still {
-    disk: Memory,
+    disk: MemoryStorage,
     began: Sender<()>,
     go: Receiver<()>,
 }
 
-impl Files for Still {
+impl Storage for Still {
     fn read(&self, path: &Path) -> io::Result<Option<Vec<u8>>> {
         self.disk.read(path)
     }
@@ -38,8 +38,8 @@
 fn a_disk_that_stands_still_is_waited_for_by_the_keeper_alone() {
     let ((began, begins), (go, gone)) = (channel(), channel());
     let (tell, told) = channel();
-    let still = Still { disk: Memory::default(), began, go: gone };
-    let keeper = Keeper::start(still, Path::new("kept"), move |result| {
+    let still = Still { disk: MemoryStorage::default(), began, go: gone };
+    let keeper = RecordWriter::start(still, Path::new("kept"), move |result| {
         let _ = tell.send(result.ok());
     })
     .expect("started");
@@ -50,13 +50,13 @@
     for n in 1..=1000 {
         keeper.put(format!("{n}").into_bytes());
     }
-    assert!(!keeper.settle(Duration::ZERO));
-    assert_eq!(keeper.counters().passed_over, 999);
+    assert!(!keeper.flush(Duration::ZERO));
+    assert_eq!(keeper.counters().superseded, 999);
     go.send(()).expect("the keeper waits");
     assert_eq!(told.recv_timeout(PATIENCE), Ok(Some(1)));
     go.send(()).expect("the keeper waits");
     assert_eq!(told.recv_timeout(PATIENCE), Ok(Some(2)));
-    assert!(keeper.settle(PATIENCE));
+    assert!(keeper.flush(PATIENCE));
     let counted = keeper.counters();
     assert_eq!((counted.put, counted.written, counted.failed), (1001, 2, 0));
 }
--- a/crates/keep/tests/power.rs
+++ b/crates/keep/tests/power.rs
@@ -2,16 +2,16 @@
 
 use std::path::Path;
 
-use nettleferry_keep::{Files, Found, Keep, Loss, Memory};
+use nettleferry_keep::{Found, Loss, MemoryStorage, RecordFile, Storage};
 
 const LOSSES: [Loss; 3] = [Loss::Gone, Loss::Torn, Loss::Whole];
 
 /// All disks that may be found when the power goes at any step of the next write.
-fn after_each_kill(disk: &Memory, path: &Path, payload: &[u8]) -> Vec<(Memory, bool)> {
+fn after_each_kill(disk: &MemoryStorage, path: &Path, payload: &[u8]) -> Vec<(MemoryStorage, bool)> {
     let mut found = Vec::new();
     for steps in 0..=8 {
         let mut disk = disk.clone();
-        let (mut keep, _) = Keep::open(&disk, path).expect("a disk in memory can be read");
+        let (mut keep, _) = RecordFile::open(&disk, path).expect("a disk in memory can be read");
         disk.steps_left = Some(steps);
         let done = keep.write(&mut disk, payload).is_ok();
         for names in 0..=disk.pending() {
@@ -38,17 +38,18 @@
     let path = Path::new("folder/kept");
     let mut seen = 0;
     // Three lives: each begins with every disk that the one before may have left.
-    let mut disks = vec![(Memory::default(), None::<Vec<u8>>)];
+    let mut disks = vec![(MemoryStorage::default(), None::<Vec<u8>>)];
     for life in [b"one".to_vec(), b"two".to_vec(), b"three".to_vec()] {
         let mut next = Vec::new();
         for (disk, held) in &disks {
             for (left, done) in after_each_kill(disk, path, &life) {
                 seen += 1;
-                let (_, found) = Keep::open(&left, path).expect("readable");
+                let (_, found) = RecordFile::open(&left, path).expect("readable");
                 let now = payload(&found).map(<[u8]>::to_vec);
                 let whole = now == Some(life.clone()) || !done && now == *held;
                 assert!(whole, "held {held:?}, wrote {life:?}, done {done}, found {found:?}");
-                if !next.iter().any(|(_, n): &(Memory, Option<Vec<u8>>)| *n == now) || next.len() < 12 {
+                if !next.iter().any(|(_, n): &(MemoryStorage, Option<Vec<u8>>)| *n == now) || next.len() < 12
+                {
                     next.push((left, now));
                 }
             }
@@ -61,8 +62,8 @@
 #[test]
 fn a_damaged_newest_gives_the_one_before_and_says_so() {
     let path = Path::new("kept");
-    let mut disk = Memory::default();
-    let (mut keep, found) = Keep::open(&disk, path).expect("readable");
+    let mut disk = MemoryStorage::default();
+    let (mut keep, found) = RecordFile::open(&disk, path).expect("readable");
     assert_eq!(found, Found::Absent);
     keep.write(&mut disk, b"one").expect("room");
     keep.write(&mut disk, b"two").expect("room");
@@ -70,27 +71,27 @@
     let last = bytes.len() - 1;
     bytes[last] ^= 1;
     disk.put(path, &bytes);
-    let (mut keep, found) = Keep::open(&disk, path).expect("readable");
+    let (mut keep, found) = RecordFile::open(&disk, path).expect("readable");
     assert!(matches!(&found, Found::Older { record, .. } if record.payload == b"one"), "{found:?}");
     // The next write does not put the damaged one in the good one's place.
     keep.write(&mut disk, b"three").expect("room");
     disk.put(path, b"");
-    let (_, found) = Keep::open(&disk, path).expect("readable");
+    let (_, found) = RecordFile::open(&disk, path).expect("readable");
     assert!(matches!(&found, Found::Older { record, .. } if record.payload == b"one"), "{found:?}");
 }
 
 #[test]
 fn a_full_or_read_only_disk_leaves_what_was_kept() {
     let path = Path::new("kept");
-    let mut disk = Memory::default();
-    let (mut keep, _) = Keep::open(&disk, path).expect("readable");
+    let mut disk = MemoryStorage::default();
+    let (mut keep, _) = RecordFile::open(&disk, path).expect("readable");
     keep.write(&mut disk, b"one").expect("room");
     disk.room = Some(8);
     assert!(keep.write(&mut disk, b"a longer one").is_err());
     (disk.room, disk.read_only) = (None, true);
     assert!(keep.write(&mut disk, b"two").is_err());
     disk.read_only = false;
-    let (_, found) = Keep::open(&disk, path).expect("readable");
+    let (_, found) = RecordFile::open(&disk, path).expect("readable");
     assert_eq!(payload(&found), Some(&b"one"[..]));
     assert_eq!(keep.write(&mut disk, b"two").expect("room again"), 2, "a failed write uses up no version");
 }
