--- a/crates/tenant-store/src/lib.rs
+++ b/crates/tenant-store/src/lib.rs
@@ -4,7 +4,7 @@
 //! `nettleferry-tenancy`; here it is kept whole or not at all.
 //!
 //! * [`store`]: the tables, a change's transaction, what is read at the start.
-//! * [`cell`]: a value with its checksum: a flipped byte is found, not believed.
+//! * [`cell`]: a value with its checksum: a flipped byte is found, not believed. [`origin`]: which store a book is of.
 //! * [`snapshot`]: all of it as one text file, written beside and renamed.
 //!
 //! Durable at which step: a change is when [`Store::commit`] has returned. One that did not return is there whole
@@ -14,8 +14,10 @@
 #![deny(missing_docs)]
 
 pub mod cell;
+pub mod origin;
 pub mod snapshot;
 pub mod store;
 
+pub use origin::Origin;
 pub use snapshot::{Snapshot, SnapshotError};
-pub use store::{Origin, Store, StoreError};
+pub use store::{Store, StoreError};
--- a/crates/tenant-store/src/snapshot.rs
+++ b/crates/tenant-store/src/snapshot.rs
@@ -9,7 +9,7 @@
 use nettleferry_tenancy::{Book, Entry, Revision, Tenant};
 use serde::{Deserialize, Serialize};
 
-use crate::store::Origin;
+use crate::origin::Origin;
 
 /// The format that is written.
 const FORMAT: u32 = 1;
@@ -52,7 +52,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Head {
+struct Header {
     kind: String,
     format: u32,
     revision: Revision,
@@ -63,7 +63,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Foot {
+struct Footer {
     crc32: u32,
 }
 
@@ -84,7 +84,7 @@
         let io = |source| SnapshotError::Io { path: path.to_owned(), source };
         let (tenants, audit) = (self.tenants.len(), self.audit.len());
         let (kind, origin) = (KIND.to_owned(), self.origin.clone());
-        let head = Head { kind, format: FORMAT, revision: self.revision, tenants, audit, origin };
+        let head = Header { kind, format: FORMAT, revision: self.revision, tenants, audit, origin };
         let mut text = line(&head).map_err(io)?;
         for tenant in &self.tenants {
             text.push_str(&line(tenant).map_err(io)?);
@@ -92,7 +92,7 @@
         for entry in &self.audit {
             text.push_str(&line(entry).map_err(io)?);
         }
-        let foot = line(&Foot { crc32: crc32fast::hash(text.as_bytes()) }).map_err(io)?;
+        let foot = line(&Footer { crc32: crc32fast::hash(text.as_bytes()) }).map_err(io)?;
         text.push_str(&foot);
         let beside = path.with_extension("new");
         let mut file = File::create(&beside).map_err(io)?;
@@ -115,14 +115,14 @@
         let lines: Vec<&str> = text.lines().collect();
         let Some((foot, body)) = lines.split_last() else { return Err(unsound(0, "it is empty".to_owned())) };
         let end = lines.len() - 1;
-        let sum: Foot = serde_json::from_str(foot)
+        let sum: Footer = serde_json::from_str(foot)
             .map_err(|_| unsound(end, "the last line is no checksum: the file is cut off".to_owned()))?;
         let summed = text.len() - foot.len() - usize::from(text.ends_with('\n'));
         if crc32fast::hash(&text.as_bytes()[..summed]) != sum.crc32 {
             return Err(unsound(end, "the checksum is another: the file was changed or damaged".to_owned()));
         }
         let read = |at: usize| body.get(at).copied().unwrap_or("");
-        let head: Head = serde_json::from_str(read(0)).map_err(|e| unsound(0, e.to_string()))?;
+        let head: Header = serde_json::from_str(read(0)).map_err(|e| unsound(0, e.to_string()))?;
         if head.kind != KIND || head.format != FORMAT {
             return Err(unsound(
                 0,
--- a/crates/tenant-store/src/store.rs
+++ b/crates/tenant-store/src/store.rs
@@ -4,12 +4,12 @@
 use std::path::{Path, PathBuf};
 
 use crate::cell::{self, Damaged};
+use crate::origin::Origin;
 use crate::snapshot::Snapshot;
 use nettleferry_tenancy::{Book, Entry, Once, Revision, Tenant};
 use redb::{
     Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, StorageBackend, TableDefinition,
 };
-use serde::{Deserialize, Serialize};
 
 /// The format that is written. 1 had values without checksums.
 pub const FORMAT: u64 = 2;
@@ -67,15 +67,6 @@
     move |source| StoreError::Database { what, source: Box::new(source.into()) }
 }
 
-/// Where a book comes from.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Origin {
-    /// The store's own name: 16 hex digits.
-    pub store: String,
-    /// Raised by each restore.
-    pub epoch: u64,
-}
-
 /// The store.
 pub struct Store {
     database: Database,
