--- a/crates/gateway/src/commands/audit.rs
+++ b/crates/gateway/src/commands/audit.rs
@@ -3,7 +3,7 @@
 
 use std::path::{Path, PathBuf};
 
-use nettleferry_trail::audit::{Actor, Audit, Life, Report, Sure};
+use nettleferry_trail::audit::{Actor, Audit, Certainty, Incarnation, Report};
 use nettleferry_trail::chain::{self, Checked};
 use plotters::prelude::*;
 use serde_json::{Value, json};
@@ -60,14 +60,14 @@
     audit.report()
 }
 
-fn life(who: Life) -> String {
+fn life(who: Incarnation) -> String {
     format!("controller {} (life {:08x})", who.controller, who.life >> 32)
 }
 
-fn sure(sure: Sure) -> &'static str {
+fn sure(sure: Certainty) -> &'static str {
     match sure {
-        Sure::Certain => "certain",
-        Sure::Doubtful => "doubtful",
+        Certainty::Certain => "certain",
+        Certainty::Doubtful => "doubtful",
     }
 }
 
@@ -149,7 +149,7 @@
         .iter()
         .filter_map(|a| Some((a, a.from? as f64 / 1000.0, a.to? as f64 / 1000.0)))
         .collect();
-    let mut lives: Vec<Life> = known.iter().map(|(a, ..)| a.who).collect();
+    let mut lives: Vec<Incarnation> = known.iter().map(|(a, ..)| a.who).collect();
     lives.sort();
     lives.dedup();
     let least = known.iter().map(|k| k.1).fold(f64::INFINITY, f64::min).min(0.0);
@@ -186,7 +186,7 @@
             let Some((_, from, to)) = actor else { continue };
             let place = lives.iter().position(|who| *who == found.who).unwrap_or(0) as f64;
             let since = (to - found.most_ms as f64 / 1000.0).max(*from);
-            let style = if found.sure == Sure::Certain { RED.mix(0.5) } else { RED.mix(0.2) };
+            let style = if found.sure == Certainty::Certain { RED.mix(0.5) } else { RED.mix(0.2) };
             chart.draw_series([Rectangle::new(
                 [(since, place + 0.05), (*to, place + 0.95)],
                 style.filled(),
@@ -213,7 +213,7 @@
     let (mut lines, mut rows, mut sound) = (Vec::new(), Vec::new(), true);
     for (of, checked) in &records {
         // The oldest lines go by the bound: that is no damage.
-        let bad = checked.faults.iter().filter(|f| !matches!(f, chain::Fault::Begins { .. })).count();
+        let bad = checked.faults.iter().filter(|f| !matches!(f, chain::ChainError::Begins { .. })).count();
         sound &= bad == 0;
         let word = if bad == 0 { "whole" } else { "NOT whole" };
         lines.push(format!("record of {of}: {} lines, {word}", checked.lines.len()));
--- a/crates/gateway/src/trail.rs
+++ b/crates/gateway/src/trail.rs
@@ -13,7 +13,7 @@
 use nettleferry_engine::Engine;
 use nettleferry_spool::{DirectoryStorage, Limits, WalError, WriteAheadLog};
 use nettleferry_trail::chain::{self, Checked};
-use nettleferry_trail::recorder::{Names, Recorder, Tail};
+use nettleferry_trail::recorder::{NameResolver, Recorder, Tail};
 use tracing::{info, warn};
 
 use crate::tenants::Tenants;
@@ -193,7 +193,7 @@
     pub engine: &'a Engine,
 }
 
-impl Names for Known<'_> {
+impl NameResolver for Known<'_> {
     fn tenant(&self, id: u64) -> String {
         if id == NOBODY {
             return "(none)".to_owned();
@@ -214,7 +214,7 @@
 
     struct Plain;
 
-    impl Names for Plain {
+    impl NameResolver for Plain {
         fn tenant(&self, id: u64) -> String {
             id.to_string()
         }
@@ -257,7 +257,7 @@
             assert_eq!(lock(&log.held).after(last - 10, 1).len(), 1, "one at the least");
         }
         let checked = read(dir.path().to_owned()).expect("it can be read");
-        assert!(matches!(&checked.faults[..], [chain::Fault::Begins { .. }]), "{:?}", checked.faults);
+        assert!(matches!(&checked.faults[..], [chain::ChainError::Begins { .. }]), "{:?}", checked.faults);
         assert_eq!(checked.tail.map(|t| t.n), Some(last));
     }
 }
--- a/crates/trail/src/audit.rs
+++ b/crates/trail/src/audit.rs
@@ -10,7 +10,7 @@
 
 use serde::Serialize;
 
-use crate::clock::{Clock, Span};
+use crate::clock::{ClockBounds, TimeBounds};
 use crate::line::{Act, Line, What};
 use crate::view::View;
 
@@ -22,7 +22,7 @@
 
 /// One life of one controller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
-pub struct Life {
+pub struct Incarnation {
     /// The controller's number.
     pub controller: u32,
     /// Its life.
@@ -32,7 +32,7 @@
 /// How sure a statement is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Sure {
+pub enum Certainty {
     /// It holds for every clock within the bounds.
     Certain,
     /// It holds for some.
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Actor {
     /// Who.
-    pub who: Life,
+    pub who: Incarnation,
     /// On which book.
     pub book: Book,
     /// Its first and last act on it may have been from here to there, on the administration's clock, milliseconds;
@@ -57,17 +57,17 @@
 
 /// Acts on a version when a newer one was in force elsewhere.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Behind {
+pub struct StaleActivity {
     /// Who.
-    pub who: Life,
+    pub who: Incarnation,
     /// On which book.
     pub book: Book,
     /// The first newer one that was in force elsewhere, and where.
     pub newer: Book,
     /// See `newer`.
-    pub elsewhere: Life,
+    pub elsewhere: Incarnation,
     /// How sure.
-    pub sure: Sure,
+    pub sure: Certainty,
     /// For how long at the least and at the most, milliseconds.
     pub least_ms: i64,
     /// See `least_ms`.
@@ -80,9 +80,9 @@
 
 /// Calls of a tenant that were taken after a change of him was acknowledged as in force everywhere.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct After {
+pub struct LateCalls {
     /// Who took them.
-    pub who: Life,
+    pub who: Incarnation,
     /// Whose.
     pub tenant: String,
     /// The change.
@@ -90,7 +90,7 @@
     /// What was done: suspend, remove.
     pub action: String,
     /// How sure.
-    pub sure: Sure,
+    pub sure: Certainty,
     /// How many surely were, and may have been.
     pub calls: (u64, u64),
     /// Why, as far as the record tells.
@@ -101,7 +101,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct Gap {
     /// Whose record.
-    pub who: Option<Life>,
+    pub who: Option<Incarnation>,
     /// What is missing.
     pub what: String,
 }
@@ -112,7 +112,7 @@
     /// The epochs.
     pub epochs: Vec<u64>,
     /// Who acted on each side while the other was acted on.
-    pub sides: Vec<Life>,
+    pub sides: Vec<Incarnation>,
 }
 
 /// What the records say.
@@ -121,9 +121,9 @@
     /// Who acted on what.
     pub actors: Vec<Actor>,
     /// Who acted on what when a newer one was in force elsewhere.
-    pub behind: Vec<Behind>,
+    pub behind: Vec<StaleActivity>,
     /// Calls taken after an acknowledgement.
-    pub after: Vec<After>,
+    pub after: Vec<LateCalls>,
     /// Epochs that were acted on side by side.
     pub forks: Vec<Fork>,
     /// Where nothing can be said.
@@ -135,17 +135,17 @@
 /// An interval of acts on one view.
 #[derive(Clone, Debug)]
 struct Interval {
-    who: Life,
+    who: Incarnation,
     book: Book,
-    first: Option<Span>,
-    last: Option<Span>,
+    first: Option<TimeBounds>,
+    last: Option<TimeBounds>,
     calls: BTreeMap<String, u64>,
     stage: String,
 }
 
 impl Interval {
     /// How many of so many acts in it were surely, and may have been, after a moment.
-    fn after(&self, moment: Span, count: u64) -> (u64, u64) {
+    fn after(&self, moment: TimeBounds, count: u64) -> (u64, u64) {
         let (Some(first), Some(last)) = (self.first, self.last) else { return (0, count) };
         if first.is_after(moment) {
             (count, count)
@@ -159,22 +159,22 @@
 
 /// Where a life came to a version.
 #[derive(Clone, Debug)]
-struct Came {
-    who: Life,
+struct Arrival {
+    who: Incarnation,
     book: Book,
-    at: Option<Span>,
+    at: Option<TimeBounds>,
 }
 
 /// What is gathered.
 #[derive(Clone, Debug, Default)]
 pub struct Audit {
     intervals: Vec<Interval>,
-    came: Vec<Came>,
+    came: Vec<Arrival>,
     /// The administration's changes: whose, what, whether it takes something away.
     accepted: BTreeMap<Book, (String, String, bool)>,
-    everywhere: BTreeMap<Book, Span>,
+    everywhere: BTreeMap<Book, TimeBounds>,
     /// What each life tells of itself that explains a delay.
-    excuses: BTreeMap<Life, BTreeSet<String>>,
+    excuses: BTreeMap<Incarnation, BTreeSet<String>>,
     gaps: Vec<Gap>,
 }
 
@@ -189,7 +189,7 @@
                     self.accepted.insert((*epoch, *revision), told);
                 }
                 What::Everywhere { epoch, revision } if line.life == life => {
-                    self.everywhere.entry((*epoch, *revision)).or_insert(Span::at(line.to));
+                    self.everywhere.entry((*epoch, *revision)).or_insert(TimeBounds::at(line.to));
                 }
                 _ => {}
             }
@@ -220,8 +220,8 @@
             self.gaps.push(Gap { who: None, what: format!("life {life:016x} does not say whose it is") });
             return;
         };
-        let who = Life { controller, life };
-        let mut clock = Clock::default();
+        let who = Incarnation { controller, life };
+        let mut clock = ClockBounds::default();
         for line in lines {
             if let What::Heard { by: heard, at } = &line.what
                 && *heard == by
@@ -231,13 +231,13 @@
         }
         // The administration's own controller has its clock.
         let own = is_administration && life == by;
-        let place = |moment| if own { Some(Span::at(moment)) } else { clock.place(moment) };
+        let place = |moment| if own { Some(TimeBounds::at(moment)) } else { clock.place(moment) };
         let mut views: BTreeMap<u32, &View> = BTreeMap::new();
         for line in lines {
             match &line.what {
                 What::View { view, parts } => {
                     views.insert(*view, parts);
-                    self.came.push(Came { who, book: parts.book(), at: place(line.from) });
+                    self.came.push(Arrival { who, book: parts.book(), at: place(line.from) });
                 }
                 What::Did { view, stage, calls, .. } => match views.get(view) {
                     Some(parts) => self.intervals.push(Interval {
@@ -270,16 +270,16 @@
         }
     }
 
-    fn excuse(&mut self, who: Life, what: String) {
+    fn excuse(&mut self, who: Incarnation, what: String) {
         self.excuses.entry(who).or_default().insert(what);
     }
 
     /// What is wrong with a record that was read.
-    pub fn fault(&mut self, who: Option<Life>, what: String) {
+    pub fn fault(&mut self, who: Option<Incarnation>, what: String) {
         self.gaps.push(Gap { who, what });
     }
 
-    fn why(&self, who: Life, stage: &str) -> String {
+    fn why(&self, who: Incarnation, stage: &str) -> String {
         let mut all: Vec<String> = self.excuses.get(&who).into_iter().flatten().cloned().collect();
         if stage != "current" {
             all.push(format!("it had no lease ({stage}): it heard nothing of the administration"));
@@ -301,7 +301,7 @@
     }
 
     fn actors(&self) -> Vec<Actor> {
-        let mut all: BTreeMap<(Book, Life), Actor> = BTreeMap::new();
+        let mut all: BTreeMap<(Book, Incarnation), Actor> = BTreeMap::new();
         for interval in &self.intervals {
             let (who, book) = (interval.who, interval.book);
             let new = || Actor { who, book, from: interval.first.map(|s| s.lo), to: None, calls: 0 };
@@ -314,14 +314,14 @@
     }
 
     /// The first newer book of the same epoch or a later one that was surely in force at another life, and by when.
-    fn newer(&self, who: Life, book: Book) -> Option<(Book, Life, Span)> {
+    fn newer(&self, who: Incarnation, book: Book) -> Option<(Book, Incarnation, TimeBounds)> {
         let newer = self.came.iter().filter(|c| c.who.controller != who.controller && c.book > book);
         let known = newer.filter_map(|c| Some((c.book, c.who, c.at?)));
         known.min_by_key(|(book, who, at)| (at.hi, *book, *who))
     }
 
     fn behind(&self, report: &mut Report) {
-        let mut all: BTreeMap<(Life, Book), Vec<&Interval>> = BTreeMap::new();
+        let mut all: BTreeMap<(Incarnation, Book), Vec<&Interval>> = BTreeMap::new();
         for interval in self.intervals.iter().filter(|i| !i.calls.is_empty()) {
             all.entry((interval.who, interval.book)).or_default().push(interval);
         }
@@ -333,8 +333,8 @@
             for interval in intervals {
                 // After the latest moment at which it was in force elsewhere: surely. After the earliest: maybe.
                 for (tenant, count) in &interval.calls {
-                    let certain = interval.after(Span { lo: at.hi, hi: at.hi }, *count).0;
-                    let possible = interval.after(Span { lo: at.lo, hi: at.lo }, *count).1;
+                    let certain = interval.after(TimeBounds { lo: at.hi, hi: at.hi }, *count).0;
+                    let possible = interval.after(TimeBounds { lo: at.lo, hi: at.lo }, *count).1;
                     if possible > 0 {
                         let (a, b) = calls.entry(tenant.clone()).or_insert((0, 0));
                         (*a, *b) = (*a + certain, *b + possible);
@@ -355,9 +355,9 @@
             if !maybe {
                 continue;
             }
-            let sure = if surely { Sure::Certain } else { Sure::Doubtful };
+            let sure = if surely { Certainty::Certain } else { Certainty::Doubtful };
             let why = self.why(who, stage);
-            let found = Behind { who, book, newer, elsewhere, sure, least_ms, most_ms, calls, why };
+            let found = StaleActivity { who, book, newer, elsewhere, sure, least_ms, most_ms, calls, why };
             keep(&mut report.behind, found, &mut report.more);
         }
     }
@@ -368,7 +368,7 @@
             if !matches!(action.as_str(), "suspend" | "remove") {
                 continue;
             }
-            let mut by: BTreeMap<Life, (u64, u64, String)> = BTreeMap::new();
+            let mut by: BTreeMap<Incarnation, (u64, u64, String)> = BTreeMap::new();
             for interval in self.intervals.iter().filter(|i| i.book < *change) {
                 let Some(count) = interval.calls.get(tenant) else { continue };
                 let (certain, possible) = interval.after(*at, *count);
@@ -378,11 +378,11 @@
                 }
             }
             for (who, (certain, possible, stage)) in by {
-                let sure = if certain > 0 { Sure::Certain } else { Sure::Doubtful };
+                let sure = if certain > 0 { Certainty::Certain } else { Certainty::Doubtful };
                 let (tenant, action) = (tenant.clone(), action.clone());
                 let why = self.why(who, &stage);
                 let found =
-                    After { who, tenant, change: *change, action, sure, calls: (certain, possible), why };
+                    LateCalls { who, tenant, change: *change, action, sure, calls: (certain, possible), why };
                 keep(&mut report.after, found, &mut report.more);
             }
         }
@@ -390,7 +390,7 @@
 
     /// Epochs whose acts overlap for sure: two histories of one store were acted on at once.
     fn forks(&self) -> Vec<Fork> {
-        let mut spans: BTreeMap<u64, (i64, i64, BTreeSet<Life>)> = BTreeMap::new();
+        let mut spans: BTreeMap<u64, (i64, i64, BTreeSet<Incarnation>)> = BTreeMap::new();
         for interval in self.intervals.iter().filter(|i| i.book.0 > 0) {
             let (Some(first), Some(last)) = (interval.first, interval.last) else { continue };
             // What is surely within: from the latest first to the earliest last.
--- a/crates/trail/src/chain.rs
+++ b/crates/trail/src/chain.rs
@@ -5,7 +5,7 @@
 
 /// What is wrong with a record.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Fault {
+pub enum ChainError {
     /// This text is no line.
     NoLine {
         /// Its place among the texts, from 0.
@@ -39,7 +39,7 @@
     },
 }
 
-impl std::fmt::Display for Fault {
+impl std::fmt::Display for ChainError {
     fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NoLine { place } => write!(out, "text {place} is no line: it was altered"),
@@ -63,7 +63,7 @@
     /// Its lines, without those that are none.
     pub lines: Vec<Line>,
     /// What is wrong.
-    pub faults: Vec<Fault>,
+    pub faults: Vec<ChainError>,
     /// Its end, for what is written behind it.
     pub tail: Option<Tail>,
 }
@@ -75,20 +75,20 @@
     let mut before: Option<(u64, Hash)> = Some((0, FIRST.to_owned()));
     for (place, text) in texts.into_iter().enumerate() {
         let Ok(line) = Line::read(text) else {
-            checked.faults.push(Fault::NoLine { place });
+            checked.faults.push(ChainError::NoLine { place });
             before = None;
             continue;
         };
         match &before {
-            Some((0, _)) if line.n > 1 => checked.faults.push(Fault::Begins { at: line.n }),
+            Some((0, _)) if line.n > 1 => checked.faults.push(ChainError::Begins { at: line.n }),
             Some((n, _)) if line.n != n + 1 => {
-                checked.faults.push(Fault::Missing { after: *n, before: line.n });
+                checked.faults.push(ChainError::Missing { after: *n, before: line.n });
             }
-            Some((_, prev)) if *prev != line.prev => checked.faults.push(Fault::Altered { n: line.n }),
+            Some((_, prev)) if *prev != line.prev => checked.faults.push(ChainError::Altered { n: line.n }),
             _ => {}
         }
         if let What::Gap { lines, why } = &line.what {
-            checked.faults.push(Fault::Said { n: line.n, lines: *lines, why: why.clone() });
+            checked.faults.push(ChainError::Said { n: line.n, lines: *lines, why: why.clone() });
         }
         let sum = hash(text);
         checked.tail = Some(Tail { n: line.n, hash: sum.clone() });
@@ -101,12 +101,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::recorder::{Names, Recorder};
+    use crate::recorder::{NameResolver, Recorder};
     use crate::view::View;
 
     struct Plain;
 
-    impl Names for Plain {
+    impl NameResolver for Plain {
         fn tenant(&self, id: u64) -> String {
             format!("t{id}")
         }
@@ -134,7 +134,7 @@
         all
     }
 
-    fn faults(texts: &[String]) -> Vec<Fault> {
+    fn faults(texts: &[String]) -> Vec<ChainError> {
         check(texts.iter().map(String::as_str)).faults
     }
 
@@ -156,16 +156,19 @@
         for place in 1..texts.len() - 1 {
             let mut lost = texts.clone();
             lost.remove(place);
-            assert_eq!(faults(&lost), [Fault::Missing { after: place as u64, before: place as u64 + 2 }]);
+            assert_eq!(
+                faults(&lost),
+                [ChainError::Missing { after: place as u64, before: place as u64 + 2 }]
+            );
             let mut altered = texts.clone();
             // One digit of a time or a count: still a line, and no longer the same.
             altered[place] = altered[place].replacen("\"from\":", "\"from\":1", 1);
-            assert_eq!(faults(&altered), [Fault::Altered { n: place as u64 + 2 }], "line {place}");
+            assert_eq!(faults(&altered), [ChainError::Altered { n: place as u64 + 2 }], "line {place}");
             let mut garbled = texts.clone();
             garbled[place].truncate(9);
-            assert_eq!(faults(&garbled), [Fault::NoLine { place }]);
+            assert_eq!(faults(&garbled), [ChainError::NoLine { place }]);
         }
-        assert_eq!(faults(&texts[4..]), [Fault::Begins { at: 5 }]);
+        assert_eq!(faults(&texts[4..]), [ChainError::Begins { at: 5 }]);
     }
 
     #[test]
@@ -178,7 +181,7 @@
         let mut texts: Vec<String> = recorder.take(usize::MAX).collect();
         recorder.acts_on(9_000, View { revision: 9_000, ..View::default() }, &Plain);
         texts.extend(recorder.take(usize::MAX));
-        let [Fault::Said { lines, .. }] = &faults(&texts)[..] else { panic!("{:?}", faults(&texts)) };
+        let [ChainError::Said { lines, .. }] = &faults(&texts)[..] else { panic!("{:?}", faults(&texts)) };
         assert_eq!(*lines, 5_001 - crate::recorder::MOST_WAITING as u64);
     }
 }
--- a/crates/trail/src/clock.rs
+++ b/crates/trail/src/clock.rs
@@ -11,14 +11,14 @@
 
 /// Moments from the first to the last that one may be; the administration's may be before its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Span {
+pub struct TimeBounds {
     /// The earliest.
     pub lo: i64,
     /// The latest.
     pub hi: i64,
 }
 
-impl Span {
+impl TimeBounds {
     /// One moment, known.
     pub fn at(moment: Millis) -> Self {
         let moment = i64::try_from(moment).unwrap_or(i64::MAX);
@@ -45,14 +45,14 @@
 
 /// A controller's clock against the administration's.
 #[derive(Clone, Debug, Default)]
-pub struct Clock {
+pub struct ClockBounds {
     exchanges: Vec<Exchange>,
     /// One of so many exchanges is remembered, and how many were passed over since the last one.
     stride: usize,
     passed: usize,
 }
 
-impl Clock {
+impl ClockBounds {
     /// Between these two moments of its own, the administration's clock read `at`.
     pub fn heard(&mut self, asked: Millis, answered: Millis, at: Millis) {
         self.passed += 1;
@@ -73,7 +73,7 @@
     }
 
     /// Which moments of the administration this moment of the controller may be; `None`: nothing is known.
-    pub fn place(&self, moment: Millis) -> Option<Span> {
+    pub fn place(&self, moment: Millis) -> Option<TimeBounds> {
         let moment = i64::try_from(moment).ok()?;
         let signed = |t: Millis| i64::try_from(t).unwrap_or(i64::MAX);
         let spans = self.exchanges.iter().map(|e| {
@@ -81,9 +81,9 @@
             // The farthest that the exchange's reading may lie from this moment, by the controller's clock.
             let away = (moment - asked).abs().max((moment - answered).abs());
             let drift = (away * DRIFT_PER_MILLE as i64 + 999) / 1_000;
-            Span { lo: at + (moment - answered) - drift, hi: at + (moment - asked) + drift }
+            TimeBounds { lo: at + (moment - answered) - drift, hi: at + (moment - asked) + drift }
         });
-        let all = spans.reduce(|a, b| Span { lo: a.lo.max(b.lo), hi: a.hi.min(b.hi) })?;
+        let all = spans.reduce(|a, b| TimeBounds { lo: a.lo.max(b.lo), hi: a.hi.min(b.hi) })?;
         // Exchanges that contradict each other: a clock did what no clock may. Nothing is known then.
         (all.lo <= all.hi).then_some(all)
     }
@@ -95,10 +95,10 @@
 
     #[test]
     fn exchanges_bound_the_difference_and_the_bound_widens_away_from_them() {
-        let mut clock = Clock::default();
+        let mut clock = ClockBounds::default();
         assert_eq!(clock.place(5), None);
         clock.heard(1_000, 1_010, 50_000);
-        assert_eq!(clock.place(1_005), Some(Span { lo: 49_994, hi: 50_006 }));
+        assert_eq!(clock.place(1_005), Some(TimeBounds { lo: 49_994, hi: 50_006 }));
         let later = clock.place(11_000).expect("known");
         assert_eq!((later.lo, later.hi), (59_890, 60_100));
         // A slow exchange says less, and takes nothing away.
@@ -109,7 +109,7 @@
 
     #[test]
     fn a_clock_that_did_what_no_clock_may_places_nothing() {
-        let mut clock = Clock::default();
+        let mut clock = ClockBounds::default();
         clock.heard(0, 1, 1_000);
         clock.heard(2, 3, 90_000);
         assert_eq!(clock.place(2), None);
@@ -117,7 +117,7 @@
 
     #[test]
     fn many_exchanges_take_bounded_room() {
-        let mut clock = Clock::default();
+        let mut clock = ClockBounds::default();
         for n in 0..100_000 {
             clock.heard(n * 10, n * 10 + 2, n * 10 + 70_001);
         }
--- a/crates/trail/src/recorder.rs
+++ b/crates/trail/src/recorder.rs
@@ -53,7 +53,7 @@
 }
 
 /// Who is who, for the lines.
-pub trait Names {
+pub trait NameResolver {
     /// A tenant's name, by the number under which its calls were counted.
     fn tenant(&self, id: u64) -> String;
     /// A worker's.
@@ -115,7 +115,7 @@
     }
 
     /// From now on this is acted on: what was done before is closed under the view before.
-    pub fn acts_on(&mut self, now: Millis, view: View, names: &impl Names) {
+    pub fn acts_on(&mut self, now: Millis, view: View, names: &impl NameResolver) {
         if self.view.as_ref().is_some_and(|(_, before)| *before == view) {
             return;
         }
@@ -126,7 +126,7 @@
     }
 
     /// The stage of its lease is this one.
-    pub fn stage(&mut self, now: Millis, stage: &'static str, names: &impl Names) {
+    pub fn stage(&mut self, now: Millis, stage: &'static str, names: &impl NameResolver) {
         if self.stage != stage {
             self.close(names);
             self.stage = stage;
@@ -166,7 +166,7 @@
     }
 
     /// One act that is rare or may be disputed.
-    pub fn one(&mut self, now: Millis, act: Act, names: &impl Names) {
+    pub fn one(&mut self, now: Millis, act: Act, names: &impl NameResolver) {
         self.close(names);
         let view = self.view.as_ref().map_or(0, |(number, _)| *number);
         self.line((now, now), What::One { view, act });
@@ -183,14 +183,14 @@
     }
 
     /// An interval that has become long is closed. To be called as events come.
-    pub fn tick(&mut self, now: Millis, names: &impl Names) {
+    pub fn tick(&mut self, now: Millis, names: &impl NameResolver) {
         if self.open.is_some_and(|(from, _)| now >= from + MOST_SPAN) {
             self.close(names);
         }
     }
 
     /// The open interval becomes a line.
-    pub fn close(&mut self, names: &impl Names) {
+    pub fn close(&mut self, names: &impl NameResolver) {
         let Some(span) = self.open.take() else { return };
         if self.calls.is_empty() && self.attempts.is_empty() && self.orders.is_empty() && self.refused == 0 {
             return;
--- a/crates/trail/tests/truth.rs
+++ b/crates/trail/tests/truth.rs
@@ -4,10 +4,10 @@
 
 use std::collections::BTreeMap;
 
-use nettleferry_trail::audit::{Audit, Life, Sure};
+use nettleferry_trail::audit::{Audit, Certainty, Incarnation};
 use nettleferry_trail::chain::check;
 use nettleferry_trail::line::What;
-use nettleferry_trail::recorder::{Names, Recorder};
+use nettleferry_trail::recorder::{NameResolver, Recorder};
 use nettleferry_trail::{Millis, View};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,7 +19,7 @@
 
 struct Plain;
 
-impl Names for Plain {
+impl NameResolver for Plain {
     fn tenant(&self, id: u64) -> String {
         format!("t{id}")
     }
@@ -168,8 +168,8 @@
     audit
 }
 
-fn who(n: usize) -> Life {
-    Life { controller: n as u32 + 1, life: n as u64 + 1 }
+fn who(n: usize) -> Incarnation {
+    Incarnation { controller: n as u32 + 1, life: n as u64 + 1 }
 }
 
 #[test]
@@ -195,8 +195,8 @@
                     "seed {seed}, controller {n}, revision {revision}: {truth} in truth, told {least} to {most}"
                 );
                 match found.map(|a| a.sure) {
-                    Some(Sure::Certain) => certain += 1,
-                    Some(Sure::Doubtful) => doubtful += 1,
+                    Some(Certainty::Certain) => certain += 1,
+                    Some(Certainty::Doubtful) => doubtful += 1,
                     None => {}
                 }
             }
@@ -220,7 +220,7 @@
                     least <= truth && truth <= most,
                     "seed {seed}, controller {n}, book {book}: {truth} in truth, told {least} to {most}"
                 );
-                if let Some(found) = found.filter(|b| b.sure == Sure::Certain) {
+                if let Some(found) = found.filter(|b| b.sure == Certainty::Certain) {
                     assert!(truth > 0, "seed {seed}: certain, and false: {found:?}");
                 }
             }
