--- a/src/choice.rs
+++ b/src/choice.rs
@@ -90,6 +90,7 @@
     /// Takes in one event at the time `now`, and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
+        self.forget_open();
         if self.started.is_none() {
             self.started = Some(now);
             if self.settings.discovery == Discovery::Ask {
@@ -239,7 +240,6 @@
         if self.nobody() {
             return self.answer(id);
         }
-        self.forget_open();
         if let Some((function, class)) = self.calls.get(&id).map(|call| (call.function, call.class)) {
             self.spread(function, class);
         }
@@ -959,7 +959,6 @@
 
     /// An answer, or a change anywhere: the lowest held that have room go, each along its own order.
     fn release(&mut self, at: Option<WorkerId>) {
-        self.forget_open();
         let mut without = BTreeSet::new();
         for id in self.held.values().take(SCAN).copied().collect::<Vec<_>>() {
             let Some(call) = self.calls.get(&id) else { continue };
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -6,10 +6,11 @@
 //! next called, or when a step of the queue `resting` comes to them. As nothing touches them in between, no
 //! decision can tell the difference.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::choice::{COUNT_SPAN, FORGET_SPANS};
 use crate::interface::{FunctionId, Micros, WorkerId};
+use crate::rendezvous::Homes;
 use crate::state::{Controller, Function};
 
 /// Functions that rest are looked at in groups of this span.
@@ -31,6 +32,23 @@
         self.told.retain(|_, told| told.1 + COUNT_SPAN > swept);
         self.last + kept > swept || self.held > 0 || !self.out.is_empty() || !self.loading.is_empty()
     }
+
+    /// Gives back the room of what is empty or counts no more: a map that was emptied keeps a node.
+    fn compact(&mut self, swept: Micros) {
+        fn release<K: Ord, V>(map: &mut BTreeMap<K, V>) {
+            if map.is_empty() {
+                *map = BTreeMap::new();
+            }
+        }
+        release(&mut self.shun);
+        release(&mut self.told);
+        release(&mut self.out);
+        release(&mut self.loading);
+        // The next call drops these in any case.
+        self.arrivals.retain(|at| at + COUNT_SPAN >= swept);
+        self.arrivals.shrink_to_fit();
+        self.latencies.shrink_to_fit();
+    }
 }
 
 impl Controller {
@@ -99,8 +117,9 @@
             return self.rest(id, rests);
         }
         if crowded {
-            function.homes = Default::default();
+            function.homes = Homes::default();
         }
+        function.compact(swept);
         let forgotten = function.last + kept;
         self.rest(id, forgotten.max(swept + REST_BUCKET));
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -199,8 +199,9 @@
         let workers: usize = self.workers.values().map(|w| 1 + w.lost.len()).sum();
         let calls = self.calls.len() + self.held.len() + self.flights.len() + self.due.len();
         let tenants: usize = self.tenant_taken.values().map(VecDeque::len).sum();
-        let lists = self.orders.len() + self.taken.len() + self.copies.len() + self.gone.len();
-        functions + workers + calls + tenants + lists
+        let resting: usize = self.resting.values().map(Vec::len).sum();
+        let copies = self.copies.len() + self.loads.len() + self.gone.len();
+        functions + workers + calls + tenants + resting + copies + self.orders.len() + self.taken.len()
     }
 
     /// Sets a worker's one check for silence, in place of one that is set.
--- a/src/walk.rs
+++ b/src/walk.rs
@@ -35,7 +35,8 @@
         few.into_iter().flatten().chain(all.then_some(order).into_iter().flatten())
     }
 
-    /// Which workers are open may have changed: it is asked anew.
+    /// Which workers are open may have changed: it is asked anew. Called as an event begins; what opens a
+    /// worker in an event does so before calls are placed or released, and placing calls opens none.
     pub(crate) fn forget_open(&mut self) {
         for open in &mut self.open {
             open.take();
--- /dev/null
+++ b/tests/call_cost.rs
@@ -0,0 +1,96 @@
+//! The shape of a call's cost and of what is remembered: neither grows with the fleet. Work is counted, in
+//! rendezvous hashes, and not timed.
+
+mod common;
+use common::*;
+use nettleferry::*;
+
+const FUNCTIONS: u64 = 200;
+
+/// What calls of functions cost, all of them seen before or not, and what each function leaves.
+struct Cost {
+    first: f64,
+    seen: f64,
+    state: f64,
+}
+
+struct Calls {
+    stand: Stand,
+    next: u64,
+}
+
+impl Calls {
+    fn new(workers: u64) -> Self {
+        Self { stand: Stand::new(settings(), workers), next: 0 }
+    }
+
+    /// A call that is answered by the worker it was sent to.
+    fn answered(&mut self, function: u64) {
+        self.next += 1;
+        let actions = self.stand.ask(self.next, 0, function, 2);
+        let to = actions.iter().find_map(|action| match action {
+            Action::Send { worker, .. } => Some(worker.0),
+            _ => None,
+        });
+        self.stand.end(self.next, 0, to.expect("there is room"), Outcome::Ok, None);
+    }
+
+    /// One call of each function, with a worker replaced now and then. The hashes of a call.
+    fn round(&mut self, replaced: std::ops::Range<u64>) -> f64 {
+        let before = self.stand.controller.hashes();
+        for function in 0..FUNCTIONS {
+            if function % 20 == 0 && !replaced.is_empty() {
+                let worker = replaced.start + function / 20;
+                let gone = WorkerEntry { state: WorkerState::Gone, ..entry(worker) };
+                let entries = vec![gone, entry(1_000_000 + worker)];
+                self.stand.feed(Event::Workers { form: ListForm::Changes, entries });
+            }
+            self.answered(function);
+        }
+        (self.stand.controller.hashes() - before) as f64 / FUNCTIONS as f64
+    }
+}
+
+fn cost(workers: u64) -> Cost {
+    let mut calls = Calls::new(workers);
+    let empty = calls.stand.controller.remembered();
+    let first = calls.round(0..0);
+    let state = (calls.stand.controller.remembered() - empty) as f64 / FUNCTIONS as f64;
+    let seen = calls.round(1..11);
+    Cost { first, seen, state }
+}
+
+#[test]
+fn a_known_function_costs_and_holds_the_same_in_a_fleet_sixteen_times_as_large() {
+    let (small, large) = (cost(500), cost(8_000));
+    let grown = |small: f64, large: f64| large / small.max(1.0);
+    assert!(grown(small.state, large.state) < 1.5, "state {} and {}", small.state, large.state);
+    assert!(grown(small.seen, large.seen) < 2.0, "hashes a call {} and {}", small.seen, large.seen);
+    assert!(large.seen < 100.0, "{} hashes a call", large.seen);
+    // The first sight is one pass over the list, and no more.
+    assert!(large.first < 2.0 * 8_000.0, "{} hashes for a first call", large.first);
+}
+
+/// Many functions called once each, at the pace of 880,000 in an hour: what is remembered is flat long before
+/// the end, and holds those of the last spans alone.
+#[test]
+fn functions_that_are_called_once_leave_nothing() {
+    let mut calls = Calls::new(300);
+    let mut most_at_once = vec![0; 6];
+    for function in 0..30_000 {
+        calls.stand.now += 4_091;
+        calls.answered(1_000 + function);
+        if function % 100 == 0 {
+            // Sweeps come each ten seconds: what counts is the most within twenty.
+            let most = &mut most_at_once[function as usize / 5_000];
+            *most = calls.stand.controller.remembered().max(*most);
+        }
+    }
+    let (least, most) = (most_at_once[3..].iter().min().unwrap(), most_at_once[3..].iter().max().unwrap());
+    assert!(most * 20 <= least * 21, "flat: {most_at_once:?}");
+    let by_function = *most as f64 / (FORGOTTEN_AFTER / 4_091) as f64;
+    assert!(by_function < 60.0, "of the last ones alone: {most_at_once:?}");
+}
+
+/// Three spans of ten seconds, a sweep each ten, and the steps of the sweep.
+const FORGOTTEN_AFTER: Micros = 45 * S;
