Module: with one attempt a call takes back no order that its own miss gave

Wrong: `answer` ends in `client_gone`, which since says that loads are unwanted which nobody waits for. A miss that spends the only attempt orders a copy and ends its call in one event: Load, Refuse, Unwanted; the order never leaves, and the next call misses again. Change: where one attempt is permitted, only a client that leaves takes an order back. Three queries that decide nothing moved to the state's file.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -438,10 +438,6 @@
         }
     }
 
-    fn warm_at(&self, function: &Function, worker: WorkerId) -> bool {
-        function.warm.get(&worker).is_some_and(|&at| at + self.settings.loading.keep_alive > self.now)
-    }
-
     fn shut(&self, worker: &Worker) -> bool {
         worker.barred && (self.now < worker.barred_until || worker.down || worker.trial)
     }
@@ -503,10 +499,6 @@
         (COLD_DEALT * dealt + (1.0 - COLD_DEALT) * borne(0.0) * fall, borne(1.0) * fall)
     }
 
-    fn cold(&self, worker: &Worker) -> bool {
-        worker.born.is_some_and(|born| self.now < born + self.settings.rules.cold)
-    }
-
     /// Core time of a call of this class, as far as seen.
     fn work(&self, class: usize) -> f64 {
         self.class_work[class].unwrap_or(self.settings.classes[class].aim as f64 / 4.0)
@@ -706,20 +698,25 @@
         } else {
             Action::Fail { request: id }
         });
-        self.client_gone(id);
+        // With one attempt permitted, a miss that ends its call orders a copy for the calls to come.
+        if self.settings.limits.max_attempts > 1 { self.client_gone(id) } else { self.close(id) }
     }
 
+    /// Ends a call: what is out for it is stopped where that is permitted.
+    fn close(&mut self, id: RequestId) {
+        let Some(call) = self.calls.get(&id) else { return };
+        if let Some(attempt) = call.out.filter(|_| self.settings.limits.cancel && !call.streaming) {
+            self.out.push(Action::Cancel { request: id, attempt });
+        }
+        self.finish(id);
+    }
+
+    /// A load that only this call waited for is not wanted any more, where its order has not left.
     fn client_gone(&mut self, id: RequestId) {
-        if let Some(call) = self.calls.get(&id) {
-            if let Some(attempt) = call.out.filter(|_| self.settings.limits.cancel && !call.streaming) {
-                self.out.push(Action::Cancel { request: id, attempt });
-            }
-            let function = call.function;
-            self.finish(id);
-            // A load that only this call waited for is not wanted any more, where its order has not left.
-            if let Some(f) = self.functions.get(&function).filter(|f| f.held == 0 && f.out.is_empty()) {
-                self.out.extend(f.loading.keys().map(|at| Action::Unwanted { worker: *at, function }));
-            }
+        let Some(function) = self.calls.get(&id).map(|call| call.function) else { return };
+        self.close(id);
+        if let Some(f) = self.functions.get(&function).filter(|f| f.held == 0 && f.out.is_empty()) {
+            self.out.extend(f.loading.keys().map(|at| Action::Unwanted { worker: *at, function }));
         }
     }
 
@@ -768,10 +765,6 @@
         }
     }
 
-    fn served_before(&self, id: FunctionId) -> bool {
-        self.functions.get(&id).is_some_and(|f| !f.latencies.is_empty() || !f.warm.is_empty())
-    }
-
     /// Its process died: when it answers again it has started anew, whatever the list says.
     fn died(&mut self, id: WorkerId) {
         let Some(worker) = self.workers.get_mut(&id) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -254,6 +254,21 @@
         }
     }
 
+    /// Has any worker served this function, as far as is remembered?
+    pub(crate) fn served_before(&self, id: FunctionId) -> bool {
+        self.functions.get(&id).is_some_and(|f| !f.latencies.is_empty() || !f.warm.is_empty())
+    }
+
+    /// Was a copy found there no longer ago than it stays at least?
+    pub(crate) fn warm_at(&self, function: &Function, worker: WorkerId) -> bool {
+        function.warm.get(&worker).is_some_and(|&at| at + self.settings.loading.keep_alive > self.now)
+    }
+
+    /// Did it start no longer ago than it takes to be warm?
+    pub(crate) fn cold(&self, worker: &Worker) -> bool {
+        worker.born.is_some_and(|born| self.now < born + self.settings.rules.cold)
+    }
+
     pub(crate) fn unhold(&mut self, id: RequestId) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         if call.held {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -549,3 +549,21 @@
     let loaded = stand.feed(loaded);
     assert!(sends(&loaded).contains(&(11, at)), "it goes to the copy that stands: {loaded:?}");
 }
+
+#[test]
+fn a_copy_ordered_after_a_miss_is_wanted_though_its_call_has_no_try_left() {
+    let mut set = settings();
+    set.loading.when_absent = WhenAbsent::Miss;
+    set.limits.max_attempts = 1;
+    set.limits.cancel = false;
+    let mut stand = Stand::new(set, 3);
+    let at = sent(&stand.ask(1, 0, 9, 4)).expect("sent");
+    let missed = stand.end(1, 0, at, Outcome::Miss, None);
+    assert!(refused(&missed, 1), "it has no try left");
+    assert_eq!(loads(&missed), 1, "a copy is ordered for the calls to come");
+    let unwanted = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Unwanted { .. }));
+    assert!(!unwanted(&missed), "and its order is not taken back in the same event: {missed:?}");
+    // A client that leaves while its call alone waits for the copy is another matter.
+    assert_eq!(sent(&stand.ask(2, 0, 9, 4)), None, "it waits for the copy");
+    assert!(unwanted(&stand.feed(Event::ClientGone { request: RequestId(2) })));
+}
