--- a/crates/scale/src/measure/list/figures.rs
+++ b/crates/scale/src/measure/list/figures.rs
@@ -11,7 +11,7 @@
     REST = "rest", Cores, "processor time while calls flow and the list stands";
     REST_LONGEST = "rest-longest", Microseconds, "the longest call while the list stands";
     CHANGE = "change", Microseconds, "processor time of a change of one worker, beyond that at rest";
-    CHANGE_READ = "change-read", Bytes, "bytes that read calls gave for each change of one worker";
+    CHANGE_READ = "change-read", Bytes, "bytes that read calls gave from one change of a worker to the next: each look reads the file whole";
     CHANGE_LONGEST = "change-longest", Microseconds, "the longest call while single workers change";
     REPLACE = "replace", Microseconds, "processor time of a list with nothing in common, beyond that at rest";
     REPLACE_LONGEST = "replace-longest", Microseconds, "the longest call while the list is replaced";
--- a/crates/scale/src/measure/list/mod.rs
+++ b/crates/scale/src/measure/list/mod.rs
@@ -185,7 +185,7 @@
         let used = after.processor.saturating_sub(before.processor).as_secs_f64();
         let beyond = used - rest * elapsed.as_secs_f64();
         let read = after.read.saturating_sub(before.read) as f64;
-        Ok(ChangeCost { processor: beyond.max(0.0) * 1e6 / count as f64, read: read / count as f64 })
+        Ok(ChangeCost { processor: beyond * 1e6 / count as f64, read: read / count as f64 })
     }
 }
 
--- a/crates/scale/src/report/table.rs
+++ b/crates/scale/src/report/table.rs
@@ -12,15 +12,20 @@
 /// A value with its unit, in a width that can be read.
 pub fn amount(value: f64, unit: Option<Unit>) -> String {
     match unit {
-        Some(Unit::Microseconds) => scaled(value, &[(1e6, "s"), (1e3, "ms"), (1.0, "us")]),
+        Some(Unit::Microseconds) => scaled(value, &[(1e6, "s"), (1e3, "ms"), (1.0, "us"), (1e-3, "ns")]),
         Some(Unit::Bytes) => scaled(value, BYTES),
         Some(Unit::BytesPerSecond) => format!("{}/s", scaled(value, BYTES)),
-        Some(Unit::Cores) => format!("{value:.4} cores"),
-        Some(Unit::Count) => format!("{value:.1}"),
+        Some(Unit::Cores) => format!("{} cores", plain(value)),
+        Some(Unit::Count) => plain(value),
         None => format!("{value:.3}"),
     }
 }
 
+/// Small numbers, such as slopes, keep two digits.
+fn plain(value: f64) -> String {
+    if value != 0.0 && value.abs() < 0.01 { format!("{value:.1e}") } else { format!("{value:.3}") }
+}
+
 const BYTES: &[(f64, &str)] = &[(1073741824.0, "GiB"), (1048576.0, "MiB"), (1024.0, "KiB"), (1.0, "B")];
 
 fn scaled(value: f64, units: &[(f64, &str)]) -> String {
