node: front by job: taking requests, making room, ending connections

front.rs held 640 lines; it is 468 now, with front/room.rs (which connection makes room) and front/closing.rs (how connections end). Code is moved as it was; methods that another of these modules calls are pub(super). No behaviour changes, no test is changed.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,6 +2,9 @@
 //!
 //! What a client sends amiss is answered or its connection closed; nothing here decides on a sound request.
 
+mod closing;
+mod room;
+
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,6 +17,9 @@
 use nettleferry_platform::request::Request;
 use tracing::debug;
 
+use closing::gone;
+use room::Yields;
+
 use crate::limits::*;
 use crate::repeat::RepeatWindow;
 
@@ -91,35 +97,6 @@
     go_away_sent: bool,
 }
 
-/// What a connection without an open request is, in the order in which they make room for a new one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Yields {
-    /// It has sent nothing for [`FIRST_BYTES`].
-    Silent,
-    /// It was answered and is idle, or was asked whether the controller is ready.
-    Idle,
-    /// It stopped within a frame for [`STOPPED_FRAME`].
-    Stopped,
-    /// It has just come: what it came for is on its way. Guards against a crowd in which each that comes takes the place
-    /// of the one before.
-    New,
-    /// It is within a frame.
-    Within,
-}
-
-impl Client {
-    /// What it is, and since when.
-    fn yields(&self, now: Instant) -> (Yields, Instant) {
-        match self.began {
-            Some(began) if now >= began + STOPPED_FRAME => (Yields::Stopped, began),
-            Some(began) => (Yields::Within, began),
-            None if self.known => (Yields::Idle, self.quiet),
-            None if now >= self.came + FIRST_BYTES => (Yields::Silent, self.came),
-            None => (Yields::New, self.came),
-        }
-    }
-}
-
 /// The front.
 pub struct Front {
     classes: BTreeMap<String, ClassId>,
@@ -210,30 +187,6 @@
         tcp.alarm(key, Some(now + FIRST_FRAME));
     }
 
-    /// Which connection makes room, of those that yield no later than `last`: see [`Yields`]; never one that waits for an answer, and none whose request is there
-    /// unread, which its client would see reset.
-    fn makes_room(&self, tcp: &mut Tcp, last: Yields) -> Option<TcpKey> {
-        let now = Instant::now();
-        let idle = self.clients.iter().filter(|(_, client)| client.streams.is_empty() && !client.closing);
-        let mut order: Vec<_> = idle
-            .map(|(key, client)| {
-                let (yields, since) = client.yields(now);
-                (yields, since, *key)
-            })
-            .filter(|(yields, ..)| *yields <= last)
-            .collect();
-        order.sort_unstable();
-        let mut looked = order.into_iter().take(ROOM_LOOKS);
-        // What stands read and not yet judged counts as well.
-        looked
-            .find(|(yields, _, key)| {
-                let within = matches!(yields, Yields::Stopped | Yields::Within);
-                let unseen = !within && tcp.input(*key).is_some_and(|input| !input.is_empty());
-                !unseen && tcp.silent(*key)
-            })
-            .map(|(.., key)| key)
-    }
-
     /// Bytes came from a client.
     pub fn data(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>, count: &mut Counters) {
         // Its end stands behind bytes that take more than one turn to read: it has left all the same.
@@ -498,127 +451,6 @@
         frames::answer(&mut self.buffer, stream, code, body);
         tcp.send(key, &self.buffer);
     }
-
-    /// Counts what a connection sent amiss, and closes it when it goes on.
-    fn fault(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>, count: &mut Counters) {
-        let Some(client) = self.clients.get_mut(&key) else { return };
-        client.faults += 1;
-        if client.faults > CLIENT_FAULTS {
-            self.expel(tcp, key, "too much that can't be used", events, count);
-        }
-    }
-
-    /// Says why on stream 0, reads nothing more and closes: what is open there has its final answer at once.
-    fn expel(
-        &mut self,
-        tcp: &mut Tcp,
-        key: TcpKey,
-        why: &str,
-        events: &mut Vec<ClientEvent>,
-        count: &mut Counters,
-    ) {
-        count.closed_for_faults += 1;
-        debug!(why, "a client's connection is closed");
-        self.say(tcp, key, 0, Code::Failed, why.as_bytes());
-        self.ended(tcp, key, events);
-    }
-
-    /// Nothing more comes from a client, or nothing more is read: it can't withdraw any more, and has most likely
-    /// left. So what is open there has its final answer at once, which is never wrong, and nothing of it is sent
-    /// on; the connection closes after the last answer.
-    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>) {
-        let Some(client) = self.clients.get_mut(&key) else { return };
-        client.closing = true;
-        client.began = None;
-        tcp.alarm(key, None);
-        self.leave(tcp, key, events);
-        if self.clients.get(&key).is_some_and(|client| client.streams.is_empty()) {
-            self.clients.remove(&key);
-            tcp.finish(key);
-        }
-    }
-
-    /// A client has left: what is open on its connection gets its final answer at once.
-    fn leave(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>) {
-        let Some(client) = self.clients.get_mut(&key).filter(|client| !client.ending) else { return };
-        client.ending = true;
-        debug!(conn = ?key, open = client.streams.len(), "a client's connection is ending");
-        for (stream, mark) in client.streams.clone() {
-            match self.calls.get(&mark).and_then(|call| call.call) {
-                Some(call) => events.push(ClientEvent::Left(Left { call, answered: true })),
-                None => self.never_opened(tcp, key, stream, mark),
-            }
-        }
-    }
-
-    /// The answer of a request that was not opened, and so never is.
-    fn never_opened(&mut self, tcp: &mut Tcp, key: TcpKey, stream: u32, mark: u64) {
-        self.close_call(mark);
-        if let Some(client) = self.clients.get_mut(&key) {
-            client.streams.remove(&stream);
-        }
-        self.say(tcp, key, stream, Code::Refused, b"its client's side ended: it was not run");
-    }
-
-    /// A client's connection is gone.
-    pub fn closed(&mut self, key: TcpKey, events: &mut Vec<ClientEvent>) {
-        let Some(client) = self.clients.remove(&key) else { return };
-        debug!(conn = ?key, open = client.streams.len(), "a client's connection broke");
-        for mark in client.streams.into_values() {
-            events.extend(self.close_call(mark).map(gone));
-        }
-    }
-
-    fn set_alarm(&self, tcp: &mut Tcp, key: TcpKey) {
-        let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
-        let frame = client.began.map(|began| began + WHOLE_FRAME);
-        let first = (!client.known).then(|| client.came + FIRST_FRAME);
-        // One that is within a frame is not idle: its frame has a time of its own.
-        let idle = client.streams.is_empty() && client.began.is_none();
-        let idle = idle.then(|| client.quiet + self.idle);
-        tcp.alarm(key, [frame, first, idle].into_iter().flatten().min());
-    }
-
-    /// A connection's alarm came due. What has come by now was read before; what comes at this very moment is seen
-    /// by a last look.
-    pub fn alarm(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>, count: &mut Counters) {
-        let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
-        let now = Instant::now();
-        let slow = client.began.is_some_and(|began| now >= began + WHOLE_FRAME);
-        let silent = !client.known && now >= client.came + FIRST_FRAME;
-        let idle = client.streams.is_empty() && client.began.is_none() && now >= client.quiet + self.idle;
-        if !(slow || silent || idle) {
-            self.set_alarm(tcp, key);
-        } else if !tcp.silent(key) {
-            // It is told in the next turn, and judged anew after it.
-            tcp.alarm(key, Some(now + LAST_LOOK));
-        } else if slow || silent {
-            count.closed_for_silence += 1;
-            self.say(tcp, key, 0, Code::Failed, b"nothing whole came in time");
-            self.ended(tcp, key, events);
-        } else {
-            count.closed_idle += 1;
-            self.ended(tcp, key, events);
-        }
-    }
-
-    /// Asks clients for no new requests on the connections that stand. What comes all the same is served.
-    pub fn go_away(&mut self, tcp: &mut Tcp) {
-        self.draining = true;
-        for key in self.clients.keys().copied().collect::<Vec<_>>() {
-            self.send_go_away(tcp, key);
-        }
-    }
-
-    fn send_go_away(&mut self, tcp: &mut Tcp, key: TcpKey) {
-        let Some(client) = self.clients.get_mut(&key).filter(|c| self.draining && !c.go_away_sent) else {
-            return;
-        };
-        client.go_away_sent = true;
-        self.buffer.clear();
-        frames::go_away(&mut self.buffer);
-        tcp.send(key, &self.buffer);
-    }
 }
 
 /// Has the connection room for an answer with so many bytes, and for a short one to each other request that may be open
@@ -632,9 +464,5 @@
     }
 }
 
-fn gone(call: CallId) -> ClientEvent {
-    ClientEvent::Left(Left { call, answered: false })
-}
-
 #[cfg(test)]
 mod tests;
