--- a/examples/scale.sexp
+++ b/examples/scale.sexp
@@ -30,5 +30,9 @@
   (at-most (module call-mean 20000) 60us)
   (at-most (module call-max 20000) 5ms)
   (at-most (module state 20000) 64MiB)
-  (ratio (module call-p50 20000 100) 4) ; a figure at one size over the same at another
-  (exponent (module call-mean) 0.3))    ; the power of the size with which a figure grows; four sizes at least
+  (at-most (module first-p50 20000) 60us)
+  ; These two do not hold yet: a function's first call takes one pass over the list, 2 ns a worker (docs/CAPACITY.md).
+  (ratio (module call-p50 20000 100) 4)
+  (exponent (module call-mean) 0.3)
+  (ratio (module recent-p50 20000 100) 3) ; a figure at one size over the same at another
+  (exponent (module recent-p50) 0.2))   ; the power of the size with which a figure grows; four sizes at least
