Test of stragglers: a call is served by each controller before the suspension is asked for

Cause: its callers begin in threads, and the tenant was suspended without waiting for the first answer of any. Now each caller tells of its first served call, and the test waits for that; all assertions stand.

--- a/crates/gateway/tests/stragglers.rs
+++ b/crates/gateway/tests/stragglers.rs
@@ -10,6 +10,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 use nettleferry_net::grpc::Code;
@@ -18,6 +19,8 @@
 /// Span of a lease here: long against a loaded machine's delays, short against a test.
 const LEASE: Duration = Duration::from_millis(1_500);
 const LEASE_SETTING: &str = "(lease 1500ms)";
+/// No wait for a first served call is longer.
+const SERVED_WITHIN: Duration = Duration::from_secs(20);
 
 /// Its life on the administration's roll.
 fn row(http: &Http, number: u32) -> Value {
@@ -28,6 +31,8 @@
 /// Calls of a tenant at a controller in a row, from a thread of its own: when each was sent and how it ended.
 struct Calls {
     stop: std::sync::Arc<AtomicBool>,
+    /// Told once, when the first call was served.
+    served: mpsc::Receiver<()>,
     thread: Option<std::thread::JoinHandle<Vec<(Instant, Code)>>>,
 }
 
@@ -35,16 +40,27 @@
     fn of(tenant: &'static str, at: SocketAddr) -> Self {
         let stop = std::sync::Arc::new(AtomicBool::new(false));
         let ended = std::sync::Arc::clone(&stop);
+        let (first, served) = mpsc::sync_channel(1);
         let thread = std::thread::spawn(move || {
             let mut caller = Caller::new(at);
             let mut all = Vec::new();
             while !ended.load(Ordering::Acquire) {
                 let sent = Instant::now();
-                all.push((sent, code(&mut caller, Some(tenant), "echo").0));
+                let how = code(&mut caller, Some(tenant), "echo").0;
+                if how == Code::Ok {
+                    // Only the first finds room; whoever waits needs no more.
+                    let _ = first.try_send(());
+                }
+                all.push((sent, how));
             }
             all
         });
-        Self { stop, thread: Some(thread) }
+        Self { stop, served, thread: Some(thread) }
+    }
+
+    /// Waits until a call was served.
+    fn wait_until_served(&self) {
+        self.served.recv_timeout(SERVED_WITHIN).expect("a call is served");
     }
 
     fn end(mut self) -> Vec<(Instant, Code)> {
@@ -79,6 +95,7 @@
         }
         // The first hears all; two stand behind.
         let calls: Vec<Calls> = followers.iter().map(|p| Calls::of(tenant, p.address)).collect();
+        calls.iter().for_each(Calls::wait_until_served);
         links[1].set(does);
         links[2].set(does);
         let asked = Instant::now();
