node: rules as invariants checked at run time; why requests and connections end, counted

crates/node/src/guard.rs holds the invariants of sending, repeating, answering, closing and ending; what would break one is not done, is counted by kind and logged with its ids. reasons.rs counts ends, repeats and closes by reason; the log tells them with ids. AttemptHistory takes the place of RepeatWindow and knows of all classes whether an attempt is out and may have run.

A client's connection that was to make room is no longer closed while the system has not taken its answers.

--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -398,6 +398,11 @@
         self.get(key).map_or(0, |c| c.written)
     }
 
+    /// Bytes queued there that the system has not taken.
+    pub fn unsent(&self, key: TcpKey) -> usize {
+        self.get(key).map_or(0, |conn| conn.output.len())
+    }
+
     /// Bytes queued for accepted connections that the system has not taken.
     pub fn unsent_to_peers(&self) -> usize {
         self.conns.iter().filter(|(_, c)| c.accepted).map(|(_, c)| c.output.len()).sum()
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -20,8 +20,10 @@
 use closing::gone;
 use room::Yields;
 
+use crate::guard::may_close;
 use crate::limits::*;
-use crate::repeat::RepeatWindow;
+use crate::reasons::{CloseReason, EndReason, RepeatReason};
+use crate::repeat::AttemptHistory;
 
 /// A sound request, to be opened.
 pub struct Incoming {
@@ -72,8 +74,10 @@
     pub function: Arc<str>,
     /// The key by which invokers drop repeats.
     pub key: Option<Arc<str>>,
-    /// Its attempts, as far as its repeat window goes.
-    pub repeats: RepeatWindow,
+    /// Its attempts.
+    pub attempts: AttemptHistory,
+    /// How the newest attempt that has ended did so.
+    pub last_end: Option<RepeatReason>,
 }
 
 struct Client {
@@ -154,16 +158,10 @@
         if full || self.clients.len() >= self.bounds.idle_clients {
             count.over_clients += u64::from(full);
             match self.makes_room(tcp, if full { Yields::Within } else { Yields::Stopped }) {
-                Some(old) => {
-                    if let Some(client) = self.clients.remove(&old) {
-                        let (yields, since) = client.yields(now);
-                        debug!(conn = ?old, ?yields, age = ?now - since, "a connection makes room");
-                    }
-                    count.made_room += 1;
-                    tcp.close(old);
-                }
+                Some(old) => self.give_room(tcp, old, count),
                 None if full => {
                     count.no_room += 1;
+                    count.reasons.closed(CloseReason::NoRoom);
                     return tcp.close(key);
                 }
                 None => {}
@@ -187,11 +185,26 @@
         tcp.alarm(key, Some(now + FIRST_FRAME));
     }
 
+    /// Closes a connection for a new one, unless an answer would be lost with it.
+    fn give_room(&mut self, tcp: &mut Tcp, key: TcpKey, count: &mut Counters) {
+        let Some(client) = self.clients.get(&key) else { return };
+        if let Err(violation) = may_close(client.streams.len(), tcp.unsent(key)) {
+            return count.violations.report(violation, &key);
+        }
+        let now = Instant::now();
+        let (yields, since) = client.yields(now);
+        debug!(conn = ?key, ?yields, age = ?now - since, "a connection makes room");
+        self.clients.remove(&key);
+        count.made_room += 1;
+        count.reasons.closed(CloseReason::Room);
+        tcp.close(key);
+    }
+
     /// Bytes came from a client.
     pub fn data(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>, count: &mut Counters) {
         // Its end stands behind bytes that take more than one turn to read: it has left all the same.
         if tcp.ending(key) {
-            self.leave(tcp, key, events);
+            self.leave(tcp, key, events, count);
         }
         loop {
             let Some(client) = self.clients.get_mut(&key) else { return };
@@ -246,7 +259,7 @@
                         if let Some(client) = self.clients.get_mut(&key) {
                             client.faults = 0;
                             if client.ending {
-                                return self.never_opened(tcp, key, stream, request.mark);
+                                return self.never_opened(tcp, key, stream, request.mark, count);
                             }
                         }
                         events.push(ClientEvent::Request(request));
@@ -359,7 +372,8 @@
             class,
             function: Arc::clone(&function),
             key: request.dedupe.map(Arc::from),
-            repeats: RepeatWindow::default(),
+            attempts: AttemptHistory::default(),
+            last_end: None,
         };
         self.calls.insert(mark, call);
         if let Some(client) = self.clients.get_mut(&key) {
@@ -395,6 +409,16 @@
         }
     }
 
+    /// Does a client still wait for this call's answer?
+    pub fn awaits(&self, id: CallId) -> bool {
+        self.marks.contains_key(&id)
+    }
+
+    /// The call of a mark, while its client waits.
+    pub fn call_of(&self, mark: u64) -> Option<&Call> {
+        self.calls.get(&mark)
+    }
+
     /// What a link must know of a call.
     pub fn call(&mut self, id: CallId) -> Option<&mut Call> {
         self.calls.get_mut(self.marks.get(&id)?)
@@ -402,8 +426,14 @@
 
     /// A call has its final answer.
     pub fn end(&mut self, tcp: &mut Tcp, mark: u64, end: &End, count: &mut Counters) {
+        self.end_because(tcp, mark, end, EndReason::of(end), count);
+    }
+
+    /// The same, with a reason that the answer does not tell.
+    pub fn end_because(&mut self, tcp: &mut Tcp, mark: u64, end: &End, why: EndReason, count: &mut Counters) {
         let Some(call) = self.calls.get(&mark) else { return };
         let (key, stream, name) = (call.conn, call.stream, Arc::clone(&call.name));
+        let may_have_run = call.attempts.may_have_run();
         self.close_call(mark);
         let mut over = false;
         if let Some(client) = self.clients.get_mut(&key) {
@@ -411,7 +441,8 @@
             client.quiet = Instant::now();
             over = client.closing && client.streams.is_empty();
         }
-        debug!(conn = ?key, stream, id = %name, served = matches!(end, End::Served { .. }), "ended");
+        count.reasons.ended(why);
+        debug!(conn = ?key, stream, id = %name, ?why, may_have_run, "ended");
         match end {
             End::Served { last } => {
                 let body = last.as_deref().unwrap_or_default();
--- a/crates/node/src/front/closing.rs
+++ b/crates/node/src/front/closing.rs
@@ -9,6 +9,7 @@
 
 use super::{ClientEvent, Front};
 use crate::limits::*;
+use crate::reasons::{CloseReason, EndReason};
 
 impl Front {
     /// Counts what a connection sent amiss, and closes it when it goes on.
@@ -38,18 +39,29 @@
         count.closed_for_faults += 1;
         debug!(why, "a client's connection is closed");
         self.say(tcp, key, 0, Code::Failed, why.as_bytes());
-        self.ended(tcp, key, events);
+        self.ended(tcp, key, CloseReason::Faults, events, count);
     }
 
     /// Nothing more comes from a client, or nothing more is read: it can't withdraw any more, and has most likely
     /// left. So what is open there has its final answer at once, which is never wrong, and nothing of it is sent
     /// on; the connection closes after the last answer.
-    pub fn ended(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>) {
+    pub fn ended(
+        &mut self,
+        tcp: &mut Tcp,
+        key: TcpKey,
+        why: CloseReason,
+        events: &mut Vec<ClientEvent>,
+        count: &mut Counters,
+    ) {
         let Some(client) = self.clients.get_mut(&key) else { return };
+        if !client.closing {
+            debug!(conn = ?key, ?why, open = client.streams.len(), "a client's connection is closed");
+            count.reasons.closed(why);
+        }
         client.closing = true;
         client.began = None;
         tcp.alarm(key, None);
-        self.leave(tcp, key, events);
+        self.leave(tcp, key, events, count);
         if self.clients.get(&key).is_some_and(|client| client.streams.is_empty()) {
             self.clients.remove(&key);
             tcp.finish(key);
@@ -57,21 +69,36 @@
     }
 
     /// A client has left: what is open on its connection gets its final answer at once.
-    pub(super) fn leave(&mut self, tcp: &mut Tcp, key: TcpKey, events: &mut Vec<ClientEvent>) {
+    pub(super) fn leave(
+        &mut self,
+        tcp: &mut Tcp,
+        key: TcpKey,
+        events: &mut Vec<ClientEvent>,
+        count: &mut Counters,
+    ) {
         let Some(client) = self.clients.get_mut(&key).filter(|client| !client.ending) else { return };
         client.ending = true;
         debug!(conn = ?key, open = client.streams.len(), "a client's connection is ending");
         for (stream, mark) in client.streams.clone() {
             match self.calls.get(&mark).and_then(|call| call.call) {
                 Some(call) => events.push(ClientEvent::Left(Left { call, answered: true })),
-                None => self.never_opened(tcp, key, stream, mark),
+                None => self.never_opened(tcp, key, stream, mark, count),
             }
         }
     }
 
     /// The answer of a request that was not opened, and so never is.
-    pub(super) fn never_opened(&mut self, tcp: &mut Tcp, key: TcpKey, stream: u32, mark: u64) {
+    pub(super) fn never_opened(
+        &mut self,
+        tcp: &mut Tcp,
+        key: TcpKey,
+        stream: u32,
+        mark: u64,
+        count: &mut Counters,
+    ) {
         self.close_call(mark);
+        count.reasons.ended(EndReason::ClientEnded);
+        debug!(conn = ?key, stream, why = ?EndReason::ClientEnded, "ended");
         if let Some(client) = self.clients.get_mut(&key) {
             client.streams.remove(&stream);
         }
@@ -79,9 +106,12 @@
     }
 
     /// A client's connection is gone.
-    pub fn closed(&mut self, key: TcpKey, events: &mut Vec<ClientEvent>) {
+    pub fn closed(&mut self, key: TcpKey, events: &mut Vec<ClientEvent>, count: &mut Counters) {
         let Some(client) = self.clients.remove(&key) else { return };
         debug!(conn = ?key, open = client.streams.len(), "a client's connection broke");
+        if !client.closing {
+            count.reasons.closed(CloseReason::Broken);
+        }
         for mark in client.streams.into_values() {
             events.extend(self.close_call(mark).map(gone));
         }
@@ -113,10 +143,10 @@
         } else if slow || silent {
             count.closed_for_silence += 1;
             self.say(tcp, key, 0, Code::Failed, b"nothing whole came in time");
-            self.ended(tcp, key, events);
+            self.ended(tcp, key, CloseReason::Silent, events, count);
         } else {
             count.closed_idle += 1;
-            self.ended(tcp, key, events);
+            self.ended(tcp, key, CloseReason::Idle, events, count);
         }
     }
 
--- a/crates/node/src/front/tests.rs
+++ b/crates/node/src/front/tests.rs
@@ -54,7 +54,7 @@
                 TcpEvent::Alarm(key) => {
                     self.front.alarm(&mut self.tcp, key, &mut self.events, &mut self.count);
                 }
-                TcpEvent::Closed(key, _) => self.front.closed(key, &mut self.events),
+                TcpEvent::Closed(key, _) => self.front.closed(key, &mut self.events, &mut self.count),
                 _ => {}
             }
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,8 @@
 //! decisions. One thread, one poll.
 //!
 //! * [`node`]: the loop and the wiring. [`front`]: towards clients. [`links`]: towards invokers.
-//! * [`repeat`]: until when a repeat may leave.
+//! * [`guard`]: the rules as invariants, checked at run time. [`repeat`]: the attempts of one request.
+//! * [`reasons`]: why requests and connections ended, counted.
 //! * [`directory`]: asks for the list of invokers. [`limits`]: every bound, and its counter.
 
 #![forbid(unsafe_code)]
@@ -12,9 +13,11 @@
 
 pub mod directory;
 pub mod front;
+pub mod guard;
 pub mod limits;
 pub mod links;
 pub mod node;
+pub mod reasons;
 pub mod repeat;
 
 pub use node::{Node, NodeError};
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -4,6 +4,9 @@
 
 use nettleferry_platform::config;
 
+use crate::guard::Violations;
+use crate::reasons::Reasons;
+
 /// A connection on which nothing that can be used came within this span of its coming is closed: the platform
 /// owes such a client an answer or a close within 3 s.
 pub const FIRST_FRAME: Duration = Duration::from_millis(2_000);
@@ -155,4 +158,8 @@
     pub old_lists: u64,
     /// Requests that came so long after SIGTERM that they were refused at once.
     pub after_end: u64,
+    /// Why requests ended, were sent again, and connections were closed.
+    pub reasons: Reasons,
+    /// Invariants that were about to be broken: see [`crate::guard`].
+    pub violations: Violations,
 }
--- a/crates/node/src/links/command.rs
+++ b/crates/node/src/links/command.rs
@@ -4,9 +4,12 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use nettleferry_engine::AttemptId;
+use nettleferry_engine::{AttemptId, CallId};
 use nettleferry_platform::resp;
 
+use super::link::Owed;
+use crate::guard::Leaving;
+
 /// What an attempt sends.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -37,6 +40,14 @@
     }
 }
 
+/// A command to a worker, whose answer is awaited.
+pub(super) struct Outbound {
+    /// Its id on the wire.
+    pub(super) tag: String,
+    pub(super) owed: Owed,
+    pub(super) command: Outgoing,
+}
+
 /// A command as it is to leave: how long we wait is told as of the moment in which it leaves.
 pub(super) enum Outgoing {
     Call(Attempt),
@@ -53,6 +64,13 @@
         }
     }
 
+    /// A request that is handed on now, to a worker that takes something new or not.
+    pub(super) fn leaving(&self, awaited: impl Fn(CallId) -> bool, in_service: bool) -> Option<Leaving> {
+        let Self::Call(call) = self else { return None };
+        let awaited = awaited(call.id.call);
+        Some(Leaving { awaited, in_service, until: call.until, leave_by: call.leave_by })
+    }
+
     /// Its time is over, or a repeat of it would not be dropped any more.
     pub(super) fn late(&self, now: Instant) -> bool {
         let over = |call: &Attempt| call.until <= now || call.leave_by.is_some_and(|by| by <= now);
--- a/crates/node/src/links/commands.rs
+++ b/crates/node/src/links/commands.rs
@@ -4,14 +4,15 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use nettleferry::WorkerId;
-use nettleferry_engine::{AttemptId, Ended, ErrandId, Event};
+use nettleferry_engine::{AttemptId, CallId, Ended, ErrandId, Event};
 use nettleferry_net::tcp::{Tcp, TcpKey};
 use nettleferry_platform::resp;
 use tracing::debug;
 
 use super::Links;
-use super::command::{Attempt, Outgoing};
+use super::command::{Attempt, Outbound, Outgoing};
 use super::link::{Item, NOWHERE, Owed};
+use crate::guard::Violation;
 use crate::limits::Counters;
 
 impl Links {
@@ -26,7 +27,8 @@
     ) {
         let (owed, tag) = (Owed::Attempt(attempt.id), Arc::clone(&attempt.name));
         let link = self.choose(tcp, worker, &tag, count);
-        self.begin(tcp, link, &tag, owed, Outgoing::Call(attempt), out);
+        let outbound = Outbound { tag: tag.to_string(), owed, command: Outgoing::Call(attempt) };
+        self.begin(tcp, link, outbound, out, count);
     }
 
     /// Sends an order to load.
@@ -43,7 +45,8 @@
         let mut bytes = Vec::new();
         resp::load(&mut bytes, &tag, asset, instances);
         let link = self.choose(tcp, worker, &tag, count);
-        self.begin(tcp, link, &tag, Owed::Order(errand), Outgoing::Other(bytes), out);
+        let outbound = Outbound { tag, owed: Owed::Order(errand), command: Outgoing::Other(bytes) };
+        self.begin(tcp, link, outbound, out, count);
     }
 
     /// Sends word to unload; nothing comes back.
@@ -70,7 +73,8 @@
         let mut bytes = Vec::new();
         resp::probe(&mut bytes, &tag, self.reports);
         let link = self.choose_for_probe(tcp, worker, &tag, count);
-        self.begin(tcp, link, &tag, Owed::Probe(errand), Outgoing::Other(bytes), out);
+        let outbound = Outbound { tag, owed: Owed::Probe(errand), command: Outgoing::Other(bytes) };
+        self.begin(tcp, link, outbound, out, count);
     }
 
     /// Begins what is owed on the connection that was chosen, or tells why there is none.
@@ -78,15 +82,23 @@
         &mut self,
         tcp: &mut Tcp,
         link: Result<TcpKey, Ended>,
-        tag: &str,
-        owed: Owed,
-        command: Outgoing,
+        outbound: Outbound,
         out: &mut Vec<Event>,
+        count: &mut Counters,
     ) {
+        let Outbound { tag, owed, command } = outbound;
         let key = match link {
             Ok(key) => key,
             Err(how) => return out.push(owed.ended(how)),
         };
+        // What waits for its connection is checked when that has come about. Here its client waits: it asks in this step.
+        let up = self.links.get(&key).is_some_and(|link| link.up);
+        if let Err(violation) = self.may_leave(key, &command, |_| true)
+            && up
+        {
+            count.violations.report(violation, &tag);
+            return out.push(owed.ended(Ended::NotWritten));
+        }
         let Some(link) = self.links.get_mut(&key) else { return };
         debug!(worker = link.worker.0, tag, ?owed, ?key, "begun");
         link.idle_since = None;
@@ -98,21 +110,48 @@
             command.write(&mut self.buffer, now);
             Some(queue(tcp, key, &self.buffer))
         } else {
-            link.waiting.push_back((tag.to_owned(), command));
+            link.waiting.push_back((tag.clone(), command));
             None
         };
-        link.items.insert(tag.to_owned(), Item { owed, since: now, place });
-        self.owed.insert(owed, (key, tag.to_owned()));
+        link.items.insert(tag.clone(), Item { owed, since: now, place });
+        self.owed.insert(owed, (key, tag));
     }
 
-    /// A connection came about: what waited for it leaves, but for what has no time left.
-    pub fn connected(&mut self, tcp: &mut Tcp, key: TcpKey, out: &mut Vec<Event>) {
+    /// Holds a request that is handed on now against the invariants of sending.
+    fn may_leave(
+        &self,
+        key: TcpKey,
+        command: &Outgoing,
+        awaited: impl Fn(CallId) -> bool,
+    ) -> Result<(), Violation> {
+        let worker = self.links.get(&key).and_then(|link| self.workers.get(&link.worker));
+        let in_service = worker.and_then(|worker| worker.listed).is_some_and(|listed| listed.on);
+        command.leaving(awaited, in_service).map_or(Ok(()), |leaving| leaving.check(Instant::now()))
+    }
+
+    /// A connection came about: what waited for it leaves, but for what has no time left. `awaited`: does a client wait
+    /// for this call?
+    pub fn connected(
+        &mut self,
+        tcp: &mut Tcp,
+        key: TcpKey,
+        awaited: impl Fn(CallId) -> bool,
+        out: &mut Vec<Event>,
+        count: &mut Counters,
+    ) {
         let Some(link) = self.links.get_mut(&key) else { return };
         let (now, clock) = (Instant::now(), SystemTime::now().duration_since(UNIX_EPOCH));
         link.up = true;
         link.since_ms = clock.map_or(0, |since| since.as_millis() as u64);
         for (tag, command) in std::mem::take(&mut link.waiting) {
-            if command.late(now) {
+            let allowed = self.may_leave(key, &command, &awaited);
+            let Some(link) = self.links.get_mut(&key) else { return };
+            if command.late(now) || allowed.is_err() {
+                if let Err(violation) = allowed
+                    && !command.late(now)
+                {
+                    count.violations.report(violation, &tag);
+                }
                 if let Some(item) = link.items.remove(&tag) {
                     self.owed.remove(&item.owed);
                     out.push(item.owed.ended(Ended::NotWritten));
--- a/crates/node/src/links/tests.rs
+++ b/crates/node/src/links/tests.rs
@@ -64,7 +64,8 @@
         self.tcp.turn(Some(Duration::from_millis(1)), &mut events).expect("a poll");
         for event in events {
             if let TcpEvent::Connected(key) = event {
-                self.links.connected(&mut self.tcp, key, &mut self.told);
+                let count = &mut self.count;
+                self.links.connected(&mut self.tcp, key, |_| true, &mut self.told, count);
                 self.sockets.push(self.peer.accept().expect("connected").0);
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,9 @@
 
 use mio::Interest;
 use nettleferry::{Effect, ListForm, Reports, WorkerState};
-use nettleferry_engine::{Command, End, Ended, Engine, EngineLimits, Event, Member, News, Open, Refusal};
+use nettleferry_engine::{
+    Cause, Command, End, Ended, Engine, EngineLimits, Event, Member, News, Open, Refusal,
+};
 use nettleferry_net::clock::Clock;
 use nettleferry_net::tcp::{Gone, Tcp, TcpCounters, TcpEvent, TcpKey, TcpLimits};
 use nettleferry_platform::config::{Config, ConfigError};
@@ -19,14 +21,16 @@
 use nettleferry_settings::SettingsFault;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::directory::DiscoveryClient;
 use crate::front::{ClientEvent, Front, Incoming};
+use crate::guard::{self, Sending, Violation};
 use crate::limits::{
     ACCEPTED_A_TURN, Bounds, Counters, LAST_REQUESTS, LOOK_EVERY, OPENED_A_TURN, until_kill,
 };
 use crate::links::{Attempt, Endpoint, Links};
+use crate::reasons::{CloseReason, EndReason, RepeatReason};
 
 /// Why a node could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -91,6 +95,7 @@
 #[derive(Clone)]
 struct ClassTerms {
     name: Arc<str>,
+    effect: Effect,
     /// For how long invokers drop repeats, where it is keyed.
     window: Option<Duration>,
 }
@@ -101,7 +106,7 @@
             Effect::Keyed { window, .. } => Some(Duration::from_micros(window)),
             _ => None,
         };
-        Self { name: Arc::from(name), window }
+        Self { name: Arc::from(name), effect: class.effect, window }
     }
 }
 
@@ -237,6 +242,10 @@
         while !self.done() {
             self.turn(None)?;
         }
+        let open = self.engine.open_calls() + self.requests.len();
+        if open > 0 {
+            self.count.violations.report(Violation::EndWithRequests, &open);
+        }
         self.figures();
         Ok(())
     }
@@ -332,8 +341,10 @@
             TcpEvent::Accepted(key) => self.front.accepted(tcp, key, count),
             TcpEvent::Data(key) if client => self.front.data(tcp, key, events, count),
             TcpEvent::Alarm(key) if client => self.front.alarm(tcp, key, events, count),
-            TcpEvent::Ended(key) if client => self.front.ended(tcp, key, events),
-            TcpEvent::Closed(key, _) if client => self.front.closed(key, events),
+            TcpEvent::Ended(key) if client => {
+                self.front.ended(tcp, key, CloseReason::ClientEnded, events, count);
+            }
+            TcpEvent::Closed(key, _) if client => self.front.closed(key, events, count),
             TcpEvent::Connected(key) => turn.connected.push(key),
             TcpEvent::Data(key) => self.links.data(tcp, key, told, count),
             TcpEvent::Alarm(key) => self.links.alarm(tcp, key, told, count),
@@ -367,7 +378,8 @@
         }
         self.work();
         for key in turn.connected {
-            self.links.connected(&mut self.tcp, key, &mut self.told);
+            let awaited = |call| self.front.awaits(call);
+            self.links.connected(&mut self.tcp, key, awaited, &mut self.told, &mut self.count);
             self.work();
         }
         if self.requests.is_empty() {
@@ -391,10 +403,10 @@
         while !self.told.is_empty() {
             for event in std::mem::take(&mut self.told) {
                 if let Event::Ended { attempt, how, .. } = &event
-                    && how.never_ran()
                     && let Some(call) = self.front.call(attempt.call)
                 {
-                    call.repeats.never_ran();
+                    call.attempts.ended(how.never_ran());
+                    call.last_end = Some(RepeatReason::of(how));
                 }
                 self.tell(event);
             }
@@ -411,7 +423,8 @@
         let left = self.until_end(request.left.saturating_sub(waited));
         if left == 0 {
             // It could not be answered after it was tried: a try elsewhere does no harm.
-            return self.front.end(&mut self.tcp, mark, &NO_TIME, &mut self.count);
+            let why = EndReason::NoTime;
+            return self.front.end_because(&mut self.tcp, mark, &NO_TIME, why, &mut self.count);
         }
         let open = Open {
             front: mark,
@@ -460,6 +473,21 @@
                         self.told.push(Event::Ended { attempt, how, news: News::default() });
                         continue;
                     };
+                    let sending = Sending {
+                        out: call.attempts.is_out(),
+                        may_have_run: call.attempts.may_have_run(),
+                        effect: class.effect,
+                    };
+                    if let Err(violation) = sending.check() {
+                        count.violations.report(violation, &call.name);
+                        let how = Ended::Cancelled;
+                        self.told.push(Event::Ended { attempt, how, news: News::default() });
+                        continue;
+                    }
+                    if let Some(after) = call.last_end {
+                        count.reasons.repeated(after);
+                        debug!(id = %call.name, attempt = attempt.number, ?after, "sent again");
+                    }
                     let now = Instant::now();
                     let begin = Attempt {
                         id: attempt,
@@ -468,15 +496,24 @@
                         asset: Arc::clone(&call.function),
                         key: call.key.clone(),
                         until: now + Duration::from_micros(left),
-                        leave_by: class.window.and_then(|window| call.repeats.begin(now, window)),
+                        leave_by: call.attempts.begin(now, class.window),
                         body,
                     };
                     self.links.start(tcp, worker, begin, &mut self.told, count);
                 }
                 Command::Abandon { attempt } => self.links.abandon(tcp, attempt),
                 Command::Unwanted { errand } => self.links.unwanted(tcp, errand, &mut self.told),
-                Command::Withdraw { attempt } => self.links.withdraw(tcp, attempt, &mut self.told, count),
-                Command::End { front, end, .. } => self.front.end(tcp, front, &end, count),
+                Command::Withdraw { attempt } => {
+                    if let Some(call) = self.front.call(attempt.call) {
+                        call.attempts.ended(false);
+                        call.last_end = Some(RepeatReason::Withdrawn);
+                    }
+                    self.links.withdraw(tcp, attempt, &mut self.told, count);
+                }
+                Command::End { front, end, .. } => {
+                    let end = checked_end(&self.front, &self.classes, front, end, count);
+                    self.front.end(tcp, front, &end, count);
+                }
                 Command::Load { errand, worker, model, copies, .. } => {
                     self.links.load(tcp, worker, errand, (&model, copies), &mut self.told, count);
                 }
@@ -567,6 +604,24 @@
     }
 }
 
+/// The final answer of a request: one that may have run, and may run once, is never refused.
+fn checked_end(front: &Front, classes: &[ClassTerms], mark: u64, end: End, count: &mut Counters) -> End {
+    let Some(call) = front.call_of(mark) else {
+        count.violations.report(Violation::AnswerForNobody, &mark);
+        return end;
+    };
+    let effect = classes.get(call.class.0).map_or(Effect::Unsafe, |class| class.effect);
+    let refused = matches!(end, End::Refused { .. });
+    match guard::may_refuse(call.attempts.may_have_run(), effect) {
+        Err(violation) if refused => {
+            count.violations.report(violation, &call.name);
+            let message = "nothing is promised: the call may have run".to_owned();
+            End::Failed { cause: Cause::Aborted, message }
+        }
+        _ => end,
+    }
+}
+
 fn accepted(event: &TcpEvent) -> Option<TcpKey> {
     if let TcpEvent::Accepted(key) = event { Some(*key) } else { None }
 }
