--- a/crates/gateway/src/commands/mod.rs
+++ b/crates/gateway/src/commands/mod.rs
@@ -1,4 +1,4 @@
-//! The command line. Exit codes: 0 done; 1 a rule broke (`day`), a bound broke (`scale`), the call was not served
+//! The command line. Exit codes: 0 done; 1 a rule broke (`day`, `soak`), a bound broke (`scale`), the call was not served
 //! (`call`), or alert rules have findings (`alerts`); 2 the
 //! command line is wrong; 3 a file can't be read or is not sound; 4 the system refused something (an address,
 //! a thread, a process); 130 stopped at once by a second signal or with calls still open.
@@ -16,6 +16,7 @@
 mod scale;
 mod serve;
 mod simulate;
+mod soak;
 mod top;
 mod worker;
 
@@ -68,6 +69,8 @@
     Top(top::Top),
     /// Measure how cost grows with the size of the fleet, and judge it by the bounds of a file
     Scale(scale::Scale),
+    /// Play controllers on the platform under overlapping troubles, and judge them by invariants
+    Soak(soak::Soak),
     /// Run one stand-in worker
     Worker(worker::WorkerCommand),
     #[command(hide = true)]
@@ -121,6 +124,9 @@
         /// Why it ended.
         error: nettleferry_scale::measure::MeasureError,
     },
+    /// A soak run could not be played.
+    #[error("{0}")]
+    Soak(String),
     /// Words that clap can't judge.
     #[error("{0}")]
     Usage(String),
@@ -133,7 +139,9 @@
             Self::Usage(_) => 2,
             Self::Read { .. } | Self::Unsound(_) | Self::File(_) => 3,
             Self::Controller(ControllerError::Settings(_)) => 3,
-            Self::Controller(_) | Self::System { .. } | Self::Day(_) | Self::Scale { .. } => 4,
+            Self::Controller(_) | Self::System { .. } | Self::Day(_) | Self::Scale { .. } | Self::Soak(_) => {
+                4
+            }
             Self::Node(error) => node::code(error),
             Self::Api(_) => 1,
         }
@@ -160,6 +168,7 @@
         Command::Top(top) => top.run(),
         Command::Alerts(alerts) => alerts.run(),
         Command::Scale(scale) => scale.run(),
+        Command::Soak(soak) => soak.run(),
         Command::Worker(worker) => worker.run(),
         Command::Hollow(hollow) => hollow.run(),
     }
--- /dev/null
+++ b/crates/gateway/src/commands/soak.rs
@@ -0,0 +1,91 @@
+//! `soak`: controller processes on loopback under overlapping troubles, judged by invariants at the sockets.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Args;
+use clap::builder::TypedValueParser;
+use nettleferry_soak::{Plan, Report, Size, play};
+
+use super::CommandError;
+
+/// Play controllers on the platform under troubles that overlap, over seeds, and judge them by invariants.
+#[derive(Args)]
+pub struct Soak {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many seeds, one after another
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Controllers: one process each
+    #[arg(long, default_value_t = Size::USUAL.controllers, value_parser = clap::value_parser!(u16).range(1..=100).map(usize::from))]
+    controllers: usize,
+    /// Workers
+    #[arg(long, default_value_t = Size::USUAL.workers, value_parser = clap::value_parser!(u16).range(1..=50).map(usize::from))]
+    workers: usize,
+    /// Clients of each controller
+    #[arg(long, default_value_t = Size::USUAL.clients, value_parser = clap::value_parser!(u16).range(1..=16).map(usize::from))]
+    clients: usize,
+    /// Seconds in which clients ask
+    #[arg(long, default_value_t = Size::USUAL.span.as_secs(), value_parser = clap::value_parser!(u64).range(4..=600))]
+    seconds: u64,
+    /// System calls of controllers fail as Linux documents; needs a C compiler
+    #[arg(long)]
+    faults: bool,
+    /// A folder that keeps configurations and logs; by default none are kept
+    #[arg(long)]
+    keep: Option<PathBuf>,
+    /// The program of the controllers; by default this one
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+/// Findings of one seed that are printed; the rest are counted.
+const PRINTED: usize = 40;
+
+impl Soak {
+    pub fn run(self) -> Result<u8, CommandError> {
+        let size = Size {
+            controllers: self.controllers,
+            workers: self.workers,
+            clients: self.clients,
+            span: Duration::from_secs(self.seconds),
+        };
+        let program = match &self.program {
+            Some(program) => program.clone(),
+            None => std::env::current_exe().map_err(CommandError::system("this program"))?,
+        };
+        let mut broken = 0;
+        for seed in self.seed..self.seed.saturating_add(self.seeds) {
+            let held = tempfile::tempdir().map_err(CommandError::system("a folder"))?;
+            let dir = match &self.keep {
+                Some(keep) => keep.join(seed.to_string()),
+                None => held.path().to_owned(),
+            };
+            std::fs::create_dir_all(&dir).map_err(CommandError::system("a folder"))?;
+            let plan = Plan::draw(seed, size, self.faults);
+            let report = play(plan, &program, &dir).map_err(|error| CommandError::Soak(error.to_string()))?;
+            print(&report);
+            broken += usize::from(!report.findings.is_empty());
+        }
+        println!("{} seeds, {broken} with a broken invariant", self.seeds);
+        Ok(u8::from(broken > 0))
+    }
+}
+
+fn print(report: &Report) {
+    let ends: Vec<_> = report.ends.iter().map(|(kind, count)| format!("{kind} {count}")).collect();
+    println!(
+        "seed {}: {} broken; {} troubles, {} attempts; {}; the test ran late by {:?} at the most",
+        report.seed,
+        report.findings.len(),
+        report.troubles,
+        report.attempts,
+        ends.join(", "),
+        report.lag,
+    );
+    for finding in report.findings.iter().take(PRINTED) {
+        println!("  {finding}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/faults.rs
@@ -0,0 +1,132 @@
+//! A controller on the platform whose system calls fail in ways that Linux documents: short reads, interrupted calls,
+//! connects and starts that fail for a moment, a log that nobody reads. The faults come from the soak test's library.
+
+#[path = "../../node/tests/common/mod.rs"]
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use common::{Client, Directory, Does, Invoker, SERVED, Told, config};
+use nettleferry_soak::shim::{self, Faults};
+
+/// A process under faults; ends with the test, whatever comes.
+struct Node {
+    child: Child,
+    said: BufReader<ChildStdout>,
+    _dir: tempfile::TempDir,
+    _directory: Directory,
+}
+
+impl Node {
+    fn start(invoker: &Invoker, faults: Faults, change: impl FnOnce(&mut serde_json::Value)) -> Self {
+        let dir = tempfile::tempdir().expect("a folder");
+        let library = shim::compile(dir.path()).expect("a C compiler");
+        let listed = vec![("s-0".to_owned(), invoker.address, false)];
+        let directory = Directory::start(listed.clone());
+        let mut told = config(directory.address, &listed);
+        change(&mut told);
+        let path = dir.path().join("config.json");
+        std::fs::write(&path, told.to_string()).expect("written");
+        let mut node = Command::new(env!("CARGO_BIN_EXE_nettleferry"));
+        node.arg("node").env("PROXY_CONFIG", &path).env_remove("RUST_LOG");
+        node.envs(faults.environment(&library, 1))
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null());
+        let mut child = node.spawn().expect("the program is there");
+        let said = BufReader::new(child.stdout.take().expect("piped"));
+        Self { child, said, _dir: dir, _directory: directory }
+    }
+
+    /// A client of it, as soon as it listens.
+    fn client(&mut self) -> Client {
+        let mut line = String::new();
+        self.said.read_line(&mut line).expect("text");
+        let address = line.trim_end().strip_prefix("listening frames ").expect("it listens");
+        Client::connect(address.parse().expect("an address"))
+    }
+
+    /// Stops it, and gives once the system says that it has.
+    fn stop(&self) {
+        self.signal("STOP");
+        let stat = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("ours");
+        while !stat().rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T')) {
+            std::thread::yield_now();
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(done.expect("kill runs").success());
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// One that holds every function.
+fn invoker() -> Invoker {
+    Invoker::start(|told: &Told| match told.word() {
+        "CALL" => Does::Says("served", "n=w", told.parts[3].clone()),
+        "LOAD" => Does::Says("served", "instances=1", vec![]),
+        _ => Does::Says("green", "-", vec![]),
+    })
+}
+
+#[test]
+fn reads_that_take_less_than_there_is_leave_no_request_unanswered() {
+    let invoker = invoker();
+    let mut node = Node::start(&invoker, Faults { short: 1_000, ..Faults::default() }, |_| ());
+    let mut client = node.client();
+    for id in 1..6 {
+        let body = vec![7; 3_000];
+        let stream = client.ask("safe", id, id, &body);
+        assert_eq!(client.answer(stream), (SERVED, body));
+    }
+}
+
+/// How long a process is stopped: more than the slack on a deadline.
+const STOPPED: Duration = Duration::from_millis(400);
+/// A worker may be told so much more time than the client has left.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// What a client of these tests waits.
+const TTL: Duration = Duration::from_millis(3_000);
+
+#[test]
+fn what_came_while_the_process_was_stopped_in_its_wait_has_less_time_left() {
+    let told = Arc::new(Mutex::new(Vec::new()));
+    let patience = Arc::clone(&told);
+    let invoker = Invoker::start(move |told: &Told| match told.word() {
+        "CALL" => {
+            let fields = String::from_utf8_lossy(&told.parts[2]).into_owned();
+            patience.lock().expect("no panic holds it").push(fields);
+            Does::Says("served", "n=w", told.parts[3].clone())
+        }
+        _ => Does::Says("green", "-", vec![]),
+    });
+    let mut node = Node::start(&invoker, Faults::default(), |_| ());
+    let mut client = node.client();
+    // Several times: the process must be stopped in its wait, where it is nearly always.
+    for id in 1..4 {
+        node.stop();
+        let stream = client.ask("safe", id, 1, b"ab");
+        let sent = Instant::now();
+        while sent.elapsed() < STOPPED {
+            std::thread::yield_now();
+        }
+        let waited = sent.elapsed();
+        node.signal("CONT");
+        assert_eq!(client.answer(stream), (SERVED, b"ab".to_vec()));
+        let fields = told.lock().expect("no panic holds it").last().cloned().expect("it was sent");
+        let patience = fields.split(',').find_map(|field| field.strip_prefix("patience=")).expect("told");
+        let patience = Duration::from_millis(patience.parse().expect("a number"));
+        assert!(patience + waited <= TTL + DEADLINE_SLACK, "told {patience:?}, {waited:?} had passed");
+    }
+}
--- /dev/null
+++ b/crates/soak/src/audit.rs
@@ -0,0 +1,267 @@
+//! What was seen at the sockets, by call: when it was asked, what was sent where, what ran, how it ended.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Time since the run began.
+pub type Moment = Duration;
+
+/// What a repeat of a call may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// It may run any number of times.
+    Safe,
+    /// It may run once.
+    Once,
+}
+
+impl Class {
+    /// Its name in the settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Once => "once",
+        }
+    }
+}
+
+/// How a call ended at its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served with the body that was sent.
+    Served,
+    /// Served with another body.
+    Altered,
+    /// Refused: a new try does no harm.
+    Refused,
+    /// Failed: nothing is promised.
+    Failed,
+    /// Its connection ended without an answer.
+    Lost,
+    /// No answer came until half a second after its time.
+    Unanswered,
+    /// Its connection was closed while it rested, and the request crossed that close: its client sent it again.
+    Crossed,
+    /// The test killed its controller.
+    Killed,
+}
+
+/// One attempt, as it came to the proxy of a worker: nothing in between delays it.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The worker's number.
+    pub worker: usize,
+    /// When it had come whole.
+    pub came: Moment,
+    /// The time that the worker was told, milliseconds.
+    pub patience: u64,
+    /// When its answer was written, it was cancelled, or its connection ended.
+    pub over: Option<Moment>,
+    /// The worker ran it.
+    pub ran: bool,
+}
+
+/// A call as its client and the workers saw it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its class.
+    pub class: Class,
+    /// The number of its controller.
+    pub controller: usize,
+    /// When its last byte was handed to the system at the earliest, and at the latest.
+    pub sent: (Moment, Moment),
+    /// How long its client waits.
+    pub ttl: Duration,
+    /// When its client had cancelled it or closed its connection.
+    pub left: Option<Moment>,
+    /// How it ended, and when.
+    pub end: Option<(End, Moment)>,
+    /// Final answers that came.
+    pub answers: u32,
+    /// Its attempts.
+    pub attempts: Vec<Attempt>,
+}
+
+/// A worker in the list, from one event on.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Number of the event.
+    pub serial: u32,
+    /// The worker's number.
+    pub worker: usize,
+    /// It takes new calls.
+    pub in_service: bool,
+}
+
+#[derive(Default)]
+struct Book {
+    calls: BTreeMap<u64, Call>,
+    /// What no client asked for.
+    strangers: Vec<(u64, usize)>,
+    events: Vec<Listed>,
+    /// By controller and its life: when an answer that holds so many events was sent.
+    told: Vec<(usize, u32, Moment)>,
+    /// Starts of processes of workers.
+    starts: Vec<(usize, Moment)>,
+    /// Arrivals at workers, whatever became of them.
+    arrivals: Vec<(usize, Moment)>,
+    lag: Vec<(Moment, Duration)>,
+}
+
+/// What was seen so far.
+pub struct Audit {
+    began: Instant,
+    book: Mutex<Book>,
+}
+
+/// What was seen, once the run is over.
+pub struct Record {
+    /// Calls by id.
+    pub calls: BTreeMap<u64, Call>,
+    /// Ids that came to a worker and that no client had sent.
+    pub strangers: Vec<(u64, usize)>,
+    /// Changes of the list.
+    pub events: Vec<Listed>,
+    /// Controller, events told, when.
+    pub told: Vec<(usize, u32, Moment)>,
+    /// Starts of workers.
+    pub starts: Vec<(usize, Moment)>,
+    /// Arrivals at workers.
+    pub arrivals: Vec<(usize, Moment)>,
+    /// How late the test's own threads ran, by time.
+    pub lag: Vec<(Moment, Duration)>,
+}
+
+impl Default for Audit {
+    fn default() -> Self {
+        Self { began: Instant::now(), book: Mutex::default() }
+    }
+}
+
+impl Audit {
+    fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Now.
+    pub fn now(&self) -> Moment {
+        self.began.elapsed()
+    }
+
+    /// A client is about to send a call.
+    pub fn asked(&self, id: u64, class: Class, controller: usize, ttl: Duration) {
+        let now = self.now();
+        let call = Call {
+            class,
+            controller,
+            sent: (now, now),
+            ttl,
+            left: None,
+            end: None,
+            answers: 0,
+            attempts: Vec::new(),
+        };
+        self.book().calls.insert(id, call);
+    }
+
+    /// The last byte of a call is with the system.
+    pub fn sent(&self, id: u64) {
+        let now = self.now();
+        self.call(id, |call| call.sent.1 = now);
+    }
+
+    /// Its client cancelled it or closed its connection just now.
+    pub fn left(&self, id: u64) {
+        let now = self.now();
+        self.call(id, |call| call.left = Some(now));
+    }
+
+    /// Its final answer came, or none will.
+    pub fn ended(&self, id: u64, end: End) {
+        let now = self.now();
+        self.call(id, |call| {
+            let answer = matches!(end, End::Served | End::Altered | End::Refused | End::Failed);
+            call.answers += u32::from(answer);
+            call.end = call.end.or(Some((end, now)));
+        });
+    }
+
+    /// An attempt came whole to a worker's proxy.
+    pub fn came(&self, id: u64, worker: usize, patience: u64) {
+        let now = self.now();
+        let mut book = self.book();
+        book.arrivals.push((worker, now));
+        match book.calls.get_mut(&id) {
+            Some(call) => {
+                call.attempts.push(Attempt { worker, came: now, patience, over: None, ran: false });
+            }
+            None => book.strangers.push((id, worker)),
+        }
+    }
+
+    /// A worker runs a call.
+    pub fn ran(&self, id: u64, worker: usize) {
+        self.attempt(id, worker, |attempt| attempt.ran = true);
+    }
+
+    /// An attempt was answered, cancelled, or lost its connection.
+    pub fn over(&self, id: u64, worker: usize) {
+        let now = self.now();
+        self.attempt(id, worker, |attempt| attempt.over = attempt.over.or(Some(now)));
+    }
+
+    /// The list changed.
+    pub fn listed(&self, event: Listed) {
+        self.book().events.push(event);
+    }
+
+    /// A controller was sent an answer that holds all events up to `serial`.
+    pub fn told(&self, controller: usize, serial: u32) {
+        let now = self.now();
+        let mut book = self.book();
+        if !book.told.iter().any(|(who, what, _)| (*who, *what) == (controller, serial)) {
+            book.told.push((controller, serial, now));
+        }
+    }
+
+    /// A worker's process has just started.
+    pub fn started(&self, worker: usize) {
+        let now = self.now();
+        self.book().starts.push((worker, now));
+    }
+
+    /// The test itself ran late by so much.
+    pub fn late(&self, lag: Duration) {
+        let now = self.now();
+        self.book().lag.push((now, lag));
+    }
+
+    /// All that was seen.
+    pub fn record(&self) -> Record {
+        let book = std::mem::take(&mut *self.book());
+        Record {
+            calls: book.calls,
+            strangers: book.strangers,
+            events: book.events,
+            told: book.told,
+            starts: book.starts,
+            arrivals: book.arrivals,
+            lag: book.lag,
+        }
+    }
+
+    fn call(&self, id: u64, change: impl FnOnce(&mut Call)) {
+        if let Some(call) = self.book().calls.get_mut(&id) {
+            change(call);
+        }
+    }
+
+    fn attempt(&self, id: u64, worker: usize, change: impl FnOnce(&mut Attempt)) {
+        self.call(id, |call| {
+            if let Some(attempt) = call.attempts.iter_mut().rev().find(|attempt| attempt.worker == worker) {
+                change(attempt);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/soak/src/controller.rs
@@ -0,0 +1,308 @@
+//! Controller processes: their configuration, their starts, signals and ends.
+
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use nettleferry_platform::frames::{self, kind};
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::audit::Audit;
+use crate::directory::{Directory, List};
+use crate::shim::Faults;
+use crate::wire::FrameReader;
+
+/// A controller that is not ready within this span of its start has not started: the platform's figure.
+pub const READY_WITHIN: Duration = Duration::from_secs(30);
+/// Deadline of each class.
+pub const DEADLINE: Duration = Duration::from_millis(2_000);
+/// Within this span of being told of a drain, nothing new goes there any more.
+pub const DRAIN_GRACE: Duration = Duration::from_millis(1_000);
+/// SIGKILL follows SIGTERM after the longest deadline (3 s at the least) and 0.7 s.
+pub const KILL_AFTER: Duration = Duration::from_millis(3_700);
+/// A cold worker bears this share of its capacity at first.
+pub const START_CAPACITY: f64 = 0.2;
+/// So long a worker is cold.
+pub const COLD: Duration = Duration::from_millis(8_000);
+/// A worker bears so many times its capacity.
+pub const OVERLOAD: f64 = 2.5;
+/// The window over which a worker's load counts.
+pub const FALL: Duration = Duration::from_millis(1_000);
+
+/// What clients may do with a controller now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes calls.
+    Serving,
+    /// It was asked to end.
+    Ending,
+    /// It is not there.
+    Down,
+}
+
+/// A controller's place: its address and name outlive its processes.
+pub struct Controller {
+    /// Its number.
+    pub number: usize,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// Faults of its system calls.
+    pub faults: Faults,
+    program: PathBuf,
+    shim: Option<PathBuf>,
+    dir: PathBuf,
+    state: Mutex<State>,
+    /// Kills by the test so far: what was open then is owed by nobody.
+    pub kills: AtomicU64,
+}
+
+struct State {
+    phase: Phase,
+    child: Option<Child>,
+    lives: u32,
+    /// Ends the directory's thread at the address that was told last.
+    directory: Arc<AtomicBool>,
+    resolver: Option<SocketAddr>,
+}
+
+/// How many controllers there are, and which settings they share.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// Controllers.
+    pub controllers: usize,
+}
+
+impl Controller {
+    /// A place for a controller, with no process yet.
+    pub fn new(
+        number: usize,
+        program: &Path,
+        shim: Option<PathBuf>,
+        faults: Faults,
+        dir: &Path,
+    ) -> io::Result<Self> {
+        let dir = dir.join(format!("n{number}"));
+        std::fs::create_dir_all(&dir)?;
+        // The system gives each a port of its own, which it keeps over its lives.
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let state =
+            State { phase: Phase::Down, child: None, lives: 0, directory: Arc::default(), resolver: None };
+        Ok(Self {
+            number,
+            address,
+            faults,
+            program: program.to_owned(),
+            shim,
+            dir,
+            state: Mutex::new(state),
+            kills: AtomicU64::new(0),
+        })
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What clients may do with it now.
+    pub fn phase(&self) -> Phase {
+        self.state().phase
+    }
+
+    /// Starts a process of it, and waits until it is ready.
+    pub fn start(&self, fleet: Fleet, directory: &Arc<Directory>, audit: &Arc<Audit>) -> io::Result<bool> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let resolver = directory.open(self.number, Arc::clone(audit), Arc::clone(&stop))?;
+        let list = directory.list();
+        audit.told(self.number, list.serial);
+        std::fs::write(self.config_path(), self.config(fleet, resolver, &list))?;
+        let life = {
+            let mut state = self.state();
+            state.directory.store(true, Ordering::Release);
+            (state.directory, state.resolver) = (stop, Some(resolver));
+            state.lives += 1;
+            state.lives
+        };
+        let log = File::create(self.dir.join(format!("life-{life}.log")))?;
+        let mut command = Command::new(&self.program);
+        command.arg("node").env("PROXY_CONFIG", self.config_path()).env("RUST_LOG", "info");
+        if let Some(shim) = &self.shim {
+            command.envs(self.faults.environment(shim, (self.number as u64 + 1) * 7919 + u64::from(life)));
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+        self.state().child = Some(child);
+        let end = Instant::now() + READY_WITHIN;
+        while Instant::now() < end {
+            if self.ready() {
+                self.state().phase = Phase::Serving;
+                return Ok(true);
+            }
+            if self.exited()?.is_some() {
+                return Ok(false);
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Ok(false)
+    }
+
+    fn ready(&self) -> bool {
+        let asked = || -> io::Result<bool> {
+            let mut socket = TcpStream::connect_timeout(&self.address, Duration::from_millis(200))?;
+            socket.set_read_timeout(Some(Duration::from_millis(500)))?;
+            let mut out = Vec::new();
+            frames::bare(&mut out, kind::READY, 1);
+            socket.write_all(&out)?;
+            let (mut reader, mut buffer) = (FrameReader::default(), [0; 64]);
+            loop {
+                let length = socket.read(&mut buffer)?;
+                reader.push(&buffer[..length]);
+                if let Some(frame) = reader.next_frame() {
+                    return Ok(frame.kind == kind::READY_ANSWER && frame.payload.first() == Some(&79));
+                }
+                if length == 0 {
+                    return Ok(false);
+                }
+            }
+        };
+        asked().unwrap_or(false)
+    }
+
+    /// Its process has ended, if it has one.
+    pub fn exited(&self) -> io::Result<Option<ExitStatus>> {
+        match &mut self.state().child {
+            Some(child) => child.try_wait(),
+            None => Ok(None),
+        }
+    }
+
+    /// Sends a signal to its process.
+    pub fn signal(&self, signal: Signal) {
+        let pid = self.state().child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills it: what is open there is owed by nobody.
+    pub fn kill(&self) {
+        self.kills.fetch_add(1, Ordering::AcqRel);
+        let mut state = self.state();
+        state.phase = Phase::Down;
+        if let Some(mut child) = state.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks it to end and waits until it has, or kills it when the platform would. `Some`: it ended by itself.
+    pub fn terminate(&self) -> io::Result<Option<ExitStatus>> {
+        self.state().phase = Phase::Ending;
+        self.signal(Signal::TERM);
+        let end = Instant::now() + KILL_AFTER;
+        while Instant::now() < end {
+            if let Some(status) = self.exited()? {
+                let mut state = self.state();
+                (state.phase, state.child) = (Phase::Down, None);
+                return Ok(Some(status));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        // The platform's own kill: what is unanswered then is lost.
+        let mut state = self.state();
+        state.phase = Phase::Down;
+        if let Some(mut child) = state.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(None)
+    }
+
+    /// Gives it a new configuration that moves its directory, and SIGHUP. `half`: the file is half written at first.
+    pub fn reload(
+        &self,
+        fleet: Fleet,
+        directory: &Arc<Directory>,
+        audit: &Arc<Audit>,
+        half: bool,
+    ) -> io::Result<()> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let resolver = directory.open(self.number, Arc::clone(audit), Arc::clone(&stop))?;
+        let text = self.config(fleet, resolver, &directory.list());
+        if half {
+            std::fs::write(self.config_path(), &text[..text.len() / 2])?;
+            self.signal(Signal::HUP);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let new = self.dir.join("config.new");
+        std::fs::write(&new, &text)?;
+        std::fs::rename(&new, self.config_path())?;
+        self.signal(Signal::HUP);
+        let mut state = self.state();
+        // What the old address has sent is sent; it answers no more.
+        state.directory.store(true, Ordering::Release);
+        (state.directory, state.resolver) = (stop, Some(resolver));
+        Ok(())
+    }
+
+    /// What its processes logged, one text a life.
+    pub fn logs(&self) -> Vec<String> {
+        let lives = self.state().lives;
+        let read = |life| std::fs::read_to_string(self.dir.join(format!("life-{life}.log")));
+        (1..=lives).filter_map(|life| read(life).ok()).collect()
+    }
+
+    fn config_path(&self) -> PathBuf {
+        self.dir.join("config.json")
+    }
+
+    fn config(&self, fleet: Fleet, resolver: SocketAddr, list: &List) -> String {
+        let listed = list.entries.iter().enumerate().filter(|(_, entry)| entry.listed);
+        let instances: Vec<_> = listed
+            .map(|(number, entry)| {
+                serde_json::json!({"instanceId": format!("s-{number}"), "hostPort": entry.address.to_string(),
+                    "zone": "east", "machineType": "std", "cell": 1, "weight": 1,
+                    "lifecycle": if entry.in_service { "up" } else { "draining" },
+                    "startedAtMs": entry.started_ms})
+            })
+            .collect();
+        let class = |name: &str, effect: &str| {
+            serde_json::json!({"name": name, "deadline_ms": DEADLINE.as_millis() as u64,
+                "goal_time_ms": 300, "effect": effect, "points": 1, "late_share": 0.2})
+        };
+        serde_json::json!({
+            "name": format!("n{}", self.number), "listen": self.address.to_string(),
+            "seed": format!("{:x}", self.number + 1), "resolver": resolver.to_string(),
+            "limits": {"cores": 1, "memory_mb": 48, "sockets": 256},
+            "known": {"pos": list.serial,
+                "entries": [{"pos": list.serial, "hosts": {"generation": 1, "reset": true, "instances": instances}}]},
+            "settings": {
+                "classes": [class("safe", "free"), class("once", "single_shot")],
+                "me": self.number, "n_instances": fleet.controllers, "step_ms": 4, "zone": "east",
+                "stats": {"how": "none"},
+                "family_info": {"when_absent": "miss", "orders": true, "warm_notes": true,
+                    "linger_idle_ms": 10_000, "order_timeout_ms": 4_000},
+                "limits": {"max_attempts": 3, "probes": true, "cancel": true, "connect_timeout_ms": 250,
+                    "conn_idle_ms": 1_000, "max_streams": 32, "max_open": 20_000},
+                "obligations": {"stop_sending_within_ms": DRAIN_GRACE.as_millis() as u64,
+                    "start_capacity": START_CAPACITY, "cold_ms": COLD.as_millis() as u64,
+                    "overload_factor": OVERLOAD, "fall_ms": FALL.as_millis() as u64, "grace_to_answer_ms": 8},
+            },
+        })
+        .to_string()
+    }
+}
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        let mut state = self.state();
+        state.directory.store(true, Ordering::Release);
+        if let Some(mut child) = state.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,355 @@
+//! Plays a run: starts the parties, lets troubles begin, and gathers what was seen.
+
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rustix::process::Signal;
+
+use crate::audit::{Audit, End, Record};
+use crate::client::Client;
+use crate::controller::{Controller, DRAIN_GRACE, Fleet};
+use crate::directory::{Directory, Entry, List};
+use crate::judge::{Finding, Rule, judge};
+use crate::plan::{Plan, Trouble};
+use crate::proxy::{self, Link};
+use crate::shim::{self, ShimError};
+use crate::worker::Worker;
+
+/// Why a run could not be played.
+#[derive(Debug, thiserror::Error)]
+pub enum SoakError {
+    /// The system refused something.
+    #[error("{0}")]
+    System(#[from] io::Error),
+    /// There is no library of faults.
+    #[error("{0}")]
+    Shim(#[from] ShimError),
+}
+
+/// What a run gave.
+#[derive(Debug)]
+pub struct Report {
+    /// Its seed.
+    pub seed: u64,
+    /// Broken invariants.
+    pub findings: Vec<Finding>,
+    /// Calls by how they ended; the last counts those whose clients left.
+    pub ends: Vec<(String, usize)>,
+    /// Attempts that came to workers.
+    pub attempts: usize,
+    /// Troubles that were played.
+    pub troubles: usize,
+    /// The latest that the test's own threads ran.
+    pub lag: Duration,
+}
+
+/// How often the test looks how late it runs itself.
+const LAG_LOOK: Duration = Duration::from_millis(5);
+/// A line of a controller's log that tells of a broken invariant holds this.
+const GUARD_WORD: &str = "invariant broken";
+/// A line of a process that crashed holds this.
+const PANIC_WORD: &str = "panicked at";
+
+struct Rig {
+    plan: Plan,
+    fleet: Fleet,
+    audit: Arc<Audit>,
+    directory: Arc<Directory>,
+    workers: Vec<Worker>,
+    links: Vec<Arc<Link>>,
+    controllers: Vec<Arc<Controller>>,
+    findings: std::sync::Mutex<Vec<Finding>>,
+}
+
+/// Plays a plan with `program` as the controllers' program; files go to `dir`.
+pub fn play(plan: Plan, program: &Path, dir: &Path) -> Result<Report, SoakError> {
+    let shims = plan.faults.iter().any(|faults| *faults != shim::Faults::default());
+    let library = if shims { Some(shim::compile(dir)?) } else { None };
+    let rig = Arc::new(Rig::start(plan, program, library.as_deref(), dir)?);
+    let stop = Arc::new(AtomicBool::new(false));
+    let lag = watch_lag(&rig.audit, &stop);
+    rig.start_controllers()?;
+    let clients = rig.start_clients(&stop);
+    let troubles = rig.start_troubles();
+    std::thread::sleep(rig.plan.size.span);
+    stop.store(true, Ordering::Release);
+    for thread in troubles.into_iter().chain(clients).chain([lag]) {
+        let _ = thread.join();
+    }
+    rig.end_controllers();
+    Ok(rig.report())
+}
+
+fn watch_lag(audit: &Arc<Audit>, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
+    let (audit, stop) = (Arc::clone(audit), Arc::clone(stop));
+    std::thread::spawn(move || {
+        while !stop.load(Ordering::Acquire) {
+            let began = Instant::now();
+            std::thread::sleep(LAG_LOOK);
+            let over = began.elapsed().saturating_sub(LAG_LOOK);
+            if over > LAG_LOOK {
+                audit.late(over);
+            }
+        }
+    })
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+impl Rig {
+    fn start(plan: Plan, program: &Path, library: Option<&Path>, dir: &Path) -> io::Result<Self> {
+        let audit = Arc::new(Audit::default());
+        let (mut workers, mut links, mut entries) = (Vec::new(), Vec::new(), Vec::new());
+        for number in 0..plan.size.workers {
+            let worker = Worker::start(number, plan.seed ^ (number as u64) << 32, Arc::clone(&audit))?;
+            let link = Arc::new(Link::default());
+            let address = proxy::start(number, worker.address, Arc::clone(&link), Arc::clone(&audit))?;
+            entries.push(Entry { address, in_service: true, listed: true, started_ms: 0 });
+            workers.push(worker);
+            links.push(link);
+        }
+        let directory = Arc::new(Directory::new(List { serial: 1, entries }));
+        let controllers = plan.faults.iter().enumerate().map(|(number, faults)| {
+            let shim = library.filter(|_| *faults != shim::Faults::default()).map(Path::to_owned);
+            Controller::new(number, program, shim, *faults, dir).map(Arc::new)
+        });
+        let controllers = controllers.collect::<io::Result<Vec<_>>>()?;
+        let fleet = Fleet { controllers: plan.size.controllers };
+        let findings = std::sync::Mutex::default();
+        Ok(Self { plan, fleet, audit, directory, workers, links, controllers, findings })
+    }
+
+    fn found(&self, rule: Rule, what: String) {
+        let mut findings = self.findings.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        findings.push(Finding { rule, what });
+    }
+
+    fn start_controller(&self, controller: &Controller) {
+        match controller.start(self.fleet, &self.directory, &self.audit) {
+            Ok(true) => {}
+            Ok(false) => {
+                let last = controller.logs().pop().unwrap_or_default();
+                let last = last.lines().last().unwrap_or("no word").to_owned();
+                self.found(
+                    Rule::Process,
+                    format!(
+                        "controller {} ({:?}) did not start: {last}",
+                        controller.number, controller.faults
+                    ),
+                );
+            }
+            Err(error) => self.found(Rule::Process, format!("controller {}: {error}", controller.number)),
+        }
+    }
+
+    fn start_controllers(self: &Arc<Self>) -> io::Result<()> {
+        let starts = self.controllers.iter().map(|controller| {
+            let (rig, controller) = (Arc::clone(self), Arc::clone(controller));
+            std::thread::spawn(move || rig.start_controller(&controller))
+        });
+        for start in starts.collect::<Vec<_>>() {
+            let _ = start.join();
+        }
+        Ok(())
+    }
+
+    fn start_clients(&self, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+        let ids = Arc::new(AtomicU64::new(self.plan.seed << 40 | 1));
+        let places = self.controllers.iter().flat_map(|c| (0..self.plan.size.clients).map(move |n| (c, n)));
+        let clients = places.map(|(controller, number)| {
+            let seed = self.plan.seed ^ ((controller.number * 64 + number) as u64) << 20;
+            let (audit, ids, stop) = (Arc::clone(&self.audit), Arc::clone(&ids), Arc::clone(stop));
+            let client = Client::new(Arc::clone(controller), audit, seed, ids, stop);
+            std::thread::spawn(move || client.run())
+        });
+        clients.collect()
+    }
+
+    fn start_troubles(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
+        let began = Instant::now();
+        let troubles = self.plan.troubles.iter().map(|(at, trouble)| {
+            let (rig, at, trouble) = (Arc::clone(self), *at, *trouble);
+            std::thread::spawn(move || {
+                std::thread::sleep(at.saturating_sub(began.elapsed()));
+                rig.trouble(trouble);
+            })
+        });
+        troubles.collect()
+    }
+
+    fn trouble(&self, trouble: Trouble) {
+        match trouble {
+            Trouble::Restart(number) => self.restart(&self.controllers[number], false),
+            Trouble::ReloadsThenRestart(number) => self.restart(&self.controllers[number], true),
+            Trouble::Kill(number) => {
+                let controller = &self.controllers[number];
+                if controller.phase() == crate::controller::Phase::Serving {
+                    controller.kill();
+                    self.start_controller(controller);
+                }
+            }
+            Trouble::Reload(number, half) => self.reload(&self.controllers[number], half),
+            Trouble::Freeze(number, span) => {
+                self.controllers[number].signal(Signal::STOP);
+                std::thread::sleep(span);
+                self.controllers[number].signal(Signal::CONT);
+            }
+            Trouble::Roll(number) => self.roll(number),
+            Trouble::Crash(number) => self.crash(number),
+            Trouble::Hang(number, span) => {
+                for_a_while(&self.workers[number].mood.hangs, span);
+            }
+            Trouble::Silence(number, span) => {
+                for_a_while(&self.links[number].silent, span);
+                // Connections from before lead nowhere: what was dropped is dropped.
+                self.links[number].end_all(true);
+            }
+            Trouble::Reset(number, reset) => self.links[number].end_all(reset),
+            Trouble::Fail(number, span) => for_a_while(&self.workers[number].mood.fails, span),
+            Trouble::Slow(number, span) => {
+                self.links[number].delay.store(40, Ordering::Release);
+                for_a_while(&self.links[number].pieces, span);
+                self.links[number].delay.store(0, Ordering::Release);
+            }
+            Trouble::DirectorySilent(span) => for_a_while(&self.directory.silent, span),
+            Trouble::DirectorySlow(span) => {
+                self.directory.delay.store(span.as_millis() as u64, Ordering::Release);
+                std::thread::sleep(span * 4);
+                self.directory.delay.store(0, Ordering::Release);
+            }
+        }
+    }
+
+    fn restart(&self, controller: &Controller, reloads: bool) {
+        if controller.phase() != crate::controller::Phase::Serving {
+            return;
+        }
+        if reloads {
+            for half in [false, true, false] {
+                self.reload(controller, half);
+            }
+        }
+        match controller.terminate() {
+            Ok(Some(status)) if status.success() => {}
+            Ok(Some(status)) => {
+                let what = format!("controller {} ended with {status}", controller.number);
+                self.found(Rule::Process, what);
+            }
+            // The platform kills it then: what is open is judged as lost, the kill itself is no fault.
+            Ok(None) => {}
+            Err(error) => self.found(Rule::Process, format!("controller {}: {error}", controller.number)),
+        }
+        self.start_controller(controller);
+    }
+
+    fn reload(&self, controller: &Controller, half: bool) {
+        if controller.phase() != crate::controller::Phase::Serving {
+            return;
+        }
+        if let Err(error) = controller.reload(self.fleet, &self.directory, &self.audit, half) {
+            self.found(Rule::Process, format!("controller {}: {error}", controller.number));
+        }
+    }
+
+    fn roll(&self, number: usize) {
+        self.directory.change(number, &self.audit, |entry| entry.in_service = false);
+        std::thread::sleep(DRAIN_GRACE + Duration::from_millis(800));
+        self.links[number].closed.store(true, Ordering::Release);
+        self.workers[number].restart();
+        self.links[number].end_all(true);
+        self.audit.started(number);
+        self.links[number].closed.store(false, Ordering::Release);
+        self.directory.change(number, &self.audit, |entry| {
+            (entry.in_service, entry.started_ms) = (true, unix_ms());
+        });
+    }
+
+    fn crash(&self, number: usize) {
+        self.links[number].closed.store(true, Ordering::Release);
+        self.workers[number].restart();
+        self.links[number].end_all(true);
+        std::thread::sleep(Duration::from_millis(300));
+        self.links[number].closed.store(false, Ordering::Release);
+        self.directory.change(number, &self.audit, |entry| entry.started_ms = unix_ms());
+    }
+
+    fn end_controllers(self: &Arc<Self>) {
+        let ends = self.controllers.iter().map(|controller| {
+            let (rig, controller) = (Arc::clone(self), Arc::clone(controller));
+            std::thread::spawn(move || {
+                if controller.phase() != crate::controller::Phase::Serving {
+                    return;
+                }
+                match controller.terminate() {
+                    Ok(Some(status)) if status.success() => {}
+                    Ok(Some(status)) => {
+                        rig.found(Rule::Process, format!("controller {}: {status}", controller.number));
+                    }
+                    Ok(None) => {
+                        let what = format!("controller {} did not end by itself", controller.number);
+                        rig.found(Rule::Process, what);
+                    }
+                    Err(error) => rig.found(Rule::Process, format!("{error}")),
+                }
+            })
+        });
+        for end in ends.collect::<Vec<_>>() {
+            let _ = end.join();
+        }
+    }
+
+    fn report(&self) -> Report {
+        let record = self.audit.record();
+        let mut findings = judge(&record);
+        findings.append(&mut self.findings.lock().unwrap_or_else(std::sync::PoisonError::into_inner));
+        for controller in &self.controllers {
+            for line in controller.logs().iter().flat_map(|log| log.lines()) {
+                let rule = match line {
+                    line if line.contains(GUARD_WORD) => Rule::Guard,
+                    line if line.contains(PANIC_WORD) => Rule::Process,
+                    _ => continue,
+                };
+                findings.push(Finding { rule, what: format!("controller {}: {line}", controller.number) });
+            }
+        }
+        Report {
+            seed: self.plan.seed,
+            findings,
+            ends: ends(&record),
+            attempts: record.calls.values().map(|call| call.attempts.len()).sum(),
+            troubles: self.plan.troubles.len(),
+            lag: record.lag.iter().map(|(_, lag)| *lag).max().unwrap_or_default(),
+        }
+    }
+}
+
+fn for_a_while(flag: &AtomicBool, span: Duration) {
+    flag.store(true, Ordering::Release);
+    std::thread::sleep(span);
+    flag.store(false, Ordering::Release);
+}
+
+fn ends(record: &Record) -> Vec<(String, usize)> {
+    let kinds = [
+        End::Served,
+        End::Refused,
+        End::Failed,
+        End::Crossed,
+        End::Killed,
+        End::Lost,
+        End::Unanswered,
+        End::Altered,
+    ];
+    let with =
+        |kind: End| record.calls.values().filter(|c| c.end.is_some_and(|(end, _)| end == kind)).count();
+    let mut ends: Vec<_> = kinds.iter().map(|kind| (format!("{kind:?}"), with(*kind))).collect();
+    let left = record.calls.values().filter(|call| call.end.is_none() && call.left.is_some()).count();
+    ends.push(("Left".to_owned(), left));
+    ends
+}
