net: reads go on until the system says that nothing is there

Cause: read() took a read of fewer bytes than asked for as proof that nothing was left, and the poll, which tells of changes alone, was not asked again (tcp.rs, the branch n < room). Ruled out: the parser (pieces.rs passes byte by byte, where each piece brings an event of its own). Change: a connection is read until WouldBlock, at the cost of one more call for each event. Related paths read: accepting, datagrams and the HTTP/2 hub go on until WouldBlock already.

--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -825,11 +825,6 @@
                 if conn.stage == Stage::Open {
                     conn.input.extend_from_slice(&scratch[..n]);
                 }
-                // A short read took all there was, and the next event tells of more: but for an end that was told with
-                // these very bytes.
-                if n < room {
-                    conn.readable = conn.closing;
-                }
             }
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => conn.readable = false,
