net: an interrupted wait has looked at nothing

Cause: Linux ends epoll_wait with EINTR when a stopped process goes on; Tcp::turn counted that as a look that found nothing (looked = now), so that what had come while the process was stopped was taken to have come after it went on. Three events meet: a stop, a wait that it interrupts, a request between them. Ruled out: sleeping too long (came_since sees that), as here the sleep never ended by itself. Change: an interrupted wait leaves the moment of the last look as it was.

--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -508,13 +508,21 @@
         let alarm = self.alarms.first().map(|(at, _)| *at);
         let wait = if busy { Some(Duration::ZERO) } else { shorter(wait, self.now, [alarm, self.accept_at]) };
         let asleep = Instant::now();
-        match self.poll.poll(&mut self.events, wait) {
-            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
-            _ => {}
-        }
+        let interrupted = match self.poll.poll(&mut self.events, wait) {
+            Ok(()) => false,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => true,
+            Err(e) => return Err(e),
+        };
         self.now = Instant::now();
-        self.since = came_since(self.looked, self.now.saturating_duration_since(asleep), wait, self.now);
-        self.looked = self.now;
+        if interrupted {
+            // It has looked at nothing: a process that was stopped in its wait and goes on finds it interrupted, and what
+            // came meanwhile is told by the next.
+            self.since = self.looked;
+        } else {
+            let slept = self.now.saturating_duration_since(asleep);
+            self.since = came_since(self.looked, slept, wait, self.now);
+            self.looked = self.now;
+        }
         self.read_events();
         for _ in 0..self.ready.len() {
             let Some(key) = self.ready.pop_front() else { break };
