--- a/crates/gateway/tests/faults.rs
+++ b/crates/gateway/tests/faults.rs
@@ -130,3 +130,26 @@
         assert!(patience + waited <= TTL + DEADLINE_SLACK, "told {patience:?}, {waited:?} had passed");
     }
 }
+
+#[test]
+fn a_connect_that_fails_for_a_moment_costs_no_call_and_no_worker() {
+    let invoker = invoker();
+    let faults = Faults { first_connects: 3, ..Faults::default() };
+    // One attempt a call: what fails for a moment at this end must not end it.
+    let mut node =
+        Node::start(&invoker, faults, |config| config["settings"]["limits"]["max_attempts"] = 1.into());
+    let mut client = node.client();
+    for id in 1..6 {
+        let stream = client.ask("safe", id, 1, b"ab");
+        assert_eq!(client.answer(stream), (SERVED, b"ab".to_vec()));
+    }
+}
+
+#[test]
+fn a_start_waits_out_faults_that_pass() {
+    let invoker = invoker();
+    let mut node = Node::start(&invoker, Faults { start: 9, ..Faults::default() }, |_| ());
+    let mut client = node.client();
+    let stream = client.ask("safe", 1, 1, b"ab");
+    assert_eq!(client.answer(stream), (SERVED, b"ab".to_vec()));
+}
