net: a connect that fails at this end or on the way is tried again

Seen: with three connects that fail at once (EADDRNOTAVAIL, ENETUNREACH, EAGAIN, EHOSTUNREACH) a call of one attempt was refused. Cause: Tcp::connect and established() told every failure as that of the peer; the module reads one that comes sooner than half of the connect time as a refusal, by which the worker's process is down: barred for 0.5 s and more, its copies forgotten, cold for the whole time that the settings give. So a moment without descriptors or routes at one controller took its workers out of service. Ruled out: the module's rule (a refusal does prove it). Change: only a refusal ends a connect at once; all else is tried again, after 5 to 40 ms, until the connect time is over, and is told as not in time then, as silence is. Counted as connect_again. The code is in tcp/dial.rs.

Run: a_connect_that_fails_for_a_moment_costs_no_call_and_no_worker failed before and passes; tests of net and node pass.

--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -33,8 +33,8 @@
 }
 
 /// The shorter of a wait and of what is left until the first of these times; `None`: without end.
-pub(crate) fn shorter(wait: Option<Duration>, now: Instant, next: [Option<Instant>; 2]) -> Option<Duration> {
-    let next = next.into_iter().flatten().min().map(|at| at.saturating_duration_since(now));
+pub(crate) fn shorter(wait: Option<Duration>, now: Instant, next: &[Option<Instant>]) -> Option<Duration> {
+    let next = next.iter().flatten().min().map(|at| at.saturating_duration_since(now));
     match (wait, next) {
         (Some(a), Some(b)) => Some(a.min(b)),
         (a, b) => a.or(b),
--- a/crates/net/src/hub/mod.rs
+++ b/crates/net/src/hub/mod.rs
@@ -505,7 +505,8 @@
         self.run_due();
         let busy = !self.out.is_empty() || !self.due.is_empty();
         let alarm = self.alarms.first().map(|(at, _)| *at);
-        let wait = if busy { Some(Duration::ZERO) } else { shorter(wait, self.now, [alarm, self.accept_at]) };
+        let wait =
+            if busy { Some(Duration::ZERO) } else { shorter(wait, self.now, &[alarm, self.accept_at]) };
         match self.poll.poll(&mut self.events, wait) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
             _ => {}
--- a/crates/net/src/tcp.rs
+++ b/crates/net/src/tcp.rs
@@ -15,6 +15,9 @@
 use slab::Slab;
 
 use crate::clock::shorter;
+use dial::Dial;
+
+mod dial;
 
 /// A plain connection, unique in its owner's life until 2^32 of them were made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -89,6 +92,8 @@
     pub over_output: u64,
     /// [`TcpLimits::connect_timeout`], and connections refused.
     pub connect_failures: u64,
+    /// Connects that failed for a moment, as this end or the way did, and were tried again.
+    pub connect_again: u64,
 }
 
 /// Why a connection is gone.
@@ -145,7 +150,9 @@
 
 struct Conn {
     key: TcpKey,
-    socket: TcpStream,
+    /// None while a connect that failed for a moment is to be tried again.
+    socket: Option<TcpStream>,
+    dial: Option<Dial>,
     stage: Stage,
     accepted: bool,
     readable: bool,
@@ -199,6 +206,8 @@
     accepted: usize,
     listeners: Vec<TcpListener>,
     alarms: BTreeSet<(Instant, TcpKey)>,
+    /// Connects to be tried again.
+    dials: BTreeSet<(Instant, TcpKey)>,
     ready: VecDeque<TcpKey>,
     dirty: Vec<TcpKey>,
     /// Ended by their peers, and told: to be taken off.
@@ -232,6 +241,7 @@
             accepted: 0,
             listeners: Vec::new(),
             alarms: BTreeSet::new(),
+            dials: BTreeSet::new(),
             ready: VecDeque::new(),
             dirty: Vec::new(),
             parting: Vec::new(),
@@ -279,31 +289,22 @@
         Ok(local)
     }
 
-    /// Begins to connect. `None`: [`TcpLimits::made`], or the system would not even try.
-    pub fn connect(&mut self, address: SocketAddr) -> Option<TcpKey> {
-        if self.made() >= self.limits.made {
-            self.counters.over_made += 1;
-            return None;
-        }
-        let Ok(socket) = TcpStream::connect(address) else {
-            self.counters.connect_failures += 1;
-            return None;
-        };
-        self.counters.begun += 1;
-        self.add(socket, false)
-    }
-
-    fn add(&mut self, mut socket: TcpStream, accepted: bool) -> Option<TcpKey> {
-        let _ = socket.set_nodelay(true);
+    /// Adds an accepted connection, or one that is being made (`dial`), which may have no socket yet.
+    fn add(&mut self, mut socket: Option<TcpStream>, dial: Option<Dial>) -> Option<TcpKey> {
+        let accepted = dial.is_none();
         self.generation = self.generation.wrapping_add(1);
         let entry = self.conns.vacant_entry();
         let (index, key) = (entry.key(), TcpKey::new(self.generation, entry.key()));
         let interest = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut socket, Token(index), interest).ok()?;
+        if let Some(socket) = &mut socket {
+            let _ = socket.set_nodelay(true);
+            self.poll.registry().register(socket, Token(index), interest).ok()?;
+        }
         let limit = (!accepted).then(|| self.now + self.limits.connect_timeout);
         entry.insert(Conn {
             key,
             socket,
+            dial,
             stage: if accepted { Stage::Open } else { Stage::Connecting },
             accepted,
             readable: accepted,
@@ -480,7 +481,12 @@
         for at in [conn.alarm, conn.limit].into_iter().flatten() {
             self.alarms.remove(&(at, key));
         }
-        let _ = self.poll.registry().deregister(&mut conn.socket);
+        if let Some(at) = conn.dial.and_then(|dial| dial.again) {
+            self.dials.remove(&(at, key));
+        }
+        if let Some(socket) = &mut conn.socket {
+            let _ = self.poll.registry().deregister(socket);
+        }
         if conn.accepted {
             self.accepted -= 1;
         }
@@ -506,7 +512,9 @@
         self.flush_all();
         let busy = !self.out.is_empty() || !self.ready.is_empty() || !self.accept_next.is_empty();
         let alarm = self.alarms.first().map(|(at, _)| *at);
-        let wait = if busy { Some(Duration::ZERO) } else { shorter(wait, self.now, [alarm, self.accept_at]) };
+        let dial = self.dials.first().map(|(at, _)| *at);
+        let due = [alarm, dial, self.accept_at];
+        let wait = if busy { Some(Duration::ZERO) } else { shorter(wait, self.now, &due) };
         let asleep = Instant::now();
         let interrupted = match self.poll.poll(&mut self.events, wait) {
             Ok(()) => false,
@@ -523,6 +531,7 @@
             self.since = came_since(self.looked, slept, wait, self.now);
             self.looked = self.now;
         }
+        self.redial();
         self.read_events();
         for _ in 0..self.ready.len() {
             let Some(key) = self.ready.pop_front() else { break };
@@ -651,7 +660,7 @@
                 Ok((socket, _)) => {
                     self.counters.accepted += 1;
                     accepted += 1;
-                    if let Some(key) = self.add(socket, true) {
+                    if let Some(key) = self.add(Some(socket), None) {
                         self.out.push(TcpEvent::Accepted(key));
                     }
                 }
@@ -702,24 +711,7 @@
             return;
         };
         conn.ready = false;
-        if conn.stage == Stage::Connecting && conn.writable {
-            match established(&conn.socket) {
-                Ok(false) => conn.writable = false,
-                Ok(true) => {
-                    conn.stage = Stage::Open;
-                    if let Some(at) = conn.limit.take()
-                        && conn.alarm != Some(at)
-                    {
-                        self.alarms.remove(&(at, key));
-                    }
-                    self.out.push(TcpEvent::Connected(key));
-                }
-                Err(gone) => {
-                    self.counters.connect_failures += 1;
-                    self.end(key, Some(gone));
-                }
-            }
-        }
+        self.finish_dial(key);
         if let Some(conn) = self.get_mut(key).filter(|c| c.stage != Stage::Connecting && !c.ended) {
             flush(conn);
             conn.came = conn.unread.unwrap_or(since);
@@ -760,30 +752,11 @@
     if at_once || wait.is_some_and(|wait| slept > wait + OVERSLEPT) { looked } else { now }
 }
 
-/// Has a connection come about? One that was reset had come about: somebody listens there.
-fn established(socket: &TcpStream) -> Result<bool, Gone> {
-    let gone = |e: io::Error| match e.kind() {
-        io::ErrorKind::ConnectionRefused => Gone::Refused,
-        io::ErrorKind::ConnectionReset | io::ErrorKind::ConnectionAborted | io::ErrorKind::BrokenPipe => {
-            Gone::Broken
-        }
-        _ => Gone::NotConnected,
-    };
-    match socket.take_error() {
-        Ok(Some(e)) | Err(e) => return Err(gone(e)),
-        Ok(None) => {}
-    }
-    match socket.peer_addr() {
-        Ok(_) => Ok(true),
-        Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(false),
-        Err(e) => Err(gone(e)),
-    }
-}
-
 /// Hands over what is queued. An error is left for reading to find: what came before it is still to be taken.
 fn flush(conn: &mut Conn) {
+    let Some(socket) = &mut conn.socket else { return };
     while conn.writable && !conn.output.is_empty() && conn.stage != Stage::Connecting {
-        match conn.socket.write(&conn.output) {
+        match socket.write(&conn.output) {
             Ok(n) => {
                 conn.written += n as u64;
                 conn.output.advance(n);
@@ -803,15 +776,16 @@
     // Once: each shutdown wakes the poll, and would be followed by the next.
     if conn.output.is_empty() && conn.stage == Stage::Lingering && !conn.shut {
         conn.shut = true;
-        let _ = conn.socket.shutdown(Shutdown::Write);
+        let _ = socket.shutdown(Shutdown::Write);
     }
 }
 
 /// Reads what came, within the bounds. `Ok(true)`: there may be more; `Err(None)`: the peer sends no more.
 fn read(conn: &mut Conn, scratch: &mut [u8], most: usize, turn: usize) -> Result<bool, Option<Gone>> {
+    let Some(socket) = &mut conn.socket else { return Ok(false) };
     if conn.halved {
         // Nothing comes but word that it broke.
-        let broke = conn.failed || conn.readable && !matches!(conn.socket.take_error(), Ok(None));
+        let broke = conn.failed || conn.readable && !matches!(socket.take_error(), Ok(None));
         conn.readable = false;
         return if broke { Err(Some(Gone::Broken)) } else { Ok(false) };
     }
@@ -826,7 +800,7 @@
         if room == 0 || taken >= turn {
             return Ok(true);
         }
-        match conn.socket.read(&mut scratch[..room]) {
+        match socket.read(&mut scratch[..room]) {
             Ok(0) => return Err(None),
             Ok(n) => {
                 taken += n;
