node: a start waits out system calls that fail for a moment; signals are also looked for

Seen: soak under faults of system calls: controllers ended at their start with "a poll: Too many open files" and EADDRINUSE. Cause: each step of Node::new was tried once. Change: poll, signals, listener and the configuration's file are tried again for 10 s; what tells of the file (it is not there, it can't be used) still ends a start at once, with its own exit code.

By reading: a signal whose wake-up byte is lost was lost for good: signals are looked for every 250 ms besides. A query that could not be sent closed the directory's socket, with answers in it that count as told, and waited 400 ms: the socket stays, and is asked again after 50 ms; one that fails four times is made anew (unsent_queries).

--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use tracing::{debug, info};
 
-use crate::limits::{ASK_AGAIN, ASK_EVERY, ASK_WAIT, Counters, OLD_ADDRESS, QUERIES};
+use crate::limits::{ASK_AGAIN, ASK_EVERY, ASK_WAIT, Counters, OLD_ADDRESS, QUERIES, UNSENT_MOST};
 
 /// Datagrams taken in one turn: a flood of them must not keep the node from its work.
 const TURN: usize = 16;
@@ -58,6 +58,8 @@
     lost: Option<Instant>,
     next: Instant,
     serial: u32,
+    /// Queries in a row that could not be sent.
+    unsent: u32,
     /// More datagrams stand than one turn takes.
     more: bool,
     buffer: Vec<u8>,
@@ -74,6 +76,7 @@
             lost: None,
             next: Instant::now(),
             serial,
+            unsent: 0,
             more: false,
             buffer: vec![0; MOST_ANSWER + 1],
         }
@@ -123,14 +126,26 @@
         if now < self.next {
             return;
         }
-        if let Err(error) = self.send(registry) {
-            debug!(%error, "the directory can't be asked");
-            if let Some(line) = self.line.take() {
-                line.close(registry);
+        match self.send(registry) {
+            Ok(()) => {
+                self.unsent = 0;
+                self.lost = Some(now + ASK_WAIT);
+                self.next = now + ASK_EVERY;
+            }
+            Err(error) => {
+                debug!(%error, "the directory can't be asked");
+                count.unsent_queries += 1;
+                self.unsent += 1;
+                self.next = now + ASK_AGAIN;
+                // Answers may stand in the socket: what they tell counts as told. One that never sends is made anew.
+                if self.unsent >= UNSENT_MOST
+                    && let Some(line) = self.line.take()
+                {
+                    line.close(registry);
+                    self.unsent = 0;
+                }
             }
         }
-        self.lost = Some(now + ASK_WAIT);
-        self.next = now + ASK_EVERY;
     }
 
     fn send(&mut self, registry: &Registry) -> io::Result<()> {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -57,6 +57,8 @@
 pub const ANSWER_WAY: Duration = Duration::from_millis(100);
 /// A query's answer that could not be used is asked for again after this span.
 pub const ASK_AGAIN: Duration = Duration::from_millis(50);
+/// After so many queries in a row that could not be sent, the directory is asked from another socket.
+pub const UNSENT_MOST: u32 = 4;
 /// Queries whose answers are still taken: an answer that is always late is heard all the same.
 pub const QUERIES: usize = 16;
 /// After the directory has moved, what its old address still says is heard for this long.
@@ -154,6 +156,8 @@
     pub bad_lists: u64,
     /// Queries to the directory without an answer in time.
     pub lost_lists: u64,
+    /// Queries to the directory that the system did not send.
+    pub unsent_queries: u64,
     /// Answers of the directory with an older list.
     pub old_lists: u64,
     /// Requests that came so long after SIGTERM that they were refused at once.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -85,6 +85,11 @@
 const DIRECTORY: usize = 1;
 /// A configuration that could not be read is read again after this span: it may have been half written.
 const RELOAD_AGAIN: Duration = Duration::from_millis(200);
+/// A start waits so long for the system to give what it needs: a third of what the platform gives a start.
+const START_PATIENCE: Duration = Duration::from_secs(10);
+const START_AGAIN: Duration = Duration::from_millis(50);
+/// Signals are looked for this often though nothing tells of one: the byte that tells may be lost.
+const SIGNALS_EVERY: Duration = Duration::from_millis(250);
 /// How often counters are logged.
 const FIGURES_EVERY: Duration = Duration::from_secs(5);
 
@@ -140,6 +145,7 @@
     /// When the configuration is to be read again.
     reload_at: Option<Instant>,
     next_figures: Instant,
+    next_signals: Instant,
     happened: Vec<TcpEvent>,
     client_events: Vec<ClientEvent>,
     /// Requests read and not yet opened, [`OPENED_A_TURN`] a turn: no more than clients may have open.
@@ -151,7 +157,7 @@
 impl Node {
     /// A node by the configuration in this file. `signals`: SIGHUP, SIGTERM and SIGINT are its.
     pub fn new(path: PathBuf, signals: bool) -> Result<Self, NodeError> {
-        let config = read(&path)?;
+        let config = read_patiently(&path)?;
         let site = nettleferry_settings::read(&config.settings)?;
         let bounds = Bounds::of(&config.limits, site.open_calls);
         let longest = site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
@@ -169,10 +175,10 @@
             drain: Duration::from_micros(longest),
             ..TcpLimits::default()
         };
-        let mut tcp = Tcp::new(limits).map_err(NodeError::system("a poll"))?;
+        let mut tcp = patiently("a poll", || Tcp::new(limits.clone()))?;
         // Signals first: from the moment in which clients can connect, none of them ends the node.
-        let signals = if signals { Some(watch_signals(&tcp)?) } else { None };
-        let local = tcp.listen(config.listen).map_err(NodeError::system("listening"))?;
+        let signals = if signals { Some(patiently("signals", || watch_signals(&tcp))?) } else { None };
+        let local = patiently("listening", || tcp.listen(config.listen))?;
         let deadlines = site.settings.classes.iter().map(|c| c.deadline as f64 / 1000.0).collect();
         let idle = (site.idle > 0).then(|| Duration::from_micros(site.idle));
         let reports = site.settings.reports != Reports::None;
@@ -207,6 +213,7 @@
             looked: None,
             reload_at: None,
             next_figures: now + FIGURES_EVERY,
+            next_signals: now,
             happened: Vec::new(),
             client_events: Vec::new(),
             requests: VecDeque::new(),
@@ -286,6 +293,10 @@
             self.read(event, &mut turn);
         }
         self.happened = happened;
+        if began >= self.next_signals {
+            self.next_signals = began + SIGNALS_EVERY;
+            self.signalled();
+        }
         self.act(turn);
         if self.reload_at.is_some_and(|at| Instant::now() >= at) {
             self.reload();
@@ -632,9 +643,42 @@
     Ok(Config::read(&text)?)
 }
 
-fn watch_signals(tcp: &Tcp) -> Result<Signals, NodeError> {
-    let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT]).map_err(NodeError::system("signals"))?;
-    let token = tcp.source_token(SIGNALS);
-    tcp.registry().register(&mut signals, token, Interest::READABLE).map_err(NodeError::system("signals"))?;
+/// Reads the configuration, again while the system fails to read a file that is there.
+fn read_patiently(path: &PathBuf) -> Result<Config, NodeError> {
+    let end = Instant::now() + START_PATIENCE;
+    loop {
+        match read(path) {
+            Err(NodeError::Read { source, .. }) if passes(&source) && Instant::now() < end => {
+                warn!(error = %source, "the configuration can't be read yet: tried again");
+            }
+            done => return done,
+        }
+        std::thread::sleep(START_AGAIN);
+    }
+}
+
+/// May this failure to read a file pass, as it tells of the system and not of the file?
+fn passes(error: &io::Error) -> bool {
+    use io::ErrorKind::{InvalidData, IsADirectory, NotADirectory, NotFound, PermissionDenied};
+    !matches!(error.kind(), NotFound | PermissionDenied | IsADirectory | NotADirectory | InvalidData)
+}
+
+fn watch_signals(tcp: &Tcp) -> io::Result<Signals> {
+    let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
+    tcp.registry().register(&mut signals, tcp.source_token(SIGNALS), Interest::READABLE)?;
     Ok(signals)
 }
+
+/// A step of the start, tried again for [`START_PATIENCE`] while the system refuses it: for want of a descriptor or of
+/// memory, or as the address is still held by the process before.
+fn patiently<T>(what: &'static str, mut step: impl FnMut() -> io::Result<T>) -> Result<T, NodeError> {
+    let end = Instant::now() + START_PATIENCE;
+    loop {
+        match step() {
+            Ok(done) => return Ok(done),
+            Err(error) if Instant::now() >= end => return Err(NodeError::system(what)(error)),
+            Err(error) => warn!(%error, what, "the start is held up: tried again"),
+        }
+        std::thread::sleep(START_AGAIN);
+    }
+}
