--- a/crates/gateway/tests/faults.rs
+++ b/crates/gateway/tests/faults.rs
@@ -15,13 +15,22 @@
 /// A process under faults; ends with the test, whatever comes.
 struct Node {
     child: Child,
-    said: BufReader<ChildStdout>,
+    said: Option<BufReader<ChildStdout>>,
     _dir: tempfile::TempDir,
     _directory: Directory,
 }
 
 impl Node {
     fn start(invoker: &Invoker, faults: Faults, change: impl FnOnce(&mut serde_json::Value)) -> Self {
+        Self::start_with(invoker, faults, change, |_| ())
+    }
+
+    fn start_with(
+        invoker: &Invoker,
+        faults: Faults,
+        change: impl FnOnce(&mut serde_json::Value),
+        command: impl FnOnce(&mut Command),
+    ) -> Self {
         let dir = tempfile::tempdir().expect("a folder");
         let library = shim::compile(dir.path()).expect("a C compiler");
         let listed = vec![("s-0".to_owned(), invoker.address, false)];
@@ -36,15 +45,16 @@
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::null());
+        command(&mut node);
         let mut child = node.spawn().expect("the program is there");
-        let said = BufReader::new(child.stdout.take().expect("piped"));
+        let said = child.stdout.take().map(BufReader::new);
         Self { child, said, _dir: dir, _directory: directory }
     }
 
     /// A client of it, as soon as it listens.
     fn client(&mut self) -> Client {
         let mut line = String::new();
-        self.said.read_line(&mut line).expect("text");
+        self.said.as_mut().expect("piped").read_line(&mut line).expect("text");
         let address = line.trim_end().strip_prefix("listening frames ").expect("it listens");
         Client::connect(address.parse().expect("an address"))
     }
@@ -58,6 +68,19 @@
         }
     }
 
+    /// Asks it to end, and gives its exit code.
+    fn ended(&mut self) -> Option<i32> {
+        self.signal("TERM");
+        let end = Instant::now() + common::PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("ours") {
+                return status.code();
+            }
+            assert!(Instant::now() < end, "it ends");
+            std::thread::yield_now();
+        }
+    }
+
     fn signal(&self, name: &str) {
         let done = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
@@ -153,3 +176,51 @@
     let stream = client.ask("safe", 1, 1, b"ab");
     assert_eq!(client.answer(stream), (SERVED, b"ab".to_vec()));
 }
+
+/// Serves some calls and ends in order.
+fn serves_and_ends(node: &mut Node) {
+    let mut client = node.client();
+    serves(&mut client, 1..200);
+    assert_eq!(node.ended(), Some(0));
+}
+
+fn serves(client: &mut Client, ids: std::ops::Range<u64>) {
+    for id in ids {
+        let stream = client.ask("safe", id, 1, b"ab");
+        assert_eq!(client.answer(stream), (SERVED, b"ab".to_vec()));
+    }
+}
+
+#[test]
+fn a_log_that_can_t_be_written_costs_no_call() {
+    let invoker = invoker();
+    let faults = Faults { log: 1_000, ..Faults::default() };
+    let mut node = Node::start_with(&invoker, faults, |_| (), |node| _ = node.env("RUST_LOG", "debug"));
+    serves_and_ends(&mut node);
+}
+
+#[test]
+fn a_log_that_nobody_reads_costs_no_call() {
+    let invoker = invoker();
+    // More than a pipe holds is logged, and nobody takes it.
+    let unread = |node: &mut Command| _ = node.env("RUST_LOG", "debug").stderr(Stdio::piped());
+    let mut node = Node::start_with(&invoker, Faults::default(), |_| (), unread);
+    serves_and_ends(&mut node);
+}
+
+#[test]
+fn a_full_disk_under_standard_output_and_the_log_holds_up_no_start() {
+    let invoker = invoker();
+    let address = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let full = || std::fs::File::options().write(true).open("/dev/full").expect("the system has it");
+    let on_full = |node: &mut Command| _ = node.stdout(full()).stderr(full());
+    let fixed = |config: &mut serde_json::Value| config["listen"] = address.to_string().into();
+    let mut node = Node::start_with(&invoker, Faults::default(), fixed, on_full);
+    let end = Instant::now() + common::PATIENCE;
+    while std::net::TcpStream::connect(address).is_err() {
+        assert!(Instant::now() < end && node.child.try_wait().expect("ours").is_none(), "it listens");
+        std::thread::yield_now();
+    }
+    serves(&mut Client::connect(address), 1..20);
+    assert_eq!(node.ended(), Some(0));
+}
