A log line that can't be written, or that nobody reads, is dropped and counted

Cause: the log's writer was standard error itself. Where a write failed (a full disk, EIO) the subscriber complained with eprintln!, which panics when it can't write either: the process ended under all that was open. Where a pipe was full, the thread that answers calls waited for its reader. A word on standard output that could not be written refused the start. Ruled out: serve, whose lines go by a thread with a bounded queue.

--- a/crates/gateway/src/commands/node.rs
+++ b/crates/gateway/src/commands/node.rs
@@ -4,8 +4,10 @@
 
 use clap::Args;
 use nettleferry_node::{Node, NodeError};
+use tracing::warn;
 
 use super::{CommandError, announce};
+use crate::logs;
 
 /// Run a controller on the platform: client frames in, RESP to invokers, the list by DNS.
 #[derive(Args)]
@@ -18,8 +20,15 @@
 impl NodeCommand {
     pub fn run(self) -> Result<u8, CommandError> {
         let mut node = Node::new(self.config, true)?;
-        announce(&format!("listening frames {}", node.local()))?;
+        // Clients know the address from elsewhere: that nobody can be told of it here holds up no start.
+        if let Err(error) = announce(&format!("listening frames {}", node.local())) {
+            warn!(%error, "where it listens can't be announced");
+        }
         node.run()?;
+        let dropped = logs::dropped();
+        if dropped > 0 {
+            warn!(dropped, "log lines were dropped: standard error did not take them at once");
+        }
         Ok(0)
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -35,7 +35,7 @@
     match commands::run(arguments) {
         Ok(code) => ExitCode::from(code),
         Err(error) => {
-            eprintln!("nettleferry: {error}");
+            logs::say(format_args!("nettleferry: {error}"));
             ExitCode::from(error.code())
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,7 @@
 use mio::Interest;
 use nettleferry::{Effect, ListForm, Reports, WorkerState};
 use nettleferry_engine::{
-    Cause, Command, End, Ended, Engine, EngineLimits, Event, Member, News, Open, Refusal,
+    Cause, Command, End, Ended, Engine, EngineLimits, Event, Left, Member, News, Open, Refusal,
 };
 use nettleferry_net::clock::Clock;
 use nettleferry_net::tcp::{Gone, Tcp, TcpCounters, TcpEvent, TcpKey, TcpLimits};
@@ -374,7 +374,11 @@
         let mut left = Vec::new();
         for event in self.client_events.drain(..) {
             match event {
-                ClientEvent::Left(one) => left.push(one),
+                // One whose connection broke since has nobody to be answered.
+                ClientEvent::Left(one) => {
+                    let answered = one.answered && self.front.awaits(one.call);
+                    left.push(Left { answered, ..one });
+                }
                 ClientEvent::Request(request) => self.requests.push_back(request),
             }
         }
--- a/crates/node/tests/crossings.rs
+++ b/crates/node/tests/crossings.rs
@@ -467,3 +467,15 @@
         assert_eq!((codes, hand.node.counters().bad_requests), (vec![code], u64::from(code == FAILED)));
     }
 }
+
+#[test]
+fn a_request_that_is_withdrawn_with_its_client_s_end_has_no_answer_for_nobody() {
+    let (mut hand, _first, mut waits) = one_runs_and_one_waits();
+    // Its end is heard before the bytes that stand in front of it.
+    waits.withdraw(1);
+    waits.socket.shutdown(Shutdown::Write).expect("shut");
+    hand.turn();
+    hand.fence(500);
+    assert_eq!(hand.node.counters().violations.total(), 0, "{:?}", hand.node.counters().violations);
+    assert_eq!(hand.sends(&name(WAITS)), 0);
+}
