soak: attempts by connection, addresses of their own for controllers

Attempts are told apart by connection; controllers listen on addresses of their own below the ports that the system gives.

--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -52,6 +52,8 @@
 pub struct Attempt {
     /// The worker's number.
     pub worker: usize,
+    /// The connection to the worker that it came on.
+    pub connection: u64,
     /// When it had come whole.
     pub came: Moment,
     /// The time that the worker was told, milliseconds.
@@ -188,13 +190,14 @@
     }
 
     /// An attempt came whole to a worker's proxy.
-    pub fn came(&self, id: u64, worker: usize, patience: u64) {
+    pub fn came(&self, id: u64, worker: usize, connection: u64, patience: u64) {
         let now = self.now();
         let mut book = self.book();
         book.arrivals.push((worker, now));
         match book.calls.get_mut(&id) {
             Some(call) => {
-                call.attempts.push(Attempt { worker, came: now, patience, over: None, ran: false });
+                let (came, over, ran) = (now, None, false);
+                call.attempts.push(Attempt { worker, connection, came, patience, over, ran });
             }
             None => book.strangers.push((id, worker)),
         }
@@ -205,7 +208,18 @@
         self.attempt(id, worker, |attempt| attempt.ran = true);
     }
 
-    /// An attempt was answered, cancelled, or lost its connection.
+    /// An attempt was cancelled, or lost its connection.
+    pub fn given_up(&self, id: u64, worker: usize, connection: u64) {
+        let now = self.now();
+        self.call(id, |call| {
+            let there = |attempt: &&mut Attempt| (attempt.worker, attempt.connection) == (worker, connection);
+            if let Some(attempt) = call.attempts.iter_mut().rev().find(there) {
+                attempt.over = attempt.over.or(Some(now));
+            }
+        });
+    }
+
+    /// A worker's newest attempt of a call was answered.
     pub fn over(&self, id: u64, worker: usize) {
         let now = self.now();
         self.attempt(id, worker, |attempt| attempt.over = attempt.over.or(Some(now)));
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -2,10 +2,10 @@
 
 use std::fs::File;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,18 @@
 /// The window over which a worker's load counts.
 pub const FALL: Duration = Duration::from_millis(1_000);
 
+/// The first port of controllers: below those that the system gives to connections, so that none is taken while a
+/// controller restarts.
+const FIRST_PORT: u16 = 20_000;
+
+/// An address of its own for a controller, whichever other runs there are on this machine.
+fn own_address(number: usize) -> SocketAddr {
+    static PLACES: AtomicU16 = AtomicU16::new(0);
+    let run = (std::process::id() % 200) as u8 + 20;
+    let port = FIRST_PORT + PLACES.fetch_add(1, Ordering::AcqRel) % 10_000;
+    SocketAddr::from(([127, run, (number % 256) as u8, 1], port))
+}
+
 /// What clients may do with a controller now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -88,8 +100,7 @@
     ) -> io::Result<Self> {
         let dir = dir.join(format!("n{number}"));
         std::fs::create_dir_all(&dir)?;
-        // The system gives each a port of its own, which it keeps over its lives.
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let address = own_address(number);
         let state =
             State { phase: Phase::Down, child: None, lives: 0, directory: Arc::default(), resolver: None };
         Ok(Self {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -61,19 +61,27 @@
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     std::thread::spawn(move || {
-        for socket in listener.incoming().flatten() {
+        for (connection, socket) in (0..).zip(listener.incoming().flatten()) {
             if link.closed.load(Ordering::Acquire) {
                 let _ = rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO));
                 continue;
             }
-            let _ = forward(worker, socket, target, &link, &audit);
+            let place = Place { worker, connection };
+            let _ = forward(place, socket, target, &link, &audit);
         }
     });
     Ok(address)
 }
 
-fn forward(
+/// A connection to a worker.
+#[derive(Clone, Copy)]
+struct Place {
     worker: usize,
+    connection: u64,
+}
+
+fn forward(
+    place: Place,
     controller: TcpStream,
     target: SocketAddr,
     link: &Arc<Link>,
@@ -85,7 +93,7 @@
     link.keep(&controller)?;
     let open = Arc::new(Mutex::new(BTreeSet::new()));
     let up = Up {
-        worker,
+        place,
         from: controller.try_clone()?,
         to: upstream.try_clone()?,
         link: Arc::clone(link),
@@ -93,7 +101,7 @@
         open: Arc::clone(&open),
     };
     let down = Down {
-        worker,
+        place,
         from: upstream,
         to: controller,
         link: Arc::clone(link),
@@ -109,16 +117,16 @@
 /// Ids whose attempts are out on a connection.
 type OpenIds = Arc<Mutex<BTreeSet<u64>>>;
 
-fn all_over(open: &OpenIds, worker: usize, audit: &Audit) {
+fn all_over(open: &OpenIds, place: Place, audit: &Audit) {
     let ids = std::mem::take(&mut *open.lock().unwrap_or_else(PoisonError::into_inner));
     for id in ids {
-        audit.over(id, worker);
+        audit.given_up(id, place.worker, place.connection);
     }
 }
 
 /// From a controller to the worker.
 struct Up {
-    worker: usize,
+    place: Place,
     from: TcpStream,
     to: TcpStream,
     link: Arc<Link>,
@@ -139,7 +147,7 @@
             }
         }
         // Its connection has ended: what is out on it is given up.
-        all_over(&self.open, self.worker, &self.audit);
+        all_over(&self.open, self.place, &self.audit);
         let _ = self.to.shutdown(Shutdown::Both);
     }
 
@@ -151,11 +159,11 @@
                 let patience = parts.get(2).and_then(|fields| field(fields, "patience"));
                 let patience = patience.and_then(|text| text.parse().ok()).unwrap_or(u64::MAX);
                 self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
-                self.audit.came(id, self.worker, patience);
+                self.audit.came(id, self.place.worker, self.place.connection, patience);
             }
             b"CANCEL" => {
                 self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
-                self.audit.over(id, self.worker);
+                self.audit.given_up(id, self.place.worker, self.place.connection);
             }
             _ => {}
         }
@@ -164,7 +172,7 @@
 
 /// From the worker to a controller.
 struct Down {
-    worker: usize,
+    place: Place,
     from: TcpStream,
     to: TcpStream,
     link: Arc<Link>,
@@ -188,7 +196,7 @@
                 }
             }
         }
-        all_over(&self.open, self.worker, &self.audit);
+        all_over(&self.open, self.place, &self.audit);
         let _ = self.to.shutdown(Shutdown::Both);
     }
 }
