--- /dev/null
+++ b/crates/node/tests/start_times.rs
@@ -0,0 +1,62 @@
+//! Starts of workers as the directory tells them, by a wall clock that is not ours: one of the two may have been stepped.
+
+mod common;
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use common::hand::{Client, Hand, name};
+use common::{REFUSED, SERVED};
+
+/// A step of a wall clock.
+const HOUR_MS: u64 = 3_600_000;
+/// A cold worker bears a call of this work only after some 0.6 s: 0.5 of a core at first.
+const AIM_MS: u64 = 2_000;
+const CALL: u64 = 5;
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+/// A node that hears in its second list that its one worker started then.
+fn told_of_a_start(started_ms: u64) -> (Hand, Client) {
+    let mut hand = Hand::start(1, |config| {
+        for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+            class["goal_time_ms"] = AIM_MS.into();
+        }
+    });
+    let query = hand.query();
+    hand.answer(query, 1, &[(0, false)]);
+    let query = hand.query();
+    hand.answer_born(query, 2, 0, started_ms);
+    // The list is in force once the node asks again.
+    hand.query();
+    let mut client = hand.client();
+    client.ask(1, "safe", CALL, 9, b"ab");
+    (hand, client)
+}
+
+/// Serves what comes until the call has its answer.
+fn answer(hand: &mut Hand, client: &mut Client) -> u8 {
+    hand.until("an answer", |hand| {
+        hand.invokers[0].serve(|_| true);
+        hand.invokers[0].load(|_| true);
+        client.codes(1).first().copied()
+    })
+}
+
+#[test]
+fn a_start_that_our_clock_has_not_reached_is_one_of_now() {
+    let (mut hand, mut client) = told_of_a_start(unix_ms() + HOUR_MS);
+    let code = answer(&mut hand, &mut client);
+    assert_ne!(code, REFUSED, "a worker is not cold for an hour");
+    assert_eq!(code, SERVED);
+}
+
+#[test]
+fn a_start_that_is_news_is_not_taken_for_an_old_one() {
+    let (mut hand, mut client) = told_of_a_start(unix_ms() - HOUR_MS);
+    // A warm worker would have it long before the node asks its directory again.
+    hand.query();
+    assert_eq!(hand.sends(&name(CALL)), 0, "it is as cold as one that has just started");
+    assert_eq!(answer(&mut hand, &mut client), SERVED);
+}
