node: starts of workers are held against our own clock

Change (starts.rs): a start that our clock has not reached is taken as now; one that a list is the first to tell of, and that would lie more than 5 s before the list ahead of it was heard, is taken as now too (the directory tells within 4.5 s). What is taken is remembered with what was told, so that an age grows by our clock alone. Whether a connection stood before its worker's start is decided by the same clock: before, it took the wall clock as it stood when the connection came about (links, since_ms).

Not covered: a clock that is off by less than that; the list of a start, where nothing was heard before.

--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -58,6 +58,8 @@
     lost: Option<Instant>,
     next: Instant,
     serial: u32,
+    /// When a list was last heard, whether it was news or not, and when the one before it was.
+    heard: [Option<Instant>; 2],
     /// Queries in a row that could not be sent.
     unsent: u32,
     /// More datagrams stand than one turn takes.
@@ -76,6 +78,7 @@
             lost: None,
             next: Instant::now(),
             serial,
+            heard: [None; 2],
             unsent: 0,
             more: false,
             buffer: vec![0; MOST_ANSWER + 1],
@@ -163,6 +166,11 @@
         Ok(())
     }
 
+    /// When the list before the newest was heard.
+    pub fn heard_before(&self) -> Option<Instant> {
+        self.heard[1]
+    }
+
     /// Are datagrams left over from the last time?
     pub fn more(&self) -> bool {
         self.more
@@ -192,11 +200,15 @@
         let mut newest = None;
         for what in heard {
             match what {
-                Answer::List(list) if list.serial > self.serial => {
+                Answer::List(list) if list.serial >= self.serial => {
+                    self.heard = [Some(Instant::now()), self.heard[0]];
+                    if list.serial == self.serial {
+                        continue;
+                    }
                     self.serial = list.serial;
                     newest = Some(list);
                 }
-                Answer::List(list) => count.old_lists += u64::from(list.serial < self.serial),
+                Answer::List(_) => count.old_lists += 1,
                 Answer::Bad | Answer::Other => count.bad_lists += 1,
             }
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,7 @@
 //! * [`node`]: the loop and the wiring. [`front`]: towards clients. [`links`]: towards invokers.
 //! * [`guard`]: the rules as invariants, checked at run time. [`repeat`]: the attempts of one request.
 //! * [`reasons`]: why requests and connections ended, counted.
-//! * [`directory`]: asks for the list of invokers. [`limits`]: every bound, and its counter.
+//! * [`directory`]: asks for the list of invokers. [`starts`]: their starts in our own time. [`limits`]: every bound, and its counter.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
@@ -19,5 +19,6 @@
 pub mod node;
 pub mod reasons;
 pub mod repeat;
+pub mod starts;
 
 pub use node::{Node, NodeError};
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use nettleferry::WorkerId;
+use nettleferry::{Micros, WorkerId};
 use nettleferry_engine::{Ended, Event};
 use nettleferry_net::tcp::{Tcp, TcpKey};
 
@@ -33,8 +33,8 @@
 pub struct Endpoint {
     /// Where it is.
     pub address: SocketAddr,
-    /// When it started, Unix milliseconds, where told.
-    pub born_ms: Option<u64>,
+    /// When it started, in our time, where told.
+    pub started: Option<Micros>,
     /// It may be sent something new.
     pub on: bool,
 }
@@ -90,10 +90,10 @@
                 back.push(*id);
                 continue;
             };
-            if new.born_ms.is_some() && old.is_some_and(|old| old.born_ms != new.born_ms) {
+            if new.started.is_some() && old.is_some_and(|old| old.started != new.started) {
                 // Another process is there: what stood before it started leads nowhere.
                 let before = |key: &&TcpKey| {
-                    self.links.get(key).is_some_and(|l| !l.up || Some(l.since_ms) <= new.born_ms)
+                    self.links.get(key).is_some_and(|l| !l.up || Some(l.since) <= new.started)
                 };
                 leaving.extend(worker.links.iter().filter(before).copied());
                 back.push(*id);
--- a/crates/node/src/links/commands.rs
+++ b/crates/node/src/links/commands.rs
@@ -1,9 +1,9 @@
 //! Commands to invokers: what begins, what is taken back before it leaves, what is told to end.
 
 use std::sync::Arc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
-use nettleferry::WorkerId;
+use nettleferry::{Micros, WorkerId};
 use nettleferry_engine::{AttemptId, CallId, Ended, ErrandId, Event};
 use nettleferry_net::tcp::{Tcp, TcpKey};
 use nettleferry_platform::resp;
@@ -130,19 +130,20 @@
     }
 
     /// A connection came about: what waited for it leaves, but for what has no time left. `awaited`: does a client wait
-    /// for this call?
+    /// for this call? `since`: now, in our time.
     pub fn connected(
         &mut self,
         tcp: &mut Tcp,
         key: TcpKey,
+        since: Micros,
         awaited: impl Fn(CallId) -> bool,
         out: &mut Vec<Event>,
         count: &mut Counters,
     ) {
         let Some(link) = self.links.get_mut(&key) else { return };
-        let (now, clock) = (Instant::now(), SystemTime::now().duration_since(UNIX_EPOCH));
+        let now = Instant::now();
         link.up = true;
-        link.since_ms = clock.map_or(0, |since| since.as_millis() as u64);
+        link.since = since;
         for (tag, command) in std::mem::take(&mut link.waiting) {
             let allowed = self.may_leave(key, &command, &awaited);
             let Some(link) = self.links.get_mut(&key) else { return };
--- a/crates/node/src/links/link.rs
+++ b/crates/node/src/links/link.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::Instant;
 
-use nettleferry::WorkerId;
+use nettleferry::{Micros, WorkerId};
 use nettleferry_engine::{AttemptId, Ended, ErrandId, Event, News};
 
 use super::command::Outgoing;
@@ -48,8 +48,8 @@
     pub(super) up: bool,
     pub(super) items: BTreeMap<String, Item>,
     pub(super) waiting: VecDeque<(String, Outgoing)>,
-    /// When it came about, Unix milliseconds.
-    pub(super) since_ms: u64,
+    /// When it came about, in our time.
+    pub(super) since: Micros,
     /// Nothing is open on it since then.
     pub(super) idle_since: Option<Instant>,
     pub(super) ended: HashSet<String>,
@@ -70,7 +70,7 @@
             up: false,
             items: BTreeMap::new(),
             waiting: VecDeque::new(),
-            since_ms: 0,
+            since: 0,
             idle_since: None,
             ended: HashSet::new(),
             ended_order: VecDeque::new(),
--- a/crates/node/src/links/tests.rs
+++ b/crates/node/src/links/tests.rs
@@ -34,7 +34,7 @@
         let bounds =
             Bounds { clients: 1, idle_clients: 1, links: 2, open_calls: 9, body_bytes: 9, functions: 9 };
         let mut links = Links::new(bounds, 10_000, None, false);
-        let listed = Endpoint { address: peer.local_addr().expect("bound"), born_ms: None, on: true };
+        let listed = Endpoint { address: peer.local_addr().expect("bound"), started: None, on: true };
         links.list(&mut tcp, &BTreeMap::from([(W, listed)]), &mut Vec::new());
         Self {
             tcp,
@@ -65,7 +65,7 @@
         for event in events {
             if let TcpEvent::Connected(key) = event {
                 let count = &mut self.count;
-                self.links.connected(&mut self.tcp, key, |_| true, &mut self.told, count);
+                self.links.connected(&mut self.tcp, key, 0, |_| true, &mut self.told, count);
                 self.sockets.push(self.peer.accept().expect("connected").0);
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,6 +31,7 @@
 };
 use crate::links::{Attempt, Endpoint, Links};
 use crate::reasons::{CloseReason, EndReason, RepeatReason};
+use crate::starts::StartTimes;
 
 /// Why a node could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -131,6 +132,7 @@
     front: Front,
     links: Links,
     discovery: DiscoveryClient,
+    starts: StartTimes,
     signals: Option<Signals>,
     classes: Vec<ClassTerms>,
     /// How long a client waits at the longest.
@@ -203,6 +205,7 @@
             front: Front::new(&site.classes, &site.tenants, deadlines, bounds),
             links: Links::new(bounds, site.streams as usize, idle, reports),
             discovery,
+            starts: StartTimes::default(),
             signals,
             classes,
             longest: Duration::from_micros(longest),
@@ -393,8 +396,8 @@
         }
         self.work();
         for key in turn.connected {
-            let awaited = |call| self.front.awaits(call);
-            self.links.connected(&mut self.tcp, key, awaited, &mut self.told, &mut self.count);
+            let (awaited, now) = (|call| self.front.awaits(call), self.clock.now());
+            self.links.connected(&mut self.tcp, key, now, awaited, &mut self.told, &mut self.count);
             self.work();
         }
         if self.requests.is_empty() {
@@ -546,6 +549,9 @@
     }
 
     fn list(&mut self, form: ListForm, list: &List) {
+        let (now, since) = (self.clock.now(), self.discovery.heard_before().map(|at| self.clock.at(at)));
+        let names: BTreeSet<&str> = list.invokers.iter().map(|invoker| invoker.id.as_str()).collect();
+        self.starts.retain(|name| names.contains(name));
         let mut listed = BTreeMap::new();
         let mut members = Vec::with_capacity(list.invokers.len());
         for invoker in &list.invokers {
@@ -554,10 +560,11 @@
                 State::Draining => WorkerState::Draining,
                 State::Removed => WorkerState::Gone,
             };
-            let born_ms = (invoker.started_ms > 0).then_some(invoker.started_ms);
+            let told = Some(invoker.started_ms).filter(|told| *told > 0);
+            let started = told.map(|told| self.starts.take(&invoker.id, told, now, since));
             if let Some(address) = invoker.address.filter(|_| state != WorkerState::Gone) {
                 let on = state == WorkerState::On;
-                listed.insert(self.engine.worker_id(&invoker.id), Endpoint { address, born_ms, on });
+                listed.insert(self.engine.worker_id(&invoker.id), Endpoint { address, started, on });
             }
             members.push(Member {
                 name: invoker.id.clone(),
@@ -566,7 +573,7 @@
                 weight: invoker.weight,
                 cell: invoker.cell.clone(),
                 state,
-                born: (invoker.started_ms > 0).then(|| invoker.started_ms.saturating_mul(1000)),
+                born: started,
             });
         }
         let mut back = Vec::new();
--- a/crates/node/tests/start_times.rs
+++ b/crates/node/tests/start_times.rs
@@ -9,8 +9,8 @@
 
 /// A step of a wall clock.
 const HOUR_MS: u64 = 3_600_000;
-/// A cold worker bears a call of this work only after some 0.6 s: 0.5 of a core at first.
-const AIM_MS: u64 = 2_000;
+/// A cold worker bears a call of this work only after some 1.3 s: 0.5 of a core at first.
+const AIM_MS: u64 = 3_000;
 const CALL: u64 = 5;
 
 fn unix_ms() -> u64 {
