--- a/crates/tenant-store/tests/crash.rs
+++ b/crates/tenant-store/tests/crash.rs
@@ -20,11 +20,13 @@
     synced: Vec<u8>,
     operations: u64,
     dies_at: Option<u64>,
+    /// It is well again from this operation on.
+    well_at: Option<u64>,
 }
 
 impl Disk {
     fn holding(bytes: Vec<u8>, dies_at: Option<u64>) -> Self {
-        let inner = Inner { now: bytes.clone(), synced: bytes, operations: 0, dies_at };
+        let inner = Inner { now: bytes.clone(), synced: bytes, operations: 0, dies_at, well_at: None };
         Self(Arc::new(Mutex::new(inner)))
     }
 
@@ -35,7 +37,8 @@
     fn operate(&self) -> io::Result<std::sync::MutexGuard<'_, Inner>> {
         let mut inner = self.inner();
         inner.operations += 1;
-        if inner.dies_at.is_some_and(|at| inner.operations > at) {
+        let well = inner.well_at.is_some_and(|at| inner.operations > at);
+        if inner.dies_at.is_some_and(|at| inner.operations > at) && !well {
             return Err(io::Error::other("the disk is gone"));
         }
         Ok(inner)
@@ -254,3 +257,42 @@
     let told = Store::open(&path).err().map(|e| e.to_string()).unwrap_or_default();
     assert!(told.contains("format 99; this program reads up to 2"), "{told}");
 }
+
+#[test]
+fn after_a_disk_that_fails_for_a_while_changes_are_kept_again_and_none_is_there_that_was_refused() {
+    let (mut kept_at_once, mut refused) = (0, 0);
+    for span in [1, 3, 12] {
+        for fails_at in 0..40 {
+            let disk = Disk::default();
+            let (mut store, mut book) = Store::on(disk.clone()).expect("opens");
+            let first = create(&book, "a");
+            store.commit(&first, None).expect("kept");
+            book.take(&first).expect("the next");
+            {
+                let mut inner = disk.inner();
+                let from = inner.operations + fails_at;
+                (inner.dies_at, inner.well_at) = (Some(from), Some(from + span));
+            }
+            let doubtful = create(&book, "b");
+            match store.commit(&doubtful, Some(("k", &once(doubtful.revision)))) {
+                Ok(()) => {
+                    kept_at_once += 1;
+                    book.take(&doubtful).expect("the next");
+                }
+                Err(_) => refused += 1,
+            }
+            // The disk is well again.
+            (disk.inner().dies_at, disk.inner().well_at) = (None, None);
+            let later = create(&book, "c");
+            store.commit(&later, None).unwrap_or_else(|e| panic!("span {span}, fails at {fails_at}: {e}"));
+            book.take(&later).expect("the next");
+            let answered = store.once("k").expect("readable").is_some();
+            drop(store);
+            let (store, found) = Store::on(disk.clone()).expect("opens again");
+            assert_eq!(found, book, "span {span}, fails at {fails_at}");
+            assert_eq!(answered, book.tenants().len() == 3, "an answer is kept with its change alone");
+            assert_eq!(store.audit(0, 9, None).expect("readable").len(), book.tenants().len());
+        }
+    }
+    assert!(kept_at_once > 0 && refused > 0, "{kept_at_once} kept at once, {refused} refused");
+}
