tenant-store: a database whose file has failed is opened again; a failed change is taken back

Cause: redb takes nothing more after a failed write or sync until it is closed and opened; the store never did. And a commit that fails at its last sync may have reached the file, though its administrator was told that it was not kept. Change: after a failure of the file the database is dropped and opened again, at once, before the next change and from the administration's tick; what the failed change left there is taken back, then it is tried once more. A file that can't be opened just now is waited for at the start for 5 s: before, it was told as damage and the administration refused changes until a restart (StoreError::passes tells the two apart).

Not covered: a failed take-over of a whole book (adopt, restore) marks nothing; a file that fails beyond 5 s of a start still counts as unusable until the next; a crash between a failed change and its taking back may leave it there.

--- a/crates/gateway/src/admin/desk.rs
+++ b/crates/gateway/src/admin/desk.rs
@@ -22,7 +22,7 @@
 use nettleferry_net::clock;
 use nettleferry_net::http1::{self, Http1, Http1Limits, Stop, Turn};
 use nettleferry_tenancy::{Book, Entry, Once, Revision, Tenant};
-use nettleferry_tenant_store::{Origin, Snapshot, Store};
+use nettleferry_tenant_store::{Origin, Snapshot, Store, StoreError};
 use nettleferry_trail::recorder::Recorder;
 use nettleferry_trail::{What, chain};
 use serde_json::{Value, json};
@@ -92,7 +92,7 @@
     let Rest { number, waker, peers, peer_key, lease, held_by, records, held: lines, terms, longest } = rest;
     let (beside, path) = (snapshot_path(store), store.to_owned());
     let (span, spans) = Spans::open(store, lease);
-    let (store, book, read_only) = match Store::open(store) {
+    let (store, book, read_only) = match open_patiently(store) {
         Ok((store, book)) => (Some(store), Some(book), None),
         Err(why) => {
             error!(%why, "the tenant store can't be used: the last good snapshot serves, changes are refused");
@@ -213,6 +213,24 @@
     }
 }
 
+/// How long a start waits for a store whose file can't be read or written just now, and how often it looks.
+const STORE_PATIENCE: Duration = Duration::from_secs(5);
+const STORE_AGAIN: Duration = Duration::from_millis(100);
+
+/// Opens the store, again while its file fails: that passes, and is no damage.
+fn open_patiently(path: &Path) -> Result<(Store, Book), StoreError> {
+    let end = Instant::now() + STORE_PATIENCE;
+    loop {
+        match Store::open(path) {
+            Err(why) if why.passes() && Instant::now() < end => {
+                warn!(%why, "the tenant store can't be opened yet: tried again");
+            }
+            done => return done,
+        }
+        std::thread::sleep(STORE_AGAIN);
+    }
+}
+
 /// The store, or none where it is damaged.
 struct Kept(Option<Store>);
 
@@ -767,6 +785,12 @@
         let now = clock::wall() / 1000;
         self.peers_told();
         self.recover();
+        // A store whose file has failed is opened again, so that it can be read though nothing is changed.
+        if let Some(store) = &mut self.api.keep().0
+            && let Err(why) = store.heal()
+        {
+            warn!(%why, "the tenant store can't be used yet");
+        }
         // Graces end where the book may change.
         if self.around.authority.duty().0 == Duty::Serving {
             self.api.sweep(now);
--- a/crates/tenant-store/src/store.rs
+++ b/crates/tenant-store/src/store.rs
@@ -50,6 +50,9 @@
         /// Its format.
         found: u64,
     },
+    /// Its file has failed, and could not be opened again yet.
+    #[error("the tenant store can't be used just now: its file has failed")]
+    Unavailable,
     /// A value can't be encoded.
     #[error("a value can't be written: {0}")]
     Encode(#[from] serde_json::Error),
@@ -63,13 +66,38 @@
     },
 }
 
+impl StoreError {
+    /// May it pass, as the file could not be read or written just now? Else the file is not what it should be.
+    pub fn passes(&self) -> bool {
+        match self {
+            Self::Database { source, .. } => matches!(**source, redb::Error::Io(_) | redb::Error::PreviousIo),
+            Self::File { .. } | Self::Unavailable => true,
+            _ => false,
+        }
+    }
+}
+
 fn database<E: Into<redb::Error>>(what: &'static str) -> impl FnOnce(E) -> StoreError {
     move |source| StoreError::Database { what, source: Box::new(source.into()) }
 }
 
+/// Opens the database, at the start and after a failure of its file.
+type Opener = Box<dyn Fn() -> Result<Database, StoreError> + Send>;
+
+/// A change whose commit failed: whether it reached the file is not known.
+struct Doubtful {
+    entry: Entry,
+    once: Option<String>,
+}
+
 /// The store.
 pub struct Store {
-    database: Database,
+    /// None while the file can't be opened again.
+    database: Option<Database>,
+    opener: Opener,
+    /// A commit has failed: the database takes nothing until it is opened again.
+    failed: bool,
+    doubtful: Option<Doubtful>,
 }
 
 impl Store {
@@ -81,30 +109,82 @@
             std::fs::create_dir_all(folder).map_err(file)?;
         }
         let path = path.to_owned();
-        guarded(move || {
-            Self::start(Database::create(path).map_err(database("the tenant store can't be opened"))?)
-        })
+        let open = move || {
+            let path = path.clone();
+            guarded(move || checked(Database::create(path).map_err(database(OPENING))?))
+        };
+        guarded(move || Self::start(Box::new(open)))
     }
 
     /// The same on any storage: for tests that fail it.
-    pub fn on(backend: impl StorageBackend) -> Result<(Self, Book), StoreError> {
-        let opened = Database::builder().create_with_backend(backend);
-        Self::start(opened.map_err(database("the tenant store can't be opened"))?)
+    pub fn on(backend: impl StorageBackend + Clone) -> Result<(Self, Book), StoreError> {
+        let open = move || {
+            let opened = Database::builder().create_with_backend(backend.clone());
+            checked(opened.map_err(database(OPENING))?)
+        };
+        Self::start(Box::new(open))
     }
 
-    fn start(mut database: Database) -> Result<(Self, Book), StoreError> {
-        let sound = database.check_integrity();
-        if !sound.map_err(self::database("the tenant store can't be checked"))? {
-            return Err(StoreError::Inconsistent("its pages were not what their checksums say".to_owned()));
-        }
-        let mut store = Self { database };
+    fn start(opener: Opener) -> Result<(Self, Book), StoreError> {
+        let database = Some(opener()?);
+        let mut store = Self { database, opener, failed: false, doubtful: None };
         store.migrate()?;
         let book = store.book()?;
         Ok((store, book))
     }
 
+    fn database(&self) -> Result<&Database, StoreError> {
+        self.database.as_ref().ok_or(StoreError::Unavailable)
+    }
+
+    /// Opens the database again after a failure of its file, and takes back what the failed change may have left
+    /// there: it was told as not kept. Does nothing where nothing has failed.
+    pub fn heal(&mut self) -> Result<(), StoreError> {
+        if !self.failed && self.database.is_some() {
+            return Ok(());
+        }
+        // Its lock on the file goes first.
+        drop(self.database.take());
+        self.database = Some((self.opener)()?);
+        if let Some(doubtful) = &self.doubtful {
+            self.take_back(doubtful)?;
+        }
+        (self.failed, self.doubtful) = (false, None);
+        Ok(())
+    }
+
+    fn take_back(&self, doubtful: &Doubtful) -> Result<(), StoreError> {
+        let Doubtful { entry, once } = doubtful;
+        let fail = || database::<redb::TableError>("a change that failed can't be taken back");
+        let storage = || database::<redb::StorageError>("a change that failed can't be taken back");
+        let begun = self.database()?.begin_write();
+        let write = begun.map_err(database("a change that failed can't be taken back"))?;
+        {
+            let mut meta = write.open_table(META).map_err(fail())?;
+            let stands = meta.get("revision").map_err(storage())?.map_or(0, |v| v.value());
+            if stands != entry.revision {
+                return Ok(());
+            }
+            meta.insert("revision", entry.revision - 1).map_err(storage())?;
+            write.open_table(AUDIT).map_err(fail())?.remove(entry.revision).map_err(storage())?;
+            let mut tenants = write.open_table(TENANTS).map_err(fail())?;
+            match &entry.before {
+                Some(tenant) => {
+                    let value = cell::write(tenant)?;
+                    tenants.insert(entry.tenant.as_str(), value.as_slice()).map_err(storage())?;
+                }
+                None => _ = tenants.remove(entry.tenant.as_str()).map_err(storage())?,
+            }
+            if let Some(key) = once {
+                write.open_table(ONCE).map_err(fail())?.remove(key.as_str()).map_err(storage())?;
+                write.open_table(ONCE_ORDER).map_err(fail())?.remove(entry.revision).map_err(storage())?;
+            }
+        }
+        write.commit().map_err(database("a change that failed can't be taken back"))
+    }
+
     fn migrate(&mut self) -> Result<(), StoreError> {
-        let write = self.database.begin_write().map_err(database("the tenant store can't be written"))?;
+        let write = self.database()?.begin_write().map_err(database("the tenant store can't be written"))?;
         {
             let fail = || database("the tenant store's tables can't be made");
             let mut meta = write.open_table(META).map_err(fail())?;
@@ -160,7 +240,7 @@
     /// The store's own name and its epoch: one that was made anew has another name, one that was restored has the
     /// name of what it was restored from, and a higher epoch.
     pub fn origin(&self) -> Result<Origin, StoreError> {
-        let read = self.database.begin_read().map_err(database("the tenant store can't be read"))?;
+        let read = self.database()?.begin_read().map_err(database("the tenant store can't be read"))?;
         let meta = read.open_table(META).map_err(database("the tenant store can't be read"))?;
         let get = |key| meta.get(key).map_err(database("the tenant store can't be read"));
         let store = format!("{:016x}", get("store")?.map_or(0, |v| v.value()));
@@ -172,7 +252,7 @@
     pub fn adopt(&mut self, book: &Book, origin: &Origin) -> Result<(), StoreError> {
         let fail = || database::<redb::TableError>("the book can't be kept");
         let storage = || database::<redb::StorageError>("the book can't be kept");
-        let write = self.database.begin_write().map_err(database("the book can't be kept"))?;
+        let write = self.database()?.begin_write().map_err(database("the book can't be kept"))?;
         {
             let mut tenants = write.open_table(TENANTS).map_err(fail())?;
             tenants.retain(|_, _| false).map_err(storage())?;
@@ -191,7 +271,7 @@
     }
 
     fn book(&self) -> Result<Book, StoreError> {
-        let read = self.database.begin_read().map_err(database("the tenant store can't be read"))?;
+        let read = self.database()?.begin_read().map_err(database("the tenant store can't be read"))?;
         let fail = || database::<redb::TableError>("the tenant store can't be read");
         let storage = || database::<redb::StorageError>("the tenant store can't be read");
         let meta = read.open_table(META).map_err(fail())?;
@@ -217,12 +297,29 @@
         Ok(Book::of(revision, all))
     }
 
-    /// Keeps a change, and the answer under its key where it has one. Durable when this returns; on an error
-    /// nothing of it is there.
+    /// Keeps a change, and the answer under its key where it has one. Durable when this returns; on an error nothing of
+    /// it is there, or it is taken back before anything else is kept. What fails for a moment is tried once more.
     pub fn commit(&mut self, entry: &Entry, once: Option<(&str, &Once)>) -> Result<(), StoreError> {
+        self.heal()?;
+        match self.put(entry, once) {
+            Err(why) if why.passes() => {}
+            done => return done,
+        }
+        let key = once.map(|(key, _)| key.to_owned());
+        (self.failed, self.doubtful) = (true, Some(Doubtful { entry: entry.clone(), once: key }));
+        self.heal()?;
+        let kept = self.put(entry, once);
+        if kept.as_ref().is_err_and(StoreError::passes) {
+            let key = once.map(|(key, _)| key.to_owned());
+            (self.failed, self.doubtful) = (true, Some(Doubtful { entry: entry.clone(), once: key }));
+        }
+        kept
+    }
+
+    fn put(&mut self, entry: &Entry, once: Option<(&str, &Once)>) -> Result<(), StoreError> {
         let fail = || database::<redb::TableError>("the change can't be kept");
         let storage = || database::<redb::StorageError>("the change can't be kept");
-        let write = self.database.begin_write().map_err(database("the change can't be kept"))?;
+        let write = self.database()?.begin_write().map_err(database("the change can't be kept"))?;
         {
             let mut meta = write.open_table(META).map_err(fail())?;
             let before = meta.get("revision").map_err(storage())?.map_or(0, |v| v.value());
@@ -260,7 +357,7 @@
 
     /// The answer kept under a key.
     pub fn once(&self, key: &str) -> Result<Option<Once>, StoreError> {
-        let read = self.database.begin_read().map_err(database("the tenant store can't be read"))?;
+        let read = self.database()?.begin_read().map_err(database("the tenant store can't be read"))?;
         let answers = read.open_table(ONCE).map_err(database("the tenant store can't be read"))?;
         let found = answers.get(key).map_err(database("the tenant store can't be read"))?;
         found.map(|bytes| Ok(cell::read("once", key, bytes.value())?)).transpose()
@@ -268,7 +365,7 @@
 
     /// At most `most` entries of the audit trail after a revision, in order; of one tenant, where told.
     pub fn audit(&self, after: Revision, most: usize, of: Option<&str>) -> Result<Vec<Entry>, StoreError> {
-        let read = self.database.begin_read().map_err(database("the audit trail can't be read"))?;
+        let read = self.database()?.begin_read().map_err(database("the audit trail can't be read"))?;
         let audit = read.open_table(AUDIT).map_err(database("the audit trail can't be read"))?;
         let storage = || database::<redb::StorageError>("the audit trail can't be read");
         let mut all = Vec::new();
@@ -298,7 +395,7 @@
     pub fn restore(&mut self, snapshot: &Snapshot, now_ms: u64) -> Result<(), StoreError> {
         let fail = || database::<redb::TableError>("the snapshot can't be kept");
         let storage = || database::<redb::StorageError>("the snapshot can't be kept");
-        let write = self.database.begin_write().map_err(database("the snapshot can't be kept"))?;
+        let write = self.database()?.begin_write().map_err(database("the snapshot can't be kept"))?;
         {
             let mut meta = write.open_table(META).map_err(fail())?;
             if meta.get("revision").map_err(storage())?.is_some() {
@@ -327,6 +424,17 @@
     }
 }
 
+const OPENING: &str = "the tenant store can't be opened";
+
+/// A database whose pages are what their checksums say.
+fn checked(mut opened: Database) -> Result<Database, StoreError> {
+    let sound = opened.check_integrity();
+    if !sound.map_err(database("the tenant store can't be checked"))? {
+        return Err(StoreError::Inconsistent("its pages were not what their checksums say".to_owned()));
+    }
+    Ok(opened)
+}
+
 fn put_origin(meta: &mut redb::Table<'_, &str, u64>, origin: &Origin) -> Result<(), StoreError> {
     let unread = |_| StoreError::Inconsistent(format!("{:?} is no store's name", origin.store));
     let store = u64::from_str_radix(&origin.store, 16).map_err(unread)?;
