--- a/crates/gateway/tests/faults.rs
+++ b/crates/gateway/tests/faults.rs
@@ -224,3 +224,30 @@
     serves(&mut Client::connect(address), 1..20);
     assert_eq!(node.ended(), Some(0));
 }
+
+/// Settings of a gRPC controller without workers, with a listener for figures.
+const SERVE_SETTINGS: &str = r#"(listen (grpc "127.0.0.1:0"))
+(workers (file "workers.sexp"))
+(figures (scrape "127.0.0.1:0"))
+(class plan (aim 200ms) (deadline 2s) (effect safe))
+(model "*" (class plan))
+"#;
+
+#[test]
+fn a_start_of_serve_waits_out_faults_that_pass() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let library = shim::compile(dir.path()).expect("a C compiler");
+    std::fs::write(dir.path().join("settings.sexp"), SERVE_SETTINGS).expect("written");
+    std::fs::write(dir.path().join("workers.sexp"), "").expect("written");
+    let mut serve = Command::new(env!("CARGO_BIN_EXE_nettleferry"));
+    serve.arg("serve").arg("settings.sexp").current_dir(dir.path()).env_remove("RUST_LOG");
+    let faults = Faults { start: 9, ..Faults::default() };
+    serve.envs(faults.environment(&library, 1)).stdin(Stdio::null()).stdout(Stdio::piped());
+    let mut child = serve.spawn().expect("the program is there");
+    let mut said = BufReader::new(child.stdout.take().expect("piped"));
+    let mut line = String::new();
+    said.read_line(&mut line).expect("text");
+    let _ = child.kill();
+    let _ = child.wait();
+    assert!(line.starts_with("listening grpc "), "it listens: {line:?}");
+}
