serve: a start waits out system calls that fail for a moment, as node's does

Cause: each step of a start was tried once, and the hint "is another process there?" stood behind each failure.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -29,6 +29,7 @@
 use crate::tenants::Tenants;
 use crate::trail::{Known, Log};
 use nettleferry_net::clock::Clock;
+use nettleferry_net::patience::Patience;
 
 /// Why a controller could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -37,7 +38,7 @@
     #[error("the settings can't work: {0}")]
     Settings(#[from] nettleferry::SettingsError),
     /// The front's address can't be had.
-    #[error("can't listen on {address}: {source}; is another process there?")]
+    #[error("can't listen on {address}: {source}{}", hint(source))]
     Listen {
         /// The address.
         address: SocketAddr,
@@ -55,6 +56,22 @@
     Io(#[from] io::Error),
 }
 
+/// A word on an address that is taken.
+fn hint(error: &io::Error) -> &'static str {
+    if error.kind() == io::ErrorKind::AddrInUse { "; is another process there?" } else { "" }
+}
+
+/// A step of the start, tried again while the system refuses it for a moment: for want of a descriptor or of memory. An
+/// address that is taken or not ours does not pass by itself.
+pub(crate) fn patiently<T>(step: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    use io::ErrorKind::{AddrInUse, AddrNotAvailable, InvalidInput, PermissionDenied};
+    let lasting = |error: &io::Error| {
+        matches!(error.kind(), AddrInUse | AddrNotAvailable | InvalidInput | PermissionDenied)
+    };
+    let held_up = |error: &io::Error| warn!(%error, "the start is held up: tried again");
+    Patience::START.until(step, |error| !lasting(error), held_up)
+}
+
 /// How a controller ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stopped {
@@ -117,7 +134,7 @@
     /// Listens, with the last list restored. `signals`: SIGTERM and SIGINT drain it.
     pub fn new(config: Config, signals: bool) -> Result<Self, ControllerError> {
         let edge = &config.edge;
-        let mut hub = Hub::new(NetLimits {
+        let net_limits = NetLimits {
             connections: edge.connections,
             streams_per_connection: edge.streams_per_connection,
             message_bytes: edge.message_bytes,
@@ -129,7 +146,8 @@
             handshake_timeout: Duration::from_micros(edge.handshake_timeout),
             idle: Duration::from_micros(edge.idle),
             ..NetLimits::default()
-        })?;
+        };
+        let mut hub = patiently(|| Hub::new(net_limits.clone()))?;
         let limits = EngineLimits {
             open_calls: edge.open_calls,
             models: edge.models,
@@ -137,8 +155,7 @@
             probe_timeout: edge.probe_timeout,
         };
         let seed = config.seed.unwrap_or_else(rand::random);
-        let (_, local) = hub
-            .listen(config.grpc)
+        let (_, local) = patiently(|| hub.listen(config.grpc))
             .map_err(|source| ControllerError::Listen { address: config.grpc, source })?;
         let waker = hub.waker();
         let wake = move || _ = waker.wake();
@@ -150,12 +167,12 @@
         let mut settings = config.settings.clone();
         settings.loading.spent = again;
         let mut engine = Engine::new(settings, config.zone.as_deref(), limits, seed)?;
-        let signals = if signals { Some(watch_signals(&hub)?) } else { None };
+        let signals = if signals { Some(patiently(|| watch_signals(&hub))?) } else { None };
         let links = LinkLimits { connections: edge.worker_connections, streams: edge.worker_streams };
         let observer = Observer::new(&config);
         let scrape = match config.figures.scrape {
             Some(address) => Some(
-                observe::scrape(address, observer.figures())
+                patiently(|| observe::scrape(address, observer.figures()))
                     .map_err(|source| ControllerError::Listen { address, source })?,
             ),
             None => None,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,6 +13,7 @@
     Cause, Command, End, Ended, Engine, EngineLimits, Event, Left, Member, News, Open, Refusal,
 };
 use nettleferry_net::clock::Clock;
+use nettleferry_net::patience::Patience;
 use nettleferry_net::tcp::{Gone, Tcp, TcpCounters, TcpEvent, TcpKey, TcpLimits};
 use nettleferry_platform::config::{Config, ConfigError};
 use nettleferry_platform::directory::{List, ListError, State};
@@ -86,9 +87,6 @@
 const DIRECTORY: usize = 1;
 /// A configuration that could not be read is read again after this span: it may have been half written.
 const RELOAD_AGAIN: Duration = Duration::from_millis(200);
-/// A start waits so long for the system to give what it needs: a third of what the platform gives a start.
-const START_PATIENCE: Duration = Duration::from_secs(10);
-const START_AGAIN: Duration = Duration::from_millis(50);
 /// Signals are looked for this often though nothing tells of one: the byte that tells may be lost.
 const SIGNALS_EVERY: Duration = Duration::from_millis(250);
 /// How often counters are logged.
@@ -656,16 +654,9 @@
 
 /// Reads the configuration, again while the system fails to read a file that is there.
 fn read_patiently(path: &PathBuf) -> Result<Config, NodeError> {
-    let end = Instant::now() + START_PATIENCE;
-    loop {
-        match read(path) {
-            Err(NodeError::Read { source, .. }) if passes(&source) && Instant::now() < end => {
-                warn!(error = %source, "the configuration can't be read yet: tried again");
-            }
-            done => return done,
-        }
-        std::thread::sleep(START_AGAIN);
-    }
+    let may_pass = |error: &NodeError| matches!(error, NodeError::Read { source, .. } if passes(source));
+    let held_up = |error: &NodeError| warn!(%error, "the start is held up: tried again");
+    Patience::START.until(|| read(path), may_pass, held_up)
 }
 
 /// May this failure to read a file pass, as it tells of the system and not of the file?
@@ -680,16 +671,9 @@
     Ok(signals)
 }
 
-/// A step of the start, tried again for [`START_PATIENCE`] while the system refuses it: for want of a descriptor or of
-/// memory, or as the address is still held by the process before.
-fn patiently<T>(what: &'static str, mut step: impl FnMut() -> io::Result<T>) -> Result<T, NodeError> {
-    let end = Instant::now() + START_PATIENCE;
-    loop {
-        match step() {
-            Ok(done) => return Ok(done),
-            Err(error) if Instant::now() >= end => return Err(NodeError::system(what)(error)),
-            Err(error) => warn!(%error, what, "the start is held up: tried again"),
-        }
-        std::thread::sleep(START_AGAIN);
-    }
+/// A step of the start, tried again while the system refuses it: for want of a descriptor or of memory, or as the address
+/// is still held by the process before.
+fn patiently<T>(what: &'static str, step: impl FnMut() -> io::Result<T>) -> Result<T, NodeError> {
+    let held_up = |error: &io::Error| warn!(%error, what, "the start is held up: tried again");
+    Patience::START.until(step, |_| true, held_up).map_err(NodeError::system(what))
 }
