--- a/crates/gateway/tests/faults.rs
+++ b/crates/gateway/tests/faults.rs
@@ -251,3 +251,11 @@
     let _ = child.wait();
     assert!(line.starts_with("listening grpc "), "it listens: {line:?}");
 }
+
+#[test]
+fn a_signal_whose_wake_up_is_lost_is_heard_all_the_same() {
+    let invoker = invoker();
+    let mut node = Node::start(&invoker, Faults { signal: 1_000, ..Faults::default() }, |_| ());
+    serves(&mut node.client(), 1..3);
+    assert_eq!(node.ended(), Some(0));
+}
--- a/crates/soak/shim/faults.c
+++ b/crates/soak/shim/faults.c
@@ -11,6 +11,7 @@
  *   SOAK_BREAK          reads that find their connection broken (ETIMEDOUT, EHOSTUNREACH)
  *   SOAK_START          the first N calls of socket, bind, listen and epoll_create1 fail (ENFILE)
  *   SOAK_LOG            writes to standard error that fail (ENOSPC, EIO)
+ *   SOAK_SIGNAL         bytes to sockets of the process itself that are lost (ENOBUFS): wake-ups of signal handlers
  *   SOAK_CLOCK_AT, SOAK_CLOCK_BY   the wall clock is stepped by so many ms, so many ms after the start
  */
 #define _GNU_SOURCE
@@ -31,7 +32,7 @@
 }
 
 static int by_name_ready;
-static long chance_short, chance_interrupt, chance_accept, chance_socket, chance_connect, chance_break, chance_log;
+static long chance_short, chance_interrupt, chance_accept, chance_socket, chance_connect, chance_break, chance_log, chance_signal;
 static long clock_at, clock_by;
 static atomic_long start_faults, connect_faults;
 static atomic_ulong state;
@@ -48,6 +49,7 @@
     chance_connect = setting("SOAK_CONNECT");
     chance_break = setting("SOAK_BREAK");
     chance_log = setting("SOAK_LOG");
+    chance_signal = setting("SOAK_SIGNAL");
     clock_at = setting("SOAK_CLOCK_AT");
     clock_by = setting("SOAK_CLOCK_BY");
     atomic_store(&start_faults, setting("SOAK_START"));
@@ -125,7 +127,12 @@
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
     REAL(ssize_t, "send", int, const void *, size_t, int)
-    if (is_inet(fd) && interrupted()) {
+    int inet = is_inet(fd);
+    if (inet && interrupted()) {
+        return -1;
+    }
+    if (!inet && strikes(chance_signal)) {
+        errno = ENOBUFS;
         return -1;
     }
     return real(fd, buffer, shortened(fd, length), flags);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -116,6 +116,7 @@
         broken: 0,
         start: some(6),
         log: some(300),
+        signal: some(500),
         clock: None,
     };
     if random.random_bool(0.4) {
--- a/crates/soak/src/shim.rs
+++ b/crates/soak/src/shim.rs
@@ -57,6 +57,8 @@
     pub start: u32,
     /// Log lines that can't be written.
     pub log: u32,
+    /// Wake-ups of signal handlers that are lost.
+    pub signal: u32,
     /// A step of the wall clock: milliseconds after the start, and by how many.
     pub clock: Option<(u64, i64)>,
 }
@@ -75,6 +77,7 @@
             ("SOAK_FIRST_CONNECTS", self.first_connects.to_string()),
             ("SOAK_BREAK", self.broken.to_string()),
             ("SOAK_START", self.start.to_string()),
+            ("SOAK_SIGNAL", self.signal.to_string()),
             ("SOAK_LOG", self.log.to_string()),
         ];
         if let Some((at, by)) = self.clock {
