soak: connections to workers break by time-outs; the test's own lateness as at its proxies

The lateness is now also taken by connections like the proxies' own, and a proxy no longer connects in the thread that accepts.

--- a/crates/soak/shim/faults.c
+++ b/crates/soak/shim/faults.c
@@ -8,7 +8,7 @@
  *   SOAK_SOCKET         sockets that can't be made (ENFILE, ENOBUFS, ENOMEM)
  *   SOAK_CONNECT        connects that fail at once (EADDRNOTAVAIL, ENETUNREACH, EAGAIN, EHOSTUNREACH)
  *   SOAK_FIRST_CONNECTS the first N connects fail like that
- *   SOAK_BREAK          reads that find their connection broken (ETIMEDOUT, EHOSTUNREACH)
+ *   SOAK_BREAK          reads of connections made by the process that find them broken (ETIMEDOUT, EHOSTUNREACH)
  *   SOAK_START          the first N calls of socket, bind, listen and epoll_create1 fail (ENFILE)
  *   SOAK_LOG            writes to standard error that fail (ENOSPC, EIO)
  *   SOAK_SIGNAL         bytes to sockets of the process itself that are lost (ENOBUFS): wake-ups of signal handlers
@@ -37,6 +37,9 @@
 static atomic_long start_faults, connect_faults;
 static atomic_ulong state;
 static struct timespec began;
+/* Connections that the process has made. */
+#define MOST_FDS 4096
+static atomic_uchar made[MOST_FDS];
 static int (*real_clock)(clockid_t, struct timespec *);
 
 __attribute__((constructor)) static void prepare(void) {
@@ -95,7 +98,7 @@
 
 static int broken(int fd) {
     static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
-    if (!strikes(chance_break) || !is_stream(fd) || !is_inet(fd)) {
+    if (fd < 0 || fd >= MOST_FDS || !atomic_load(&made[fd]) || !strikes(chance_break)) {
         return 0;
     }
     shutdown(fd, SHUT_RDWR);
@@ -197,9 +200,20 @@
     if (first || (strikes(chance_connect) && is_stream(fd))) {
         return one_of(errors, 4);
     }
+    if (fd >= 0 && fd < MOST_FDS && is_stream(fd)) {
+        atomic_store(&made[fd], 1);
+    }
     return real(fd, address, size);
 }
 
+int close(int fd) {
+    REAL(int, "close", int)
+    if (fd >= 0 && fd < MOST_FDS) {
+        atomic_store(&made[fd], 0);
+    }
+    return real(fd);
+}
+
 int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
     REAL(int, "epoll_wait", int, struct epoll_event *, int, int)
     return interrupted() ? -1 : real(fd, events, most, timeout);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -113,7 +113,7 @@
         socket: some(40),
         connect: some(60),
         first_connects: 0,
-        broken: 0,
+        broken: some(5),
         start: some(6),
         log: some(300),
         signal: some(500),
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -67,7 +67,10 @@
                 continue;
             }
             let place = Place { worker, connection };
-            let _ = forward(place, socket, target, &link, &audit);
+            let (link, audit) = (Arc::clone(&link), Arc::clone(&audit));
+            // Aside: a connection that is being forwarded holds up none behind it.
+            let forward = move || _ = forward(place, socket, target, &link, &audit);
+            let _ = std::thread::Builder::new().stack_size(SMALL_STACK).spawn(forward);
         }
     });
     Ok(address)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! Plays a run: starts the parties, lets troubles begin, and gathers what was seen.
 
-use std::io;
+use std::io::{self, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,7 +16,7 @@
 use crate::directory::{Directory, Entry, List};
 use crate::judge::{Finding, Rule, judge};
 use crate::plan::{Plan, Trouble};
-use crate::proxy::{self, Link};
+use crate::proxy::{self, Link, SMALL_STACK};
 use crate::shim::{self, ShimError};
 use crate::worker::Worker;
 
@@ -48,7 +49,7 @@
 }
 
 /// How often the test looks how late it runs itself.
-const LAG_LOOK: Duration = Duration::from_millis(5);
+const LAG_LOOK: Duration = Duration::from_millis(10);
 /// A line of a controller's log that tells of a broken invariant holds this.
 const GUARD_WORD: &str = "invariant broken";
 /// A line of a process that crashed holds this.
@@ -71,7 +72,7 @@
     let library = if shims { Some(shim::compile(dir)?) } else { None };
     let rig = Arc::new(Rig::start(plan, program, library.as_deref(), dir)?);
     let stop = Arc::new(AtomicBool::new(false));
-    let lag = watch_lag(&rig.audit, &stop);
+    let lag = watch_lag(&rig.audit, &stop)?;
     rig.start_controllers()?;
     let clients = rig.start_clients(&stop);
     let troubles = rig.start_troubles();
@@ -84,18 +85,40 @@
     Ok(rig.report())
 }
 
-fn watch_lag(audit: &Arc<Audit>, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
+/// Watches how late the test itself runs: by its sleeps, and by the time that a connection takes until a thread of its own
+/// has read its first byte, as at the proxies.
+fn watch_lag(audit: &Arc<Audit>, stop: &Arc<AtomicBool>) -> io::Result<JoinHandle<()>> {
     let (audit, stop) = (Arc::clone(audit), Arc::clone(stop));
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
     std::thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let answer = move || {
+                let mut byte = [0];
+                let _ = socket.read_exact(&mut byte).and_then(|()| socket.write_all(&byte));
+            };
+            let _ = std::thread::Builder::new().stack_size(SMALL_STACK).spawn(answer);
+        }
+    });
+    let asked = move || -> io::Result<()> {
+        let mut socket = TcpStream::connect(address)?;
+        socket.set_nodelay(true)?;
+        socket.write_all(b"x")?;
+        socket.read_exact(&mut [0])
+    };
+    Ok(std::thread::spawn(move || {
         while !stop.load(Ordering::Acquire) {
             let began = Instant::now();
             std::thread::sleep(LAG_LOOK);
-            let over = began.elapsed().saturating_sub(LAG_LOOK);
-            if over > LAG_LOOK {
-                audit.late(over);
+            let asleep = began.elapsed().saturating_sub(LAG_LOOK);
+            let began = Instant::now();
+            let answered = asked().is_ok();
+            let lag = if answered { asleep.max(began.elapsed()) } else { asleep };
+            if lag > LAG_LOOK {
+                audit.late(lag);
             }
         }
-    })
+    }))
 }
 
 fn unix_ms() -> u64 {
