soak: two troubles no longer end one controller at once

Trace: that life's log stops with no word of SIGTERM, 3.7 s after the life before it had been asked to end: a second restart of the same controller still waited, and killed the new process when the platform would have killed the old one. A fault of the test: who takes a controller out of service is decided under its lock now.

--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -57,6 +57,17 @@
     Down,
 }
 
+/// What came of asking a controller to end.
+#[derive(Clone, Copy, Debug)]
+pub enum Ended {
+    /// It ended.
+    ByItself(ExitStatus),
+    /// It had not ended when the platform kills.
+    Killed,
+    /// It was not in service: another trouble has it.
+    NotServing,
+}
+
 /// A controller's place: its address and name outlive its processes.
 pub struct Controller {
     /// Its number.
@@ -198,27 +209,42 @@
         }
     }
 
-    /// Kills it: what is open there is owed by nobody.
-    pub fn kill(&self) {
+    /// Takes it out of service, for one trouble alone. False: another one has.
+    fn leave_service(&self, phase: Phase) -> bool {
+        let mut state = self.state();
+        let served = state.phase == Phase::Serving;
+        if served {
+            state.phase = phase;
+        }
+        served
+    }
+
+    /// Kills it: what is open there is owed by nobody. False: it was not in service.
+    pub fn kill(&self) -> bool {
+        if !self.leave_service(Phase::Down) {
+            return false;
+        }
         self.kills.fetch_add(1, Ordering::AcqRel);
         let mut state = self.state();
-        state.phase = Phase::Down;
         if let Some(mut child) = state.child.take() {
             let _ = child.kill();
             let _ = child.wait();
         }
+        true
     }
 
-    /// Asks it to end and waits until it has, or kills it when the platform would. `Some`: it ended by itself.
-    pub fn terminate(&self) -> io::Result<Option<ExitStatus>> {
-        self.state().phase = Phase::Ending;
+    /// Asks it to end and waits until it has, or kills it when the platform would.
+    pub fn terminate(&self) -> io::Result<Ended> {
+        if !self.leave_service(Phase::Ending) {
+            return Ok(Ended::NotServing);
+        }
         self.signal(Signal::TERM);
         let end = Instant::now() + KILL_AFTER;
         while Instant::now() < end {
             if let Some(status) = self.exited()? {
                 let mut state = self.state();
                 (state.phase, state.child) = (Phase::Down, None);
-                return Ok(Some(status));
+                return Ok(Ended::ByItself(status));
             }
             std::thread::sleep(Duration::from_millis(5));
         }
@@ -229,7 +255,7 @@
             child.kill()?;
             child.wait()?;
         }
-        Ok(None)
+        Ok(Ended::Killed)
     }
 
     /// Gives it a new configuration that moves its directory, and SIGHUP. `half`: the file is half written at first.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::audit::{Audit, End, Record};
 use crate::client::Client;
-use crate::controller::{Controller, DRAIN_GRACE, Fleet};
+use crate::controller::{Controller, DRAIN_GRACE, Ended, Fleet};
 use crate::directory::{Directory, Entry, List};
 use crate::judge::{Finding, Rule, judge};
 use crate::plan::{Plan, Trouble};
@@ -212,8 +212,7 @@
             Trouble::ReloadsThenRestart(number) => self.restart(&self.controllers[number], true),
             Trouble::Kill(number) => {
                 let controller = &self.controllers[number];
-                if controller.phase() == crate::controller::Phase::Serving {
-                    controller.kill();
+                if controller.kill() {
                     self.start_controller(controller);
                 }
             }
@@ -259,13 +258,14 @@
             }
         }
         match controller.terminate() {
-            Ok(Some(status)) if status.success() => {}
-            Ok(Some(status)) => {
+            Ok(Ended::NotServing) => return,
+            Ok(Ended::ByItself(status)) if status.success() => {}
+            Ok(Ended::ByItself(status)) => {
                 let what = format!("controller {} ended with {status}", controller.number);
                 self.found(Rule::Process, what);
             }
             // The platform kills it then: what is open is judged as lost, the kill itself is no fault.
-            Ok(None) => {}
+            Ok(Ended::Killed) => {}
             Err(error) => self.found(Rule::Process, format!("controller {}: {error}", controller.number)),
         }
         self.start_controller(controller);
@@ -310,11 +310,12 @@
                     return;
                 }
                 match controller.terminate() {
-                    Ok(Some(status)) if status.success() => {}
-                    Ok(Some(status)) => {
+                    Ok(Ended::NotServing) => {}
+                    Ok(Ended::ByItself(status)) if status.success() => {}
+                    Ok(Ended::ByItself(status)) => {
                         rig.found(Rule::Process, format!("controller {}: {status}", controller.number));
                     }
-                    Ok(None) => {
+                    Ok(Ended::Killed) => {
                         let what = format!("controller {} did not end by itself", controller.number);
                         rig.found(Rule::Process, what);
                     }
