node: a connection with an unsent answer is not chosen to make room

It was chosen again for each new client, reported as a broken invariant, and at the bound the new client was added over it. Change: makes_room hands over what is queued there and passes over what the system does not take; the guard stays behind it. An answer queued in the same turn is handed over first, so that its connection may still make room. A field of the soak test that nobody read goes.

--- a/crates/node/src/front/room.rs
+++ b/crates/node/src/front/room.rs
@@ -38,7 +38,7 @@
 
 impl Front {
     /// Which connection makes room, of those that yield no later than `last`: see [`Yields`]. Never one that waits
-    /// for an answer, and none whose request is there unread, which its client would see reset.
+    /// for an answer or has not taken one, and none whose request is there unread, which its client would see reset.
     pub(super) fn makes_room(&self, tcp: &mut Tcp, last: Yields) -> Option<TcpKey> {
         let now = Instant::now();
         let idle = self.clients.iter().filter(|(_, client)| client.streams.is_empty() && !client.closing);
@@ -56,7 +56,9 @@
             .find(|(yields, _, key)| {
                 let within = matches!(yields, Yields::Stopped | Yields::Within);
                 let unseen = !within && tcp.input(*key).is_some_and(|input| !input.is_empty());
-                !unseen && tcp.silent(*key)
+                // What it is owed is with the system.
+                let taken = tcp.flush(*key);
+                taken && !unseen && tcp.silent(*key)
             })
             .map(|(.., key)| key)
     }
--- a/crates/node/src/front/tests.rs
+++ b/crates/node/src/front/tests.rs
@@ -125,3 +125,19 @@
     assert!(matches!(stand.events[..], [ClientEvent::Request(_)]));
     assert_eq!(stand.count.closed_idle, 0);
 }
+
+#[test]
+fn a_connection_that_has_not_taken_its_answers_makes_no_room() {
+    let mut stand = Stand::new();
+    let key = stand.key.expect("connected");
+    let idle = |stand: &mut Stand| stand.front.makes_room(&mut stand.tcp, Yields::Within);
+    assert_eq!(idle(&mut stand), Some(key), "it is idle");
+    // Until the system takes no more of what its client does not read.
+    let answer = vec![0; 256 << 10];
+    while stand.tcp.unsent(key) == 0 {
+        stand.tcp.send(key, &answer).expect("there is room");
+        stand.tcp.flush(key);
+    }
+    assert_eq!(idle(&mut stand), None);
+    assert_eq!(stand.count.violations.total(), 0);
+}
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -90,7 +90,6 @@
     lives: u32,
     /// Ends the directory's thread at the address that was told last.
     directory: Arc<AtomicBool>,
-    resolver: Option<SocketAddr>,
 }
 
 /// How many controllers there are, and which settings they share.
@@ -112,8 +111,7 @@
         let dir = dir.join(format!("n{number}"));
         std::fs::create_dir_all(&dir)?;
         let address = own_address(number);
-        let state =
-            State { phase: Phase::Down, child: None, lives: 0, directory: Arc::default(), resolver: None };
+        let state = State { phase: Phase::Down, child: None, lives: 0, directory: Arc::default() };
         Ok(Self {
             number,
             address,
@@ -145,7 +143,7 @@
         let life = {
             let mut state = self.state();
             state.directory.store(true, Ordering::Release);
-            (state.directory, state.resolver) = (stop, Some(resolver));
+            state.directory = stop;
             state.lives += 1;
             state.lives
         };
@@ -281,7 +279,7 @@
         let mut state = self.state();
         // What the old address has sent is sent; it answers no more.
         state.directory.store(true, Ordering::Release);
-        (state.directory, state.resolver) = (stop, Some(resolver));
+        state.directory = stop;
         Ok(())
     }
 
