administration: each change of the leader's duty is logged with its report

Logs told neither which report moved the duty nor whether its request was new or held. The HTTP server now says for how long a request was held (none: it has just come), and the leader logs "duty changed by a report" with the report's controller, incarnation, versions and held_ms.

--- a/crates/admin/src/api/mod.rs
+++ b/crates/admin/src/api/mod.rs
@@ -95,14 +95,15 @@
         all
     }
 
-    /// Handles a request. `waited`: how long ago it came first, where [`Answer::Wait`] was returned for it before.
+    /// Handles a request. `held_for`: how long ago it came, where [`Answer::Wait`] was returned for it before; `None`: it
+    /// has just come.
     pub fn answer(
         &mut self,
         request: &Request<'_>,
         caller: &Caller,
         runtime: &mut impl Runtime,
         now: Millis,
-        waited: Duration,
+        held_for: Option<Duration>,
     ) -> Answer {
         let (path, query) = request.target.split_once('?').unwrap_or((request.target, ""));
         let found = match find(request.method, path) {
@@ -119,7 +120,7 @@
             }
             let query = Query::read(query, route)?;
             if route.operation == Operation::Watch {
-                return self.watch(&query, runtime, waited);
+                return self.watch(&query, runtime, held_for);
             }
             let call = Invocation { route, name, query, request, caller, now };
             self.operate(&call, runtime)
--- a/crates/admin/src/api/ports.rs
+++ b/crates/admin/src/api/ports.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::error::Error;
+use std::time::Duration;
 
 use nettleferry_tenancy::{Entry, IdempotentResponse, Revision, Tenant, TenantSnapshot};
 use serde::{Deserialize, Serialize};
@@ -119,6 +120,8 @@
     pub requires_lease: bool,
     /// Whether it knows that it is fenced, and accepts no calls any more.
     pub stopped: bool,
+    /// For how long its request was held before it is judged again; `None`: it has just come.
+    pub held_for: Option<Duration>,
 }
 
 /// A lease on the snapshot that the response brings.
--- a/crates/admin/src/api/replication.rs
+++ b/crates/admin/src/api/replication.rs
@@ -24,7 +24,7 @@
 impl<S: ChangeStore> Api<S> {
     /// The snapshot, and a lease on it.
     pub(super) fn read_snapshot(&self, query: &Query, runtime: &mut impl Runtime) -> Result<Answer, Problem> {
-        let follower = record_follower(query, runtime)?;
+        let follower = record_follower(query, runtime, None)?;
         serving(runtime)?;
         let StoreIdentity { name, epoch } = &self.identity;
         let lease = follower.and_then(|f| runtime.grant_lease(f.number, f.incarnation));
@@ -46,12 +46,12 @@
         &self,
         query: &Query,
         runtime: &mut impl Runtime,
-        waited: Duration,
+        held_for: Option<Duration>,
     ) -> Result<Answer, Problem> {
         let after = query.number("after", 0, u64::MAX, 0)?;
         let rows = query.rows()?;
         let wait = Duration::from_millis(query.number("wait_ms", 0, MAX_WATCH_WAIT_MS, 0)?);
-        let follower = record_follower(query, runtime)?;
+        let follower = record_follower(query, runtime, held_for)?;
         serving(runtime)?;
         let epoch = query.number("epoch", 0, u64::MAX, self.identity.epoch)?;
         if query.text("store").is_some_and(|store| store != self.identity.name)
@@ -64,7 +64,7 @@
                 format!("revision {after} is not there; the last one is {}", self.snapshot.revision());
             return Err(Problem::new(409, "ahead", detail));
         }
-        if after == self.snapshot.revision() && waited < wait {
+        if after == self.snapshot.revision() && held_for.unwrap_or_default() < wait {
             return Ok(Answer::Wait(wait));
         }
         let all = self.store.entries(after, rows, None).map_err(internal)?;
@@ -76,7 +76,7 @@
         // A lease is on the newest snapshot: a follower that lacks a change gets none.
         let complete = all.last().map_or(after, |entry| entry.revision) == self.snapshot.revision();
         let lease = follower.filter(|_| complete).and_then(|f| runtime.grant_lease(f.number, f.incarnation));
-        let clock = clock_json(runtime, waited);
+        let clock = clock_json(runtime, held_for.unwrap_or_default());
         let page = json!({
             "entries": all,
             "next": next,
@@ -95,7 +95,11 @@
 }
 
 /// Records the state of a follower, which names its number; `None`: the request is no follower's.
-fn record_follower(query: &Query, runtime: &mut impl Runtime) -> Result<Option<Follower>, Problem> {
+fn record_follower(
+    query: &Query,
+    runtime: &mut impl Runtime,
+    held_for: Option<Duration>,
+) -> Result<Option<Follower>, Problem> {
     if query.text("controller").is_none() {
         return Ok(None);
     }
@@ -115,6 +119,7 @@
         persisted: query.number("kept", 0, u64::MAX, 0)?,
         requires_lease: query.number("ends", 0, 1, 0)? == 1,
         stopped: query.number("ended", 0, 1, 0)? == 1,
+        held_for,
     };
     runtime.record_state(number, state)?;
     Ok(Some(Follower { number, incarnation }))
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -154,13 +154,13 @@
         }
     }
 
-    fn send(&mut self, request: Request<'_>, waited: Duration) -> Answer {
+    fn send(&mut self, request: Request<'_>, held_for: Option<Duration>) -> Answer {
         let caller = Caller { name: "ada".to_owned(), role: self.role };
-        self.api.answer(&request, &caller, &mut self.runtime, 1_000, waited)
+        self.api.answer(&request, &caller, &mut self.runtime, 1_000, held_for)
     }
 
     fn respond(&mut self, request: Request<'_>) -> Response {
-        match self.send(request, Duration::ZERO) {
+        match self.send(request, None) {
             Answer::Ready(response) | Answer::Committed { response, .. } => response,
             Answer::Wait(_) => panic!("the response must be ready"),
         }
@@ -353,11 +353,12 @@
     fixture.create(json!({"name": "b"}), None);
     let watch = |target| Request { method: "GET", target, ..Request::default() };
     assert_eq!(
-        fixture.send(watch("/v1/watch?after=2&wait_ms=5000&controller=7"), Duration::ZERO),
+        fixture.send(watch("/v1/watch?after=2&wait_ms=5000&controller=7"), None),
         Answer::Wait(Duration::from_secs(5))
     );
     assert_eq!(fixture.runtime.states, [(7, 2)]);
-    let Answer::Ready(empty) = fixture.send(watch("/v1/watch?after=2&wait_ms=5000"), Duration::from_secs(5))
+    let Answer::Ready(empty) =
+        fixture.send(watch("/v1/watch?after=2&wait_ms=5000"), Some(Duration::from_secs(5)))
     else {
         panic!("over")
     };
@@ -515,7 +516,7 @@
     let mut fixture = Fixture::new();
     fixture.create(json!({"name": "a"}), None);
     let mut post = |target| match fixture
-        .send(Request { method: "POST", target, if_match: Some("*"), ..Request::default() }, Duration::ZERO)
+        .send(Request { method: "POST", target, if_match: Some("*"), ..Request::default() }, None)
     {
         Answer::Committed { revision, restricts, .. } => (revision, restricts),
         other => panic!("{other:?}"),
--- a/crates/administration/src/leader/api_ports.rs
+++ b/crates/administration/src/leader/api_ports.rs
@@ -11,6 +11,7 @@
 
 use super::context::LeaderContext;
 use super::fleet_status::fleet_status;
+use super::recovery::ReportSource;
 use crate::messages::{AdminEvent, LimitDemand};
 
 impl Runtime for LeaderContext {
@@ -69,8 +70,10 @@
             return Err(Problem::new(403, "ended", "it said that it takes no calls any more"));
         }
         self.members.remember_report(controller, state.revision);
+        let source =
+            ReportSource { controller, incarnation: Some(state.incarnation), held_for: state.held_for };
         if let Some(version) = reported_version(state) {
-            self.recovery.version_reported(self.now(), controller, Some(version));
+            self.recovery.version_reported(self.now(), source, Some(version));
         }
         Ok(())
     }
--- a/crates/administration/src/leader/recovery.rs
+++ b/crates/administration/src/leader/recovery.rs
@@ -2,6 +2,7 @@
 //! an operator does. A snapshot that was decided on is installed by the server loop.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use nettleferry_admin::Problem;
 use nettleferry_admin::api::RecoveryPending;
@@ -25,6 +26,24 @@
     pub(super) origin: Origin,
 }
 
+/// Where a report comes from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReportSource {
+    /// The controller's number.
+    pub(super) controller: u32,
+    /// Its incarnation; `None`: a peer that was asked, which does not tell it.
+    pub(super) incarnation: Option<u64>,
+    /// For how long its request was held before it is judged again; `None`: it has just come.
+    pub(super) held_for: Option<Duration>,
+}
+
+impl ReportSource {
+    /// A peer's response.
+    pub(super) fn peer(controller: u32) -> Self {
+        Self { controller, incarnation: None, held_for: None }
+    }
+}
+
 /// The recovery.
 pub(super) struct RecoveryService {
     controller: u32,
@@ -84,12 +103,24 @@
     pub(super) fn version_reported(
         &mut self,
         now: Millis,
-        controller: u32,
+        source: ReportSource,
         version: Option<SnapshotVersion>,
     ) {
-        let Step::Install(from, version) = self.authority.report_received(now, controller, version) else {
-            return;
-        };
+        let (before, since) = self.authority.duty();
+        let step = self.authority.report_received(now, source.controller, version.clone());
+        let (after, _) = self.authority.duty();
+        if before != after {
+            info!(
+                from = before.as_str(), to = after.as_str(), after_ms = now.saturating_sub(since),
+                controller = source.controller,
+                incarnation = %source.incarnation.map(|life| format!("{life:016x}")).unwrap_or_default(),
+                held_ms = source.held_for.map(|held| held.as_millis() as u64),
+                reported = %version.map(|version| version.to_string()).unwrap_or_default(),
+                own = %self.authority.own().map(ToString::to_string).unwrap_or_default(),
+                "duty changed by a report"
+            );
+        }
+        let Step::Install(from, version) = step else { return };
         // A controller that reported its version with a heartbeat gives its snapshot when it is asked in turn.
         let offer = self.offers.get(&from).filter(|document| document.version() == version);
         if let Some((document, origin)) = offer.zip(self.superseding_origin()) {
@@ -102,7 +133,7 @@
     pub(super) fn snapshot_offered(&mut self, now: Millis, controller: u32, document: SnapshotDocument) {
         let version = document.version();
         self.offers.insert(controller, document);
-        self.version_reported(now, controller, Some(version));
+        self.version_reported(now, ReportSource::peer(controller), Some(version));
     }
 
     /// The snapshot that is to be installed, once.
--- a/crates/administration/src/leader/server_loop.rs
+++ b/crates/administration/src/leader/server_loop.rs
@@ -17,7 +17,7 @@
 use super::context::LeaderContext;
 use super::lease_span::LeaseSpanFile;
 use super::peer_polling::PeerPolling;
-use super::recovery::Decision;
+use super::recovery::{Decision, ReportSource};
 use super::snapshot_writer::SnapshotWriter;
 use super::store::{StoreHandle, identity, wall_ms};
 use crate::applied_versions::AppliedVersions;
@@ -54,8 +54,8 @@
 }
 
 impl Leader {
-    /// Answers a request. `waited`: how long it has waited already.
-    pub(super) fn handle(&mut self, request: &http1::Request<'_>, waited: Duration) -> Disposition {
+    /// Answers a request. `held_for`: how long it was held; `None`: it has just come.
+    pub(super) fn handle(&mut self, request: &http1::Request<'_>, held_for: Option<Duration>) -> Disposition {
         let caller = match self.keys.authenticate(request.header("authorization")) {
             Ok(caller) => caller,
             Err(problem) => return Disposition::Reply(problem_reply(&problem)),
@@ -63,15 +63,20 @@
         self.update_own_in_force();
         match request.ticket {
             Some(ticket) => self.resume_change(ticket),
-            None => self.handle_new(request, &caller, waited),
+            None => self.handle_new(request, &caller, held_for),
         }
     }
 
-    fn handle_new(&mut self, request: &http1::Request<'_>, caller: &Caller, waited: Duration) -> Disposition {
+    fn handle_new(
+        &mut self,
+        request: &http1::Request<'_>,
+        caller: &Caller,
+        held_for: Option<Duration>,
+    ) -> Disposition {
         let request = api_request(request);
         let now = wall_ms();
         self.context.served.revision = self.api.snapshot().revision();
-        let answer = self.api.answer(&request, caller, &mut self.context, now, waited);
+        let answer = self.api.answer(&request, caller, &mut self.context, now, held_for);
         self.install_decision();
         self.publish_changes();
         self.wake_ready_changes();
@@ -233,7 +238,9 @@
             let now = self.context.now();
             match state.snapshot {
                 Ok(Some(document)) => self.context.recovery.snapshot_offered(now, controller, document),
-                Ok(None) => self.context.recovery.version_reported(now, controller, None),
+                Ok(None) => {
+                    self.context.recovery.version_reported(now, ReportSource::peer(controller), None);
+                }
                 Err(_) => {}
             }
         }
--- a/crates/administration/src/leader/start.rs
+++ b/crates/administration/src/leader/start.rs
@@ -197,7 +197,7 @@
     std::thread::Builder::new().name("admin".to_owned()).spawn(move || {
         let leader = RefCell::new(&mut leader);
         let ended = server.run_waiting(
-            |request, waited| leader.borrow_mut().handle(request, waited),
+            |request, held_for| leader.borrow_mut().handle(request, held_for),
             || leader.borrow_mut().tick(),
         );
         leader.borrow_mut().write_snapshot();
--- a/crates/fleet/src/authority.rs
+++ b/crates/fleet/src/authority.rs
@@ -23,6 +23,16 @@
     Waiting(Cause),
 }
 
+impl Duty {
+    /// Its name in logs: `serving`, or why it waits.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Waiting(cause) => cause.as_str(),
+        }
+    }
+}
+
 /// Why the leader waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Cause {
--- a/crates/net/src/http1/connection.rs
+++ b/crates/net/src/http1/connection.rs
@@ -52,7 +52,7 @@
         &mut self,
         limits: &Http1Limits,
         max_received: usize,
-        handle: &mut impl FnMut(&Request<'_>, Duration) -> Disposition,
+        handle: &mut impl FnMut(&Request<'_>, Option<Duration>) -> Disposition,
     ) -> io::Result<()> {
         loop {
             self.write()?;
@@ -66,7 +66,8 @@
             let waited = self.waiting.take();
             let since = waited.map_or_else(Instant::now, |waiting| waiting.since);
             let ticket = waited.and_then(|waiting| waiting.ticket);
-            let mut handle_request = |request: &Request<'_>| handle(request, since.elapsed());
+            let held_for = waited.map(|waiting| waiting.since.elapsed());
+            let mut handle_request = |request: &Request<'_>| handle(request, held_for);
             match parse(&self.received, limits, ticket, &mut handle_request) {
                 // No more is read meanwhile; a peer that has left is found when it is answered.
                 Parsed::Wait(span, ticket) => {
--- a/crates/net/src/http1/mod.rs
+++ b/crates/net/src/http1/mod.rs
@@ -88,11 +88,12 @@
         self.run_waiting(|request, _| Disposition::Reply(handle(request)), || None)
     }
 
-    /// Serves until stopped. A request may have to wait; it is handled again with how long ago it came. `tick` is called
-    /// in every iteration, and returns when it wants the next one at the latest.
+    /// Serves until stopped. A request may have to wait: it is handled again with how long it was held. `None`: it has
+    /// just come, and is handled for the first time. `tick` is called in every iteration, and returns when it wants the
+    /// next one at the latest.
     pub fn run_waiting(
         &mut self,
-        mut handle: impl FnMut(&Request<'_>, Duration) -> Disposition,
+        mut handle: impl FnMut(&Request<'_>, Option<Duration>) -> Disposition,
         mut tick: impl FnMut() -> Option<Duration>,
     ) -> io::Result<()> {
         let mut events = Events::with_capacity(128);
@@ -142,7 +143,11 @@
         }
     }
 
-    fn advance(&mut self, index: usize, handle: &mut impl FnMut(&Request<'_>, Duration) -> Disposition) {
+    fn advance(
+        &mut self,
+        index: usize,
+        handle: &mut impl FnMut(&Request<'_>, Option<Duration>) -> Disposition,
+    ) {
         let max_received = self.cut_requests.load(Ordering::Relaxed);
         let Some(connection) = self.connections.get_mut(index) else { return };
         if connection.advance(&self.limits, max_received, handle).is_err() {
