--- a/crates/admin/src/api/ports.rs
+++ b/crates/admin/src/api/ports.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeMap;
 use std::error::Error;
-use std::time::Duration;
 
 use nettleferry_tenancy::{Entry, IdempotentResponse, Revision, Tenant, TenantSnapshot};
 use serde::{Deserialize, Serialize};
@@ -120,8 +119,6 @@
     pub requires_lease: bool,
     /// Whether it knows that it is fenced, and accepts no calls any more.
     pub stopped: bool,
-    /// For how long its request was held before it is judged again; `None`: it has just come.
-    pub held_for: Option<Duration>,
 }
 
 /// A lease on the snapshot that the response brings.
@@ -166,11 +163,16 @@
     fn set_drained(&mut self, worker: &str, drained: bool) -> bool;
     /// Controllers by number.
     fn controllers(&self) -> Vec<ControllerRevision>;
-    /// A follower has reported its state.
+    /// A follower's request has come, with its state: to be called once for each request.
     ///
     /// # Errors
-    /// A problem where it is fenced.
+    /// A problem where the state is impossible, or as for [`Runtime::check_member`].
     fn record_state(&mut self, controller: u32, state: ControllerState) -> Result<(), Problem>;
+    /// Whether a follower's request, whose state was recorded, may still be answered.
+    ///
+    /// # Errors
+    /// A problem where its incarnation is fenced, or has ended.
+    fn check_member(&self, controller: u32, incarnation: u64) -> Result<(), Problem>;
     /// Grants a lease to a follower that gets the newest snapshot with this response; `None`: it gets no lease.
     fn grant_lease(&mut self, controller: u32, incarnation: u64) -> Option<LeaseGrant>;
     /// Fences the known incarnations of a controller, or admits them again.
--- a/crates/admin/src/api/replication.rs
+++ b/crates/admin/src/api/replication.rs
@@ -24,7 +24,7 @@
 impl<S: ChangeStore> Api<S> {
     /// The snapshot, and a lease on it.
     pub(super) fn read_snapshot(&self, query: &Query, runtime: &mut impl Runtime) -> Result<Answer, Problem> {
-        let follower = record_follower(query, runtime, None)?;
+        let follower = record_follower(query, runtime)?;
         serving(runtime)?;
         let StoreIdentity { name, epoch } = &self.identity;
         let lease = follower.and_then(|f| runtime.grant_lease(f.number, f.incarnation));
@@ -51,7 +51,11 @@
         let after = query.number("after", 0, u64::MAX, 0)?;
         let rows = query.rows()?;
         let wait = Duration::from_millis(query.number("wait_ms", 0, MAX_WATCH_WAIT_MS, 0)?);
-        let follower = record_follower(query, runtime, held_for)?;
+        let follower = match held_for {
+            None => record_follower(query, runtime)?,
+            // Its report counts as of when it came: recorded again, it would take back what was reported since.
+            Some(_) => check_follower(query, runtime)?,
+        };
         serving(runtime)?;
         let epoch = query.number("epoch", 0, u64::MAX, self.identity.epoch)?;
         if query.text("store").is_some_and(|store| store != self.identity.name)
@@ -94,19 +98,30 @@
     json!({ "by": incarnation, "at_ms": at_ms, "held_ms": held.as_millis() as u64 })
 }
 
-/// Records the state of a follower, which names its number; `None`: the request is no follower's.
-fn record_follower(
-    query: &Query,
-    runtime: &mut impl Runtime,
-    held_for: Option<Duration>,
-) -> Result<Option<Follower>, Problem> {
+/// Which follower it is that asks; `None`: the request is no follower's.
+fn follower(query: &Query) -> Result<Option<Follower>, Problem> {
     if query.text("controller").is_none() {
         return Ok(None);
     }
     let number = query.number("controller", 0, u64::from(u32::MAX), 0)?;
     let number = u32::try_from(number).unwrap_or(u32::MAX);
-    let revision = query.number("after", 0, u64::MAX, 0)?;
     let incarnation = query.number("life", 0, u64::MAX, 0)?;
+    Ok(Some(Follower { number, incarnation }))
+}
+
+/// The follower of a request that was held and whose state was recorded when it came: may it still be answered?
+fn check_follower(query: &Query, runtime: &impl Runtime) -> Result<Option<Follower>, Problem> {
+    let follower = follower(query)?;
+    if let Some(Follower { number, incarnation }) = follower {
+        runtime.check_member(number, incarnation)?;
+    }
+    Ok(follower)
+}
+
+/// Records the state of a follower, which names its number; `None`: the request is no follower's.
+fn record_follower(query: &Query, runtime: &mut impl Runtime) -> Result<Option<Follower>, Problem> {
+    let Some(Follower { number, incarnation }) = follower(query)? else { return Ok(None) };
+    let revision = query.number("after", 0, u64::MAX, 0)?;
     // Earlier versions report no incarnation, and act on what they have.
     let same = if incarnation == 0 { revision } else { 0 };
     let state = ControllerState {
@@ -119,7 +134,6 @@
         persisted: query.number("kept", 0, u64::MAX, 0)?,
         requires_lease: query.number("ends", 0, 1, 0)? == 1,
         stopped: query.number("ended", 0, 1, 0)? == 1,
-        held_for,
     };
     runtime.record_state(number, state)?;
     Ok(Some(Follower { number, incarnation }))
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -82,6 +82,10 @@
 
     fn record_state(&mut self, controller: u32, state: ControllerState) -> Result<(), Problem> {
         self.states.push((controller, state.revision));
+        self.check_member(controller, state.incarnation)
+    }
+
+    fn check_member(&self, _: u32, _: u64) -> Result<(), Problem> {
         if self.fenced { Err(Problem::new(403, "fenced", "it was shut out")) } else { Ok(()) }
     }
 
@@ -357,6 +361,14 @@
         Answer::Wait(Duration::from_secs(5))
     );
     assert_eq!(fixture.runtime.states, [(7, 2)]);
+    // Held and judged again, it reports nothing again; what became of its incarnation meanwhile counts.
+    let again = || watch("/v1/watch?after=2&wait_ms=5000&controller=7");
+    assert_eq!(fixture.send(again(), Some(Duration::from_secs(1))), Answer::Wait(Duration::from_secs(5)));
+    assert_eq!(fixture.runtime.states, [(7, 2)]);
+    fixture.runtime.fenced = true;
+    let Answer::Ready(fenced) = fixture.send(again(), Some(Duration::from_secs(1))) else { panic!("fenced") };
+    assert_eq!(fenced.status, 403);
+    fixture.runtime.fenced = false;
     let Answer::Ready(empty) =
         fixture.send(watch("/v1/watch?after=2&wait_ms=5000"), Some(Duration::from_secs(5)))
     else {
--- a/crates/administration/src/follower/snapshot_store.rs
+++ b/crates/administration/src/follower/snapshot_store.rs
@@ -83,7 +83,8 @@
     fn persist(&mut self, document: &SnapshotDocument) {
         match serde_json::to_vec(document) {
             Ok(text) => {
-                let number = self.file.write(text);
+                // Without a file nothing is ever durable: the leader must not count it as a copy.
+                let Some(number) = self.file.write(text) else { return };
                 // Where the disk stands still only the newest matters.
                 if self.pending.len() >= MAX_PENDING_WRITES {
                     self.pending.pop_back();
@@ -104,3 +105,6 @@
     let payload = file.read_trusted(PersistedState::Snapshot, now_ms, |_| None)?;
     serde_json::from_slice(&payload).inspect_err(|error| file.log_invalid(error)).ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/administration/src/leader/api_ports.rs
+++ b/crates/administration/src/leader/api_ports.rs
@@ -12,6 +12,8 @@
 use super::context::LeaderContext;
 use super::fleet_status::fleet_status;
 use super::recovery::ReportSource;
+use super::report_check::ReportFault;
+use super::store::wall_ms;
 use crate::messages::{AdminEvent, LimitDemand};
 
 impl Runtime for LeaderContext {
@@ -56,24 +58,45 @@
 
     fn record_state(&mut self, controller: u32, state: ControllerState) -> Result<(), Problem> {
         let member = Incarnation { controller, incarnation: state.incarnation };
-        self.members.heartbeat(self.now(), member, &state);
-        if state.stopped
-            && let Some(loans) = &mut self.loans
-        {
+        if let Err(fault) = self.report_limits().check(controller, &state, wall_ms()) {
+            self.refused_reports.count(controller, &fault);
+            return Err(fault.problem());
+        }
+        let stopped = state.stopped;
+        let version = reported_version(&state);
+        let is_foreign = version.as_ref().is_some_and(|version| self.recovery.is_foreign(version));
+        self.members.heartbeat(self.now(), member, &state, is_foreign);
+        if stopped && let Some(loans) = &mut self.loans {
             loans.ended(member);
         }
+        self.check_member(controller, state.incarnation)?;
+        if stopped {
+            return Err(ended());
+        }
+        if is_foreign {
+            // What is answered to it depends on its request; it decides nothing here.
+            self.refused_reports.count(controller, &ReportFault::Foreign);
+            return Ok(());
+        }
+        let is_superseded = self.members.is_superseded(member);
+        if !is_superseded {
+            self.members.remember_report(controller, state.revision);
+        }
+        let source = ReportSource { controller, incarnation: Some(state.incarnation), is_superseded };
+        if let Some(version) = version {
+            self.recovery.version_reported(self.now(), source, Some(version));
+        }
+        Ok(())
+    }
+
+    fn check_member(&self, controller: u32, incarnation: u64) -> Result<(), Problem> {
+        let member = Incarnation { controller, incarnation };
         if self.members.is_fenced(member) {
             let detail = "this life of the controller was shut out: it is let in again as another life";
             return Err(Problem::new(403, "fenced", detail));
         }
-        if state.stopped {
-            return Err(Problem::new(403, "ended", "it said that it takes no calls any more"));
-        }
-        self.members.remember_report(controller, state.revision);
-        let source =
-            ReportSource { controller, incarnation: Some(state.incarnation), held_for: state.held_for };
-        if let Some(version) = reported_version(state) {
-            self.recovery.version_reported(self.now(), source, Some(version));
+        if self.members.is_ended(member) {
+            return Err(ended());
         }
         Ok(())
     }
@@ -151,7 +174,17 @@
 
 /// The version of the snapshot that a controller reported. `None`: it has none, or is of a version of the program that
 /// does not say.
-fn reported_version(state: ControllerState) -> Option<SnapshotVersion> {
+fn reported_version(state: &ControllerState) -> Option<SnapshotVersion> {
     let ControllerState { store, epoch, revision, checksum, .. } = state;
-    (!store.is_empty() && epoch > 0).then_some(SnapshotVersion { store, epoch, revision, checksum })
+    let (epoch, revision, checksum) = (*epoch, *revision, *checksum);
+    (!store.is_empty() && epoch > 0).then(|| SnapshotVersion {
+        store: store.clone(),
+        epoch,
+        revision,
+        checksum,
+    })
+}
+
+fn ended() -> Problem {
+    Problem::new(403, "ended", "it said that it takes no calls any more")
 }
--- a/crates/administration/src/leader/context.rs
+++ b/crates/administration/src/leader/context.rs
@@ -9,6 +9,7 @@
 use super::audit_collector::AuditCollector;
 use super::membership_service::MembershipService;
 use super::recovery::RecoveryService;
+use super::report_check::{RefusedReports, ReportLimits};
 use crate::controller_link::ControllerLink;
 use crate::loan_service::{LoanPeriod, LoanService};
 use crate::messages::FleetCounts;
@@ -21,6 +22,8 @@
     pub(super) incarnation: u64,
     /// When its clock began.
     pub(super) start: Instant,
+    /// The number of controllers in the fleet.
+    pub(super) controllers: u32,
 }
 
 /// The services.
@@ -33,6 +36,7 @@
     /// The version of the snapshot that the API serves.
     pub(super) served: Version,
     pub(super) members: MembershipService,
+    pub(super) refused_reports: RefusedReports,
     /// `None`: audit logs are not collected.
     pub(super) audit: Option<AuditCollector>,
     /// `None`: no loans are granted.
@@ -45,6 +49,13 @@
         self.identity.start.elapsed().as_millis() as u64
     }
 
+    /// What followers' reports are held against.
+    pub(super) fn report_limits(&self) -> ReportLimits {
+        let LeaderIdentity { controller, controllers, .. } = self.identity;
+        let own_epoch = self.recovery.authority().own().map_or(0, |own| own.epoch);
+        ReportLimits { own_controller: controller, controllers, own_epoch }
+    }
+
     /// The leader's own controller, as a borrower.
     pub(super) fn own_incarnation(&self) -> Incarnation {
         Incarnation { controller: self.identity.controller, incarnation: self.identity.incarnation }
--- a/crates/administration/src/leader/fleet_status.rs
+++ b/crates/administration/src/leader/fleet_status.rs
@@ -25,6 +25,7 @@
         "lent": { "limits": loans.limits, "borrowers": loans.borrowers },
         "lease_ms": leader.members.lease_span(), "leases": leader.members.lease_holders(now),
         "lives": incarnations, "without_room": leader.members.rejected(),
+        "reports_refused": leader.refused_reports.total(),
         "controller": leader.identity.controller, "role": "administration", "step": step, "cause": cause,
         "since_ms": now.saturating_sub(since), "holds": own, "awaited": authority.expected(),
         "controllers": reports,
--- a/crates/administration/src/leader/membership_service.rs
+++ b/crates/administration/src/leader/membership_service.rs
@@ -73,9 +73,18 @@
         }
     }
 
-    /// A heartbeat of a follower. If it says that it has stopped, its leases are over.
-    pub(super) fn heartbeat(&mut self, now: Millis, member: Incarnation, reported: &ControllerState) {
-        let version = |revision| Version { epoch: reported.epoch, revision };
+    /// A heartbeat of a follower. If it says that it has stopped, its leases are over. `is_foreign`: its snapshot is of
+    /// another store, so that it has none of this one's changes.
+    pub(super) fn heartbeat(
+        &mut self,
+        now: Millis,
+        member: Incarnation,
+        reported: &ControllerState,
+        is_foreign: bool,
+    ) {
+        let version = |revision| {
+            if is_foreign { Version::default() } else { Version { epoch: reported.epoch, revision } }
+        };
         let state = MemberState {
             in_force: version(reported.in_force),
             persisted: version(reported.persisted),
@@ -94,6 +103,16 @@
         }
     }
 
+    /// Whether an incarnation has said that it accepts no calls any more.
+    pub(super) fn is_ended(&self, member: Incarnation) -> bool {
+        self.membership.is_ended(member)
+    }
+
+    /// Whether a later incarnation of the same controller was heard.
+    pub(super) fn is_superseded(&self, member: Incarnation) -> bool {
+        self.membership.is_superseded(member)
+    }
+
     /// Whether an incarnation is fenced.
     pub(super) fn is_fenced(&self, member: Incarnation) -> bool {
         self.membership.is_fenced(member)
@@ -117,7 +136,7 @@
                 let (duration_ms, fencing_token) = span.zip(self.membership.fencing_token(member))?;
                 Some(LeaseGrant { duration_ms, fencing_token })
             }
-            Err(LeaseDenied::Fenced) => None,
+            Err(LeaseDenied::Fenced | LeaseDenied::Ended) => None,
             Err(LeaseDenied::Full) => {
                 let controller = member.controller;
                 warn!(controller, "lease denied: membership is full of incarnations with leases");
--- a/crates/administration/src/leader/mod.rs
+++ b/crates/administration/src/leader/mod.rs
@@ -16,6 +16,7 @@
 mod membership_service;
 mod peer_polling;
 mod recovery;
+mod report_check;
 mod server_loop;
 mod snapshot_writer;
 mod start;
--- a/crates/administration/src/leader/recovery.rs
+++ b/crates/administration/src/leader/recovery.rs
@@ -2,13 +2,12 @@
 //! an operator does. A snapshot that was decided on is installed by the server loop.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use nettleferry_admin::Problem;
 use nettleferry_admin::api::RecoveryPending;
 use nettleferry_fleet::Millis;
-use nettleferry_fleet::authority::{Authority, Duty, Step};
-use nettleferry_fleet::snapshot_version::SnapshotVersion;
+use nettleferry_fleet::authority::{Authority, Cause, Duty, Step};
+use nettleferry_fleet::snapshot_version::{SnapshotVersion, VersionOrder};
 use nettleferry_tenancy::TenantSnapshot;
 use nettleferry_tenant_store::Origin;
 use serde_json::{Value, json};
@@ -31,16 +30,16 @@
 pub(super) struct ReportSource {
     /// The controller's number.
     pub(super) controller: u32,
-    /// Its incarnation; `None`: a peer that was asked, which does not tell it.
+    /// The incarnation that reported by itself; `None`: a peer that was asked.
     pub(super) incarnation: Option<u64>,
-    /// For how long its request was held before it is judged again; `None`: it has just come.
-    pub(super) held_for: Option<Duration>,
+    /// A later incarnation of the same controller was heard before.
+    pub(super) is_superseded: bool,
 }
 
 impl ReportSource {
     /// A peer's response.
     pub(super) fn peer(controller: u32) -> Self {
-        Self { controller, incarnation: None, held_for: None }
+        Self { controller, incarnation: None, is_superseded: false }
     }
 }
 
@@ -106,20 +105,18 @@
         source: ReportSource,
         version: Option<SnapshotVersion>,
     ) {
-        let (before, since) = self.authority.duty();
-        let step = self.authority.report_received(now, source.controller, version.clone());
-        let (after, _) = self.authority.duty();
-        if before != after {
-            info!(
-                from = before.as_str(), to = after.as_str(), after_ms = now.saturating_sub(since),
-                controller = source.controller,
-                incarnation = %source.incarnation.map(|life| format!("{life:016x}")).unwrap_or_default(),
-                held_ms = source.held_for.map(|held| held.as_millis() as u64),
-                reported = %version.map(|version| version.to_string()).unwrap_or_default(),
-                own = %self.authority.own().map(ToString::to_string).unwrap_or_default(),
-                "duty changed by a report"
-            );
-        }
+        let before = self.authority.duty();
+        let step = match &version {
+            Some(version) if source.is_superseded => {
+                self.authority.superseded_report_received(now, version);
+                Step::None
+            }
+            Some(version) if source.incarnation.is_some() => {
+                self.authority.heartbeat_received(now, source.controller, version.clone())
+            }
+            _ => self.authority.report_received(now, source.controller, version.clone()),
+        };
+        self.log_transition(now, before, source, version.as_ref());
         let Step::Install(from, version) = step else { return };
         // A controller that reported its version with a heartbeat gives its snapshot when it is asked in turn.
         let offer = self.offers.get(&from).filter(|document| document.version() == version);
@@ -129,6 +126,43 @@
         }
     }
 
+    /// Logs a change of duty with the report that caused it.
+    fn log_transition(
+        &self,
+        now: Millis,
+        (before, since): (Duty, Millis),
+        source: ReportSource,
+        reported: Option<&SnapshotVersion>,
+    ) {
+        let (after, _) = self.authority.duty();
+        if before == after {
+            return;
+        }
+        let name = |version: Option<&SnapshotVersion>| version.map(ToString::to_string).unwrap_or_default();
+        info!(
+            from = before.as_str(),
+            to = after.as_str(),
+            after_ms = now.saturating_sub(since),
+            controller = source.controller,
+            incarnation = %source.incarnation.map(|life| format!("{life:016x}")).unwrap_or_default(),
+            is_superseded = source.is_superseded,
+            reported = %name(reported),
+            own = %name(self.authority.own()),
+            "duty changed by a report"
+        );
+    }
+
+    /// Whether a version is of another store than the leader's own snapshot, where that has changes.
+    pub(super) fn is_foreign(&self, version: &SnapshotVersion) -> bool {
+        let own = self.authority.own().filter(|own| own.revision > 0);
+        own.is_some_and(|own| version.compare(own) == VersionOrder::Foreign)
+    }
+
+    /// Whether the leader's own snapshot is known to lack changes that others have or had.
+    pub(super) fn is_behind(&self) -> bool {
+        self.authority.duty().0 == Duty::Waiting(Cause::Behind)
+    }
+
     /// A peer gave the snapshot that it has.
     pub(super) fn snapshot_offered(&mut self, now: Millis, controller: u32, document: SnapshotDocument) {
         let version = document.version();
--- a/crates/administration/src/leader/server_loop.rs
+++ b/crates/administration/src/leader/server_loop.rs
@@ -48,6 +48,8 @@
     pub(super) clock_sent_at: Millis,
     /// When the controller borrowed last.
     pub(super) own_loans_at: Millis,
+    /// The controller was told that its snapshot is behind.
+    pub(super) own_is_behind: bool,
     /// Wakes requests that wait.
     pub(super) wake: Stop,
     pub(super) peers: PeerPolling,
@@ -256,9 +258,17 @@
 
     /// Logs whether a snapshot counts, and wakes those who wait for that.
     pub(super) fn log_duty(&mut self) {
-        if self.context.recovery.log_duty() {
-            self.wake.wake();
+        if !self.context.recovery.log_duty() {
+            return;
+        }
+        let is_behind = self.context.recovery.is_behind();
+        if std::mem::replace(&mut self.own_is_behind, is_behind) != is_behind {
+            self.context.link.send(AdminEvent::SnapshotBehind(is_behind));
         }
+        if !self.context.recovery.is_serving() {
+            self.changes.set_undecided();
+        }
+        self.wake.wake();
     }
 
     fn install(&mut self, Decision { snapshot, origin }: Decision) {
@@ -271,6 +281,8 @@
         let (now, revision, epoch) = (self.context.now(), snapshot.revision(), origin.epoch);
         info!(revision, epoch, store = %origin.store, "snapshot installed, it is authoritative now");
         self.context.recovery.installed(now, version_of(&origin.store, epoch, &snapshot));
+        // They may not be in it.
+        self.changes.set_undecided();
         self.sent_revision = revision;
         self.context.served.epoch = epoch;
         let document = SnapshotDocument { controller: None, store: origin.store, epoch, snapshot };
--- a/crates/administration/src/leader/start.rs
+++ b/crates/administration/src/leader/start.rs
@@ -140,19 +140,20 @@
     let acknowledged = versions.acknowledged();
     let identity = identity(&origin);
     let document = SnapshotDocument { controller: None, store: origin.store, epoch, snapshot };
-    let controller = config.controller.number;
+    let (controller, controllers) = (config.controller.number, config.controller.controllers);
     let lends = config.loans.reserve < 1.0;
     let max_call = config.controller.max_deadline_ms;
     let mut leader = Leader {
         api: Api::new(document.snapshot.clone(), store, identity, read_only),
         keys: KeyRing::new(config.keys),
         context: LeaderContext {
-            identity: LeaderIdentity { controller, incarnation, start },
+            identity: LeaderIdentity { controller, incarnation, start, controllers },
             link,
             drained_workers: Default::default(),
             recovery: RecoveryService::new(controller, Authority::new(0, own, peers.count())),
             served: Version { epoch, revision },
             members: MembershipService::new(membership, config.required_copies),
+            refused_reports: Default::default(),
             audit,
             loans: lends.then(|| LoanService::new(config.loans, incarnation, max_call)),
         },
@@ -164,6 +165,7 @@
         sent_revision: revision,
         clock_sent_at: 0,
         own_loans_at: 0,
+        own_is_behind: false,
         wake: stop.clone(),
         peers,
     };
--- a/crates/administration/src/messages.rs
+++ b/crates/administration/src/messages.rs
@@ -21,6 +21,9 @@
     TenantChanged(Box<Entry>),
     /// All tenants were replaced: those that are not in this snapshot are gone.
     SnapshotReplaced(Box<SnapshotDocument>),
+    /// Whether the leader's own snapshot is known to lack changes that others have or had: its controller is not to act
+    /// on it.
+    SnapshotBehind(bool),
     /// All workers that are drained by hand.
     WorkersDrained(BTreeSet<String>),
     /// To be acknowledged by [`AdminServer::acknowledge`](crate::AdminServer::acknowledge) once all earlier events are
--- a/crates/administration/src/pending_changes.rs
+++ b/crates/administration/src/pending_changes.rs
@@ -33,6 +33,15 @@
     change: CommittedChange,
     /// When it is answered with the state as it then is.
     deadline: Millis,
+    /// Another snapshot was found to be later since: what becomes of the change is open, and nothing acknowledges it.
+    is_undecided: bool,
+}
+
+impl PendingChange {
+    /// Can its response be sent?
+    fn is_ready(&self, fleet: &FleetState) -> bool {
+        self.is_undecided || fleet.is_complete(&self.change) || fleet.now >= self.deadline
+    }
 }
 
 /// The state of the fleet, by which a change is judged.
@@ -118,25 +127,31 @@
         let deadline = bound.map_or(unbounded, |bound| bound.max(unbounded) + 1);
         let deadline = deadline.min(fleet.now + MAX_WAIT);
         self.last_ticket += 1;
-        self.waiting.insert(self.last_ticket, PendingChange { change, deadline });
+        self.waiting.insert(self.last_ticket, PendingChange { change, deadline, is_undecided: false });
         ChangeResponse::Wait { timeout: deadline - fleet.now, ticket: self.last_ticket }
     }
 
     /// A response is asked for again. `None`: none waits under this ticket.
     pub(crate) fn resume(&mut self, fleet: &FleetState, ticket: u64) -> Option<ChangeResponse> {
         let pending = self.waiting.get(&ticket)?;
-        if !fleet.is_complete(&pending.change) && fleet.now < pending.deadline {
+        if !pending.is_ready(fleet) {
             return Some(ChangeResponse::Wait { timeout: pending.deadline - fleet.now, ticket });
         }
         let pending = self.waiting.remove(&ticket)?;
+        if pending.is_undecided {
+            return Some(ChangeResponse::Ready(undecided(pending.change.version).response()));
+        }
         Some(ChangeResponse::Ready(self.respond(fleet, pending.change)))
     }
 
     /// Whether a response can be sent now.
     pub(crate) fn is_any_ready(&self, fleet: &FleetState) -> bool {
-        self.waiting
-            .values()
-            .any(|pending| fleet.is_complete(&pending.change) || fleet.now >= pending.deadline)
+        self.waiting.values().any(|pending| pending.is_ready(fleet))
+    }
+
+    /// It is not decided any more that the snapshot counts of which these changes are.
+    pub(crate) fn set_undecided(&mut self) {
+        self.waiting.values_mut().for_each(|pending| pending.is_undecided = true);
     }
 
     /// When a response may become ready by the passing of time.
@@ -188,5 +203,13 @@
     Problem::new(503, "not-held", detail)
 }
 
+fn undecided(version: Version) -> Problem {
+    let detail = format!(
+        "the change was made as revision {}, but another controller reported a later snapshot: whether it stands is decided by recovery, see GET /v1/fleet",
+        version.revision
+    );
+    Problem::new(503, "undecided", detail)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/administration/src/persisted_file.rs
+++ b/crates/administration/src/persisted_file.rs
@@ -100,10 +100,10 @@
         warn!(file = %self.file.display(), content = self.content, %error, "persisted file is invalid and is not used");
     }
 
-    /// Submits new content for the next start; never waits for a disk. Returns the number of this write; 0: nothing can
-    /// be persisted.
-    pub fn write(&self, payload: Vec<u8>) -> u64 {
-        self.writer.as_ref().map_or(0, |writer| writer.submit(payload))
+    /// Submits new content for the next start; never waits for a disk. Returns the number of this write; `None`: nothing
+    /// can be persisted.
+    pub fn write(&self, payload: Vec<u8>) -> Option<u64> {
+        self.writer.as_ref().map(|writer| writer.submit(payload))
     }
 
     /// The number of the last durable write.
--- a/crates/fleet/src/follower_requests.rs
+++ b/crates/fleet/src/follower_requests.rs
@@ -8,7 +8,7 @@
 use crate::snapshot_version::SnapshotVersion;
 
 /// How long a watch may wait for a change where no leases are granted.
-const WAIT_WITHOUT_LEASES: Duration = Duration::from_secs(20);
+pub const WAIT_WITHOUT_LEASES: Duration = Duration::from_secs(20);
 /// How long the response to such a watch may take.
 const TIMEOUT_WITHOUT_LEASES: Duration = Duration::from_secs(30);
 /// Where leases are granted, a watch waits for a part of a span, and its response may take as long again, but not
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -21,11 +21,16 @@
 pub const MAX_INCARNATIONS: usize = 1_024;
 /// A member without a lease is forgotten this long after its last heartbeat.
 pub const FORGOTTEN_AFTER: Millis = 10 * 60_000;
-/// Where no leases are granted, a member that was silent for so long is not expected to persist a change.
-pub const UNRESPONSIVE_AFTER: Millis = 10_000;
+/// Where no leases are granted, a member that was silent for so long is not expected to persist a change: longer than
+/// its watch is held there, as it reports nothing meanwhile.
+pub const UNRESPONSIVE_AFTER: Millis = 30_000;
 /// Fenced incarnations that are remembered; the lowest controller numbers are dropped first.
 pub const MAX_FENCED: usize = 256;
 
+/// The incarnation of controllers whose program is of an earlier version and reports none: all runs of such a controller
+/// have it.
+pub const UNREPORTED_INCARNATION: u64 = 0;
+
 /// One run of one controller's process. Two runs of the same controller are different incarnations.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Incarnation {
@@ -78,6 +83,8 @@
     /// Grows with each incarnation of the fleet. Workers reject requests of an earlier incarnation of a controller
     /// once they have seen a later one.
     pub fencing_token: u64,
+    /// It said that it accepts no calls any more: what comes of it later was sent before.
+    ended: bool,
 }
 
 /// Why an incarnation gets no lease.
@@ -85,6 +92,8 @@
 pub enum LeaseDenied {
     /// It was fenced.
     Fenced,
+    /// It said that it accepts no calls any more.
+    Ended,
     /// The membership is full of incarnations whose leases run.
     Full,
 }
@@ -185,15 +194,19 @@
                 lease_over: None,
                 leases: Vec::new(),
                 fencing_token: *last_token,
+                ended: false,
             }
         });
+        member.last_heartbeat = now;
+        if member.ended {
+            return;
+        }
         // A heartbeat that overtook another takes back nothing that was applied or persisted.
         member.state = MemberState {
             in_force: member.state.in_force.max(state.in_force),
             persisted: member.state.persisted.max(state.persisted),
             requires_lease: state.requires_lease,
         };
-        member.last_heartbeat = now;
     }
 
     /// Forgets members that may be forgotten. False: there is no room for one more.
@@ -225,6 +238,9 @@
         }
         let Some(span) = self.span else { return Ok(None) };
         let member = self.members.get_mut(&incarnation).ok_or(LeaseDenied::Full)?;
+        if member.ended {
+            return Err(LeaseDenied::Ended);
+        }
         let over = lease_over(now, span);
         member.lease_over = Some(member.lease_over.map_or(over, |before| before.max(over)));
         member.leases.retain(|lease| now < lease.over);
@@ -301,12 +317,29 @@
         self.fenced.contains(&who)
     }
 
-    /// A fenced incarnation was notified, or one has shut down: it accepts no calls any more.
+    /// Has it ended, for all that is known?
+    pub fn is_ended(&self, who: Incarnation) -> bool {
+        self.members.get(&who).is_some_and(|member| member.ended)
+    }
+
+    /// Was a later incarnation of the same controller heard? Incarnations follow each other in the order in which they
+    /// were heard first. One that is not reported can't be told from another run's.
+    pub fn is_superseded(&self, who: Incarnation) -> bool {
+        let Some(token) = self.fencing_token(who) else { return false };
+        let first = Incarnation { incarnation: 0, ..who };
+        let last = Incarnation { incarnation: u64::MAX, ..who };
+        who.incarnation != UNREPORTED_INCARNATION
+            && self.members.range(first..=last).any(|(_, member)| member.fencing_token > token)
+    }
+
+    /// A fenced incarnation was notified, or one has shut down: it accepts no calls any more, and no later heartbeat takes
+    /// that back.
     pub fn ended(&mut self, who: Incarnation) {
         if let Some(member) = self.members.get_mut(&who) {
             member.lease_over = None;
             member.leases.clear();
             member.state.requires_lease = true;
+            member.ended = who.incarnation != UNREPORTED_INCARNATION;
         }
     }
 
--- a/crates/fleet/src/membership/tests.rs
+++ b/crates/fleet/src/membership/tests.rs
@@ -1,6 +1,7 @@
 //! Unit tests of `membership`.
 
 use super::*;
+use crate::follower_requests::WAIT_WITHOUT_LEASES;
 
 const ONE: Incarnation = Incarnation { controller: 1, incarnation: 7 };
 const TWO: Incarnation = Incarnation { controller: 2, incarnation: 8 };
@@ -121,3 +122,46 @@
     assert!(progress.is_persisted() && progress.is_in_force());
     assert_eq!(membership.grant(1, ONE, version(4)), Ok(None));
 }
+
+#[test]
+fn incarnation_that_has_ended_gets_no_lease_and_reports_nothing_any_more() {
+    let mut membership = Membership::new(0, Some(1_000), None, 0);
+    membership.heartbeat(0, ONE, state(4, false));
+    membership.grant(0, ONE, version(4)).expect("a lease");
+    membership.ended(ONE);
+    // Sent before its end, and late.
+    membership.heartbeat(10, ONE, state(5, false));
+    assert_eq!(membership.grant(10, ONE, version(5)), Err(LeaseDenied::Ended));
+    let progress = membership.progress(10, version(5), 1);
+    assert!(progress.is_in_force(), "nobody waits for it");
+    assert_eq!(progress.persisted, 0, "what it had at its end counts, and no more");
+    // Earlier versions of the program report no incarnation: the next run is the same to the leader.
+    let unreported = Incarnation { incarnation: UNREPORTED_INCARNATION, ..ONE };
+    membership.heartbeat(20, unreported, state(4, true));
+    membership.ended(unreported);
+    membership.heartbeat(30, unreported, state(4, true));
+    assert_eq!(membership.grant(30, unreported, version(4)), Ok(Some(1_000)));
+}
+
+#[test]
+fn incarnations_of_a_controller_supersede_each_other_as_they_were_heard() {
+    let mut membership = Membership::new(0, Some(1_000), None, 0);
+    let later = Incarnation { incarnation: 3, ..ONE };
+    for who in [ONE, TWO, later] {
+        assert!(!membership.is_superseded(who), "not heard");
+        membership.heartbeat(0, who, state(4, true));
+    }
+    assert!(membership.is_superseded(ONE) && !membership.is_superseded(later));
+    assert!(!membership.is_superseded(TWO), "another controller");
+}
+
+/// Where no leases are granted, a follower is silent while its watch is held: it must count as one that is to persist a
+/// change for all that time, or the change is acknowledged with no copy.
+#[test]
+fn follower_whose_watch_is_held_is_expected_to_persist_a_change() {
+    let mut membership = Membership::new(0, None, None, 0);
+    membership.heartbeat(0, ONE, state(4, false));
+    let held = WAIT_WITHOUT_LEASES.as_millis() as Millis;
+    let progress = membership.progress(held, version(5), 1);
+    assert_eq!((progress.required, progress.is_persisted()), (1, false));
+}
--- a/crates/fleet/tests/loss.rs
+++ b/crates/fleet/tests/loss.rs
@@ -1,6 +1,6 @@
 //! Which snapshot is in force after a loss: random losses and returns, with what must never come of them.
 
-use nettleferry_fleet::authority::{Authority, Cause, Duty, Step};
+use nettleferry_fleet::authority::{Authority, Cause, Duty, MAX_REPORTS, Step};
 use nettleferry_fleet::bootstrap::{self, Bootstrap, PeerResponse};
 use nettleferry_fleet::snapshot_version::{SnapshotVersion, VersionOrder};
 use proptest::prelude::*;
@@ -60,6 +60,64 @@
     assert_eq!(a.report_received(3, 2, Some(version(1, 6))), Step::Install(1, version(1, 6)));
 }
 
+#[test]
+fn snapshot_that_was_ahead_is_taken_back_by_no_report() {
+    let mut a = Authority::new(0, Some(version(1, 5)), 2);
+    assert_eq!(a.report_received(1, 1, Some(version(1, 6))), Step::None);
+    assert_eq!(a.duty().0, Duty::Waiting(Cause::Behind));
+    // The same controller: late, or with an older disk, or with none. And the other one agrees with the leader.
+    for (now, reported) in [(2, Some(version(1, 5))), (3, None)] {
+        assert_eq!(a.report_received(now, 1, reported), Step::None);
+        assert_eq!(a.report_received(now, 2, Some(version(1, 5))), Step::None);
+        assert_eq!(a.duty().0, Duty::Waiting(Cause::Behind), "only a decision ends it");
+    }
+    let origin = a.superseding_origin().expect("snapshots are known");
+    a.set_own(4, SnapshotVersion { epoch: origin.epoch, ..version(1, 5) }, true);
+    assert_eq!(a.duty().0, Duty::Serving, "an operator has decided");
+    assert_eq!(a.report_received(5, 1, Some(version(1, 6))), Step::None);
+    assert_eq!(a.duty().0, Duty::Serving, "and that is above what was reported");
+}
+
+#[test]
+fn lost_newest_snapshot_is_not_replaced_by_an_older_one_without_an_operator() {
+    let mut damaged = Authority::new(0, None, 2);
+    damaged.report_received(1, 1, Some(version(1, 7)));
+    damaged.report_received(2, 1, None);
+    assert_eq!(damaged.report_received(3, 2, Some(version(1, 5))), Step::None);
+    assert_eq!(damaged.duty().0, Duty::Waiting(Cause::Damaged));
+    let mut empty = Authority::new(0, Some(SnapshotVersion { revision: 0, ..SnapshotVersion::default() }), 1);
+    empty.report_received(1, 1, Some(version(1, 7)));
+    empty.report_received(2, 1, None);
+    assert_eq!(empty.duty().0, Duty::Waiting(Cause::Empty), "this is no new installation");
+}
+
+#[test]
+fn late_report_of_a_superseded_incarnation_counts_only_if_it_is_ahead() {
+    let mut a = Authority::new(0, Some(version(1, 5)), 2);
+    let forged = SnapshotVersion { checksum: 99, ..version(1, 5) };
+    a.report_received(1, 1, Some(forged));
+    assert_eq!(a.duty().0, Duty::Waiting(Cause::Disagreed));
+    a.superseded_report_received(2, &version(1, 5));
+    assert_eq!(a.duty().0, Duty::Waiting(Cause::Disagreed), "its controller's later report stands");
+    let mut b = Authority::new(0, Some(version(1, 5)), 2);
+    b.superseded_report_received(1, &version(1, 5));
+    assert_eq!(b.duty().0, Duty::Serving);
+    b.superseded_report_received(2, &version(1, 6));
+    assert_eq!(b.duty().0, Duty::Waiting(Cause::Behind));
+}
+
+#[test]
+fn controller_with_the_newest_snapshot_is_forgotten_last() {
+    let mut a = Authority::new(0, Some(version(1, 5)), MAX_REPORTS + 1);
+    a.report_received(0, 7, Some(version(1, 6)));
+    for other in 0..MAX_REPORTS as u32 {
+        a.report_received(1 + u64::from(other), 100 + other, Some(version(1, 5)));
+    }
+    assert_eq!(a.reports().count(), MAX_REPORTS);
+    assert!(a.reports().any(|report| report.controller == 7), "its snapshot is the one to fetch");
+    assert_eq!(a.duty().0, Duty::Waiting(Cause::Behind));
+}
+
 #[test]
 fn follower_rejects_older_forked_and_foreign_snapshots() {
     let held = version(2, 6);
--- a/crates/gateway/src/tenants/mod.rs
+++ b/crates/gateway/src/tenants/mod.rs
@@ -78,6 +78,8 @@
     revision: Revision,
     /// There is no snapshot yet: which tenants there are is not known.
     without_snapshot: bool,
+    /// The snapshot is known to lack changes that other controllers have or had.
+    is_behind: bool,
     /// Rejected calls, by reason in the order of [`RejectReason::ALL`].
     rejections: [u64; RejectReason::ALL.len()],
 }
@@ -106,6 +108,7 @@
             removed: Vec::new(),
             revision: 0,
             without_snapshot: false,
+            is_behind: false,
             rejections: Default::default(),
         }
     }
@@ -133,6 +136,12 @@
         self.without_snapshot = true;
     }
 
+    /// Whether the snapshot is known to lack changes that other controllers have or had, such as a suspension: until that
+    /// is decided, calls of tenants are rejected, and not denied.
+    pub(crate) fn set_behind(&mut self, is_behind: bool) {
+        self.is_behind = is_behind;
+    }
+
     /// The snapshot is of an earlier incarnation, whose use of rates is not known: no tenant gets a second burst.
     pub(crate) fn exhaust_rates(&mut self, now: Micros) {
         for (slot, _) in &self.tenants {
@@ -276,6 +285,9 @@
             self.count_rejection(RejectReason::UnknownTenant);
             return Err(CallRejection::no_tenant());
         };
+        if self.is_behind {
+            return Err(CallRejection::snapshot_behind());
+        }
         let Some(slot) = self.slots_by_name.get(name).copied() else {
             if self.without_snapshot {
                 return Err(CallRejection::without_snapshot());
--- a/crates/gateway/src/tenants/rejection.rs
+++ b/crates/gateway/src/tenants/rejection.rs
@@ -39,6 +39,12 @@
         Self { denied: false, message, retry_after: Some(RETRY_WITHOUT_SNAPSHOT) }
     }
 
+    /// Other controllers have later changes of the tenants.
+    pub(super) fn snapshot_behind() -> Self {
+        let message = "other controllers have later changes of the tenants: try again, or there".to_owned();
+        Self { denied: false, message, retry_after: Some(RETRY_WITHOUT_SNAPSHOT) }
+    }
+
     /// Admission control rejected the call of this tenant.
     pub(super) fn by_admission(rejection: &Rejection, name: &str) -> Self {
         Self {
--- a/crates/gateway/tests/held_watches.rs
+++ b/crates/gateway/tests/held_watches.rs
@@ -17,6 +17,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
+use nettleferry_net::grpc::Code;
 use serde_json::{Value, json};
 
 const ADMINISTRATION: &str = "(lease 5s)";
@@ -207,3 +208,47 @@
     assert_eq!((status, &told["type"]), (503, &json!("/problems/undecided")), "{told}");
     assert_waits(&leader);
 }
+
+#[test]
+fn leader_that_is_behind_does_not_act_on_its_own_snapshot() {
+    let cluster = Cluster::new("127.0.61.5", 9);
+    let leader = cluster.administration(cluster.dir(), ADMINISTRATION);
+    leader.create(json!({"name": "kalahari"}));
+    assert_eq!(call_status(&leader.program, "kalahari"), Code::Ok);
+    watch(&cluster, NEW, &Reported::of(&leader).later(), 0).response();
+    eventually("it refuses: the tenant may be suspended by what it lacks", || {
+        call_status(&leader.program, "kalahari") == Code::ResourceExhausted
+    });
+    let (done, told) = cluster.run(&["recover", "--take", "own", "--yes"]);
+    assert!(done == Some(0) && told.contains("stands now"), "{told}");
+    eventually("an operator has decided", || call_status(&leader.program, "kalahari") == Code::Ok);
+    assert_eq!(leader.ask("POST", "/v1/tenants", "", "{\"name\":\"new\"}").0, 201);
+}
+
+#[test]
+fn impossible_reports_are_refused_counted_and_decide_nothing() {
+    let cluster = Cluster::new("127.0.61.6", 4);
+    let leader = cluster.administration(cluster.dir(), ADMINISTRATION);
+    leader.create(json!({"name": "kalahari"}));
+    let own = Reported::of(&leader);
+    let far = Reported { epoch: u64::MAX, ..own.clone() };
+    let high = Reported { revision: u64::MAX, ..own.clone() };
+    let nobody = Life { controller: 4, incarnation: 41 };
+    let itself = Life { controller: 0, incarnation: 41 };
+    let cases = [
+        (NEW, &far, "epoch"),
+        (NEW, &high, "after"),
+        (nobody, &own, "controller"),
+        (itself, &own, "controller"),
+    ];
+    for (life, reported, field) in cases {
+        let (status, told) = watch(&cluster, life, reported, 0).response();
+        assert_eq!((status, &told["field"]), (422, &json!(field)), "{told}");
+    }
+    let foreign = Reported { store: "another".to_owned(), revision: own.revision + 9, ..own.clone() };
+    let (status, told) = watch(&cluster, NEW, &foreign, 0).response();
+    assert_eq!((status, &told["type"]), (410, &json!("/problems/another-store")), "{told}");
+    let fleet = leader.get("/v1/fleet");
+    assert_eq!((&fleet["reports_refused"], &fleet["step"]), (&json!(5), &json!("serving")), "{fleet}");
+    assert_eq!(leader.ask("POST", "/v1/tenants", "", "{\"name\":\"new\"}").0, 201);
+}
