soak: a fall of a cold worker counts against controllers that were told; ends by process

Traced: 0 of them came from controllers that had been told of the start, the directory was silent. A request at a shutdown is classed by the end of the process its connection led to: nine were told as undecided that SIGKILL had ended.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -12,7 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::audit::{Audit, Class, End};
-use crate::controller::{Controller, DEADLINE, Phase};
+use crate::controller::{Controller, DEADLINE, Phase, ProcessEnd};
 use crate::wire::FrameReader;
 
 /// Functions that clients ask for.
@@ -21,6 +21,8 @@
 const BEYOND: Duration = Duration::from_millis(500);
 /// A request that crosses the close of a resting connection within this span is sent again, once.
 const CROSSING: Duration = Duration::from_millis(50);
+/// A process that has closed a client's connection at its end is gone within this span, or has not ended.
+const END_HEARD_WITHIN: Duration = Duration::from_millis(500);
 /// The codes of answers.
 const SERVED: u8 = 79;
 const REFUSED: u8 = 66;
@@ -68,6 +70,7 @@
     closing: bool,
     /// It has carried a request before.
     rested: bool,
+    opened: Instant,
     kills: u64,
 }
 
@@ -79,6 +82,16 @@
     sent: Instant,
 }
 
+/// What became of a request whose connection ended with its controller's process.
+fn end_at_shutdown(request: &OpenRequest, end: ProcessEnd) -> End {
+    let crossed = request.sent + CROSSING >= end.earliest;
+    match (end.killed, crossed) {
+        (true, true) => End::CrossedKill,
+        (false, true) => End::CrossedEnd,
+        (_, false) => End::Lost,
+    }
+}
+
 impl Client {
     /// A client of this controller. `persists`: it uses its connection until the controller's process is gone.
     pub fn new(
@@ -181,6 +194,7 @@
                 open: BTreeMap::new(),
                 closing: false,
                 rested: false,
+                opened: Instant::now(),
                 kills,
             });
         }
@@ -286,27 +300,31 @@
         let Some(connection) = self.connection.take() else { return };
         let killed = self.controller.kills.load(Ordering::Acquire) != connection.kills;
         let crossed = connection.rested && asked.elapsed() < CROSSING;
-        let ending = self.persists && self.controller.phase() != Phase::Serving;
+        let process_end = self.process_end(connection.opened);
         for request in connection.open.into_values() {
             let end = match (killed, crossed) {
                 (true, _) => End::Killed,
-                (false, _) if ending => self.end_at_shutdown(&request),
-                (false, true) => End::Crossed,
-                (false, false) => End::Lost,
+                (false, crossed) => match process_end {
+                    Some(end) => end_at_shutdown(&request, end),
+                    None if crossed => End::Crossed,
+                    None => End::Lost,
+                },
             };
             self.audit.ended(request.id, end);
         }
     }
 
-    /// What became of a request whose connection ended while its controller shut down.
-    fn end_at_shutdown(&self, request: &OpenRequest) -> End {
-        // A kill of an earlier process lies before the request.
-        let killed_at = self.controller.killed_at_end().filter(|at| *at >= request.sent);
-        match killed_at {
-            Some(at) if at < request.sent + CROSSING => End::CrossedKill,
-            None if request.sent.elapsed() < CROSSING => End::CrossedEnd,
-            _ => End::Lost,
+    /// How the process ended, asked to end, to which a connection of this moment led; `None`: it has not.
+    fn process_end(&self, opened: Instant) -> Option<ProcessEnd> {
+        if !self.persists {
+            return None;
+        }
+        // The connection is heard to end before the process is.
+        let until = Instant::now() + END_HEARD_WITHIN;
+        while self.controller.phase() == Phase::Ending && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(1));
         }
+        self.controller.last_end().filter(|end| end.latest >= opened)
     }
 
     fn cancels(&mut self) {
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -85,8 +85,19 @@
     state: Mutex<State>,
     /// Kills by the test so far: what was open then is owed by nobody.
     pub kills: AtomicU64,
-    /// When a process that had been asked to end was killed last.
-    killed_at_end: Mutex<Option<Instant>>,
+    /// How the last process ended that had been asked to.
+    last_end: Mutex<Option<ProcessEnd>>,
+}
+
+/// The end of a process that had been asked to end.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessEnd {
+    /// It was still there at this moment,
+    pub earliest: Instant,
+    /// and no more at this one.
+    pub latest: Instant,
+    /// It was killed, as the platform does.
+    pub killed: bool,
 }
 
 /// How a process is asked to end.
@@ -156,7 +167,7 @@
             dir,
             state: Mutex::new(state),
             kills: AtomicU64::new(0),
-            killed_at_end: Mutex::default(),
+            last_end: Mutex::default(),
         })
     }
 
@@ -169,9 +180,14 @@
         self.state().phase
     }
 
-    /// When a process of it that had been asked to end was killed last.
-    pub fn killed_at_end(&self) -> Option<Instant> {
-        *self.killed_at_end.lock().unwrap_or_else(PoisonError::into_inner)
+    /// How the last process ended that had been asked to.
+    pub fn last_end(&self) -> Option<ProcessEnd> {
+        *self.last_end.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record_end(&self, earliest: Instant, killed: bool) {
+        let end = ProcessEnd { earliest, latest: Instant::now(), killed };
+        *self.last_end.lock().unwrap_or_else(PoisonError::into_inner) = Some(end);
     }
 
     /// Starts a process of it, and waits until it is ready.
@@ -307,7 +323,7 @@
         let mut kill_at = None;
         for (after, signal) in &termination.signals {
             std::thread::sleep(*after);
-            audit.incident(self.number, format!("{signal:?}"));
+            audit.incident(self.number, format!("signal {signal:?}"));
             self.signal(*signal);
             if *signal == Signal::TERM {
                 kill_at = kill_at.or(Some(Instant::now() + termination.kill_after));
@@ -315,28 +331,34 @@
         }
         let kill_at = kill_at.unwrap_or_else(Instant::now);
         let ended = self.wait_or_kill(kill_at)?;
-        audit.incident(self.number, format!("ended: {ended:?}"));
+        let how = ended.map_or_else(|| "killed".to_owned(), |status| format!("ended by itself, {status}"));
+        audit.incident(self.number, how);
         Ok(ended.map_or(Ended::Killed, Ended::ByItself))
     }
 
     /// Waits until its process has ended. `None`: it was killed at that moment, as the platform does: what is unanswered
     /// then is lost.
     fn wait_or_kill(&self, kill_at: Instant) -> io::Result<Option<ExitStatus>> {
+        let mut seen = Instant::now();
         while Instant::now() < kill_at {
+            let before = Instant::now();
             if let Some(status) = self.exited()? {
+                self.record_end(seen, false);
                 let mut state = self.state();
                 (state.phase, state.child) = (Phase::Down, None);
                 return Ok(Some(status));
             }
+            seen = before;
             std::thread::sleep(Duration::from_millis(5));
         }
-        let mut state = self.state();
-        state.phase = Phase::Down;
-        if let Some(mut child) = state.child.take() {
-            *self.killed_at_end.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        let child = self.state().child.take();
+        if let Some(mut child) = child {
+            let before = Instant::now();
             child.kill()?;
             child.wait()?;
+            self.record_end(before, true);
         }
+        self.state().phase = Phase::Down;
         Ok(None)
     }
 
--- a/crates/soak/src/directory.rs
+++ b/crates/soak/src/directory.rs
@@ -55,8 +55,8 @@
         self.list.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Changes one worker: the next event.
-    pub fn change(&self, worker: usize, audit: &Audit, change: impl FnOnce(&mut Entry)) {
+    /// Changes one worker: the next event, whose number it returns.
+    pub fn change(&self, worker: usize, audit: &Audit, change: impl FnOnce(&mut Entry)) -> u32 {
         let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
         list.serial += 1;
         let serial = list.serial;
@@ -65,6 +65,7 @@
             let in_service = entry.listed && entry.in_service;
             audit.listed(Listed { serial, worker, in_service });
         }
+        serial
     }
 
     /// Opens an address of its own for a controller, which answers until `stop` is set.
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -6,7 +6,7 @@
 use crate::judge::Finding;
 
 /// What happened within this span of a finding is told with it.
-const STORY_SPAN: Duration = Duration::from_secs(2);
+const STORY_SPAN: Duration = Duration::from_secs(4);
 
 /// What a run gave.
 #[derive(Debug)]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,7 @@
 
 use rustix::process::Signal;
 
-use crate::audit::Audit;
+use crate::audit::{Audit, Interval};
 use crate::client::Client;
 use crate::controller::{Controller, DRAIN_GRACE, EARLIEST_KILL, Ended, Fleet, KILL_AFTER, Termination};
 use crate::directory::{Directory, Entry, List};
@@ -327,10 +327,11 @@
         self.workers[number].restart();
         self.links[number].end_all(true);
         self.links[number].closed.store(false, Ordering::Release);
-        self.audit.started(number, before);
-        self.directory.change(number, &self.audit, |entry| {
+        let started = Interval { earliest: before, latest: self.audit.now() };
+        let serial = self.directory.change(number, &self.audit, |entry| {
             (entry.in_service, entry.started_ms) = (true, unix_ms());
         });
+        self.audit.started(number, started, serial);
     }
 
     fn crash(&self, number: usize) {
