scenario: a drain counts from when all list files were written

The fault of the soak's record, sought elsewhere: Lists::write recorded a change as of before it wrote, and a drain's grace ran while the run's thread wrote or lost the core. The record has both moments now: a return to service counts from the first, a drain from the second. Other moments there are either taken before (ends, cancellations) or covered by the audit's slack.

--- a/crates/scenario/src/evidence.rs
+++ b/crates/scenario/src/evidence.rs
@@ -120,8 +120,10 @@
 /// A change of a worker's line in the worker list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedWorker {
-    /// When the file was written.
+    /// Before the first file was written: from then on a controller may have read it.
     pub at: Micros,
+    /// Once all files were written: every controller may read it from then on, however long the writing took.
+    pub written: Micros,
     /// The worker.
     pub worker: String,
     /// Its state.
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -180,11 +180,12 @@
         }
     }
 
-    /// Writes all files, unless they are to be stale.
-    pub fn write(&mut self, now: Micros) -> io::Result<()> {
+    /// Writes all files, unless they are to be stale. `now` tells the time.
+    pub fn write(&mut self, now: impl Fn() -> Micros) -> io::Result<()> {
         if self.stale {
             return Ok(());
         }
+        let at = now();
         for (index, zone) in self.zones.iter().enumerate() {
             let list: Vec<Worker> = self
                 .lines
@@ -196,11 +197,12 @@
             std::fs::write(&temporary, workers::write(&list))?;
             std::fs::rename(&temporary, &path)?;
         }
+        let written = now();
         for WorkerLine { worker, .. } in &self.lines {
             let last = self.listed.iter().rev().find(|listed| listed.worker == worker.name);
             if last.map(|listed| listed.state) != Some(worker.state) {
                 let (worker, state) = (worker.name.clone(), worker.state);
-                self.listed.push(ListedWorker { at: now, worker, state });
+                self.listed.push(ListedWorker { at, written, worker, state });
             }
         }
         Ok(())
