--- a/crates/gateway/src/commands/soak.rs
+++ b/crates/gateway/src/commands/soak.rs
@@ -19,7 +19,7 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// How many seeds, one after another
-    #[arg(long, default_value_t = 1)]
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=10_000))]
     seeds: u64,
     /// Controllers: one process each
     #[arg(long, default_value_t = Size::USUAL.controllers, value_parser = clap::value_parser!(u16).range(1..=100).map(usize::from))]
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -60,6 +60,9 @@
     Unanswered,
     /// Its connection was closed while it rested, and the request crossed that close: its client sent it again.
     Crossed,
+    /// Its connection was new, and was closed to make room in a crowd just as the request was sent: whether the request
+    /// had been taken can't be told from the outside.
+    CrossedNew,
     /// Its controller had been asked to end, and its process ended just as the request was sent: whether it had been
     /// taken can't be told from the outside.
     CrossedEnd,
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -13,6 +13,7 @@
 
 use crate::audit::{Audit, Class, End};
 use crate::controller::{Controller, DEADLINE, Phase, ProcessEnd};
+use crate::plan::Extras;
 use crate::wire::FrameReader;
 
 /// Functions that clients ask for.
@@ -56,8 +57,8 @@
     ids: Arc<AtomicU64>,
     stop: Arc<AtomicBool>,
     connection: Option<Connection>,
-    /// It uses its connection until its controller's process is gone.
-    persists: bool,
+    /// What the run holds besides its troubles.
+    extras: Extras,
 }
 
 struct Connection {
@@ -84,7 +85,9 @@
 
 /// What became of a request whose connection ended with its controller's process.
 fn end_at_shutdown(request: &OpenRequest, end: ProcessEnd) -> End {
-    let crossed = request.sent + CROSSING >= end.earliest;
+    // A process that the test had stopped answers nothing until it is killed.
+    let last_served = end.stopped_since.filter(|_| end.killed).unwrap_or(end.earliest);
+    let crossed = request.sent + CROSSING >= last_served;
     match (end.killed, crossed) {
         (true, true) => End::CrossedKill,
         (false, true) => End::CrossedEnd,
@@ -93,24 +96,24 @@
 }
 
 impl Client {
-    /// A client of this controller. `persists`: it uses its connection until the controller's process is gone.
+    /// A client of this controller. With extra shutdowns it uses its connection until the controller's process is gone.
     pub fn new(
         controller: Arc<Controller>,
         audit: Arc<Audit>,
         seed: u64,
         ids: Arc<AtomicU64>,
         stop: Arc<AtomicBool>,
-        persists: bool,
+        extras: Extras,
     ) -> Self {
         let random = ChaCha8Rng::seed_from_u64(seed);
-        Self { controller, audit, random, ids, stop, connection: None, persists }
+        Self { controller, audit, random, ids, stop, connection: None, extras }
     }
 
     /// Asks until it is stopped.
     pub fn run(mut self) {
         while !self.stop.load(Ordering::Acquire) {
             let phase = self.controller.phase();
-            if phase == Phase::Ending && self.persists && self.connection.is_some() {
+            if phase == Phase::Ending && self.extras.shutdowns && self.connection.is_some() {
                 self.ask_on_open_connection();
                 continue;
             }
@@ -178,7 +181,7 @@
     /// A connection that takes requests, a new one where there is none.
     fn connected(&mut self) -> Option<&mut Connection> {
         // After it was asked for no new requests, a client that persists goes on until the connection ends.
-        let goes_on = self.persists && self.controller.phase() == Phase::Ending;
+        let goes_on = self.extras.shutdowns && self.controller.phase() == Phase::Ending;
         if !goes_on && self.connection.as_ref().is_some_and(|connection| connection.closing) {
             self.connection = None;
         }
@@ -301,12 +304,14 @@
         let killed = self.controller.kills.load(Ordering::Acquire) != connection.kills;
         let crossed = connection.rested && asked.elapsed() < CROSSING;
         let process_end = self.process_end(connection.opened);
+        let is_new = self.extras.crowd && !connection.rested;
         for request in connection.open.into_values() {
             let end = match (killed, crossed) {
                 (true, _) => End::Killed,
                 (false, crossed) => match process_end {
                     Some(end) => end_at_shutdown(&request, end),
                     None if crossed => End::Crossed,
+                    None if is_new && request.sent.elapsed() < CROSSING => End::CrossedNew,
                     None => End::Lost,
                 },
             };
@@ -316,7 +321,7 @@
 
     /// How the process ended, asked to end, to which a connection of this moment led; `None`: it has not.
     fn process_end(&self, opened: Instant) -> Option<ProcessEnd> {
-        if !self.persists {
+        if !self.extras.shutdowns {
             return None;
         }
         // The connection is heard to end before the process is.
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -87,6 +87,8 @@
     pub kills: AtomicU64,
     /// How the last process ended that had been asked to.
     last_end: Mutex<Option<ProcessEnd>>,
+    /// Since when the test has stopped its process.
+    stopped_since: Mutex<Option<Instant>>,
 }
 
 /// The end of a process that had been asked to end.
@@ -98,6 +100,8 @@
     pub latest: Instant,
     /// It was killed, as the platform does.
     pub killed: bool,
+    /// Since when the test had stopped it, where it was killed while it stood still.
+    pub stopped_since: Option<Instant>,
 }
 
 /// How a process is asked to end.
@@ -168,6 +172,7 @@
             state: Mutex::new(state),
             kills: AtomicU64::new(0),
             last_end: Mutex::default(),
+            stopped_since: Mutex::default(),
         })
     }
 
@@ -186,10 +191,23 @@
     }
 
     fn record_end(&self, earliest: Instant, killed: bool) {
-        let end = ProcessEnd { earliest, latest: Instant::now(), killed };
+        let stopped_since = *self.stopped_since.lock().unwrap_or_else(PoisonError::into_inner);
+        let end = ProcessEnd { earliest, latest: Instant::now(), killed, stopped_since };
         *self.last_end.lock().unwrap_or_else(PoisonError::into_inner) = Some(end);
     }
 
+    /// Stops its process for a while.
+    pub fn freeze(&self, span: Duration, audit: &Audit) {
+        let set = |since| *self.stopped_since.lock().unwrap_or_else(PoisonError::into_inner) = since;
+        set(Some(Instant::now()));
+        audit.incident(self.number, "stopped");
+        self.signal(Signal::STOP);
+        std::thread::sleep(span);
+        self.signal(Signal::CONT);
+        set(None);
+        audit.incident(self.number, "goes on");
+    }
+
     /// Starts a process of it, and waits until it is ready.
     pub fn start(&self, fleet: Fleet, directory: &Arc<Directory>, audit: &Arc<Audit>) -> io::Result<bool> {
         self.launch(fleet, directory, audit)?;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -76,6 +76,7 @@
         End::Refused,
         End::Failed,
         End::Crossed,
+        End::CrossedNew,
         End::CrossedEnd,
         End::CrossedKill,
         End::Killed,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -180,8 +180,8 @@
         let clients = places.map(|(controller, number)| {
             let seed = self.plan.seed ^ ((controller.number * 64 + number) as u64) << 20;
             let (audit, ids, stop) = (Arc::clone(&self.audit), Arc::clone(&ids), Arc::clone(stop));
-            let persists = self.plan.extras.shutdowns;
-            let client = Client::new(Arc::clone(controller), audit, seed, ids, stop, persists);
+            let extras = self.plan.extras;
+            let client = Client::new(Arc::clone(controller), audit, seed, ids, stop, extras);
             std::thread::spawn(move || client.run())
         });
         clients.collect()
@@ -211,9 +211,7 @@
             }
             Trouble::Reload(number, half) => self.reload(&self.controllers[number], half),
             Trouble::Freeze(number, span) => {
-                self.controllers[number].signal(Signal::STOP);
-                std::thread::sleep(span);
-                self.controllers[number].signal(Signal::CONT);
+                self.controllers[number].freeze(span, &self.audit);
             }
             Trouble::Roll(number) => self.roll(number),
             Trouble::Crash(number) => self.crash(number),
