--- a/crates/administration/src/leader/api_ports.rs
+++ b/crates/administration/src/leader/api_ports.rs
@@ -1,4 +1,4 @@
-//! EntryKind the API asks of the running leader, and how its services respond.
+//! What the API asks of the running leader, and how its services respond.
 
 use nettleferry_admin::Problem;
 use nettleferry_admin::api::{
--- a/crates/administration/src/leader/lease_span.rs
+++ b/crates/administration/src/leader/lease_span.rs
@@ -37,7 +37,7 @@
         let mut file = PersistedFile::open(lease_file(store), "longest lease span", DISK_TIMEOUT);
         let persisted = file.read_trusted(PersistedState::LongestLease, wall_ms(), |_| None);
         let persisted = persisted.and_then(|bytes| std::str::from_utf8(&bytes).ok()?.trim().parse().ok());
-        // EntryKind cannot be known is taken at its worst.
+        // What cannot be known is taken at its worst.
         let earlier = persisted.or(restarted.then_some(MAX_SPAN)).filter(|span: &Millis| *span > 0);
         let longest = configured.max(earlier).unwrap_or(0);
         file.write(longest.to_string().into_bytes());
--- a/crates/administration/src/leader/membership_service.rs
+++ b/crates/administration/src/leader/membership_service.rs
@@ -18,7 +18,7 @@
 /// Followers whose last report is shown; more are not.
 pub(super) const MAX_FOLLOWERS: usize = 1_024;
 
-/// EntryKind a follower reported last, whichever incarnation of it.
+/// What a follower reported last, whichever incarnation of it.
 struct LastReport {
     revision: Revision,
     received: Instant,
--- a/crates/administration/src/leader/peer_polling.rs
+++ b/crates/administration/src/leader/peer_polling.rs
@@ -40,7 +40,7 @@
         (self.outstanding == 0).then(|| self.next_round.saturating_duration_since(Instant::now()))
     }
 
-    /// EntryKind peers said since the last time.
+    /// What peers said since the last time.
     pub(super) fn responses(&mut self) -> Vec<PeerState> {
         let responses: Vec<PeerState> = self.poller.responses().collect();
         self.outstanding = self.outstanding.saturating_sub(responses.len());
--- a/crates/administration/src/leader/recovery.rs
+++ b/crates/administration/src/leader/recovery.rs
@@ -245,7 +245,7 @@
     Problem::field("take", what)
 }
 
-/// EntryKind the other controller would lose, or get back, if this snapshot counts.
+/// What the other controller would lose, or get back, if this snapshot counts.
 fn difference(controller: u32, chosen: &TenantSnapshot, other: &TenantSnapshot) -> Value {
     let mut named: Vec<Value> = Vec::new();
     let mut count = 0;
--- a/crates/administration/src/leader/start.rs
+++ b/crates/administration/src/leader/start.rs
@@ -42,7 +42,7 @@
 /// The name that the API shows for a store that cannot be read.
 const DAMAGED_STORE: &str = "damaged";
 
-/// EntryKind the leader starts with.
+/// What the leader starts with.
 pub(crate) struct LeaderConfig<'a> {
     /// The address of the API.
     pub(crate) listen: SocketAddr,
