Revert "net: a process that comes back late to its poll looks once before it sleeps"

Traced since, by the times of each poll: Deadline comes of a stop between the queueing of a request and the system call that writes it (call 03ef: queued at .762, the write's turn began at .972); ClientGone of a wait that the stop interrupted, after which timers act before the sockets are looked at (call 0481: retried 13 us after the interrupted wait, its client's end read 150 us later).

--- a/crates/net/src/tcp/last_poll.rs
+++ b/crates/net/src/tcp/last_poll.rs
@@ -9,9 +9,6 @@
 /// milliseconds.
 const OVERSLEPT: Duration = Duration::from_millis(3);
 
-/// A process that comes back to its poll later than this may have been stopped since the last one.
-const LATE: Duration = Duration::from_millis(3);
-
 /// One poll, as it returned.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PollResult {
@@ -35,14 +32,6 @@
         Self(now)
     }
 
-    /// The timeout of a poll that begins now, where `wait` was wanted: none, if the process comes back late. What has come
-    /// meanwhile is reported at once then; a poll that sleeps, and is woken by it and delayed on its way back, could not be
-    /// told from one that something new has woken.
-    pub(super) fn timeout(&self, now: Instant, wait: Option<Duration>) -> Option<Duration> {
-        let is_late = now.saturating_duration_since(self.0) > LATE;
-        if is_late { Some(Duration::ZERO) } else { wait }
-    }
-
     /// Records a poll, and returns since when what it reported may have been there: since the poll before where it may have
     /// been there when this one began, and where this one overslept, as the process was not running; and its own return
     /// where it was woken in time.
--- a/crates/net/src/tcp/poll.rs
+++ b/crates/net/src/tcp/poll.rs
@@ -23,7 +23,6 @@
         let due = [alarm, connect_retry, self.accept_at];
         let wait = if busy { Some(Duration::ZERO) } else { shorter(timeout, self.now, &due) };
         let began = Instant::now();
-        let wait = self.last_poll.timeout(began, wait);
         let interrupted = match self.poll.poll(&mut self.events, wait) {
             Ok(()) => false,
             Err(e) if e.kind() == io::ErrorKind::Interrupted => true,
