net: after an interrupted or overslept wait the sockets are looked at before timers act

Cause, by the times of each poll and the log (call 0481): SIGCONT interrupts the wait, Tcp::poll returns with nothing read, the timers that came due during the stop act (retried 13 us later), and the client's end is read by the next poll, 150 us after that. Change: a poll that was interrupted, or slept longer than it was to, is followed by one that does not sleep (8 at the most), before anything acts; what any of them reported is as old as the earliest.

--- a/crates/net/src/tcp/last_poll.rs
+++ b/crates/net/src/tcp/last_poll.rs
@@ -22,6 +22,20 @@
     pub(super) interrupted: bool,
 }
 
+impl PollResult {
+    /// It slept longer than its timeout: the process was not running for a part of it.
+    fn overslept(&self) -> bool {
+        let slept = self.returned.saturating_duration_since(self.began);
+        self.wait.is_some_and(|wait| slept > wait + OVERSLEPT)
+    }
+
+    /// What has come by now may not be reported yet: the poll was interrupted, or looked before the process stood still.
+    /// Timers that act on it would not know that a client has left meanwhile.
+    pub(super) fn is_outdated(&self) -> bool {
+        self.interrupted || self.overslept()
+    }
+}
+
 /// When the sockets were last polled: what had arrived by then was reported.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LastPoll(Instant);
@@ -44,7 +58,7 @@
         }
         let slept = poll.returned.saturating_duration_since(poll.began);
         let at_once = slept < AT_ONCE || poll.wait == Some(Duration::ZERO);
-        let overslept = poll.wait.is_some_and(|wait| slept > wait + OVERSLEPT);
+        let overslept = poll.overslept();
         // One that overslept may have looked when it began, and been stopped on its way back.
         self.0 = if overslept { poll.began } else { poll.returned };
         if at_once || overslept { before } else { poll.returned }
--- a/crates/net/src/tcp/last_poll/tests.rs
+++ b/crates/net/src/tcp/last_poll/tests.rs
@@ -37,3 +37,14 @@
     let next = began + Duration::from_millis(251);
     assert_eq!(last.record(poll_result(next, 0, false)), began);
 }
+
+/// Seen by the soak (ClientGone): a stop interrupted the wait, its timers came due, and a call was retried 13 us later; the
+/// end of its client, which had come during the stop, was read 150 us after that.
+#[test]
+fn what_an_interrupted_or_overslept_poll_reports_is_outdated() {
+    let start = Instant::now();
+    assert!(poll_result(start, 20, true).is_outdated(), "it has looked at nothing");
+    assert!(poll_result(start, 250, false).is_outdated(), "it may have looked before the stop");
+    assert!(!poll_result(start, 20, false).is_outdated());
+    assert!(!poll_result(start, 51, false).is_outdated(), "timeouts are rounded up");
+}
--- a/crates/net/src/tcp/poll.rs
+++ b/crates/net/src/tcp/poll.rs
@@ -8,6 +8,10 @@
 use super::{ConnectionFailure, LISTENERS, SOURCES, Tcp, TcpEvent};
 use crate::clock::shorter;
 
+/// A poll that was interrupted, or overslept, is followed by so many at the most that do not sleep: each may be interrupted
+/// in its turn.
+const MAX_SECOND_POLLS: usize = 8;
+
 impl Tcp {
     /// One iteration: writes what is queued, polls (for at most `timeout`, and less where something is due), and reads what
     /// has arrived. Appends what happened to `out`.
@@ -22,17 +26,18 @@
         let connect_retry = self.connect_retries.first().map(|(at, _)| *at);
         let due = [alarm, connect_retry, self.accept_at];
         let wait = if busy { Some(Duration::ZERO) } else { shorter(timeout, self.now, &due) };
-        let began = Instant::now();
-        let interrupted = match self.poll.poll(&mut self.events, wait) {
-            Ok(()) => false,
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => true,
-            Err(e) => return Err(e),
-        };
-        self.now = Instant::now();
-        self.earliest_arrival =
-            self.last_poll.record(PollResult { began, returned: self.now, wait, interrupted });
+        let mut outdated = self.poll_once(wait)?;
+        // Whoever acts on what is due acts on what has come by then, such as the end of a client.
+        for _ in 0..MAX_SECOND_POLLS {
+            if !outdated {
+                break;
+            }
+            let earliest_arrival = self.earliest_arrival;
+            outdated = self.poll_once(Some(Duration::ZERO))?;
+            // What the polls before have reported is read with the rest.
+            self.earliest_arrival = self.earliest_arrival.min(earliest_arrival);
+        }
         self.retry_connects();
-        self.read_events();
         for _ in 0..self.ready.len() {
             let Some(key) = self.ready.pop_front() else { break };
             self.process(key);
@@ -44,6 +49,23 @@
         Ok(())
     }
 
+    /// Polls once, and notes what is reported. Returns whether more may have come by the time of its return.
+    fn poll_once(&mut self, wait: Option<Duration>) -> io::Result<bool> {
+        let began = Instant::now();
+        let interrupted = match self.poll.poll(&mut self.events, wait) {
+            Ok(()) => false,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => true,
+            Err(e) => return Err(e),
+        };
+        self.now = Instant::now();
+        let result = PollResult { began, returned: self.now, wait, interrupted };
+        self.earliest_arrival = self.last_poll.record(result);
+        if !interrupted {
+            self.read_events();
+        }
+        Ok(result.is_outdated())
+    }
+
     fn read_events(&mut self) {
         let mut accept = std::mem::take(&mut self.unfinished_accepts);
         let mut ready = Vec::new();
