node: the kill is counted from when a signal with a lost wake-up may have come

Cause: SIGTERM was found by the look each 250 ms, and time_before_kill counted from there: 739 ms where 533 were left, 206 ms late. Ruled out: the shorter kill (in the build), the directory (silent at the time, not asked). Change: a signal that no wake-up told of counts as come at the look before; the quiet span is as it was. The test fails without it (3 of 3: told 2947 ms, 2700 left) and passes.

--- a/crates/gateway/tests/faults.rs
+++ b/crates/gateway/tests/faults.rs
@@ -260,3 +260,41 @@
     serves(&mut node.client(), 1..3);
     assert_eq!(node.ended(), Some(0));
 }
+
+/// Seen by the soak (seed 366, --faults --shutdowns --crowd): the wake-up of SIGTERM was lost, the process heard of it by its next
+/// look, 206 ms later, and reckoned with a kill that much later: four requests were open when it came.
+#[test]
+fn kill_is_counted_from_when_a_signal_with_a_lost_wake_up_may_have_come() {
+    let (tell, told) = std::sync::mpsc::channel();
+    let invoker = Invoker::start(move |command: &ReceivedCommand| match command.keyword() {
+        "CALL" => {
+            let fields = String::from_utf8_lossy(&command.parts[2]).into_owned();
+            let patience = fields.split(',').find_map(|field| field.strip_prefix("patience=")?.parse().ok());
+            let _ = tell.send(patience.unwrap_or(u64::MAX));
+            Reaction::Answer("served", "n=w", command.parts[3].clone())
+        }
+        "LOAD" => Reaction::Answer("served", "instances=1", vec![]),
+        _ => Reaction::Answer("green", "-", vec![]),
+    });
+    let mut node = Node::start(&invoker, Faults { signal: 1_000, ..Faults::default() }, |_| ());
+    let mut client = node.client();
+    serves(&mut client, 1..3);
+    told.try_iter().for_each(drop);
+    node.signal("TERM");
+    let asked_to_end = Instant::now();
+    // The longest deadline is 4 s, which counts as 3 s; an answer is on its way for 0.1 s.
+    let last_answer = Duration::from_millis(3_600);
+    // After the grace of 0.7 s, requests have no more time than is left until the kill.
+    let (mut id, mut judged) = (10, 0);
+    while judged < 20 {
+        let elapsed = asked_to_end.elapsed();
+        serves(&mut client, id..id + 1);
+        id += 1;
+        let patience = told.recv_timeout(common::TEST_TIMEOUT).expect("it was called");
+        if elapsed > Duration::from_millis(900) {
+            judged += 1;
+            let left = (last_answer - elapsed).as_millis() as u64 + 1;
+            assert!(patience <= left, "told {patience} ms, {left} ms before the kill");
+        }
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -55,6 +55,8 @@
     counters: Counters,
     /// When SIGTERM arrived.
     draining_since: Option<Instant>,
+    /// When the signal to end may have come at the earliest.
+    kill_counts_from: Option<Instant>,
     /// When a client last connected or sent something.
     last_client_activity: Instant,
     /// When the newest iteration began that has read all there was, and in which no client connected or sent anything.
@@ -63,6 +65,8 @@
     reload_at: Option<Instant>,
     next_counters_log: Instant,
     next_signal_check: Instant,
+    /// When signals were looked for last.
+    signals_checked_at: Instant,
     tcp_events: Vec<TcpEvent>,
     client_events: Vec<ClientEvent>,
     /// Requests read and not yet opened, [`crate::limits::OPENS_PER_ITERATION`] an iteration: no more than clients may
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -43,7 +43,7 @@
         match event {
             TcpEvent::Accepted(key) => self.front.accepted(&mut self.tcp, key, &mut self.counters),
             TcpEvent::Connected(key) => pending.connected.push(key),
-            TcpEvent::Source(SIGNALS) => self.handle_signals(),
+            TcpEvent::Source(SIGNALS) => self.signal_woke(),
             TcpEvent::Source(_) => pending.list = true,
             event if client => self.read_client_event(event),
             event => self.read_invoker_event(event),
@@ -172,7 +172,7 @@
     /// The time that a call has, microseconds: what its client gives it, and after SIGTERM no more than is left until the
     /// platform kills this process. What arrives so late has little of it, and its answer all the same.
     fn limit_to_kill(&mut self, time_left: u64) -> u64 {
-        let Some(since) = self.draining_since else { return time_left };
+        let Some(since) = self.kill_counts_from else { return time_left };
         let limited = time_before_kill(since, Instant::now(), self.longest_deadline, time_left);
         self.counters.after_end += u64::from(limited < time_left);
         limited
--- a/crates/node/src/node/lifecycle.rs
+++ b/crates/node/src/node/lifecycle.rs
@@ -67,26 +67,42 @@
     pub(super) fn check_signals(&mut self, now: Instant) {
         if now >= self.next_signal_check {
             self.next_signal_check = now + SIGNAL_CHECK_INTERVAL;
-            self.handle_signals();
+            // No wake-up has told of it: it may have come at any time since the last look.
+            let earliest = std::mem::replace(&mut self.signals_checked_at, now);
+            self.handle_signals(earliest);
         }
     }
 
-    pub(super) fn handle_signals(&mut self) {
+    /// A wake-up tells of a signal.
+    pub(super) fn signal_woke(&mut self) {
+        let now = Instant::now();
+        self.signals_checked_at = now;
+        self.handle_signals(now);
+    }
+
+    /// `earliest`: when a signal that is found now may have come.
+    fn handle_signals(&mut self, earliest: Instant) {
         let pending: Vec<i32> =
             self.signals.as_mut().map(|signals| signals.pending().collect()).unwrap_or_default();
         for signal in pending {
             match signal {
                 SIGHUP => self.reload(),
-                _ => self.begin_shutdown(),
+                _ => self.begin_shutdown_since(earliest),
             }
         }
     }
 
     /// Begins a graceful shutdown, as SIGTERM does: what arrives is served, and the end follows the last answer.
     pub fn begin_shutdown(&mut self) {
+        self.begin_shutdown_since(Instant::now());
+    }
+
+    /// `earliest`: when the signal may have come, from which the platform counts the time to its kill.
+    fn begin_shutdown_since(&mut self, earliest: Instant) {
         if self.draining_since.is_none() {
             info!("graceful shutdown begun");
             self.draining_since = Some(Instant::now());
+            self.kill_counts_from = Some(earliest);
             self.quiet_iteration = None;
             self.front.announce_shutdown(&mut self.tcp);
         }
