leader: settings that name no fleet judge no number; another store's report is shown

Cause: an administration whose settings do not say (controller ...) has the default of one controller, and my check held numbers against it. Now it judges numbers only where a fleet is named. Measured: the tests of admin, held watches, recovery, upkeep, stragglers, audit, loans, herd, kill, stored data, exchanged JSON, hollow, scale pass.

--- a/crates/administration/src/leader/api_ports.rs
+++ b/crates/administration/src/leader/api_ports.rs
@@ -64,7 +64,8 @@
         }
         let stopped = state.stopped;
         let version = reported_version(&state);
-        let is_foreign = version.as_ref().is_some_and(|version| self.recovery.is_foreign(version));
+        let is_foreign =
+            version.as_ref().is_some_and(|version| self.recovery.authority().is_foreign(version));
         self.members.heartbeat(self.now(), member, &state, is_foreign);
         if stopped && let Some(loans) = &mut self.loans {
             loans.ended(member);
@@ -74,9 +75,8 @@
             return Err(ended());
         }
         if is_foreign {
-            // What is answered to it depends on its request; it decides nothing here.
+            // What is answered to it depends on its request. It is shown, and moves no duty.
             self.refused_reports.count(controller, &ReportFault::Foreign);
-            return Ok(());
         }
         let is_superseded = self.members.is_superseded(member);
         if !is_superseded {
--- a/crates/administration/src/leader/recovery.rs
+++ b/crates/administration/src/leader/recovery.rs
@@ -7,7 +7,7 @@
 use nettleferry_admin::api::RecoveryPending;
 use nettleferry_fleet::Millis;
 use nettleferry_fleet::authority::{Authority, Cause, Duty, Step};
-use nettleferry_fleet::snapshot_version::{SnapshotVersion, VersionOrder};
+use nettleferry_fleet::snapshot_version::SnapshotVersion;
 use nettleferry_tenancy::TenantSnapshot;
 use nettleferry_tenant_store::Origin;
 use serde_json::{Value, json};
@@ -152,12 +152,6 @@
         );
     }
 
-    /// Whether a version is of another store than the leader's own snapshot, where that has changes.
-    pub(super) fn is_foreign(&self, version: &SnapshotVersion) -> bool {
-        let own = self.authority.own().filter(|own| own.revision > 0);
-        own.is_some_and(|own| version.compare(own) == VersionOrder::Foreign)
-    }
-
     /// Whether the leader's own snapshot is known to lack changes that others have or had.
     pub(super) fn is_behind(&self) -> bool {
         self.authority.duty().0 == Duty::Waiting(Cause::Behind)
--- a/crates/administration/src/leader/report_check.rs
+++ b/crates/administration/src/leader/report_check.rs
@@ -91,12 +91,7 @@
         state: &ControllerState,
         wall: Millis,
     ) -> Result<(), ReportFault> {
-        if controller >= self.controllers {
-            return Err(ReportFault::NoSuchController { last: self.controllers.saturating_sub(1) });
-        }
-        if controller == self.own_controller {
-            return Err(ReportFault::OwnNumber);
-        }
+        self.check_number(controller)?;
         if let Some(latest) = self.latest_epoch(wall).filter(|latest| state.epoch > *latest) {
             return Err(ReportFault::FutureEpoch { latest });
         }
@@ -113,6 +108,20 @@
         Ok(())
     }
 
+    /// Settings that name no fleet have one controller, of number 0: they tell nothing of the numbers of followers.
+    fn check_number(&self, controller: u32) -> Result<(), ReportFault> {
+        if self.controllers <= 1 {
+            return Ok(());
+        }
+        if controller >= self.controllers {
+            return Err(ReportFault::NoSuchController { last: self.controllers - 1 });
+        }
+        if controller == self.own_controller {
+            return Err(ReportFault::OwnNumber);
+        }
+        Ok(())
+    }
+
     /// The latest epoch that can be. `None`: the clock here is behind the store's own epoch, so that it tells nothing.
     fn latest_epoch(&self, wall: Millis) -> Option<u64> {
         (self.own_epoch <= wall).then(|| wall.saturating_add(MAX_EPOCH_LEAD))
--- a/crates/administration/src/leader/report_check/tests.rs
+++ b/crates/administration/src/leader/report_check/tests.rs
@@ -30,6 +30,8 @@
     assert_eq!(check(|_| ()), Ok(()));
     assert_eq!(LIMITS.check(4, &state(), WALL), Err(ReportFault::NoSuchController { last: 3 }));
     assert_eq!(LIMITS.check(0, &state(), WALL), Err(ReportFault::OwnNumber));
+    let unnamed = ReportLimits { controllers: 1, ..LIMITS };
+    assert_eq!(unnamed.check(4, &state(), WALL), Ok(()), "the settings name no fleet");
     let latest = WALL + MAX_EPOCH_LEAD;
     assert_eq!(check(|state| state.epoch = latest), Ok(()));
     assert_eq!(check(|state| state.epoch = latest + 1), Err(ReportFault::FutureEpoch { latest }));
--- a/crates/fleet/src/authority.rs
+++ b/crates/fleet/src/authority.rs
@@ -190,9 +190,21 @@
     /// A controller has reported by itself which snapshot it has. Such a report may be late, and of an incarnation that
     /// is not there any more: it shows that a snapshot exists, and never that there is no newer one.
     pub fn heartbeat_received(&mut self, now: Millis, controller: u32, version: SnapshotVersion) -> Step {
+        if self.is_foreign(&version) {
+            // Its controller follows another leader, or this one's store began anew: that is shown, and decides nothing.
+            self.make_room(controller);
+            self.reports.insert(controller, Report { version: Some(version), received_at: now });
+            return Step::None;
+        }
         self.record(now, controller, Some(version))
     }
 
+    /// Is it of another store than the leader's own, where that has changes?
+    pub fn is_foreign(&self, version: &SnapshotVersion) -> bool {
+        let own = self.own.as_ref().filter(|own| own.revision > 0);
+        own.is_some_and(|own| version.compare(own) == VersionOrder::Foreign)
+    }
+
     fn record(&mut self, now: Millis, controller: u32, version: Option<SnapshotVersion>) -> Step {
         self.make_room(controller);
         let order = version.as_ref().zip(self.own.as_ref()).map(|(reported, own)| reported.compare(own));
@@ -223,11 +235,9 @@
     /// Another store's snapshot is not this fleet's, where this one has changes.
     fn remember_newest(&mut self, version: Option<&SnapshotVersion>) {
         let Some(version) = version else { return };
-        let own = self.own.as_ref().filter(|own| own.revision > 0);
-        let is_foreign = own.is_some_and(|own| version.compare(own) == VersionOrder::Foreign);
         let is_newer =
             self.newest_reported.as_ref().is_none_or(|newest| version.compare(newest) == VersionOrder::Ahead);
-        if is_newer && !is_foreign {
+        if is_newer && !self.is_foreign(version) {
             self.newest_reported = Some(version.clone());
         }
     }
