soak: a run holds its block of loopback addresses, so that no two plays share controllers

Now a run binds a port of the block for as long as its process lives, and takes the next block where that is held.

--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -2,11 +2,11 @@
 
 use std::fs::File;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use nettleferry_platform::frames::{self, kind};
@@ -41,12 +41,39 @@
 /// controller restarts.
 const FIRST_PORT: u16 = 20_000;
 
+/// The second parts of loopback addresses that runs have.
+const RUNS: std::ops::Range<u8> = 20..220;
+/// A process that holds this port at the last address of a run's block has the block.
+const BLOCK_PORT: u16 = FIRST_PORT - 1;
+
+/// A block of loopback addresses that no other process plays on.
+struct Block {
+    run: u8,
+    /// Holds the block for as long as this process lives.
+    _lock: TcpListener,
+}
+
+/// The block of this process: the first that is free from one on that follows from its id. Two processes whose ids lead to
+/// the same block would else ask each other's controllers.
+fn block() -> io::Result<&'static Block> {
+    static BLOCK: OnceLock<Option<Block>> = OnceLock::new();
+    let free = || {
+        let first = std::process::id() as usize % RUNS.len();
+        let runs = RUNS.cycle().skip(first).take(RUNS.len());
+        runs.filter_map(|run| {
+            let lock = TcpListener::bind(SocketAddr::from(([127, run, 255, 254], BLOCK_PORT))).ok()?;
+            Some(Block { run, _lock: lock })
+        })
+        .next()
+    };
+    BLOCK.get_or_init(free).as_ref().ok_or_else(|| io::ErrorKind::AddrInUse.into())
+}
+
 /// An address of its own for a controller, whichever other runs there are on this machine.
-fn own_address(number: usize) -> SocketAddr {
+fn own_address(number: usize) -> io::Result<SocketAddr> {
     static PLACES: AtomicU16 = AtomicU16::new(0);
-    let run = (std::process::id() % 200) as u8 + 20;
     let port = FIRST_PORT + PLACES.fetch_add(1, Ordering::AcqRel) % 10_000;
-    SocketAddr::from(([127, run, (number % 256) as u8, 1], port))
+    Ok(SocketAddr::from(([127, block()?.run, (number % 250) as u8, 1], port)))
 }
 
 /// What clients may do with a controller now.
@@ -160,7 +187,7 @@
     ) -> io::Result<Self> {
         let dir = dir.join(format!("n{number}"));
         std::fs::create_dir_all(&dir)?;
-        let address = own_address(number);
+        let address = own_address(number)?;
         let state = State { phase: Phase::Down, child: None, lives: 0, directory: Arc::default() };
         Ok(Self {
             number,
