A held call whose deadline has passed is not sent, but answered

Cause: an answer is handled before the timers that are due; after the process has stood still it makes room for a held call whose deadline has passed, and release_held did not look: Send, Refuse and Cancel of one call in one event. Ruled out: retries, which look at the deadline already. Change: such a call is left to its timer, which answers it in the same event. The new test failed before (Send { request: 5 }); all tests of the module pass.

--- a/src/decision/hold_queue.rs
+++ b/src/decision/hold_queue.rs
@@ -13,7 +13,7 @@
 use super::placement::Ejected;
 use crate::controller::Controller;
 use crate::interface::*;
-use crate::state::{Function, Timer, TimerKind, Worker};
+use crate::state::{Call, Function, Timer, TimerKind, Worker};
 
 /// Held calls looked at for one answer: bounds the time of an event.
 const RELEASE_SCAN: usize = 512;
@@ -80,7 +80,9 @@
     pub(super) fn release_held(&mut self, at: Option<WorkerId>) {
         let mut without_room = BTreeSet::new();
         for id in self.hold_queue.values().take(RELEASE_SCAN).copied().collect::<Vec<_>>() {
-            let Some(call) = self.calls.get(&id) else { continue };
+            // One whose deadline has passed while the process stood still is answered by its timer next.
+            let in_time = |call: &&Call| self.now < call.answer_by;
+            let Some(call) = self.calls.get(&id).filter(in_time) else { continue };
             // Calls that agree in these have the same workers open to them.
             let alike = (call.function, call.class, call.failed_at, call.first_run);
             if without_room.contains(&alike) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -23,6 +23,20 @@
     assert!(refused(&actions, 5), "it was never sent");
 }
 
+#[test]
+fn a_held_call_whose_deadline_has_passed_is_answered_and_not_sent() {
+    // The process stood still: an answer that makes room is handled before the timer of the deadline.
+    let mut harness = Harness::new(settings(), 1);
+    harness.serve_warm(3, 9, 1);
+    let at = sent(&harness.call(4, SAFE, 9, 1)).unwrap();
+    harness.call(5, SAFE, 9, 1);
+    harness.now += 4 * S;
+    let mut actions = harness.end_attempt(4, 0, at, Outcome::Ok, None);
+    actions.extend(harness.advance(2 * MS));
+    assert!(sends(&actions).is_empty(), "nobody waits for it any more: {actions:?}");
+    assert!(refused(&actions, 5), "it was never sent: {actions:?}");
+}
+
 #[test]
 fn a_deadline_with_an_attempt_out_is_answered_by_timer() {
     let mut harness = Harness::new(settings(), 1);
