node: an attempt states the time that is left when it is written, not when it is queued

Cause: the time was put into the bytes when a request was queued; they left with the next poll, or, where the socket was full, whenever the worker read again; and the deadline itself was put together from two readings of the clock (arrival to opening, engine to start), between which a process may stand still. Ruled out: how old a read request is taken to be. Change: a command stays a command until the system call that writes it (pools/writing.rs): its bytes are made right before, and if the system takes nothing of it, it is kept and told anew, or ends unwritten when its time is over. The deadline is one moment from the request's arrival on. What is queued and not written is taken back as before, from the commands instead of from the bytes. An attempt that is abandoned before it was written never leaves.

The new test forces it without a signal: a worker stops reading until the socket is full, and reads on 0.3 s later. On the old code it fails: "told 60000 ms, 59.699865172s were left before it was written". Tests of the pools are as they were; their harness flushes after each poll, as the node does. What remains is a stop between the look at the clock and the system call.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -112,6 +112,13 @@
         self.calls.contains_key(&token)
     }
 
+    /// Limits the time of a request that is to be opened.
+    pub fn limit_deadline(&mut self, token: RequestToken, deadline: Instant) {
+        if let Some(call) = self.calls.get_mut(&token) {
+            call.deadline = call.deadline.min(deadline);
+        }
+    }
+
     /// A request was opened as this call of the engine.
     pub fn opened(&mut self, token: RequestToken, id: CallId) {
         if let Some(call) = self.calls.get_mut(&token) {
--- a/crates/node/src/front/call.rs
+++ b/crates/node/src/front/call.rs
@@ -81,6 +81,8 @@
     pub function: Arc<str>,
     /// Its idempotency key.
     pub key: Option<Arc<str>>,
+    /// Until when its client waits, and no longer than this process has.
+    pub deadline: Instant,
     /// Its attempts.
     pub attempts: AttemptHistory,
     /// How its last attempt ended.
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -2,6 +2,7 @@
 
 use std::num::ParseIntError;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use nettleferry::{ClassId, TenantId};
@@ -135,6 +136,7 @@
         self.ids.insert(valid.id);
         self.body_bytes += request.body.len();
         let function: Arc<str> = request.function.into();
+        let time_left = microseconds(valid.ttl_ms);
         let call = Call {
             connection,
             stream,
@@ -145,6 +147,7 @@
             class: valid.class,
             function: Arc::clone(&function),
             key: request.idempotency_key.map(Arc::from),
+            deadline: arrived + Duration::from_micros(time_left),
             attempts: AttemptHistory::default(),
             last_end: None,
         };
@@ -161,7 +164,7 @@
             repeat: request.repeat,
             cost_hint: request.service_time_ms.map(microseconds),
             arrived,
-            time_left: microseconds(valid.ttl_ms),
+            time_left,
             lanes: request.lanes.unwrap_or(1),
             load_time: request.load_ms.map(microseconds),
             body: Bytes::copy_from_slice(request.body),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,7 +28,7 @@
 use crate::front::{ClientEvent, Front, IncomingRequest};
 use crate::guard::Violation;
 use crate::limits::Counters;
-use crate::pools::ConnectionPools;
+use crate::pools::{ConnectionPools, PoolContext};
 use crate::start_times::StartTimes;
 
 /// The poll's source of signals.
@@ -131,7 +131,8 @@
     ///    nothing is forwarded for one of them. 3. The list, so that nothing goes to an invoker that it takes out of
     ///    service. 4. Responses of invokers. 5. Connections that were established: what waited for them is written.
     ///    6. Answers that are due: they are written before anything else is done. 7. New requests,
-    ///    [`crate::limits::OPENS_PER_ITERATION`] of them: then clients are read again.
+    ///    [`crate::limits::OPENS_PER_ITERATION`] of them: then clients are read again. 8. What all of this has queued is
+    ///    written.
     ///
     /// # Errors
     ///
@@ -145,6 +146,7 @@
         self.check_signals(began);
         self.dispatch(pending);
         self.run_timers();
+        self.write_queued();
         self.finish_iteration(began);
         Ok(())
     }
@@ -164,6 +166,21 @@
         self.run_engine();
     }
 
+    /// Hands to the system what is queued: answers first, then commands to invokers, which state the time that is left as
+    /// of then. What has expired before it could be written has ended, and its request goes on.
+    fn write_queued(&mut self) {
+        self.tcp.flush_all();
+        loop {
+            let (tcp, events, counters) = (&mut self.tcp, &mut self.engine_events, &mut self.counters);
+            let context = &mut PoolContext { tcp, events, counters };
+            self.pools.flush(context, |call| self.front.is_awaited(call));
+            if self.engine_events.is_empty() {
+                return;
+            }
+            self.run_engine();
+        }
+    }
+
     /// Passes waiting events to the engine and executes its commands, until nothing is left.
     fn run_engine(&mut self) {
         while !self.engine_events.is_empty() {
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use nettleferry::ListForm;
 use nettleferry_engine::{ClientDisconnect, Event, FinalAnswer, NewCall, Refusal};
@@ -124,7 +124,7 @@
     fn dispatch_requests(&mut self) {
         self.send_to_engine(Event::Tick);
         self.run_engine();
-        self.tcp.flush_all();
+        self.write_queued();
         // What was cancelled since it was read waits for nothing: a flood of such would hold up all that arrives behind
         // it, and never be worked off.
         self.requests.retain(|request| self.front.is_waiting(request.token));
@@ -140,9 +140,12 @@
         if !self.front.is_waiting(token) {
             return;
         }
-        let waited = request.arrived.elapsed().as_micros() as u64;
+        // One reading of the clock for all that is reckoned here: the process may stand still between two.
+        let now = Instant::now();
+        let waited = now.saturating_duration_since(request.arrived).as_micros() as u64;
         self.counters.longest_read_delay = self.counters.longest_read_delay.max(waited);
-        let time_left = self.limit_to_kill(request.time_left.saturating_sub(waited));
+        let time_left = self.limit_to_kill(now, request.time_left.saturating_sub(waited));
+        self.front.limit_deadline(token, now + Duration::from_micros(time_left));
         if time_left == 0 {
             // It could not be answered after an attempt: a retry elsewhere is harmless.
             let (tcp, counters) = (&mut self.tcp, &mut self.counters);
@@ -164,16 +167,16 @@
             streamed: false,
             body: request.body,
         };
-        let call = self.engine.open(self.clock.now(), new_call, &mut self.commands);
+        let call = self.engine.open(self.clock.at(now), new_call, &mut self.commands);
         self.front.opened(token, call);
         self.execute_commands();
     }
 
     /// The time that a call has, microseconds: what its client gives it, and after SIGTERM no more than is left until the
     /// platform kills this process. What arrives so late has little of it, and its answer all the same.
-    fn limit_to_kill(&mut self, time_left: u64) -> u64 {
+    fn limit_to_kill(&mut self, now: Instant, time_left: u64) -> u64 {
         let Some(since) = self.kill_counts_from else { return time_left };
-        let limited = time_before_kill(since, Instant::now(), self.longest_deadline, time_left);
+        let limited = time_before_kill(since, now, self.longest_deadline, time_left);
         self.counters.after_end += u64::from(limited < time_left);
         limited
     }
--- a/crates/node/src/node/execute.rs
+++ b/crates/node/src/node/execute.rs
@@ -1,7 +1,7 @@
 //! From the engine to the sockets: executes its commands, each checked against the invariants of [`crate::guard`].
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use nettleferry::{Effect, WorkerId};
@@ -28,9 +28,7 @@
         let (tcp, events, counters) = (&mut self.tcp, &mut self.engine_events, &mut self.counters);
         let context = &mut PoolContext { tcp, events, counters };
         match command {
-            Command::Start { attempt, worker, time_left, body, .. } => {
-                self.start_attempt(attempt, worker, Duration::from_micros(time_left), body);
-            }
+            Command::Start { attempt, worker, body, .. } => self.start_attempt(attempt, worker, body),
             Command::Abandon { attempt } => self.pools.abandon(context.tcp, attempt),
             Command::Cancel { attempt } => self.cancel_attempt(attempt),
             Command::Answer { front, answer, .. } => {
@@ -43,7 +41,7 @@
                 self.pools.load(context, worker, order);
             }
             Command::CancelLoad { request_id } => self.pools.cancel_load(context, request_id),
-            Command::Unload { worker, model, .. } => self.pools.unload(context.tcp, worker, &model),
+            Command::Unload { worker, model, .. } => self.pools.unload(worker, &model),
             Command::Probe { request_id, worker } => self.pools.probe(context, worker, request_id),
             Command::ForgetControlRequest { request_id } => self.pools.forget(context.tcp, request_id),
             Command::WatchList | Command::FetchList => self.discovery.query_now(),
@@ -53,7 +51,7 @@
         }
     }
 
-    fn start_attempt(&mut self, id: AttemptId, worker: WorkerId, time_left: Duration, body: Bytes) {
+    fn start_attempt(&mut self, id: AttemptId, worker: WorkerId, body: Bytes) {
         let Some(call) = self.front.call_mut(id.call) else {
             // Its client has left, and the engine learns of it next.
             return self.attempt_not_started(id);
@@ -81,7 +79,7 @@
             class: class.name,
             function: Arc::clone(&call.function),
             key: call.key.clone(),
-            deadline: now + time_left,
+            deadline: call.deadline,
             send_by: call.attempts.start(now, class.window),
             body,
         };
--- a/crates/node/src/pools.rs
+++ b/crates/node/src/pools.rs
@@ -2,8 +2,8 @@
 //! as an observed fact.
 //!
 //! * `connection`: one connection. `pending`: what is open on it. `wire_command`: what is written to it.
-//! * `selection`: which connection a command is sent on. `requests`: what is sent. `cancellation`: what is cancelled or
-//!   taken back. `responses`: what arrives, and connections that end.
+//! * `selection`: which connection a command is sent on. `requests`: what is sent. `writing`: when it is written.
+//!   `cancellation`: what is cancelled or taken back. `responses`: what arrives, and connections that end.
 
 mod cancellation;
 mod connection;
@@ -13,8 +13,9 @@
 mod responses;
 mod selection;
 mod wire_command;
+mod writing;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -53,6 +54,8 @@
     pools: BTreeMap<WorkerId, WorkerPool>,
     connections: BTreeMap<TcpKey, Connection>,
     pending: BTreeMap<PendingResponse, ResponseLocation>,
+    /// Established connections with commands to be written.
+    unwritten: BTreeSet<TcpKey>,
     bounds: Bounds,
     /// Requests that one connection carries at the same time.
     streams: usize,
@@ -71,6 +74,7 @@
             pools: BTreeMap::new(),
             connections: BTreeMap::new(),
             pending: BTreeMap::new(),
+            unwritten: BTreeSet::new(),
             bounds,
             streams: streams.max(1),
             idle: idle.map(|idle| idle * 3 / 4),
--- a/crates/node/src/pools/cancellation.rs
+++ b/crates/node/src/pools/cancellation.rs
@@ -8,7 +8,7 @@
 
 use super::ConnectionPools;
 use super::context::PoolContext;
-use super::pending::{OutputRange, PendingResponse, ResponseLocation};
+use super::pending::{PendingResponse, ResponseLocation};
 
 impl ConnectionPools {
     /// Cancels an attempt; no event about it follows. Its call may be sent elsewhere with the next bytes that are
@@ -17,7 +17,7 @@
         let Some(location) = self.pending.remove(&PendingResponse::Attempt(attempt)) else { return };
         let ResponseLocation { connection: key, tag } = location;
         // What has not begun to leave never does, and its connection is as good as before.
-        if self.take_back(context.tcp, key, &tag) {
+        if self.take_back(key, &tag) {
             if let Some(connection) = self.connections.get_mut(&key) {
                 connection.open.remove(&tag);
             }
@@ -55,8 +55,11 @@
         let ResponseLocation { connection: key, tag } = location;
         let Some(connection) = self.connections.get_mut(&key) else { return };
         connection.open.remove(&tag);
-        connection.draining = true;
-        connection.remember_finished(tag);
+        // What has not begun to leave never does.
+        if !connection.remove_waiting(&tag) {
+            connection.draining = true;
+            connection.remember_finished(tag);
+        }
         self.retire_if_unused(tcp, key);
     }
 
@@ -66,7 +69,7 @@
         let Some(ResponseLocation { connection: key, tag }) = self.pending.get(&response).cloned() else {
             return;
         };
-        if self.take_back(context.tcp, key, &tag) {
+        if self.take_back(key, &tag) {
             self.pending.remove(&response);
             if let Some(connection) = self.connections.get_mut(&key) {
                 connection.open.remove(&tag);
@@ -86,7 +89,7 @@
         // Cleared by the next byte that arrives there.
         connection.suspect |=
             request.is_some_and(|request| request.response.is_probe() && request.output.is_some());
-        connection.waiting.retain(|waiting| waiting.tag != tag);
+        connection.remove_waiting(&tag);
         connection.remember_finished(tag);
         self.retire_if_unused(tcp, key);
     }
@@ -95,7 +98,7 @@
     pub(super) fn return_unsent(&mut self, tcp: &mut Tcp, worker: WorkerId, out: &mut Vec<Event>) {
         let keys = self.pools.get(&worker).map(|pool| pool.connections.clone()).unwrap_or_default();
         for key in keys {
-            let mut returned = self.take_back_all(tcp, key);
+            let mut returned = self.take_back_all(key);
             returned.sort();
             out.extend(returned.into_iter().map(|response| response.ended(AttemptEnd::NotWritten)));
             self.retire_if_unused(tcp, key);
@@ -103,13 +106,13 @@
     }
 
     /// Takes back all requests of a connection that have not been written, but for health checks.
-    fn take_back_all(&mut self, tcp: &mut Tcp, key: TcpKey) -> Vec<PendingResponse> {
+    fn take_back_all(&mut self, key: TcpKey) -> Vec<PendingResponse> {
         let Some(connection) = self.connections.get(&key) else { return Vec::new() };
         let requests = connection.open.iter().filter(|(_, request)| !request.response.is_probe());
         let tags: Vec<String> = requests.map(|(tag, _)| tag.clone()).collect();
         let mut returned = Vec::new();
         for tag in tags {
-            if !self.take_back(tcp, key, &tag) {
+            if !self.take_back(key, &tag) {
                 continue;
             }
             let Some(request) = self.connections.get_mut(&key).and_then(|c| c.open.remove(&tag)) else {
@@ -122,21 +125,7 @@
     }
 
     /// Takes back a command that has not begun to leave. False: it has, or may have.
-    fn take_back(&mut self, tcp: &mut Tcp, key: TcpKey, tag: &str) -> bool {
-        let Some(connection) = self.connections.get_mut(&key) else { return false };
-        match connection.open.get(tag).and_then(|request| request.output) {
-            None => {
-                let before = connection.waiting.len();
-                connection.waiting.retain(|waiting| waiting.tag != tag);
-                before > connection.waiting.len()
-            }
-            Some(removed @ OutputRange { start, end }) if tcp.unsend(key, start, end) => {
-                for output in connection.open.values_mut().filter_map(|request| request.output.as_mut()) {
-                    output.close_gap(removed);
-                }
-                true
-            }
-            Some(_) => false,
-        }
+    fn take_back(&mut self, key: TcpKey, tag: &str) -> bool {
+        self.connections.get_mut(&key).is_some_and(|connection| connection.remove_waiting(tag))
     }
 }
--- a/crates/node/src/pools/connection.rs
+++ b/crates/node/src/pools/connection.rs
@@ -12,9 +12,11 @@
 /// later attempt.
 const REMEMBERED_TAGS: usize = 512;
 
-/// A command that waits for its connection to be established.
+/// A command that is not written yet: its connection is being established, the system takes nothing for it just now, or
+/// the iteration that began it has not ended.
 pub(super) struct WaitingCommand {
-    pub(super) tag: String,
+    /// Of the request that awaits its response; a command without a response has none.
+    pub(super) tag: Option<String>,
     pub(super) command: WireCommand,
 }
 
@@ -23,6 +25,7 @@
     pub(super) worker: WorkerId,
     pub(super) established: bool,
     pub(super) open: BTreeMap<String, OpenRequest>,
+    /// Commands to be written, the oldest first.
     pub(super) waiting: VecDeque<WaitingCommand>,
     /// When it was established, on the engine's clock.
     pub(super) established_at: Micros,
@@ -56,6 +59,13 @@
         }
     }
 
+    /// Removes a command that is not written yet. False: it has begun to leave, or there is none.
+    pub(super) fn remove_waiting(&mut self, tag: &str) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|waiting| waiting.tag.as_deref() != Some(tag));
+        before > self.waiting.len()
+    }
+
     /// Whether a request with this tag is open, or has ended and is remembered.
     pub(super) fn has_used(&self, tag: &str) -> bool {
         self.open.contains_key(tag) || self.finished.contains(tag)
--- a/crates/node/src/pools/pending.rs
+++ b/crates/node/src/pools/pending.rs
@@ -42,7 +42,7 @@
 pub(super) struct OpenRequest {
     pub(super) response: PendingResponse,
     pub(super) started: Instant,
-    /// Where it stands in the connection's output; `None`: it waits for the connection.
+    /// Where it stands in the connection's output; `None`: nothing of it has left.
     pub(super) output: Option<OutputRange>,
 }
 
@@ -56,13 +56,4 @@
 impl OutputRange {
     /// The range of what the connection did not accept: it is never written.
     pub(super) const NEVER_WRITTEN: Self = Self { start: u64::MAX, end: u64::MAX };
-
-    /// Moves it forward, as the bytes of `removed` were taken out before it.
-    pub(super) fn close_gap(&mut self, removed: Self) {
-        if self.start >= removed.end && *self != Self::NEVER_WRITTEN {
-            let length = removed.end - removed.start;
-            self.start -= length;
-            self.end -= length;
-        }
-    }
 }
--- a/crates/node/src/pools/requests.rs
+++ b/crates/node/src/pools/requests.rs
@@ -1,18 +1,18 @@
-//! Requests to invokers: how each is sent, at once or when its connection has been established.
+//! Requests to invokers: on which connection each is begun. `writing` writes them.
 
 use std::sync::Arc;
 use std::time::Instant;
 
-use nettleferry::{Micros, WorkerId};
-use nettleferry_engine::{AttemptEnd, CallId, ControlRequestId};
-use nettleferry_net::tcp::{Tcp, TcpKey};
+use nettleferry::WorkerId;
+use nettleferry_engine::{AttemptEnd, ControlRequestId};
+use nettleferry_net::tcp::TcpKey;
 use nettleferry_platform::resp;
 use tracing::debug;
 
 use super::ConnectionPools;
 use super::connection::WaitingCommand;
 use super::context::PoolContext;
-use super::pending::{OpenRequest, OutputRange, PendingResponse, ResponseLocation};
+use super::pending::{OpenRequest, PendingResponse, ResponseLocation};
 use super::wire_command::{Attempt, OutboundRequest, WireCommand};
 use crate::guard::Violation;
 
@@ -49,13 +49,13 @@
     }
 
     /// Sends an order to unload; it has no response.
-    pub fn unload(&mut self, tcp: &mut Tcp, worker: WorkerId, function: &str) {
+    pub fn unload(&mut self, worker: WorkerId, function: &str) {
         let keys = self.pools.get(&worker).map(|pool| pool.connections.as_slice()).unwrap_or_default();
         let usable = |key: &&TcpKey| self.connections.get(key).is_some_and(|c| c.established && !c.draining);
-        if let Some(key) = keys.iter().find(usable) {
+        if let Some(key) = keys.iter().find(usable).copied() {
             let mut bytes = Vec::new();
             resp::unload(&mut bytes, function);
-            tcp.send(*key, &bytes);
+            self.enqueue(key, WaitingCommand { tag: None, command: WireCommand::Control(bytes) });
         }
     }
 
@@ -93,72 +93,12 @@
         let Some(connection) = self.connections.get_mut(&key) else { return };
         debug!(worker = connection.worker.0, tag, request = ?response, conn = ?key, "request to an invoker begun");
         connection.idle_since = None;
-        let now = Instant::now();
-        let output = if connection.established {
-            if connection.partial_since.is_none() {
-                context.tcp.alarm(key, None);
-            }
-            command.write(&mut self.buffer, now);
-            Some(queue(context.tcp, key, &self.buffer))
-        } else {
-            connection.waiting.push_back(WaitingCommand { tag: tag.clone(), command });
-            None
-        };
-        connection.open.insert(tag.clone(), OpenRequest { response, started: now, output });
-        self.pending.insert(response, ResponseLocation { connection: key, tag });
-    }
-
-    /// Checks the invariants of sending for a request that is written now.
-    fn check_write(
-        &self,
-        key: TcpKey,
-        command: &WireCommand,
-        awaited: impl Fn(CallId) -> bool,
-    ) -> Result<(), Violation> {
-        let pool = self.connections.get(&key).and_then(|connection| self.pools.get(&connection.worker));
-        let in_service = pool.and_then(|pool| pool.endpoint).is_some_and(|endpoint| endpoint.in_service);
-        command.write_check(awaited, in_service).map_or(Ok(()), |check| check.run(Instant::now()))
-    }
-
-    /// A connection was established: what waited for it is written, but for what has expired. `awaited`: whether a client
-    /// waits for this call; `at`: now, on the engine's clock.
-    pub fn connected(
-        &mut self,
-        context: &mut PoolContext,
-        key: TcpKey,
-        at: Micros,
-        awaited: impl Fn(CallId) -> bool,
-    ) {
-        let Some(connection) = self.connections.get_mut(&key) else { return };
-        let now = Instant::now();
-        connection.established = true;
-        connection.established_at = at;
-        for WaitingCommand { tag, command } in std::mem::take(&mut connection.waiting) {
-            let expired = command.is_expired(now);
-            let allowed = self.check_write(key, &command, &awaited);
-            let Some(connection) = self.connections.get_mut(&key) else { return };
-            if expired || allowed.is_err() {
-                if let Err(violation) = allowed
-                    && !expired
-                {
-                    context.counters.violations.report(violation, &tag);
-                }
-                if let Some(request) = connection.open.remove(&tag) {
-                    self.pending.remove(&request.response);
-                    context.events.push(request.response.ended(AttemptEnd::NotWritten));
-                }
-            } else if let Some(request) = connection.open.get_mut(&tag) {
-                command.write(&mut self.buffer, now);
-                request.output = Some(queue(context.tcp, key, &self.buffer));
-            }
+        if connection.established && connection.partial_since.is_none() {
+            context.tcp.alarm(key, None);
         }
-        self.retire_if_unused(context.tcp, key);
+        let request = OpenRequest { response, started: Instant::now(), output: None };
+        connection.open.insert(tag.clone(), request);
+        self.pending.insert(response, ResponseLocation { connection: key, tag: tag.clone() });
+        self.enqueue(key, WaitingCommand { tag: Some(tag), command });
     }
 }
-
-/// Queues a command on a connection. One that is just ending accepts nothing: its end is reported, and finds this not
-/// written.
-fn queue(tcp: &mut Tcp, key: TcpKey, bytes: &[u8]) -> OutputRange {
-    let end = tcp.send(key, bytes);
-    end.map_or(OutputRange::NEVER_WRITTEN, |end| OutputRange { start: end - bytes.len() as u64, end })
-}
--- a/crates/node/src/pools/tests.rs
+++ b/crates/node/src/pools/tests.rs
@@ -79,6 +79,7 @@
                 self.sockets.push(self.peer.accept().expect("connected").0);
             }
         }
+        self.with_context(|pools, context| pools.flush(context, |_| true));
     }
 
     /// The connection of an attempt in flight, and its place in the output there.
@@ -262,3 +263,65 @@
     let second = harness.start(10);
     assert_ne!(harness.connection_of(second), key);
 }
+
+/// A connection that takes nothing for so many iterations is full.
+const STUCK_ITERATIONS: usize = 100;
+
+#[test]
+fn request_that_a_full_connection_takes_late_states_the_time_left_by_then() {
+    // Guards against time that is reckoned when a request is queued and is over when its bytes leave.
+    let mut harness = PoolHarness::new();
+    let mut all = Vec::new();
+    // Until the system takes no more of what is sent there, and goes on to take nothing.
+    loop {
+        all.push(harness.start(16 << 10));
+        let newest = all[all.len() - 1];
+        let is_stuck = harness.connection_of(newest) == harness.connection_of(all[0])
+            && (0..STUCK_ITERATIONS).all(|_| {
+                harness.iterate();
+                !harness.is_written(newest)
+            });
+        if is_stuck {
+            break;
+        }
+    }
+    let key = harness.connection_of(all[0]);
+    let mut last = harness.start(10);
+    while harness.connection_of(last) != key {
+        last = harness.start(10);
+    }
+    let deadline = Instant::now() + harness.time_left;
+    let later = Instant::now() + Duration::from_millis(300);
+    while Instant::now() < later {
+        harness.iterate();
+    }
+    assert!(!harness.is_written(last), "nothing was read yet");
+    let left = deadline.saturating_duration_since(Instant::now());
+    let call = format!("{:016x}", last.call.0);
+    let (mut seen, mut buffer) = (vec![Vec::new(); harness.sockets.len()], vec![0; 64 << 10]);
+    let told = loop {
+        harness.iterate();
+        for (socket, seen) in harness.sockets.iter_mut().zip(&mut seen) {
+            socket.set_nonblocking(true).expect("set");
+            if let Ok(length) = socket.read(&mut buffer) {
+                seen.extend_from_slice(&buffer[..length]);
+            }
+        }
+        if let Some(told) = seen.iter().find_map(|seen| patience_of(seen, &call)) {
+            break told;
+        }
+    };
+    assert!(
+        u128::from(told) <= left.as_millis() + 1,
+        "told {told} ms, {left:?} were left before it was written"
+    );
+}
+
+/// The time that an invoker was told for a call, milliseconds, once the whole field has come.
+fn patience_of(bytes: &[u8], call: &str) -> Option<u64> {
+    let text = String::from_utf8_lossy(bytes);
+    let fields = &text[text.find(call)?..];
+    let value = &fields[fields.find("patience=")? + "patience=".len()..];
+    let end = value.find(|c: char| !c.is_ascii_digit())?;
+    value[..end].parse().ok()
+}
--- a/crates/node/src/pools/wire_command.rs
+++ b/crates/node/src/pools/wire_command.rs
@@ -1,4 +1,4 @@
-//! Commands to invokers as they are written: an attempt states the time that is left when it is.
+//! Commands to invokers, and their bytes: an attempt states the time that is left when they are made.
 
 use std::sync::Arc;
 use std::time::Instant;
--- /dev/null
+++ b/crates/node/src/pools/writing.rs
@@ -0,0 +1,127 @@
+//! When commands are written: at the end of the iteration that began them, or as soon as their connection is established
+//! and the system takes them.
+//!
+//! An attempt states the time that its client has left. So its bytes come about right before the system call that writes
+//! them, and what the system does not take is told anew later.
+
+use std::time::Instant;
+
+use nettleferry::Micros;
+use nettleferry_engine::{AttemptEnd, CallId};
+use nettleferry_net::tcp::{Tcp, TcpKey};
+
+use super::ConnectionPools;
+use super::connection::WaitingCommand;
+use super::context::PoolContext;
+use super::pending::OutputRange;
+use super::wire_command::WireCommand;
+use crate::guard::Violation;
+
+impl ConnectionPools {
+    /// Adds a command to what is to be written on a connection.
+    pub(super) fn enqueue(&mut self, key: TcpKey, command: WaitingCommand) {
+        let Some(connection) = self.connections.get_mut(&key) else { return };
+        connection.waiting.push_back(command);
+        if connection.established {
+            self.unwritten.insert(key);
+        }
+    }
+
+    /// A connection was established: what waited for it is written, but for what has expired. `awaited`: whether a client
+    /// waits for this call; `at`: now, on the engine's clock.
+    pub fn connected(
+        &mut self,
+        context: &mut PoolContext,
+        key: TcpKey,
+        at: Micros,
+        awaited: impl Fn(CallId) -> bool,
+    ) {
+        let Some(connection) = self.connections.get_mut(&key) else { return };
+        connection.established = true;
+        connection.established_at = at;
+        self.write_waiting(context, key, &awaited);
+        self.retire_if_unused(context.tcp, key);
+    }
+
+    /// Writes what the system takes on all connections. What has expired meanwhile is not written.
+    pub fn flush(&mut self, context: &mut PoolContext, awaited: impl Fn(CallId) -> bool) {
+        for key in std::mem::take(&mut self.unwritten) {
+            self.write_waiting(context, key, &awaited);
+            self.retire_if_unused(context.tcp, key);
+        }
+    }
+
+    fn write_waiting(&mut self, context: &mut PoolContext, key: TcpKey, awaited: &impl Fn(CallId) -> bool) {
+        loop {
+            let Some(connection) = self.connections.get_mut(&key) else { return };
+            let Some(waiting) = connection.waiting.pop_front() else { return };
+            if let Err(violation) = self.check_write(key, &waiting.command, awaited) {
+                self.end_unwritten(context, key, waiting, violation);
+            } else if !self.write(context.tcp, key, &waiting) {
+                // Tried again by the next flush, which follows each poll.
+                let Some(connection) = self.connections.get_mut(&key) else { return };
+                connection.waiting.push_front(waiting);
+                self.unwritten.insert(key);
+                return;
+            }
+        }
+    }
+
+    /// Writes one command, with the time as of now. What the system has begun to take goes its way. False: it has taken
+    /// nothing of it.
+    fn write(&mut self, tcp: &mut Tcp, key: TcpKey, waiting: &WaitingCommand) -> bool {
+        if !tcp.flush(key) {
+            return false;
+        }
+        waiting.command.write(&mut self.buffer, Instant::now());
+        let output = queue(tcp, key, &self.buffer);
+        if !tcp.flush(key) && tcp.unsend(key, output.start, output.end) {
+            return false;
+        }
+        let connection = self.connections.get_mut(&key);
+        if let Some(connection) = connection
+            && let Some(request) = waiting.tag.as_ref().and_then(|tag| connection.open.get_mut(tag))
+        {
+            request.output = Some(output);
+        }
+        true
+    }
+
+    /// Ends a request that may not be written any more. It expires in silence; all else breaks an invariant.
+    fn end_unwritten(
+        &mut self,
+        context: &mut PoolContext,
+        key: TcpKey,
+        waiting: WaitingCommand,
+        violation: Violation,
+    ) {
+        let Some(tag) = waiting.tag else { return };
+        if !waiting.command.is_expired(Instant::now()) {
+            context.counters.violations.report(violation, &tag);
+        }
+        let Some(connection) = self.connections.get_mut(&key) else { return };
+        if let Some(request) = connection.open.remove(&tag) {
+            self.pending.remove(&request.response);
+            context.events.push(request.response.ended(AttemptEnd::NotWritten));
+        }
+    }
+
+    /// Checks the invariants of sending for a request that is written now.
+    pub(super) fn check_write(
+        &self,
+        key: TcpKey,
+        command: &WireCommand,
+        awaited: impl Fn(CallId) -> bool,
+    ) -> Result<(), Violation> {
+        let pool = self.connections.get(&key).and_then(|connection| self.pools.get(&connection.worker));
+        let in_service = pool.and_then(|pool| pool.endpoint).is_some_and(|endpoint| endpoint.in_service);
+        command.write_check(awaited, in_service).map_or(Ok(()), |check| check.run(Instant::now()))
+    }
+}
+
+/// Queues a command on a connection. One that is just ending accepts nothing: its end is reported, and finds this not
+/// written.
+fn queue(tcp: &mut Tcp, key: TcpKey, bytes: &[u8]) -> OutputRange {
+    let end = tcp.send(key, bytes);
+    end.map_or(OutputRange::NEVER_WRITTEN, |end| OutputRange { start: end - bytes.len() as u64, end })
+}
