guard: time that passes between a decision and its sending is no broken invariant

Cause: the check read the clock when the request was about to be queued; a process that stands still between the engine's decision and that reading finds the deadline passed, which breaks no rule as long as nothing is written. Change, as strict: what the engine decides on without any time left is a violation (checked on the decision itself, new); what expires later ends unwritten, as it does on a connection that is being established; and the check right before the bytes are made stays. Both tests are new; the first fails without the change (violations 1).

--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -5,7 +5,7 @@
 //! taken; it is counted by its kind and logged with its ids.
 
 use std::fmt;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use nettleferry::Effect;
 use tracing::error;
@@ -92,6 +92,8 @@
     pub may_have_run: bool,
     /// What a second run would do.
     pub effect: Effect,
+    /// The time that its client had left when the attempt was decided on.
+    pub time_left: Duration,
 }
 
 impl AttemptCheck {
@@ -107,6 +109,9 @@
         if self.may_have_run && self.effect == Effect::NonIdempotent {
             return Err(Violation::RetryAfterEffect);
         }
+        if self.time_left.is_zero() {
+            return Err(Violation::SendAfterDeadline);
+        }
         Ok(())
     }
 }
--- a/crates/node/src/node/execute.rs
+++ b/crates/node/src/node/execute.rs
@@ -1,7 +1,7 @@
 //! From the engine to the sockets: executes its commands, each checked against the invariants of [`crate::guard`].
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use nettleferry::{Effect, WorkerId};
@@ -28,7 +28,9 @@
         let (tcp, events, counters) = (&mut self.tcp, &mut self.engine_events, &mut self.counters);
         let context = &mut PoolContext { tcp, events, counters };
         match command {
-            Command::Start { attempt, worker, body, .. } => self.start_attempt(attempt, worker, body),
+            Command::Start { attempt, worker, time_left, body, .. } => {
+                self.start_attempt(attempt, worker, Duration::from_micros(time_left), body);
+            }
             Command::Abandon { attempt } => self.pools.abandon(context.tcp, attempt),
             Command::Cancel { attempt } => self.cancel_attempt(attempt),
             Command::Answer { front, answer, .. } => {
@@ -51,7 +53,7 @@
         }
     }
 
-    fn start_attempt(&mut self, id: AttemptId, worker: WorkerId, body: Bytes) {
+    fn start_attempt(&mut self, id: AttemptId, worker: WorkerId, time_left: Duration, body: Bytes) {
         let Some(call) = self.front.call_mut(id.call) else {
             // Its client has left, and the engine learns of it next.
             return self.attempt_not_started(id);
@@ -63,6 +65,7 @@
             in_flight: call.attempts.is_pending(),
             may_have_run: call.attempts.may_have_run(),
             effect: class.effect,
+            time_left,
         };
         if let Err(violation) = check.run() {
             self.counters.violations.report(violation, &call.name);
--- a/crates/node/src/pools/requests.rs
+++ b/crates/node/src/pools/requests.rs
@@ -82,10 +82,11 @@
             Err(end) => return context.events.push(response.ended(end)),
         };
         // What waits for its connection is checked when that is established. Here its client waits: the engine asks in
-        // this step.
+        // this step. What has expired since, as the process stood still, ends when it would be written.
         let established = self.connections.get(&key).is_some_and(|connection| connection.established);
         if let Err(violation) = self.check_write(key, &command, |_| true)
             && established
+            && violation != Violation::SendAfterDeadline
         {
             context.counters.violations.report(violation, &tag);
             return context.events.push(response.ended(AttemptEnd::NotWritten));
--- a/crates/node/src/pools/tests.rs
+++ b/crates/node/src/pools/tests.rs
@@ -236,6 +236,33 @@
     assert!(seen.contains(&format!("{:016x}", 2)) && !seen.contains(&format!("{:016x}", 1)), "{seen}");
 }
 
+#[test]
+fn request_that_expires_before_it_is_written_ends_without_a_violation() {
+    // Guards against a process that stands still between a decision and its sending, taken for a broken invariant.
+    let mut harness = PoolHarness::new();
+    let first = harness.start(10);
+    while !harness.is_written(first) {
+        harness.iterate();
+    }
+    let second = harness.start(10);
+    while !harness.is_written(second) {
+        harness.iterate();
+    }
+    harness.time_left = Duration::ZERO;
+    let late = harness.start(10);
+    harness.iterate();
+    let ends: Vec<_> = harness
+        .events
+        .iter()
+        .map(|event| match event {
+            Event::AttemptEnded { attempt, end, .. } => (*attempt, end.clone()),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(ends, [(late, AttemptEnd::NotWritten)]);
+    assert_eq!(harness.counters.violations.total(), 0);
+}
+
 #[test]
 fn connection_past_its_idle_time_is_not_chosen() {
     let mut harness = PoolHarness::new();
--- a/crates/node/tests/bounds.rs
+++ b/crates/node/tests/bounds.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use nettleferry::Effect;
+use nettleferry_node::guard::{AttemptCheck, Violation};
 use nettleferry_node::limits::*;
 use nettleferry_platform::config::Limits;
 
@@ -44,3 +46,13 @@
         assert!(bounds.pool_connections >= 8, "{sockets}: {bounds:?}");
     }
 }
+
+#[test]
+fn attempt_decided_on_without_time_breaks_an_invariant() {
+    let check = |time_left| {
+        let effect = Effect::Idempotent;
+        AttemptCheck { in_flight: false, may_have_run: false, effect, time_left }.run()
+    };
+    assert_eq!(check(Duration::ZERO), Err(Violation::SendAfterDeadline));
+    assert_eq!(check(Duration::from_micros(1)), Ok(()));
+}
