--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use mio::net::UdpSocket;
 use mio::{Interest, Registry, Token};
@@ -12,8 +12,8 @@
 use tracing::{debug, info};
 
 use crate::limits::{
-    Counters, MAX_UNSENT_QUERIES, OLD_RESOLVER_GRACE, QUERY_INTERVAL, QUERY_RETRY_DELAY, QUERY_TIMEOUT,
-    REMEMBERED_QUERIES,
+    Counters, MAX_UNSENT_QUERIES, OLD_LIST_AGE, OLD_RESOLVER_GRACE, QUERY_INTERVAL, QUERY_RETRY_DELAY,
+    QUERY_TIMEOUT, REMEMBERED_QUERIES,
 };
 
 /// Datagrams received in one iteration: a flood of them must not keep the node from its work.
@@ -109,6 +109,10 @@
     received: ReceivedLists,
     /// Queries in a row that could not be sent.
     unsent: u32,
+    /// When this client was made.
+    began: Instant,
+    /// The list is older than [`OLD_LIST_AGE`], which was logged.
+    is_old: bool,
     /// More datagrams wait than one iteration receives.
     has_more: bool,
     buffer: Vec<u8>,
@@ -127,6 +131,8 @@
             serial,
             received: ReceivedLists::default(),
             unsent: 0,
+            began: Instant::now(),
+            is_old: false,
             has_more: false,
             buffer: vec![0; MAX_RESPONSE_BYTES + 1],
         }
@@ -227,6 +233,22 @@
         self.received.previous
     }
 
+    /// How long ago an answer has confirmed or changed the list.
+    pub fn list_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.received.latest.unwrap_or(self.began))
+    }
+
+    /// Logs when the list becomes old. The answer that ends this is logged by [`DiscoveryClient::receive`].
+    pub fn check_list_age(&mut self, now: Instant, counters: &mut Counters) {
+        let age = self.list_age(now);
+        if age < OLD_LIST_AGE || self.is_old {
+            return;
+        }
+        self.is_old = true;
+        counters.list_outages += 1;
+        info!(?age, resolver = %self.resolver, serial = self.serial, "list is old: the directory does not answer");
+    }
+
     /// Whether datagrams are left over from the last time.
     pub fn has_more(&self) -> bool {
         self.has_more
@@ -261,7 +283,11 @@
     fn judge(&mut self, answer: Answer, counters: &mut Counters) -> Option<List> {
         match answer {
             Answer::List(list) if list.serial >= self.serial => {
-                let latest = self.received.latest.replace(Instant::now());
+                let now = Instant::now();
+                if std::mem::take(&mut self.is_old) {
+                    info!(age = ?self.list_age(now), serial = list.serial, "list is confirmed again");
+                }
+                let latest = self.received.latest.replace(now);
                 self.received.previous = latest;
                 if list.serial == self.serial {
                     return None;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -30,6 +30,7 @@
 use crate::limits::{
     Bounds, CLIENT_IDLE, Counters, FIRST_FRAME_TIMEOUT, SHORT_ANSWER_BYTES, STREAMS_PER_CLIENT,
 };
+use crate::log_budget::LogBudget;
 use crate::reasons::{CloseReason, EndReason};
 
 /// The front: all clients' connections and their open requests.
@@ -52,6 +53,8 @@
     last_token: u64,
     /// Clients are asked to open no new requests.
     draining: bool,
+    /// Lines about connections that end with requests open.
+    close_log: LogBudget,
     buffer: Vec<u8>,
 }
 
@@ -71,6 +74,7 @@
             body_bytes: 0,
             last_token: 0,
             draining: false,
+            close_log: LogBudget::default(),
             buffer: Vec::new(),
         }
     }
@@ -96,7 +100,7 @@
                 Some(old) => self.evict(tcp, old, counters),
                 None if full => {
                     counters.no_room += 1;
-                    counters.reasons.closed(CloseReason::NoRoom);
+                    counters.reasons.closed(CloseReason::NoRoom, 0);
                     return tcp.close(key);
                 }
                 None => {}
--- a/crates/node/src/front/closing.rs
+++ b/crates/node/src/front/closing.rs
@@ -5,7 +5,7 @@
 use nettleferry_engine::ClientDisconnect;
 use nettleferry_net::tcp::{Tcp, TcpKey};
 use nettleferry_platform::frames::{self, Code};
-use tracing::debug;
+use tracing::{debug, info};
 
 use super::Front;
 use super::call::{ClientEvent, RequestToken};
@@ -38,8 +38,10 @@
         let Some(client) = self.clients.get_mut(&key) else { return };
         if !client.closing {
             debug!(conn = ?key, ?reason, open = client.streams.len(), "client connection closing");
-            context.counters.reasons.closed(reason);
+            let open = client.streams.len();
+            self.record_close(context.counters, key, reason, open);
         }
+        let Some(client) = self.clients.get_mut(&key) else { return };
         client.closing = true;
         client.frame_began = None;
         context.tcp.alarm(key, None);
@@ -88,13 +90,24 @@
         let Some(client) = self.clients.remove(&key) else { return };
         debug!(conn = ?key, open = client.streams.len(), "client connection broke");
         if !client.closing {
-            context.counters.reasons.closed(CloseReason::Broken);
+            self.record_close(context.counters, key, CloseReason::Broken, client.streams.len());
         }
         for token in client.streams.into_values() {
             context.events.extend(self.close_call(token).map(ClientEvent::cancelled));
         }
     }
 
+    /// Counts the end of a connection. One with requests open is logged, within the budget.
+    fn record_close(&mut self, counters: &mut Counters, key: TcpKey, reason: CloseReason, open: usize) {
+        counters.reasons.closed(reason, open);
+        if open == 0 {
+            return;
+        }
+        if let Some(left_out) = self.close_log.take(Instant::now()) {
+            info!(conn = ?key, ?reason, open, left_out, "client connection ended with requests open");
+        }
+    }
+
     pub(super) fn set_alarm(&self, tcp: &mut Tcp, key: TcpKey) {
         let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
         let frame = client.frame_began.map(|began| began + FRAME_TIMEOUT);
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -54,7 +54,7 @@
         debug!(conn = ?key, ?order, age = ?now - since, "client connection evicted for a new one");
         self.clients.remove(&key);
         counters.made_room += 1;
-        counters.reasons.closed(CloseReason::Evicted);
+        counters.reasons.closed(CloseReason::Evicted, 0);
         tcp.close(key);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`node`]: the event loop. [`front`]: towards clients. [`pools`]: towards invokers.
 //! * [`guard`]: the platform's rules as invariants, checked at run time. [`attempt_history`]: the attempts of a request.
 //! * [`reasons`]: why requests and connections ended, counted. [`limits`]: every bound, and its counter.
+//!   [`log_budget`]: how many lines are logged of one kind.
 //! * [`directory`]: polls the list of invokers. [`start_times`]: their start times on this process's clock.
 //! * [`error`]: why a node can't start or go on.
 
@@ -18,6 +19,7 @@
 pub mod front;
 pub mod guard;
 pub mod limits;
+pub mod log_budget;
 pub mod node;
 pub mod pools;
 pub mod reasons;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -70,6 +70,11 @@
 /// A query whose answer has not arrived by then is counted as lost.
 pub const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// A list that no answer has confirmed for this span is old, which is logged.
+pub const OLD_LIST_AGE: Duration = Duration::from_millis(1_000);
+/// During a shutdown it is logged this often what it waits for.
+pub const SHUTDOWN_LOG_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The time that a call has, microseconds, which arrived now: `left` by its client, and if it arrived after the grace, no
 /// more than until the platform may kill a process that was asked to end at `since`, where a client waits `longest` at
 /// the most.
@@ -166,6 +171,8 @@
     pub unsent_queries: u64,
     /// Answers of the directory with an older list.
     pub old_lists: u64,
+    /// Times at which the list became older than [`OLD_LIST_AGE`]: no answer of the directory confirmed it for so long.
+    pub list_outages: u64,
     /// Requests that arrived so long after SIGTERM that they have less time than their client gives them.
     pub after_end: u64,
     /// Why requests ended, were retried, and connections were closed.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,6 +12,8 @@
 mod startup;
 mod worker_list;
 
+pub use lifecycle::ShutdownWait;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -21,6 +23,7 @@
 use nettleferry_net::clock::Clock;
 use nettleferry_net::tcp::{Tcp, TcpCounters, TcpEvent, TcpKey};
 use signal_hook_mio::v1_0::Signals;
+use tracing::info;
 
 use crate::class::ClassInfo;
 use crate::directory::DiscoveryClient;
@@ -64,6 +67,8 @@
     /// When the configuration is to be read again.
     reload_at: Option<Instant>,
     next_counters_log: Instant,
+    /// When it is logged next what a shutdown waits for.
+    next_shutdown_log: Instant,
     next_signal_check: Instant,
     /// When signals were looked for last.
     signals_checked_at: Instant,
@@ -120,6 +125,8 @@
         if open > 0 {
             self.counters.violations.report(Violation::EndWithRequests, &open);
         }
+        let took = self.draining_since.map(|since| since.elapsed());
+        info!(open, ?took, "shutdown complete");
         self.log_counters();
         Ok(())
     }
@@ -162,6 +169,7 @@
             self.reload();
         }
         self.discovery.query_if_due(self.tcp.registry(), &mut self.counters);
+        self.discovery.check_list_age(self.tcp.now(), &mut self.counters);
         self.send_to_engine(Event::Tick);
         self.run_engine();
     }
--- a/crates/node/src/node/lifecycle.rs
+++ b/crates/node/src/node/lifecycle.rs
@@ -7,7 +7,7 @@
 
 use super::Node;
 use super::startup::read_config;
-use crate::limits::{MAX_POLL_WAIT, SHUTDOWN_QUIET_SPAN};
+use crate::limits::{MAX_POLL_WAIT, SHUTDOWN_LOG_INTERVAL, SHUTDOWN_QUIET_SPAN};
 
 /// How often counters are logged.
 pub(super) const COUNTERS_LOG_INTERVAL: Duration = Duration::from_secs(5);
@@ -18,17 +18,43 @@
 /// How often in the length of a quiet span the end is checked for, once the span is over.
 const SHUTDOWN_CHECKS: u32 = 8;
 
+/// What a shutdown waits for, the first of these.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShutdownWait {
+    /// Requests have no answer yet.
+    OpenRequests,
+    /// The system has not taken all answers.
+    UnsentAnswers,
+    /// Clients may still send something.
+    QuietSpan,
+    /// An iteration that reads all there is and finds nothing.
+    QuietIteration,
+}
+
 impl Node {
     /// Whether it may end: it was asked to, and nothing is open or on its way. A process that did not run for a while
     /// finds its quiet span over by the clock, with connections in the backlog and requests in sockets: so a complete
     /// iteration that began after that span must have looked and found nothing.
     pub fn is_done(&self) -> bool {
-        self.draining_since.is_some_and(|since| {
-            let quiet = self.quiet_iteration.is_some_and(|at| at >= self.quiet_span_end(since));
+        self.draining_since.is_some() && self.shutdown_waits_for().is_none()
+    }
+
+    /// What a shutdown waits for; `None`: nothing, or it was not begun.
+    pub fn shutdown_waits_for(&self) -> Option<ShutdownWait> {
+        let quiet_span_end = self.quiet_span_end(self.draining_since?);
+        let is_quiet = self.quiet_iteration.is_some_and(|at| at >= quiet_span_end);
+        if self.engine.open_calls() + self.requests.len() > 0 {
+            Some(ShutdownWait::OpenRequests)
+        } else if self.tcp.unsent_to_peers() > 0 {
             // An answer is given when the system has it, not when it is queued.
-            let open = self.engine.open_calls() + self.requests.len();
-            quiet && open == 0 && self.tcp.unsent_to_peers() == 0
-        })
+            Some(ShutdownWait::UnsentAnswers)
+        } else if is_quiet {
+            None
+        } else if Instant::now() < quiet_span_end {
+            Some(ShutdownWait::QuietSpan)
+        } else {
+            Some(ShutdownWait::QuietIteration)
+        }
     }
 
     /// When no client may be expected any more, as far as is known now.
@@ -100,8 +126,12 @@
     /// `earliest`: when the signal may have come, from which the platform counts the time to its kill.
     fn begin_shutdown_since(&mut self, earliest: Instant) {
         if self.draining_since.is_none() {
-            info!("graceful shutdown begun");
-            self.draining_since = Some(Instant::now());
+            let now = Instant::now();
+            let (open, unopened) = (self.engine.open_calls(), self.requests.len());
+            let waiting = self.engine.waiting_calls();
+            info!(open, waiting, unopened, signal_age = ?now - earliest, "graceful shutdown begun");
+            self.next_shutdown_log = now + SHUTDOWN_LOG_INTERVAL;
+            self.draining_since = Some(now);
             self.kill_counts_from = Some(earliest);
             self.quiet_iteration = None;
             self.front.announce_shutdown(&mut self.tcp);
@@ -132,14 +162,28 @@
             self.next_counters_log = now + COUNTERS_LOG_INTERVAL;
             self.log_counters();
         }
+        self.log_shutdown(now);
         let quiet = began > self.last_client_activity && self.tcp.caught_up();
         self.quiet_iteration = quiet.then_some(began);
     }
 
+    /// A process that is killed tells nothing of its end: so it tells on its way what it waits for.
+    fn log_shutdown(&mut self, now: Instant) {
+        let Some(since) = self.draining_since.filter(|_| now >= self.next_shutdown_log) else { return };
+        self.next_shutdown_log = now + SHUTDOWN_LOG_INTERVAL;
+        let Some(waits_for) = self.shutdown_waits_for() else { return };
+        let (open, waiting) = (self.engine.open_calls(), self.engine.waiting_calls());
+        let (unopened, unsent, clients) =
+            (self.requests.len(), self.tcp.unsent_to_peers(), self.front.clients());
+        let after = now.saturating_duration_since(since);
+        info!(?waits_for, ?after, open, waiting, unopened, unsent, clients, "shutdown goes on");
+    }
+
     pub(super) fn log_counters(&self) {
         let (clients, invoker_connections) = (self.front.clients(), self.tcp.outgoing());
         let (open_calls, waiting_calls) = (self.engine.open_calls(), self.engine.waiting_calls());
-        info!(clients, invoker_connections, open_calls, waiting_calls, "current load");
+        let list_age = self.discovery.list_age(Instant::now());
+        info!(clients, invoker_connections, open_calls, waiting_calls, ?list_age, "current load");
         info!(engine = ?self.engine.counters(), "engine counters");
         info!(node = ?self.counters, tcp = ?self.tcp.counters(), "connection counters");
     }
--- a/crates/node/src/node/startup.rs
+++ b/crates/node/src/node/startup.rs
@@ -18,6 +18,7 @@
 use nettleferry_platform_settings::PlatformSettings;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
+use tracing::info;
 
 use super::lifecycle::COUNTERS_LOG_INTERVAL;
 use super::{DIRECTORY, Node, SIGNALS};
@@ -66,11 +67,14 @@
     /// The configuration can't be read or is not valid, or the system refused a socket for longer than startup steps are
     /// retried.
     pub fn new(path: PathBuf, signals: bool) -> Result<Self, NodeError> {
+        let began = Instant::now();
         let config = read_config_with_retry(&path)?;
+        let config_read = Instant::now();
         let site = nettleferry_platform_settings::read(&config.settings)?;
         let spans = Spans::of(&site);
         let bounds = Bounds::of(&config.limits, site.open_calls);
         let sockets = open_sockets(&config, &tcp_limits(&spans, &bounds), signals)?;
+        let sockets_opened = Instant::now();
         let front = build_front(&site, bounds);
         let pools = build_pools(&site, bounds);
         let classes = class_infos(&site);
@@ -98,6 +102,7 @@
             quiet_iteration: None,
             reload_at: None,
             next_counters_log: now + COUNTERS_LOG_INTERVAL,
+            next_shutdown_log: now,
             next_signal_check: now,
             signals_checked_at: now,
             tcp_events: Vec::new(),
@@ -107,6 +112,12 @@
             commands: Vec::new(),
         };
         node.apply_list(ListForm::Restored, &config.known_events.list()?);
+        info!(
+            config = ?config_read - began,
+            sockets = ?sockets_opened - config_read,
+            total = ?began.elapsed(),
+            "started"
+        );
         Ok(node)
     }
 }
--- a/crates/node/src/reasons.rs
+++ b/crates/node/src/reasons.rs
@@ -117,6 +117,8 @@
     ends: [u64; EndReason::COUNT],
     retries: [u64; RetryReason::COUNT],
     closes: [u64; CloseReason::COUNT],
+    /// Those of them under open requests.
+    closes_with_requests: [u64; CloseReason::COUNT],
 }
 
 impl Reasons {
@@ -130,9 +132,10 @@
         self.retries[reason as usize] += 1;
     }
 
-    /// A client's connection has ended.
-    pub fn closed(&mut self, reason: CloseReason) {
+    /// A client's connection has ended, with so many requests open.
+    pub fn closed(&mut self, reason: CloseReason, open: usize) {
         self.closes[reason as usize] += 1;
+        self.closes_with_requests[reason as usize] += u64::from(open > 0);
     }
 
     /// Requests that ended for this reason.
@@ -149,4 +152,9 @@
     pub fn closes(&self, reason: CloseReason) -> u64 {
         self.closes[reason as usize]
     }
+
+    /// Those of them that ended with requests open.
+    pub fn closes_with_requests(&self, reason: CloseReason) -> u64 {
+        self.closes_with_requests[reason as usize]
+    }
 }
