--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::kernel_time::{KernelTime, WallClock};
+
 /// Time since the run began.
 pub type Moment = Duration;
 
@@ -81,6 +83,8 @@
     pub connection: u64,
     /// When it had come whole.
     pub arrived: Moment,
+    /// This is the kernel's time; else it is that of the thread that has read it, which may run late.
+    pub stamped: bool,
     /// The time that the worker was told, milliseconds.
     pub patience: u64,
     /// When its answer was written, it was cancelled, or its connection ended.
@@ -132,6 +136,15 @@
     pub sent: Interval,
 }
 
+/// Where an attempt arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The worker's number.
+    pub worker: usize,
+    /// The connection to it.
+    pub connection: u64,
+}
+
 /// An attempt that arrived at a worker.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
@@ -181,6 +194,7 @@
 /// What was seen so far.
 pub struct Audit {
     began: Instant,
+    wall_clock: WallClock,
     observations: Mutex<Observations>,
 }
 
@@ -202,11 +216,15 @@
     pub arrivals: Vec<Arrival>,
     /// How late the test's own threads ran, by time.
     pub lag: Vec<(Moment, Duration)>,
+    /// By how much the wall clock, of which the kernel's times are, has gone apart from the run's clock.
+    pub drift: Duration,
 }
 
 impl Default for Audit {
     fn default() -> Self {
-        Self { began: Instant::now(), observations: Mutex::default() }
+        let began = Instant::now();
+        let wall_clock = WallClock::read(|| began.elapsed());
+        Self { began, wall_clock, observations: Mutex::default() }
     }
 }
 
@@ -220,6 +238,12 @@
         self.began.elapsed()
     }
 
+    /// When something happened between the moment `earliest` and now: by the kernel's stamp, where there is one.
+    fn stamped(&self, earliest: Moment, stamp: Option<KernelTime>) -> Interval {
+        let seen = Interval { earliest, latest: self.now() };
+        stamp.and_then(|stamp| self.wall_clock.moment(stamp, seen)).map_or(seen, Interval::at)
+    }
+
     /// A client is about to send a call.
     pub fn request_started(&self, id: u64, class: Class, controller: usize, ttl: Duration) {
         let now = self.now();
@@ -258,16 +282,18 @@
         });
     }
 
-    /// An attempt arrived whole to a worker's proxy.
-    pub fn attempt_arrived(&self, id: u64, worker: usize, connection: u64, patience: u64) {
-        let now = self.now();
+    /// An attempt arrived whole to a worker's proxy: by the kernel's stamp, else now.
+    pub fn attempt_arrived(&self, id: u64, at: Place, patience: u64, stamp: Option<KernelTime>) {
+        let Place { worker, connection } = at;
+        let seen = self.stamped(Moment::ZERO, stamp);
+        let (now, stamped) = (seen.latest, seen.earliest == seen.latest);
         let mut observations = self.observations();
         let controller = observations.calls.get(&id).map(|call| call.controller);
         observations.arrivals.push(Arrival { worker, controller, arrived: now });
         match observations.calls.get_mut(&id) {
             Some(call) => {
                 let (arrived, over, ran) = (now, None, false);
-                call.attempts.push(Attempt { worker, connection, arrived, patience, over, ran });
+                call.attempts.push(Attempt { worker, connection, arrived, stamped, patience, over, ran });
             }
             None => observations.strangers.push((id, worker)),
         }
@@ -278,9 +304,10 @@
         self.attempt(id, worker, |attempt| attempt.ran = true);
     }
 
-    /// An attempt was cancelled, or lost its connection.
-    pub fn withdrawn(&self, id: u64, worker: usize, connection: u64) {
-        let now = self.now();
+    /// An attempt was cancelled, or lost its connection: by the kernel's stamp, else now.
+    pub fn withdrawn(&self, id: u64, at: Place, stamp: Option<KernelTime>) {
+        let Place { worker, connection } = at;
+        let now = self.stamped(Moment::ZERO, stamp).latest;
         self.call(id, |call| {
             let there = |attempt: &&mut Attempt| (attempt.worker, attempt.connection) == (worker, connection);
             if let Some(attempt) = call.attempts.iter_mut().rev().find(there) {
@@ -300,9 +327,10 @@
         self.observations().events.push(event);
     }
 
-    /// A controller was sent a list that holds all events up to `serial`, after the moment `earliest`.
-    pub fn list_sent(&self, controller: usize, serial: u32, earliest: Moment) {
-        let sent = Interval { earliest, latest: self.now() };
+    /// A controller was sent a list that holds all events up to `serial`, after the moment `earliest`: by the kernel's
+    /// stamp, where there is one.
+    pub fn list_sent(&self, controller: usize, serial: u32, earliest: Moment, stamp: Option<KernelTime>) {
+        let sent = self.stamped(earliest, stamp);
         let mut observations = self.observations();
         if !observations.sent_lists.iter().any(|told| (told.controller, told.serial) == (controller, serial))
         {
@@ -329,8 +357,13 @@
 
     /// All that was seen.
     pub fn record(&self) -> Record {
-        let observations = std::mem::take(&mut *self.observations());
+        let mut observations = std::mem::take(&mut *self.observations());
+        // Threads that lost their core have recorded late what arrived before.
+        observations.calls.values_mut().for_each(|call| call.attempts.sort_by_key(|attempt| attempt.arrived));
+        observations.arrivals.sort_by_key(|arrival| arrival.arrived);
+        let drift = self.wall_clock.drift(&WallClock::read(|| self.now()));
         Record {
+            drift,
             calls: observations.calls,
             strangers: observations.strangers,
             events: observations.events,
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -291,7 +291,7 @@
             command.envs(self.faults.environment(shim, (self.number as u64 + 1) * 7919 + u64::from(life)));
         }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
-        audit.list_sent(self.number, list.serial, before_start);
+        audit.list_sent(self.number, list.serial, before_start, None);
         self.state().child = Some(child);
         audit.incident(self.number, format!("life {life} started"));
         Ok(())
--- a/crates/soak/src/directory.rs
+++ b/crates/soak/src/directory.rs
@@ -11,6 +11,7 @@
 use simple_dns::{CLASS, Name, Packet, ResourceRecord};
 
 use crate::audit::{Audit, Listed};
+use crate::kernel_time;
 
 /// A worker in the list.
 #[derive(Clone, Debug)]
@@ -77,6 +78,8 @@
     ) -> io::Result<SocketAddr> {
         let socket = UdpSocket::bind("127.0.0.1:0")?;
         socket.set_read_timeout(Some(Duration::from_millis(200)))?;
+        // Where the kernel has no stamps, the interval of the send stands.
+        let _ = kernel_time::stamp_sends(&socket);
         let address = socket.local_addr()?;
         let directory = Arc::clone(self);
         std::thread::spawn(move || {
@@ -100,7 +103,7 @@
         // The controller may act on it before this thread has the core again.
         let before = audit.now();
         if socket.send_to(&bytes, from).is_ok() {
-            audit.list_sent(controller, list.serial, before);
+            audit.list_sent(controller, list.serial, before, kernel_time::last_send(socket));
         }
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,7 +6,7 @@
 //! * [`plan`]: what a run holds, drawn from its seed. [`run`]: plays it.
 //! * [`controller`]: processes and signals. [`shim`]: system-call faults. [`proxy`]: the network to the workers.
 //! * [`worker`], [`directory`], [`client`]: the other parties. [`wire`]: their side of the protocol.
-//! * [`audit`]: what was seen. [`judge`]: which invariants it breaks. [`report`]: what a run gave.
+//! * [`audit`]: what was seen; [`kernel_time`]: when, by the kernel. [`judge`]: which invariants it breaks. [`report`]: what a run gave.
 
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
@@ -16,6 +16,7 @@
 pub mod controller;
 pub mod directory;
 pub mod judge;
+pub mod kernel_time;
 pub mod plan;
 pub mod proxy;
 pub mod report;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,5 +1,6 @@
 //! The network between controllers and one worker: forwards bytes, and can be unresponsive, slow, cut bytes into pieces, or
-//! end connections. What a controller sends is read at once whatever the disturbance, and noted for the audit.
+//! end connections. What a controller sends is read at once whatever the disturbance, and noted for the audit with the
+//! kernel's time.
 
 use std::collections::BTreeSet;
 use std::io::{self, Read, Write};
@@ -8,8 +9,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use crate::audit::Audit;
-use crate::wire::{CommandReader, field};
+use crate::audit::{Audit, Place};
+use crate::kernel_time::{self, KernelTime};
+use crate::wire::{CommandReader, Parts, field};
 
 /// Stack of a thread that forwards bytes.
 pub(crate) const SMALL_STACK: usize = 128 << 10;
@@ -71,7 +73,7 @@
                 reset_when_dropped(&socket);
                 continue;
             }
-            let id = ConnectionId { worker, connection };
+            let id = Place { worker, connection };
             let (link, audit) = (Arc::clone(&link), Arc::clone(&audit));
             // Aside: a connection that is being forwarded holds up none behind it.
             let forward = move || _ = forward(id, socket, target, &link, &audit);
@@ -81,15 +83,8 @@
     Ok(address)
 }
 
-/// A connection to a worker.
-#[derive(Clone, Copy)]
-struct ConnectionId {
-    worker: usize,
-    connection: u64,
-}
-
 fn forward(
-    id: ConnectionId,
+    id: Place,
     controller: TcpStream,
     target: SocketAddr,
     link: &Arc<Link>,
@@ -124,7 +119,7 @@
 
 /// One direction of a connection.
 struct Half {
-    id: ConnectionId,
+    id: Place,
     from: TcpStream,
     to: TcpStream,
     link: Arc<Link>,
@@ -139,10 +134,13 @@
     /// From a controller to the worker: what is sent is noted at once, whatever becomes of it.
     fn forward_requests(mut self) {
         let (mut buffer, mut reader) = (vec![0; 16 << 10], CommandReader::default());
-        while let Ok(length @ 1..) = self.from.read(&mut buffer) {
+        let _ = kernel_time::stamp_receives(&self.from);
+        while let Ok((length @ 1.., stamp)) = kernel_time::read_stamped(&self.from, &mut buffer) {
             reader.push(&buffer[..length]);
-            while let Some(parts) = reader.next_command() {
-                self.note(&parts);
+            let commands: Vec<Parts> = std::iter::from_fn(|| reader.next_command()).collect();
+            for (index, parts) in commands.iter().enumerate() {
+                // The stamp is of the last byte read.
+                self.note(parts, stamp.filter(|_| index + 1 == commands.len()));
             }
             if self.passes() && self.to.write_all(&buffer[..length]).is_err() {
                 break;
@@ -180,20 +178,19 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn note(&self, parts: &[Vec<u8>]) {
+    fn note(&self, parts: &[Vec<u8>], stamp: Option<KernelTime>) {
         let Some(call) = parts.get(1).and_then(|call| std::str::from_utf8(call).ok()) else { return };
         let Ok(call) = u64::from_str_radix(call, 16) else { return };
-        let ConnectionId { worker, connection } = self.id;
         match parts[0].as_slice() {
             b"CALL" => {
                 let patience = parts.get(2).and_then(|fields| field(fields, "patience"));
                 let patience = patience.and_then(|text| text.parse().ok()).unwrap_or(u64::MAX);
                 self.open().insert(call);
-                self.audit.attempt_arrived(call, worker, connection, patience);
+                self.audit.attempt_arrived(call, self.id, patience, stamp);
             }
             b"CANCEL" => {
                 self.open().remove(&call);
-                self.audit.withdrawn(call, worker, connection);
+                self.audit.withdrawn(call, self.id, stamp);
             }
             _ => {}
         }
@@ -203,7 +200,7 @@
     fn end(&self) {
         let calls = std::mem::take(&mut *self.open());
         for call in calls {
-            self.audit.withdrawn(call, self.id.worker, self.id.connection);
+            self.audit.withdrawn(call, self.id, None);
         }
         let _ = self.to.shutdown(Shutdown::Both);
     }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -8,6 +8,24 @@
 /// What happened within this span of a finding is told with it.
 const STORY_SPAN: Duration = Duration::from_secs(4);
 
+/// Lengths of spans.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Spans {
+    /// The middle one.
+    pub median: Duration,
+    /// The longest.
+    pub longest: Duration,
+}
+
+impl Spans {
+    fn of(spans: impl Iterator<Item = Duration>) -> Self {
+        let mut spans: Vec<Duration> = spans.collect();
+        spans.sort_unstable();
+        let median = spans.get(spans.len() / 2).copied().unwrap_or_default();
+        Self { median, longest: spans.last().copied().unwrap_or_default() }
+    }
+}
+
 /// What a run gave.
 #[derive(Debug)]
 pub struct Report {
@@ -25,6 +43,12 @@
     pub disturbances: usize,
     /// The latest that the test's own threads ran.
     pub lag: Duration,
+    /// Attempts whose arrival the kernel has stamped.
+    pub stamped: usize,
+    /// How long the spans are in which the sendings of lists lie.
+    pub list_spans: Spans,
+    /// By how much the wall clock, of which the kernel's times are, has gone apart from the run's clock.
+    pub drift: Duration,
     sent_lists: Vec<SentList>,
     incidents: Vec<Incident>,
 }
@@ -46,6 +70,14 @@
             attempts: record.calls.values().map(|call| call.attempts.len()).sum(),
             disturbances,
             lag: record.lag.iter().map(|(_, lag)| *lag).max().unwrap_or_default(),
+            stamped: record
+                .calls
+                .values()
+                .flat_map(|call| &call.attempts)
+                .filter(|attempt| attempt.stamped)
+                .count(),
+            list_spans: Spans::of(record.sent_lists.iter().map(|list| list.sent.latest - list.sent.earliest)),
+            drift: record.drift,
             sent_lists: record.sent_lists,
             incidents: record.incidents,
         }
