gRPC: a call states the time that is left when its connection starts it

Change: the header is made when the stream is handed to HTTP/2 (Hub::open_until); a call that is over by then fails as not written, which proves that nothing ran. What is left: headers that HTTP/2 holds while the socket takes nothing. The new test connects, waits 0.2 s and then polls; with the header made at the opening it fails. Leases and loans are counted from before their request by the follower (replica.rs, deliveries.rs), so that time in a queue only shortens them; retry-after and pushback are spans that a late answer stretches, which does no harm.

--- a/crates/gateway/src/worker_links/mod.rs
+++ b/crates/gateway/src/worker_links/mod.rs
@@ -10,13 +10,13 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use nettleferry::{Micros, WorkerId};
 use nettleferry_engine::{AttemptEnd, AttemptId, AttemptReport, ControlRequestId, Event};
-use nettleferry_net::{ConnKey, Hub, NetEvent, StreamKey, grpc};
+use nettleferry_net::{ConnKey, Hub, NetEvent, StreamKey};
 use nettleferry_proto::inference::SERVICE;
 use nettleferry_proto::{metadata, peek};
 
@@ -50,7 +50,8 @@
 
 struct AttemptHeaders {
     number: u32,
-    timeout: Duration,
+    /// When its client gives up.
+    deadline: Instant,
 }
 
 /// The links to all workers.
@@ -106,7 +107,8 @@
         body: Bytes,
     ) -> Option<Event> {
         let method = if streamed { "ModelStreamInfer" } else { "ModelInfer" };
-        let headers = AttemptHeaders { number: attempt.number, timeout: Duration::from_micros(time_left) };
+        let deadline = Instant::now() + Duration::from_micros(time_left);
+        let headers = AttemptHeaders { number: attempt.number, deadline };
         let request = RpcRequest { method, attempt: Some(headers), body };
         match self.start_rpc(hub, worker, request, Purpose::Attempt { attempt, streamed }) {
             Ok(stream) => {
@@ -169,7 +171,11 @@
     ) -> Result<StreamKey, AttemptEnd> {
         let connection = self.connection(hub, worker)?;
         let head = self.request_head(&request)?;
-        let stream = hub.open(connection, head).ok_or(AttemptEnd::NotConnected)?;
+        let stream = match &request.attempt {
+            Some(attempt) => hub.open_until(connection, head, attempt.deadline),
+            None => hub.open(connection, head),
+        };
+        let stream = stream.ok_or(AttemptEnd::NotConnected)?;
         hub.send(stream, request.body);
         hub.finish(stream, None);
         self.rpcs.insert(stream, Rpc { purpose, http_status: StatusCode::OK });
@@ -195,9 +201,7 @@
             head = head.header(metadata::FENCE, token.clone());
         }
         if let Some(attempt) = &request.attempt {
-            head = head
-                .header(metadata::ATTEMPT, attempt.number)
-                .header("grpc-timeout", grpc::write_timeout(attempt.timeout));
+            head = head.header(metadata::ATTEMPT, attempt.number);
         }
         head.body(()).map_err(|_| AttemptEnd::NotWritten)
     }
--- a/crates/net/src/hub/conn.rs
+++ b/crates/net/src/hub/conn.rs
@@ -284,7 +284,9 @@
                     let Some(stream) = streams.get_mut(key.index()).filter(|s| s.key == key) else {
                         continue;
                     };
-                    if let Err(error) = stream.start(send, self.shared.written.get()) {
+                    if stream.is_expired(Instant::now()) {
+                        self.failed.push((key, StreamError::NotWritten));
+                    } else if let Err(error) = stream.start(send, self.shared.written.get()) {
                         self.failed.push((key, error_of(&error, true)));
                     }
                 }
--- a/crates/net/src/hub/stream.rs
+++ b/crates/net/src/hub/stream.rs
@@ -4,15 +4,17 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
+use std::time::Instant;
 
 use bytes::Bytes;
 use h2::client::{ResponseFuture, SendRequest};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue};
 
 use super::events::{ConnKey, NetEvent, StreamError, StreamKey};
 use crate::framing::{Decoder, prefix};
+use crate::grpc::write_timeout;
 use crate::limits::{NetCounters, NetLimits};
 
 /// Messages that one poll takes from a stream; the others wait for the next.
@@ -20,6 +22,25 @@
 /// Bytes of send capacity that are reserved at once.
 const MAX_RESERVED_CAPACITY: usize = 1 << 20;
 
+/// A request of ours.
+pub(super) struct OutgoingRequest {
+    pub(super) head: http::Request<()>,
+    /// When its call is over, where it is one with a deadline.
+    pub(super) deadline: Option<Instant>,
+}
+
+impl OutgoingRequest {
+    /// The head as it is sent now.
+    fn into_head(mut self, now: Instant) -> http::Request<()> {
+        let left = self.deadline.map(|deadline| deadline.saturating_duration_since(now));
+        let timeout = left.and_then(|left| HeaderValue::try_from(write_timeout(left)).ok());
+        if let Some(timeout) = timeout {
+            self.head.headers_mut().insert("grpc-timeout", timeout);
+        }
+        self.head
+    }
+}
+
 /// One stream, of either side.
 pub(super) struct Stream {
     pub(super) key: StreamKey,
@@ -29,7 +50,7 @@
     pub(super) paused: bool,
     pub(super) out_bytes: usize,
     /// The request of a stream that was not started yet.
-    request: Option<http::Request<()>>,
+    request: Option<OutgoingRequest>,
     response: Option<ResponseFuture>,
     answer: Option<SendResponse<Bytes>>,
     send: Option<SendStream<Bytes>>,
@@ -72,7 +93,7 @@
         key: StreamKey,
         conn: ConnKey,
         waker: Waker,
-        request: http::Request<()>,
+        request: OutgoingRequest,
         limits: &NetLimits,
     ) -> Self {
         Self { request: Some(request), ..Self::new(key, conn, waker, limits) }
@@ -100,6 +121,12 @@
         self.request.is_some()
     }
 
+    /// Whether it was not started yet and its call is over.
+    pub(super) fn is_expired(&self, now: Instant) -> bool {
+        let deadline = self.request.as_ref().and_then(|request| request.deadline);
+        deadline.is_some_and(|deadline| deadline <= now)
+    }
+
     /// Whether nothing was written on the connection since the request was queued.
     pub(super) fn is_unwritten(&self, written: u64) -> bool {
         !self.is_incoming && (self.is_waiting() || written == self.written_before)
@@ -109,7 +136,7 @@
     pub(super) fn start(&mut self, send: &mut SendRequest<Bytes>, written: u64) -> Result<(), h2::Error> {
         let Some(request) = self.request.take() else { return Ok(()) };
         self.written_before = written;
-        let (response, body) = send.send_request(request, false)?;
+        let (response, body) = send.send_request(request.into_head(Instant::now()), false)?;
         self.response = Some(response);
         self.send = Some(body);
         self.waker.wake_by_ref();
--- a/crates/net/src/hub/streams.rs
+++ b/crates/net/src/hub/streams.rs
@@ -1,22 +1,50 @@
 //! The streams as the owner uses them: requests, answers, messages, flow control.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use h2::Reason;
 use http::HeaderMap;
 
-use super::stream::Stream;
+use super::stream::{OutgoingRequest, Stream};
 use super::{ConnKey, Hub, StreamKey};
 use crate::wake::Due;
 
 impl Hub {
     /// Opens a stream on an outgoing connection, which may still be connecting. `None`: the connection is gone.
     pub fn open(&mut self, conn: ConnKey, request: http::Request<()>) -> Option<StreamKey> {
+        self.open_stream(conn, request, None)
+    }
+
+    /// The same for a call that is over at `deadline`: its `grpc-timeout` is written when the connection starts the stream,
+    /// and states what is left then. One that is over by then fails as not written.
+    pub fn open_until(
+        &mut self,
+        conn: ConnKey,
+        request: http::Request<()>,
+        deadline: Instant,
+    ) -> Option<StreamKey> {
+        self.open_stream(conn, request, Some(deadline))
+    }
+
+    fn open_stream(
+        &mut self,
+        conn: ConnKey,
+        request: http::Request<()>,
+        deadline: Option<Instant>,
+    ) -> Option<StreamKey> {
         let connection = self.conns.get_mut(conn.index()).filter(|c| c.key == conn)?;
         self.generation = self.generation.wrapping_add(1);
         let entry = self.streams.vacant_entry();
         let key = StreamKey::new(self.generation, entry.key());
         let waker = self.due.waker(Due::Stream(key.0));
-        entry.insert(Stream::outgoing(key, conn, waker, request, &self.limits));
+        entry.insert(Stream::outgoing(
+            key,
+            conn,
+            waker,
+            OutgoingRequest { head: request, deadline },
+            &self.limits,
+        ));
         connection.streams.insert(key);
         connection.waiting.push_back(key);
         connection.waker.wake_by_ref();
--- a/crates/net/tests/hub.rs
+++ b/crates/net/tests/hub.rs
@@ -125,6 +125,40 @@
     panic!("no end came");
 }
 
+#[test]
+fn call_that_waits_for_its_connection_states_the_time_left_when_it_is_sent() {
+    // Guards against a timeout that is reckoned when a call is queued and is too long when its headers leave.
+    let mut hub = Hub::new(NetLimits::default()).expect("a hub");
+    let (_, address) = hub.listen("127.0.0.1:0".parse().expect("sound")).expect("a port");
+    let conn = hub.connect(address).expect("begun");
+    let head = || Request::post("http://w/x").body(()).expect("sound");
+    let (deadline, later) = (Instant::now() + TEST_TIMEOUT, Instant::now() + Duration::from_millis(200));
+    let expired = hub.open_until(conn, head(), later).expect("waits");
+    let waits = hub.open_until(conn, head(), deadline).expect("waits");
+    // Nothing leaves before the first poll.
+    while Instant::now() < later {
+        std::thread::yield_now();
+    }
+    let left = deadline - Instant::now();
+    let (mut events, mut told, mut failed) = (Vec::new(), Vec::new(), Vec::new());
+    while told.is_empty() || failed.is_empty() {
+        assert!(Instant::now() < deadline, "{events:?}");
+        hub.poll(Some(Duration::from_millis(50)), &mut events).expect("polls");
+        for event in events.drain(..) {
+            match event {
+                NetEvent::Request { head, .. } => told.push(head.headers["grpc-timeout"].clone()),
+                NetEvent::Failed { stream, why } => failed.push((stream, why)),
+                _ => {}
+            }
+        }
+    }
+    let told: Vec<_> =
+        told.iter().map(|told| grpc::read_timeout(told.to_str().expect("text")).expect("sound")).collect();
+    assert!(told.len() == 1 && told[0] <= left, "told {told:?}, {left:?} were left before it was sent");
+    assert_eq!(failed, [(expired, StreamError::NotWritten)]);
+    assert!(hub.is_open(waits));
+}
+
 #[test]
 fn refused_reset_and_broken_streams_are_distinguished() {
     let mut pair = Pair::new(NetLimits::default());
