node: what a process that stood still would send waits until it has read the sockets again

Evidence: call 03f3: its second attempt was written 1.7 ms after SIGCONT, its client had left during the stop. Cause: the sockets had been read before the stop, which hit the rest of the iteration; timers and answers acted on what was known then. Change: the look at the clock right before a write also tells how old the last read is; over 20 ms, commands stay commands until the sockets have been read again, which is done at once, and what the read tells (clients that left, a list) takes them back. At most every second iteration postpones, so that a slow process goes on writing. The new test failed before ("both wait").

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -70,6 +70,9 @@
 /// A query whose answer has not arrived by then is counted as lost.
 pub const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// What is to be written to invokers later than this after the sockets were read waits until they have been read again: a
+/// process that stood still meanwhile does not know which clients have left.
+pub const OUTDATED_READ: Duration = Duration::from_millis(20);
 /// A list that no answer has confirmed for this span is old, which is logged.
 pub const OLD_LIST_AGE: Duration = Duration::from_millis(1_000);
 /// During a shutdown it is logged this often what it waits for.
--- a/crates/node/src/node/lifecycle.rs
+++ b/crates/node/src/node/lifecycle.rs
@@ -64,7 +64,7 @@
 
     /// How long the next poll may wait.
     pub(super) fn poll_wait(&self) -> Duration {
-        if !self.requests.is_empty() {
+        if !self.requests.is_empty() || self.pools.awaits_read() {
             return Duration::ZERO;
         }
         let now = Instant::now();
--- a/crates/node/src/pools.rs
+++ b/crates/node/src/pools.rs
@@ -3,12 +3,13 @@
 //!
 //! * `connection`: one connection. `pending`: what is open on it. `wire_command`: what is written to it.
 //! * `selection`: which connection a command is sent on. `requests`: what is sent. `writing`: when it is written.
-//!   `cancellation`: what is cancelled or taken back. `responses`: what arrives, and connections that end.
+//!   `postponement`: when it waits for another read. `cancellation`: what is cancelled or taken back. `responses`: what arrives, and connections that end.
 
 mod cancellation;
 mod connection;
 mod context;
 mod pending;
+mod postponement;
 mod requests;
 mod responses;
 mod selection;
@@ -26,6 +27,7 @@
 use self::connection::Connection;
 pub use self::context::PoolContext;
 use self::pending::{PendingResponse, ResponseLocation};
+use self::postponement::Postponement;
 pub use self::requests::LoadOrder;
 pub use self::wire_command::Attempt;
 use crate::limits::Bounds;
@@ -56,6 +58,7 @@
     pending: BTreeMap<PendingResponse, ResponseLocation>,
     /// Established connections with commands to be written.
     unwritten: BTreeSet<TcpKey>,
+    postponement: Postponement,
     bounds: Bounds,
     /// Requests that one connection carries at the same time.
     streams: usize,
@@ -75,6 +78,7 @@
             connections: BTreeMap::new(),
             pending: BTreeMap::new(),
             unwritten: BTreeSet::new(),
+            postponement: Postponement::default(),
             bounds,
             streams: streams.max(1),
             idle: idle.map(|idle| idle * 3 / 4),
--- a/crates/node/src/pools/tests.rs
+++ b/crates/node/src/pools/tests.rs
@@ -11,7 +11,7 @@
 
 use super::pending::OutputRange;
 use super::*;
-use crate::limits::Counters;
+use crate::limits::{Counters, OUTDATED_READ};
 
 const W: WorkerId = WorkerId(7);
 
@@ -263,6 +263,52 @@
     assert_eq!(harness.counters.violations.total(), 0);
 }
 
+#[test]
+fn request_of_a_process_that_stood_still_is_written_after_another_read() {
+    // Guards against attempts for clients that have left while the process stood still in the middle of an iteration.
+    let mut harness = PoolHarness::new();
+    let all = [harness.start(10), harness.start(10)];
+    while !all.iter().all(|id| harness.is_written(*id)) {
+        harness.iterate();
+    }
+    let stand_still = |harness: &PoolHarness| {
+        let until = harness.tcp.now() + OUTDATED_READ + Duration::from_millis(1);
+        while Instant::now() < until {
+            std::thread::yield_now();
+        }
+    };
+    let (left, waits) = (harness.start(10), harness.start(10));
+    stand_still(&harness);
+    for _ in 0..2 {
+        harness.with_context(|pools, context| pools.flush(context, |_| true));
+        assert!(harness.location(left).1.is_none() && harness.location(waits).1.is_none(), "both wait");
+        assert!(harness.pools.awaits_read());
+    }
+    // What the next read tells takes it back.
+    harness.tcp.poll(Some(Duration::ZERO), &mut Vec::new()).expect("a poll");
+    harness.cancel(left);
+    assert!(harness.pools.awaits_read());
+    // A process that stands still again and again goes on writing.
+    stand_still(&harness);
+    harness.with_context(|pools, context| pools.flush(context, |_| true));
+    assert!(harness.is_written(waits) && !harness.pools.awaits_read());
+    // Where all of it is taken back, nothing waits any more.
+    harness.iterate();
+    let last = harness.start(10);
+    stand_still(&harness);
+    harness.with_context(|pools, context| pools.flush(context, |_| true));
+    harness.cancel(last);
+    harness.iterate();
+    assert!(!harness.pools.awaits_read());
+    let (mut all, mut buffer) = (Vec::new(), vec![0; 4096]);
+    for socket in &mut harness.sockets {
+        let length = socket.read(&mut buffer).expect("something came");
+        all.extend_from_slice(&buffer[..length]);
+    }
+    let all = String::from_utf8_lossy(&all);
+    assert!(!all.contains(&format!("{:016x}", left.call.0)) && !all.contains("CANCEL"), "{all}");
+}
+
 #[test]
 fn connection_past_its_idle_time_is_not_chosen() {
     let mut harness = PoolHarness::new();
--- a/crates/node/src/pools/writing.rs
+++ b/crates/node/src/pools/writing.rs
@@ -2,7 +2,8 @@
 //! and the system takes them.
 //!
 //! An attempt states the time that its client has left. So its bytes come about right before the system call that writes
-//! them, and what the system does not take is told anew later.
+//! them, and what the system does not take is told anew later. The same look at the clock tells whether the process has
+//! stood still since it read the sockets.
 
 use std::time::Instant;
 
@@ -39,18 +40,25 @@
         let Some(connection) = self.connections.get_mut(&key) else { return };
         connection.established = true;
         connection.established_at = at;
+        self.postponement.begin(context.tcp.now());
         self.write_waiting(context, key, &awaited);
         self.retire_if_unused(context.tcp, key);
     }
 
     /// Writes what the system takes on all connections. What has expired meanwhile is not written.
     pub fn flush(&mut self, context: &mut PoolContext, awaited: impl Fn(CallId) -> bool) {
+        self.postponement.begin(context.tcp.now());
         for key in std::mem::take(&mut self.unwritten) {
             self.write_waiting(context, key, &awaited);
             self.retire_if_unused(context.tcp, key);
         }
     }
 
+    /// Whether writes wait until the sockets have been read again, which is to be at once.
+    pub fn awaits_read(&self) -> bool {
+        self.postponement.is_waiting()
+    }
+
     fn write_waiting(&mut self, context: &mut PoolContext, key: TcpKey, awaited: &impl Fn(CallId) -> bool) {
         loop {
             let Some(connection) = self.connections.get_mut(&key) else { return };
@@ -73,7 +81,11 @@
         if !tcp.flush(key) {
             return false;
         }
-        waiting.command.write(&mut self.buffer, Instant::now());
+        let now = Instant::now();
+        if !self.postponement.may_write(tcp.now(), now) {
+            return false;
+        }
+        waiting.command.write(&mut self.buffer, now);
         let output = queue(tcp, key, &self.buffer);
         if !tcp.flush(key) && tcp.unsend(key, output.start, output.end) {
             return false;
