Tests of pools and held watches share their set-up; kernel times by the field's word

held_watches.rs repeated its first lines in five tests, tests of the pools theirs in seven; timestamp in place of stamp, and ConnectionId for a connection to a worker in the soak's record. No assertion is changed: the packages' tests pass.

--- a/crates/gateway/src/commands/soak.rs
+++ b/crates/gateway/src/commands/soak.rs
@@ -130,14 +130,14 @@
 fn print(report: &Report) {
     let ends: Vec<String> = report.ends.iter().map(|(kind, count)| format!("{kind} {count}")).collect();
     println!(
-        "seed {}: {} broken, {} undecided; {} disturbances, {} attempts ({} stamped); {}; the test ran late by {:?} at \
+        "seed {}: {} broken, {} undecided; {} disturbances, {} attempts ({} timestamped); {}; the test ran late by {:?} at \
          the most; sendings of lists lie in spans of {:?} (median) to {:?}; clocks apart by {:?}",
         report.seed,
         report.findings.len(),
         report.undecided.len(),
         report.disturbances,
         report.attempts,
-        report.stamped,
+        report.timestamped,
         ends.join(", "),
         report.lag,
         report.list_spans.median,
--- a/crates/gateway/tests/held_watches.rs
+++ b/crates/gateway/tests/held_watches.rs
@@ -126,13 +126,19 @@
     program.log()
 }
 
+/// A cluster at this address, and its leader.
+fn start(address: &'static str) -> (Cluster, Leader) {
+    let cluster = Cluster::new(address, 9);
+    let leader = cluster.administration(cluster.dir(), ADMINISTRATION);
+    (cluster, leader)
+}
+
 const OLD: Life = Life { controller: 1, incarnation: 11 };
 const NEW: Life = Life { controller: 1, incarnation: 12 };
 
 #[test]
 fn held_watch_of_a_dead_process_takes_back_no_later_report() {
-    let cluster = Cluster::new("127.0.61.1", 9);
-    let leader = cluster.administration(cluster.dir(), ADMINISTRATION);
+    let (cluster, leader) = start("127.0.61.1");
     leader.create(json!({"name": "kalahari"}));
     let own = Reported::of(&leader);
     let dead = held(&cluster, &leader, OLD, &own, HELD_MS);
@@ -148,8 +154,7 @@
 
 #[test]
 fn late_request_of_an_earlier_or_unheard_life_takes_back_no_later_report() {
-    let cluster = Cluster::new("127.0.61.2", 9);
-    let leader = cluster.administration(cluster.dir(), ADMINISTRATION);
+    let (cluster, leader) = start("127.0.61.2");
     leader.create(json!({"name": "kalahari"}));
     let own = Reported::of(&leader);
     watch(&cluster, OLD, &own, 0).response();
@@ -168,8 +173,7 @@
 
 #[test]
 fn life_that_has_ended_gets_no_lease_by_a_held_or_late_request() {
-    let cluster = Cluster::new("127.0.61.3", 9);
-    let leader = cluster.administration(cluster.dir(), ADMINISTRATION);
+    let (cluster, leader) = start("127.0.61.3");
     leader.create(json!({"name": "kalahari"}));
     let own = Reported::of(&leader);
     let ended = held(&cluster, &leader, OLD, &own, HELD_MS);
@@ -191,8 +195,7 @@
 
 #[test]
 fn change_that_waits_for_a_copy_is_not_acknowledged_by_a_later_snapshot() {
-    let cluster = Cluster::new("127.0.61.4", 9);
-    let leader = cluster.administration(cluster.dir(), ADMINISTRATION);
+    let (cluster, leader) = start("127.0.61.4");
     leader.create(json!({"name": "kalahari"}));
     let own = Reported::of(&leader);
     // It has a lease, so that a change waits until it holds it; it never does.
@@ -211,8 +214,7 @@
 
 #[test]
 fn leader_that_is_behind_does_not_act_on_its_own_snapshot() {
-    let cluster = Cluster::new("127.0.61.5", 9);
-    let leader = cluster.administration(cluster.dir(), ADMINISTRATION);
+    let (cluster, leader) = start("127.0.61.5");
     leader.create(json!({"name": "kalahari"}));
     assert_eq!(call_status(&leader.program, "kalahari"), Code::Ok);
     watch(&cluster, NEW, &Reported::of(&leader).later(), 0).response();
--- a/crates/node/src/pools/tests.rs
+++ b/crates/node/src/pools/tests.rs
@@ -98,6 +98,15 @@
         output.is_some_and(|output| output.end <= self.tcp.written(key))
     }
 
+    /// Starts an attempt and waits until the system has it.
+    fn written(&mut self, bytes: usize) -> AttemptId {
+        let id = self.start(bytes);
+        while !self.is_written(id) {
+            self.iterate();
+        }
+        id
+    }
+
     fn cancel(&mut self, id: AttemptId) {
         self.with_context(|pools, context| pools.cancel(context, id));
     }
@@ -129,10 +138,7 @@
 #[test]
 fn connection_that_cannot_take_a_cancellation_is_closed_first() {
     let mut harness = PoolHarness::new();
-    let first = harness.start(10);
-    while !harness.is_written(first) {
-        harness.iterate();
-    }
+    let first = harness.written(10);
     let key = harness.connection_of(first);
     let mut there = vec![first];
     // Until the system takes no more of what is sent there.
@@ -174,15 +180,9 @@
 #[test]
 fn unwritten_request_is_taken_back() {
     let mut harness = PoolHarness::new();
-    let first = harness.start(10);
-    while !harness.is_written(first) {
-        harness.iterate();
-    }
+    harness.written(10);
     // Its connection is the only one that the bound allows besides the first's: they share them from here on.
-    let second = harness.start(10);
-    while !harness.is_written(second) {
-        harness.iterate();
-    }
+    harness.written(10);
     // Queued in one turn behind each other, none of them handed to the system.
     let (third, fourth, fifth) = (harness.start(20), harness.start(30), harness.start(40));
     let shared = [third, fourth, fifth].map(|id| harness.connection_of(id));
@@ -226,10 +226,7 @@
         panic!("{:?}", harness.events)
     };
     assert_eq!((attempt, how), (&late, &AttemptEnd::NotWritten), "proven not to have left");
-    let next = harness.start(10);
-    while !harness.is_written(next) {
-        harness.iterate();
-    }
+    harness.written(10);
     let mut seen = vec![0; 4096];
     let n = harness.sockets[0].read(&mut seen).expect("something came");
     let seen = String::from_utf8_lossy(&seen[..n]);
@@ -240,14 +237,8 @@
 fn request_that_expires_before_it_is_written_ends_without_a_violation() {
     // Guards against a process that stands still between a decision and its sending, taken for a broken invariant.
     let mut harness = PoolHarness::new();
-    let first = harness.start(10);
-    while !harness.is_written(first) {
-        harness.iterate();
-    }
-    let second = harness.start(10);
-    while !harness.is_written(second) {
-        harness.iterate();
-    }
+    harness.written(10);
+    harness.written(10);
     harness.time_left = Duration::ZERO;
     let late = harness.start(10);
     harness.iterate();
@@ -313,10 +304,7 @@
 fn connection_past_its_idle_time_is_not_chosen() {
     let mut harness = PoolHarness::new();
     harness.pools.idle = Some(Duration::from_millis(1));
-    let first = harness.start(10);
-    while !harness.is_written(first) {
-        harness.iterate();
-    }
+    let first = harness.written(10);
     let key = harness.connection_of(first);
     let mut answer = Vec::new();
     resp::command(&mut answer, &[format!("{:016x}", 1).as_bytes(), b"served", b"-", b"x"]);
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -84,7 +84,7 @@
     /// When it had come whole.
     pub arrived: Moment,
     /// This is the kernel's time; else it is that of the thread that has read it, which may run late.
-    pub stamped: bool,
+    pub timestamped: bool,
     /// The time that the worker was told, milliseconds.
     pub patience: u64,
     /// When its answer was written, it was cancelled, or its connection ended.
@@ -136,12 +136,12 @@
     pub sent: Interval,
 }
 
-/// Where an attempt arrives.
+/// A connection to a worker, on which attempts arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Place {
+pub struct ConnectionId {
     /// The worker's number.
     pub worker: usize,
-    /// The connection to it.
+    /// The number of the connection to it.
     pub connection: u64,
 }
 
@@ -238,10 +238,10 @@
         self.began.elapsed()
     }
 
-    /// When something happened between the moment `earliest` and now: by the kernel's stamp, where there is one.
-    fn stamped(&self, earliest: Moment, stamp: Option<KernelTime>) -> Interval {
+    /// When something happened between the moment `earliest` and now: by the kernel's timestamp, where there is one.
+    fn timestamped(&self, earliest: Moment, timestamp: Option<KernelTime>) -> Interval {
         let seen = Interval { earliest, latest: self.now() };
-        stamp.and_then(|stamp| self.wall_clock.moment(stamp, seen)).map_or(seen, Interval::at)
+        timestamp.and_then(|timestamp| self.wall_clock.moment(timestamp, seen)).map_or(seen, Interval::at)
     }
 
     /// A client is about to send a call.
@@ -282,18 +282,18 @@
         });
     }
 
-    /// An attempt arrived whole to a worker's proxy: by the kernel's stamp, else now.
-    pub fn attempt_arrived(&self, id: u64, at: Place, patience: u64, stamp: Option<KernelTime>) {
-        let Place { worker, connection } = at;
-        let seen = self.stamped(Moment::ZERO, stamp);
-        let (now, stamped) = (seen.latest, seen.earliest == seen.latest);
+    /// An attempt arrived whole to a worker's proxy: by the kernel's timestamp, else now.
+    pub fn attempt_arrived(&self, id: u64, at: ConnectionId, patience: u64, timestamp: Option<KernelTime>) {
+        let ConnectionId { worker, connection } = at;
+        let seen = self.timestamped(Moment::ZERO, timestamp);
+        let (now, timestamped) = (seen.latest, seen.earliest == seen.latest);
         let mut observations = self.observations();
         let controller = observations.calls.get(&id).map(|call| call.controller);
         observations.arrivals.push(Arrival { worker, controller, arrived: now });
         match observations.calls.get_mut(&id) {
             Some(call) => {
                 let (arrived, over, ran) = (now, None, false);
-                call.attempts.push(Attempt { worker, connection, arrived, stamped, patience, over, ran });
+                call.attempts.push(Attempt { worker, connection, arrived, timestamped, patience, over, ran });
             }
             None => observations.strangers.push((id, worker)),
         }
@@ -304,10 +304,10 @@
         self.attempt(id, worker, |attempt| attempt.ran = true);
     }
 
-    /// An attempt was cancelled, or lost its connection: by the kernel's stamp, else now.
-    pub fn withdrawn(&self, id: u64, at: Place, stamp: Option<KernelTime>) {
-        let Place { worker, connection } = at;
-        let now = self.stamped(Moment::ZERO, stamp).latest;
+    /// An attempt was cancelled, or lost its connection: by the kernel's timestamp, else now.
+    pub fn withdrawn(&self, id: u64, at: ConnectionId, timestamp: Option<KernelTime>) {
+        let ConnectionId { worker, connection } = at;
+        let now = self.timestamped(Moment::ZERO, timestamp).latest;
         self.call(id, |call| {
             let there = |attempt: &&mut Attempt| (attempt.worker, attempt.connection) == (worker, connection);
             if let Some(attempt) = call.attempts.iter_mut().rev().find(there) {
@@ -328,9 +328,9 @@
     }
 
     /// A controller was sent a list that holds all events up to `serial`, after the moment `earliest`: by the kernel's
-    /// stamp, where there is one.
-    pub fn list_sent(&self, controller: usize, serial: u32, earliest: Moment, stamp: Option<KernelTime>) {
-        let sent = self.stamped(earliest, stamp);
+    /// timestamp, where there is one.
+    pub fn list_sent(&self, controller: usize, serial: u32, earliest: Moment, timestamp: Option<KernelTime>) {
+        let sent = self.timestamped(earliest, timestamp);
         let mut observations = self.observations();
         if !observations.sent_lists.iter().any(|told| (told.controller, told.serial) == (controller, serial))
         {
--- a/crates/soak/src/directory.rs
+++ b/crates/soak/src/directory.rs
@@ -78,8 +78,8 @@
     ) -> io::Result<SocketAddr> {
         let socket = UdpSocket::bind("127.0.0.1:0")?;
         socket.set_read_timeout(Some(Duration::from_millis(200)))?;
-        // Where the kernel has no stamps, the interval of the send stands.
-        let _ = kernel_time::stamp_sends(&socket);
+        // Where the kernel has no timestamps, the interval of the send stands.
+        let _ = kernel_time::enable_send_timestamps(&socket);
         let address = socket.local_addr()?;
         let directory = Arc::clone(self);
         std::thread::spawn(move || {
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -225,8 +225,8 @@
     reading: Reading,
     broken: &mut impl FnMut(Rule, String),
 ) {
-    // What the kernel has stamped is not read late.
-    let lag = if attempt.stamped { Duration::ZERO } else { lag(record, attempt.arrived) };
+    // What the kernel has timestamped is not read late.
+    let lag = if attempt.timestamped { Duration::ZERO } else { lag(record, attempt.arrived) };
     let left = call.left.map(|left| reading.duty(left));
     if let Some(left) = left.filter(|left| attempt.arrived > *left + GONE_SLACK + lag) {
         let after = attempt.arrived - left;
--- a/crates/soak/src/kernel_time.rs
+++ b/crates/soak/src/kernel_time.rs
@@ -47,10 +47,10 @@
         looks.min_by_key(|clock| clock.uncertainty).unwrap_or_else(look)
     }
 
-    /// When something happened that the kernel has stamped, within the interval that the test itself has seen. A time
+    /// When something happened that the kernel has timestamped, within the interval that the test itself has seen. A time
     /// outside of it is none: the wall clock was stepped.
-    pub fn moment(&self, stamp: KernelTime, seen: Interval) -> Option<Moment> {
-        let moment = stamp.checked_sub(self.zero)?;
+    pub fn moment(&self, timestamp: KernelTime, seen: Interval) -> Option<Moment> {
+        let moment = timestamp.checked_sub(self.zero)?;
         let earliest = seen.earliest.saturating_sub(self.uncertainty);
         let is_possible = (earliest..=seen.latest + self.uncertainty).contains(&moment);
         is_possible.then(|| moment.clamp(seen.earliest, seen.latest))
@@ -62,29 +62,29 @@
     }
 }
 
-fn kernel_time(stamp: TimeSpec) -> Option<KernelTime> {
-    let seconds = u64::try_from(stamp.tv_sec()).ok()?;
-    let nanoseconds = u32::try_from(stamp.tv_nsec()).ok()?;
+fn kernel_time(timestamp: TimeSpec) -> Option<KernelTime> {
+    let seconds = u64::try_from(timestamp.tv_sec()).ok()?;
+    let nanoseconds = u32::try_from(timestamp.tv_nsec()).ok()?;
     Some(Duration::new(seconds, nanoseconds))
 }
 
-/// Lets the kernel stamp the datagrams that a socket sends.
+/// Lets the kernel timestamp the datagrams that a socket sends.
 ///
 /// # Errors
 ///
 /// The kernel does not.
-pub fn stamp_sends(socket: &UdpSocket) -> io::Result<()> {
+pub fn enable_send_timestamps(socket: &UdpSocket) -> io::Result<()> {
     let flags = TimestampingFlag::SOF_TIMESTAMPING_TX_SOFTWARE
         | TimestampingFlag::SOF_TIMESTAMPING_SOFTWARE
         | TimestampingFlag::SOF_TIMESTAMPING_OPT_TSONLY;
     Ok(setsockopt(&socket.as_fd(), sockopt::Timestamping, &flags)?)
 }
 
-/// When the last datagram left that a socket has sent. All stamps that wait are taken.
+/// When the last datagram left that a socket has sent. All timestamps that wait are taken.
 pub fn last_send(socket: &UdpSocket) -> Option<KernelTime> {
     let mut last = None;
-    while let Some(stamp) = next_send(socket) {
-        last = Some(stamp);
+    while let Some(timestamp) = next_send(socket) {
+        last = Some(timestamp);
     }
     last
 }
@@ -94,17 +94,17 @@
     let flags = MsgFlags::MSG_ERRQUEUE | MsgFlags::MSG_DONTWAIT;
     let received = recvmsg::<()>(socket.as_raw_fd(), &mut [], Some(&mut space), flags).ok()?;
     received.cmsgs().ok()?.find_map(|message| match message {
-        ControlMessageOwned::ScmTimestampsns(stamps) => kernel_time(stamps.system),
+        ControlMessageOwned::ScmTimestampsns(timestamps) => kernel_time(timestamps.system),
         _ => None,
     })
 }
 
-/// Lets the kernel stamp the bytes that a connection receives.
+/// Lets the kernel timestamp the bytes that a connection receives.
 ///
 /// # Errors
 ///
 /// The kernel does not.
-pub fn stamp_receives(socket: &TcpStream) -> io::Result<()> {
+pub fn enable_receive_timestamps(socket: &TcpStream) -> io::Result<()> {
     Ok(setsockopt(&socket.as_fd(), sockopt::ReceiveTimestampns, &true)?)
 }
 
@@ -113,19 +113,19 @@
 /// # Errors
 ///
 /// The connection broke.
-pub fn read_stamped(socket: &TcpStream, buffer: &mut [u8]) -> io::Result<(usize, Option<KernelTime>)> {
+pub fn read_with_timestamp(socket: &TcpStream, buffer: &mut [u8]) -> io::Result<(usize, Option<KernelTime>)> {
     let mut space = cmsg_space!(TimeSpec, [u8; 64]);
     loop {
         let mut slices = [IoSliceMut::new(buffer)];
         match recvmsg::<()>(socket.as_raw_fd(), &mut slices, Some(&mut space), MsgFlags::empty()) {
             Ok(received) => {
-                let stamp = received.cmsgs().ok().and_then(|mut messages| {
+                let timestamp = received.cmsgs().ok().and_then(|mut messages| {
                     messages.find_map(|message| match message {
-                        ControlMessageOwned::ScmTimestampns(stamp) => kernel_time(stamp),
+                        ControlMessageOwned::ScmTimestampns(timestamp) => kernel_time(timestamp),
                         _ => None,
                     })
                 });
-                return Ok((received.bytes, stamp));
+                return Ok((received.bytes, timestamp));
             }
             Err(Errno::EINTR) => {}
             Err(error) => return Err(error.into()),
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use crate::audit::{Audit, Place};
+use crate::audit::{Audit, ConnectionId};
 use crate::kernel_time::{self, KernelTime};
 use crate::wire::{CommandReader, Parts, field};
 
@@ -73,7 +73,7 @@
                 reset_when_dropped(&socket);
                 continue;
             }
-            let id = Place { worker, connection };
+            let id = ConnectionId { worker, connection };
             let (link, audit) = (Arc::clone(&link), Arc::clone(&audit));
             // Aside: a connection that is being forwarded holds up none behind it.
             let forward = move || _ = forward(id, socket, target, &link, &audit);
@@ -84,7 +84,7 @@
 }
 
 fn forward(
-    id: Place,
+    id: ConnectionId,
     controller: TcpStream,
     target: SocketAddr,
     link: &Arc<Link>,
@@ -119,7 +119,7 @@
 
 /// One direction of a connection.
 struct Half {
-    id: Place,
+    id: ConnectionId,
     from: TcpStream,
     to: TcpStream,
     link: Arc<Link>,
@@ -134,13 +134,13 @@
     /// From a controller to the worker: what is sent is noted at once, whatever becomes of it.
     fn forward_requests(mut self) {
         let (mut buffer, mut reader) = (vec![0; 16 << 10], CommandReader::default());
-        let _ = kernel_time::stamp_receives(&self.from);
-        while let Ok((length @ 1.., stamp)) = kernel_time::read_stamped(&self.from, &mut buffer) {
+        let _ = kernel_time::enable_receive_timestamps(&self.from);
+        while let Ok((length @ 1.., timestamp)) = kernel_time::read_with_timestamp(&self.from, &mut buffer) {
             reader.push(&buffer[..length]);
             let commands: Vec<Parts> = std::iter::from_fn(|| reader.next_command()).collect();
             for (index, parts) in commands.iter().enumerate() {
-                // The stamp is of the last byte read.
-                self.note(parts, stamp.filter(|_| index + 1 == commands.len()));
+                // The timestamp is of the last byte read.
+                self.note(parts, timestamp.filter(|_| index + 1 == commands.len()));
             }
             if self.passes() && self.to.write_all(&buffer[..length]).is_err() {
                 break;
@@ -178,7 +178,7 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn note(&self, parts: &[Vec<u8>], stamp: Option<KernelTime>) {
+    fn note(&self, parts: &[Vec<u8>], timestamp: Option<KernelTime>) {
         let Some(call) = parts.get(1).and_then(|call| std::str::from_utf8(call).ok()) else { return };
         let Ok(call) = u64::from_str_radix(call, 16) else { return };
         match parts[0].as_slice() {
@@ -186,11 +186,11 @@
                 let patience = parts.get(2).and_then(|fields| field(fields, "patience"));
                 let patience = patience.and_then(|text| text.parse().ok()).unwrap_or(u64::MAX);
                 self.open().insert(call);
-                self.audit.attempt_arrived(call, self.id, patience, stamp);
+                self.audit.attempt_arrived(call, self.id, patience, timestamp);
             }
             b"CANCEL" => {
                 self.open().remove(&call);
-                self.audit.withdrawn(call, self.id, stamp);
+                self.audit.withdrawn(call, self.id, timestamp);
             }
             _ => {}
         }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -43,8 +43,8 @@
     pub disturbances: usize,
     /// The latest that the test's own threads ran.
     pub lag: Duration,
-    /// Attempts whose arrival the kernel has stamped.
-    pub stamped: usize,
+    /// Attempts whose arrival the kernel has timestamped.
+    pub timestamped: usize,
     /// How long the spans are in which the sendings of lists lie.
     pub list_spans: Spans,
     /// By how much the wall clock, of which the kernel's times are, has gone apart from the run's clock.
@@ -70,11 +70,11 @@
             attempts: record.calls.values().map(|call| call.attempts.len()).sum(),
             disturbances,
             lag: record.lag.iter().map(|(_, lag)| *lag).max().unwrap_or_default(),
-            stamped: record
+            timestamped: record
                 .calls
                 .values()
                 .flat_map(|call| &call.attempts)
-                .filter(|attempt| attempt.stamped)
+                .filter(|attempt| attempt.timestamped)
                 .count(),
             list_spans: Spans::of(record.sent_lists.iter().map(|list| list.sent.latest - list.sent.earliest)),
             drift: record.drift,
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -20,7 +20,7 @@
         worker: 0,
         connection: 0,
         arrived: ms(arrived),
-        stamped: false,
+        timestamped: false,
         patience: 1_000,
         over: Some(ms(over)),
         ran: true,
@@ -116,14 +116,14 @@
 }
 
 #[test]
-fn lateness_of_the_test_excuses_no_attempt_that_the_kernel_has_stamped() {
-    for (stamped, expected) in [(false, vec![]), (true, vec![Rule::ClientGone])] {
+fn lateness_of_the_test_excuses_no_attempt_that_the_kernel_has_timestamped() {
+    for (timestamped, expected) in [(false, vec![]), (true, vec![Rule::ClientGone])] {
         let mut call = sound(Class::Safe);
         call.left = Some(Interval::at(ms(1_010)));
-        call.attempts = vec![Attempt { stamped, ..attempt(1_150, 1_200) }];
+        call.attempts = vec![Attempt { timestamped, ..attempt(1_150, 1_200) }];
         let mut record = record(call);
         record.lag = vec![(ms(1_150), ms(50))];
-        assert_eq!(broken(&record), expected, "stamped: {stamped}");
+        assert_eq!(broken(&record), expected, "timestamped: {timestamped}");
     }
 }
 
--- a/crates/soak/tests/kernel_time.rs
+++ b/crates/soak/tests/kernel_time.rs
@@ -13,13 +13,13 @@
     let clock = WallClock::read(|| began.elapsed());
     let (from, to) = (UdpSocket::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
     let (from, to) = (from.expect("a port"), to.expect("a port"));
-    kernel_time::stamp_sends(&from).expect("the kernel stamps");
+    kernel_time::enable_send_timestamps(&from).expect("the kernel timestamps");
     assert_eq!(kernel_time::last_send(&from), None, "nothing was sent");
     let before = began.elapsed();
     from.send_to(b"list", to.local_addr().expect("bound")).expect("sent");
-    let stamp = kernel_time::last_send(&from).expect("a stamp");
+    let timestamp = kernel_time::last_send(&from).expect("a timestamp");
     let sent = Interval { earliest: before, latest: began.elapsed() };
-    assert!(clock.moment(stamp, sent).is_some(), "{stamp:?} in {sent:?}");
+    assert!(clock.moment(timestamp, sent).is_some(), "{timestamp:?} in {sent:?}");
     assert_eq!(kernel_time::last_send(&from), None, "it is taken");
 }
 
@@ -30,7 +30,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let mut from = TcpStream::connect(listener.local_addr().expect("bound")).expect("it listens");
     let (to, _) = listener.accept().expect("connected");
-    kernel_time::stamp_receives(&to).expect("the kernel stamps");
+    kernel_time::enable_receive_timestamps(&to).expect("the kernel timestamps");
     from.write_all(b"command").expect("written");
     let come = Interval { earliest: Duration::ZERO, latest: began.elapsed() };
     // The reader loses its core.
@@ -39,9 +39,9 @@
         std::thread::yield_now();
     }
     let mut buffer = [0; 64];
-    let (length, stamp) = kernel_time::read_stamped(&to, &mut buffer).expect("it is there");
+    let (length, timestamp) = kernel_time::read_with_timestamp(&to, &mut buffer).expect("it is there");
     assert_eq!(&buffer[..length], b"command");
-    assert!(clock.moment(stamp.expect("a stamp"), come).is_some(), "it had come before {come:?}");
+    assert!(clock.moment(timestamp.expect("a timestamp"), come).is_some(), "it had come before {come:?}");
 }
 
 #[test]
