node: the kill counts from a SIGTERM that came while the process was stopped

Cause: a signal that comes while the process is stopped is handled when it goes on, and the time to the kill was counted from there; so late requests were told up to 0.3 s beyond it. Change: a signal counts from when the poll that reports it may first have seen it, which for a poll that was interrupted or overslept is the return of the one before.

--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -7,11 +7,12 @@
 mod process;
 
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use common::{
     Client, Directory, Invoker, ListedInvoker, Reaction, ReceivedCommand, SERVED, TEST_TIMEOUT, config,
 };
+use nettleferry_node::limits::{KILL_GRACE, LONGEST_COUNTED_DEADLINE};
 use nettleferry_platform::frames::kind;
 use process::Node;
 
@@ -143,3 +144,55 @@
         play.join().expect("no panic");
     }
 }
+
+/// The time that an invoker was told for a call, milliseconds.
+fn patience(command: &ReceivedCommand) -> Option<u64> {
+    let fields = String::from_utf8_lossy(&command.parts[2]);
+    fields.split(',').find_map(|field| field.strip_prefix("patience="))?.parse().ok()
+}
+
+#[test]
+fn request_after_a_sigterm_that_came_during_a_stop_has_no_time_beyond_the_kill() {
+    // Guards against a kill that is counted from when a stopped process goes on, and not from its signal.
+    let told = Arc::new(Mutex::new(Vec::new()));
+    let invoker = {
+        let told = Arc::clone(&told);
+        Invoker::start(move |command: &ReceivedCommand| match command.keyword() {
+            "CALL" => {
+                told.lock().expect("no panic holds it").extend(patience(command));
+                Reaction::Answer("served", "n=w", vec![])
+            }
+            "PING" | "STATS" => Reaction::Answer("green", "-", vec![]),
+            "LOAD" => Reaction::Answer("served", "instances=1", vec![]),
+            _ => Reaction::Ignore,
+        })
+    };
+    let listed = vec![ListedInvoker::new(0, invoker.address)];
+    let directory = Directory::start(listed.clone());
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("config.json");
+    std::fs::write(&path, config(directory.address, &listed).to_string()).expect("written");
+    let node = Node::of(Node::spawn(&path, 256));
+    let mut client = Client::connect(node.address);
+    let warm = client.ask("safe", 1, 9, b"");
+    assert_eq!(client.answer(warm).0, SERVED);
+    node.stop();
+    let signalled = Instant::now();
+    node.signal("TERM");
+    let wait_until = |after: Duration| {
+        while signalled.elapsed() < after {
+            std::thread::yield_now();
+        }
+    };
+    wait_until(Duration::from_millis(600));
+    node.signal("CONT");
+    // Later than the platform lets requests come: this one must have its answer before the kill.
+    wait_until(KILL_GRACE + Duration::from_millis(200));
+    let late = client.ask("safe", 2, 9, b"");
+    assert_eq!(client.answer(late).0, SERVED);
+    let sent = signalled.elapsed();
+    let told = *told.lock().expect("no panic holds it").last().expect("it ran");
+    let kill = LONGEST_COUNTED_DEADLINE + KILL_GRACE;
+    let asked = KILL_GRACE + Duration::from_millis(200);
+    assert!(asked + Duration::from_millis(told) <= kill, "told {told} ms between {asked:?} and {sent:?}");
+}
--- a/crates/net/src/tcp/mod.rs
+++ b/crates/net/src/tcp/mod.rs
@@ -192,6 +192,12 @@
         self.now
     }
 
+    /// Since when what the last poll has reported may have been there: its own return, or that of the one before where the
+    /// process was delayed, stopped or interrupted.
+    pub fn reported_since(&self) -> Instant {
+        self.earliest_arrival
+    }
+
     /// Sets the connection's one alarm, or removes it.
     pub fn alarm(&mut self, key: TcpKey, at: Option<Instant>) {
         let Some(conn) = self.get_mut(key) else { return };
--- a/crates/node/src/node/lifecycle.rs
+++ b/crates/node/src/node/lifecycle.rs
@@ -99,11 +99,10 @@
         }
     }
 
-    /// A wake-up tells of a signal.
+    /// A wake-up tells of a signal. One that came while the process was stopped is handled when it goes on.
     pub(super) fn signal_woke(&mut self) {
-        let now = Instant::now();
-        self.signals_checked_at = now;
-        self.handle_signals(now);
+        self.signals_checked_at = Instant::now();
+        self.handle_signals(self.tcp.reported_since());
     }
 
     /// `earliest`: when a signal that is found now may have come.
