--- a/crates/soak/tests/kernel_time.rs
+++ b/crates/soak/tests/kernel_time.rs
@@ -7,6 +7,9 @@
 use nettleferry_soak::audit::Interval;
 use nettleferry_soak::kernel_time::{self, KernelTime, WallClock};
 
+/// No wait of these tests is longer; each is for an event.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
 #[test]
 fn datagram_that_was_sent_is_stamped_within_its_sending() {
     let began = Instant::now();
@@ -31,6 +34,15 @@
     let mut from = TcpStream::connect(listener.local_addr().expect("bound")).expect("it listens");
     let (to, _) = listener.accept().expect("connected");
     kernel_time::enable_receive_timestamps(&to).expect("the kernel timestamps");
+    // The kernel begins a moment after the first socket of the machine has asked for it.
+    let mut buffer = [0; 64];
+    let is_timestamped = |from: &mut TcpStream, buffer: &mut [u8]| {
+        from.write_all(b"early").expect("written");
+        kernel_time::read_with_timestamp(&to, buffer).expect("it is there").1.is_some()
+    };
+    while !is_timestamped(&mut from, &mut buffer) {
+        assert!(began.elapsed() < TEST_TIMEOUT, "the kernel timestamps");
+    }
     from.write_all(b"command").expect("written");
     let come = Interval { earliest: Duration::ZERO, latest: began.elapsed() };
     // The reader loses its core.
@@ -38,7 +50,6 @@
     while began.elapsed() < late {
         std::thread::yield_now();
     }
-    let mut buffer = [0; 64];
     let (length, timestamp) = kernel_time::read_with_timestamp(&to, &mut buffer).expect("it is there");
     assert_eq!(&buffer[..length], b"command");
     assert!(clock.moment(timestamp.expect("a timestamp"), come).is_some(), "it had come before {come:?}");
