review: format of the stand-ins and a type alias

The stand-ins of the cases were not formatted and clippy named one complex type. They are formatted, and the type has a name; nothing else changed.

--- a/review/stand-ins/src/bin/bodies.rs
+++ b/review/stand-ins/src/bin/bodies.rs
@@ -94,7 +94,11 @@
     let path = folder.path().join("config.json");
     std::fs::write(&path, config.to_string()).expect("the configuration is written");
     let mut command = Command::new(&setup.program);
-    command.arg("node").env("PROXY_CONFIG", &path).env("PROXY_NAME", "n0").env("PROXY_LISTEN", listen.to_string());
+    command
+        .arg("node")
+        .env("PROXY_CONFIG", &path)
+        .env("PROXY_NAME", "n0")
+        .env("PROXY_LISTEN", listen.to_string());
     let log = folder.path().join("n0.log");
     let mut node = Process::start(&setup.record, "n0", &mut command, &log);
     if !wait_ready(listen, Duration::from_secs(30)) {
@@ -124,7 +128,8 @@
         text.lines().rev().take(6).for_each(|line| setup.record.line(&format!("log of n0: {line}")));
     }
     let totals = totals.lock().expect("not poisoned");
-    let Totals { sent, served, refused, failed, resent, errors_on_stream_0, closed_with_open, lost, late } = &*totals;
+    let Totals { sent, served, refused, failed, resent, errors_on_stream_0, closed_with_open, lost, late } =
+        &*totals;
     let summary = format!(
         "{sent} requests sent: {served} served, {refused} refused, {failed} failed, {} never answered, {} answered over 0.5 s late; {resent} sent again after a crossing; {errors_on_stream_0} errors on stream 0, {closed_with_open} connections closed by the controller with requests open",
         lost.len(),
@@ -158,7 +163,8 @@
         }
         let Ok(stream) = TcpStream::connect(address) else { return };
         let _ = stream.set_nodelay(true);
-        again = connection(number, stream, record, totals, counter, &mut next, until, std::mem::take(&mut again));
+        again =
+            connection(number, stream, record, totals, counter, &mut next, until, std::mem::take(&mut again));
     }
 }
 
@@ -197,11 +203,14 @@
                     let mut totals = totals.lock().expect("not poisoned");
                     if frame.stream == 0 {
                         totals.errors_on_stream_0 += 1;
-                        let text = String::from_utf8_lossy(frame.payload.get(2..).unwrap_or_default()).into_owned();
+                        let text =
+                            String::from_utf8_lossy(frame.payload.get(2..).unwrap_or_default()).into_owned();
                         record.line(&format!("client {number}: error on stream 0: {text}"));
                         continue;
                     }
-                    let Some(sent) = open.lock().expect("not poisoned").remove(&frame.stream) else { continue };
+                    let Some(sent) = open.lock().expect("not poisoned").remove(&frame.stream) else {
+                        continue;
+                    };
                     let word = match frame.payload.first() {
                         Some(79) => "served",
                         Some(66) => "refused",
@@ -221,7 +230,11 @@
                     } else {
                         String::from_utf8_lossy(frame.payload.get(2..).unwrap_or_default()).into_owned()
                     };
-                    record.line(&format!("client {number}: {} {word} after {} ms {text}", sent.id, after.as_millis()));
+                    record.line(&format!(
+                        "client {number}: {} {word} after {} ms {text}",
+                        sent.id,
+                        after.as_millis()
+                    ));
                 }
             }
             ended.store(true, Ordering::Release);
@@ -239,7 +252,12 @@
         if now >= until && requests_open == 0 && due.is_empty() {
             break;
         }
-        if open.lock().expect("not poisoned").values().any(|sent| sent.at.elapsed() > TTL + Duration::from_secs(2)) {
+        if open
+            .lock()
+            .expect("not poisoned")
+            .values()
+            .any(|sent| sent.at.elapsed() > TTL + Duration::from_secs(2))
+        {
             break;
         }
         let mut count = due.len();
@@ -253,11 +271,20 @@
                 || format!("{:016x}", 0x9b1f_0000_0000_0000_u64 + counter.fetch_add(1, Ordering::Relaxed)),
                 |sent| sent.id.clone(),
             );
-            let row = format!("{:016x}", 0x7f3a_9c21_0000_0000_u64 + u64::from_str_radix(&id, 16).unwrap_or(0) % FUNCTIONS);
+            let row = format!(
+                "{:016x}",
+                0x7f3a_9c21_0000_0000_u64 + u64::from_str_radix(&id, 16).unwrap_or(0) % FUNCTIONS
+            );
             stream_number += 1;
             let mut out = Vec::new();
             let ttl = TTL.as_millis().to_string();
-            let fields = [("op", "history"), ("call", &id), ("ttl", &ttl), ("row", &row), ("tags", "memory_mb:3000;lanes:8;load_ms:1500")];
+            let fields = [
+                ("op", "history"),
+                ("call", &id),
+                ("ttl", &ttl),
+                ("row", &row),
+                ("tags", "memory_mb:3000;lanes:8;load_ms:1500"),
+            ];
             frames::request(&mut out, stream_number, &fields, &vec![7; BODY]);
             let not_resting =
                 open.lock().expect("not poisoned").values().any(|other| other.at.elapsed() > CROSSING);
@@ -288,7 +315,8 @@
         totals.closed_with_open += 1;
     }
     for sent in left {
-        let crossed = !sent.not_resting && !sent.again && closed_at - sent.at <= CROSSING + Duration::from_millis(10);
+        let crossed =
+            !sent.not_resting && !sent.again && closed_at - sent.at <= CROSSING + Duration::from_millis(10);
         record.line(&format!(
             "client {number}: connection ended without an answer to {}, sent {} ms before; {}",
             sent.id,
--- a/review/stand-ins/src/bin/farewell.rs
+++ b/review/stand-ins/src/bin/farewell.rs
@@ -46,7 +46,8 @@
                 // Half of the calls must not run twice.
                 let model = if n % 2 == 0 { "echo" } else { "echo-once" };
                 record.line(&format!("call {id} of {model} sent"));
-                let end = call(link, None, &echo(model, &id, ANSWER), DEADLINE, DEADLINE + Duration::from_secs(2));
+                let end =
+                    call(link, None, &echo(model, &id, ANSWER), DEADLINE, DEADLINE + Duration::from_secs(2));
                 let text = end.as_ref().map_or_else(|| "no end".to_owned(), CallEnd::text);
                 record.line(&format!("call {id} ended after {} ms: {text}", began.elapsed().as_millis()));
                 end
@@ -75,10 +76,15 @@
     }
     let exit = if setup.trouble { controller.wait(Duration::from_secs(35)) } else { None };
     if let Some(exit) = exit {
-        setup.record.line(&format!("the controller ended with {exit}, at most {} ms after the signal", signalled.elapsed().as_millis()));
+        setup.record.line(&format!(
+            "the controller ended with {exit}, at most {} ms after the signal",
+            signalled.elapsed().as_millis()
+        ));
     }
     if let Ok(text) = std::fs::read_to_string(folder.path().join("log")) {
-        text.lines().for_each(|line| setup.record.line(&format!("log: {}", line.chars().take(300).collect::<String>())));
+        text.lines().for_each(|line| {
+            setup.record.line(&format!("log: {}", line.chars().take(300).collect::<String>()))
+        });
     }
     let lost = ends.iter().filter(|end| end.as_ref().is_none_or(|end| end.status.is_err())).count();
     let served = ends.iter().filter(|end| end.as_ref().is_some_and(CallEnd::is_ok)).count();
--- a/review/stand-ins/src/bin/suspended.rs
+++ b/review/stand-ins/src/bin/suspended.rs
@@ -49,7 +49,9 @@
     }
     let leader_settings = settings(
         0,
-        &format!("(admin (listen \"{api_address}\") (store \"tenants.redb\") {operator} {follower_key} (lease 1s))"),
+        &format!(
+            "(admin (listen \"{api_address}\") (store \"tenants.redb\") {operator} {follower_key} (lease 1s))"
+        ),
     );
     let mut leader = serve(&setup, "controller 0", folders[0].path(), &leader_settings);
     let follow = format!("(admin (follow \"{api_address}\") (key-file \"key\") (kept \"kept.json\"))");
@@ -108,7 +110,8 @@
     // As an operator does: where the response says that the change is not in force everywhere yet, ask again.
     let mut response = api.send("POST", &format!("/v1/tenants/{TENANT}/suspend"), "");
     let asked = Instant::now();
-    while response.header("Nettleferry-In-Force") != "everywhere" && asked.elapsed() < Duration::from_secs(30) {
+    while response.header("Nettleferry-In-Force") != "everywhere" && asked.elapsed() < Duration::from_secs(30)
+    {
         std::thread::sleep(Duration::from_millis(100));
         response = api.send("POST", &format!("/v1/tenants/{TENANT}/suspend"), "");
     }
@@ -124,19 +127,27 @@
     let calls = calls.lock().expect("not poisoned");
     for call in calls.iter() {
         let side = if call.sent > acknowledged { "after" } else { "before" };
-        let apart = if call.sent > acknowledged { call.sent - acknowledged } else { acknowledged - call.sent };
+        let apart =
+            if call.sent > acknowledged { call.sent - acknowledged } else { acknowledged - call.sent };
         let end = call.end.as_ref().map_or_else(|| "no end".to_owned(), CallEnd::text);
-        setup.record.line(&format!("controller {}: call sent {} ms {side} the response: {end}", call.controller, apart.as_millis()));
+        setup.record.line(&format!(
+            "controller {}: call sent {} ms {side} the response: {end}",
+            call.controller,
+            apart.as_millis()
+        ));
     }
     let mut served_after = 0;
     let mut last = Duration::ZERO;
     for n in 0..=FOLLOWERS {
         let own: Vec<&Call> = calls.iter().filter(|call| call.controller == n).collect();
         let after: Vec<&&Call> = own.iter().filter(|call| call.sent > acknowledged).collect();
-        let served: Vec<_> = after.iter().filter(|call| call.end.as_ref().is_some_and(CallEnd::is_ok)).collect();
+        let served: Vec<_> =
+            after.iter().filter(|call| call.end.as_ref().is_some_and(CallEnd::is_ok)).collect();
         let denied = after
             .iter()
-            .filter(|call| matches!(call.end.as_ref().map(|end| &end.status), Some(Ok((Code::PermissionDenied, _)))))
+            .filter(|call| {
+                matches!(call.end.as_ref().map(|end| &end.status), Some(Ok((Code::PermissionDenied, _))))
+            })
             .count();
         let latest = served.iter().map(|call| call.sent - acknowledged).max().unwrap_or_default();
         setup.record.line(&format!(
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -137,7 +137,8 @@
     pub fn start(record: &Record, name: &str, command: &mut Command, log: &Path) -> Self {
         let file = File::options().create(true).append(true).open(log).expect("a log file");
         let errors = file.try_clone().expect("a log file");
-        let child = command.stdin(Stdio::null()).stdout(file).stderr(errors).spawn().expect("the program starts");
+        let child =
+            command.stdin(Stdio::null()).stdout(file).stderr(errors).spawn().expect("the program starts");
         PIDS.lock().expect("not poisoned").push(child.id());
         record.line(&format!("process {name} started, pid {}", child.id()));
         Self { child, name: name.to_owned(), record: record.clone() }
--- a/review/stand-ins/src/node.rs
+++ b/review/stand-ins/src/node.rs
@@ -46,7 +46,15 @@
         packet.additional_records.push(ResourceRecord::new(name, CLASS::IN, 0, RData::TXT(text)));
     }
     let zone = Name::new_unchecked("mesh.local");
-    let soa = SOA { mname: zone.clone(), rname: zone.clone(), serial: 1, refresh: 0, retry: 0, expire: 0, minimum: 0 };
+    let soa = SOA {
+        mname: zone.clone(),
+        rname: zone.clone(),
+        serial: 1,
+        refresh: 0,
+        retry: 0,
+        expire: 0,
+        minimum: 0,
+    };
     packet.name_servers.push(ResourceRecord::new(zone, CLASS::IN, 0, RData::SOA(soa)));
     packet.build_bytes_vec_compressed().expect("a message")
 }
@@ -94,7 +102,10 @@
 
 /// Runs jobs at their times, on one thread.
 #[derive(Clone)]
-pub struct Scheduler(Arc<(Mutex<(BinaryHeap<Entry>, u64)>, Condvar)>);
+pub struct Scheduler(Arc<Shared>);
+
+/// The jobs that wait with the number of the last one, and the signal that they have changed.
+type Shared = (Mutex<(BinaryHeap<Entry>, u64)>, Condvar);
 
 impl Default for Scheduler {
     fn default() -> Self {
@@ -190,7 +201,8 @@
         }
         while let Some((parts, used)) = command(&buffer) {
             buffer.drain(..used);
-            let text = |n: usize| String::from_utf8_lossy(parts.get(n).map_or(&[][..], Vec::as_slice)).into_owned();
+            let text =
+                |n: usize| String::from_utf8_lossy(parts.get(n).map_or(&[][..], Vec::as_slice)).into_owned();
             let (word, tag) = (text(0), text(1));
             let writer = Arc::clone(&writer);
             match word.as_str() {
@@ -230,7 +242,8 @@
                         continue;
                     };
                     let note: &[u8] = if copy.loaded { b"n=w" } else { b"n=j" };
-                    let (scheduler, work, record, name) = (scheduler.clone(), spec.work, record.clone(), name.to_owned());
+                    let (scheduler, work, record, name) =
+                        (scheduler.clone(), spec.work, record.clone(), name.to_owned());
                     let later = scheduler.clone();
                     let run: Job = Box::new(move || {
                         later.after(work, move || {
--- a/review/stand-ins/src/serve.rs
+++ b/review/stand-ins/src/serve.rs
@@ -51,7 +51,10 @@
 
     /// The worker list as the operators' page has it.
     pub fn list(&self) -> String {
-        self.handles.iter().map(|h| format!("(worker {} (address \"{}\"))\n", h.name, h.addresses[0])).collect()
+        self.handles
+            .iter()
+            .map(|h| format!("(worker {} (address \"{}\"))\n", h.name, h.addresses[0]))
+            .collect()
     }
 
     /// The observations since the last call.
@@ -76,9 +79,11 @@
 
 /// Makes a key with `nettleferry admin key`. Returns its token and the line for the settings.
 pub fn key(setup: &Setup, name: &str, role: &str) -> (String, String) {
-    let out = Command::new(&setup.program).args(["admin", "key", name, role]).output().expect("the program runs");
+    let out =
+        Command::new(&setup.program).args(["admin", "key", name, role]).output().expect("the program runs");
     let text = String::from_utf8_lossy(&out.stdout).into_owned();
-    let value = |prefix: &str| text.lines().find_map(|l| l.strip_prefix(prefix)).unwrap_or_default().to_owned();
+    let value =
+        |prefix: &str| text.lines().find_map(|l| l.strip_prefix(prefix)).unwrap_or_default().to_owned();
     (value("token: "), value("settings: "))
 }
 
@@ -125,11 +130,16 @@
         }
         let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
         let status = head.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
-        let response =
-            ApiResponse { status, head: head.to_owned(), body: serde_json::from_str(body).unwrap_or(Value::Null) };
+        let response = ApiResponse {
+            status,
+            head: head.to_owned(),
+            body: serde_json::from_str(body).unwrap_or(Value::Null),
+        };
         if method != "GET" {
-            let (held, force) = (response.header("Nettleferry-Held"), response.header("Nettleferry-In-Force"));
-            self.record.line(&format!("api: {method} {target}: {status} held \"{held}\" in force \"{force}\""));
+            let (held, force) =
+                (response.header("Nettleferry-Held"), response.header("Nettleferry-In-Force"));
+            self.record
+                .line(&format!("api: {method} {target}: {status} held \"{held}\" in force \"{force}\""));
         }
         response
     }
@@ -213,7 +223,9 @@
     std::thread::spawn(move || {
         for client in listener.incoming().map_while(Result::ok) {
             let Ok(server) = TcpStream::connect(target) else { continue };
-            let (Ok(client_read), Ok(server_read)) = (client.try_clone(), server.try_clone()) else { continue };
+            let (Ok(client_read), Ok(server_read)) = (client.try_clone(), server.try_clone()) else {
+                continue;
+            };
             std::thread::spawn(move || pass(client_read, server, None));
             std::thread::spawn(move || pass(server_read, client, Some(bytes_per_second)));
         }
