node: a request refused for the bound on bodies is no fault of its client

Cause: Front::request counted each rejected request as a fault of its client, also RequestRejected::TooManyBytes, which says how much all clients together have open. Nine such refusals in a row closed the connection.

Fix: a rejection says whether its client is at fault. One for a limit of the node sets the count of faults back, as an accepted request does, since the request was found usable.

--- a/crates/node/src/front/input.rs
+++ b/crates/node/src/front/input.rs
@@ -112,9 +112,14 @@
             }
             Err(rejected) => {
                 let message = rejected.to_string();
-                debug!(conn = ?key, stream, message, "request rejected as unusable");
+                let is_client_fault = rejected.is_client_fault();
+                debug!(conn = ?key, stream, message, is_client_fault, "request rejected");
                 self.send_answer(context.tcp, key, stream, rejected.code(), message.as_bytes());
-                self.count_fault(context, key);
+                if is_client_fault {
+                    self.count_fault(context, key);
+                } else if let Some(client) = self.clients.get_mut(&key) {
+                    client.faults = 0;
+                }
             }
         }
     }
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -46,6 +46,20 @@
         }
     }
 
+    /// Whether the client sent something unusable. A request that a limit of the node keeps out is usable.
+    pub(super) fn is_client_fault(&self) -> bool {
+        match self {
+            Self::TooManyBytes => false,
+            Self::Unreadable(_)
+            | Self::UnknownClass
+            | Self::NotForwardable
+            | Self::TtlTooLong
+            | Self::InvalidId(_)
+            | Self::DuplicateId
+            | Self::UnknownTenant => true,
+        }
+    }
+
     fn count(&self, counters: &mut Counters) {
         match self {
             Self::DuplicateId => counters.ids_open += 1,
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -30,8 +30,8 @@
 /// Maximum number of requests open at the same time on a client connection, as the platform defines it.
 pub const STREAMS_PER_CLIENT: usize = 32;
 /// Unusable requests and frames that are allowed in a row on one connection; one more closes it. A usable
-/// request resets the count: a proxy's connection carries the requests of many clients, and others may wait
-/// there for their answers.
+/// request resets the count, also if a limit of the node refuses it: a proxy's connection carries the
+/// requests of many clients, and others may wait there for their answers.
 pub const CONSECUTIVE_FAULTS: u32 = 8;
 /// A request may state a time to live of up to this multiple of its class's deadline, and gets the deadline.
 /// Clients may exceed the deadline somewhat as they count by their own clock; a larger value shows that the
--- /dev/null
+++ b/crates/node/tests/refusals.rs
@@ -0,0 +1,117 @@
+//! Requests that are refused for a limit of the node.
+
+mod common;
+
+use std::io::Write;
+
+use common::harness::{Client, NodeHarness, wire_id};
+use common::{REFUSED, SERVED};
+use nettleferry_node::limits::{CONSECUTIVE_FAULTS, STREAMS_PER_CLIENT};
+use nettleferry_platform::frames::{self, MAX_BODY_BYTES};
+
+const ROW: u64 = 9;
+/// The least memory that a node assumes, megabytes.
+const MEMORY_MB: usize = 16;
+/// A quarter of the memory may be taken by the bodies of open requests.
+const BODY_BOUND: usize = MEMORY_MB << 18;
+const BODY: [u8; MAX_BODY_BYTES] = [7; MAX_BODY_BYTES];
+
+/// A node whose bound on bodies is reached by the open requests of some clients.
+struct FullNode {
+    harness: NodeHarness,
+    /// The clients of the open requests. Dropping one cancels its requests.
+    holders: Vec<Client>,
+}
+
+impl FullNode {
+    fn start() -> Self {
+        let mut harness = NodeHarness::start(1, |config| {
+            config["limits"]["memory_mb"] = MEMORY_MB.into();
+            // The requests stay open for the whole test.
+            config["settings"]["classes"][0]["deadline_ms"] = 120_000.into();
+        });
+        let (all, per_client) = (BODY_BOUND / BODY.len(), STREAMS_PER_CLIENT);
+        let mut holders = Vec::new();
+        for first in (0..all).step_by(per_client) {
+            let mut holder = harness.client();
+            for n in 0..per_client {
+                let id = 1_000 + (first + n) as u64;
+                write_to_node(&mut harness, &mut holder, &held_request(n as u32 + 1, id));
+            }
+            holders.push(holder);
+        }
+        harness.until("the open requests", |harness| {
+            (harness.node.counters().requests == all as u64).then_some(())
+        });
+        Self { harness, holders }
+    }
+
+    /// Ends the requests that hold the bound.
+    fn make_room(&mut self) {
+        self.holders.clear();
+        self.harness.iterate();
+        self.harness.iterate();
+    }
+}
+
+/// A request with a body of the largest size and a long time to live.
+fn held_request(stream: u32, id: u64) -> Vec<u8> {
+    let (id, row) = (wire_id(id), wire_id(ROW));
+    let tags = "memory_mb:9;lanes:64;load_ms:50";
+    let fields = [("op", "safe"), ("call", id.as_str()), ("ttl", "120000"), ("row", &row), ("tags", tags)];
+    let mut out = Vec::new();
+    frames::request(&mut out, stream, &fields, &BODY);
+    out
+}
+
+/// Writes bytes of any number to a connection, while the node reads.
+fn write_to_node(harness: &mut NodeHarness, client: &mut Client, mut bytes: &[u8]) {
+    while !bytes.is_empty() {
+        match client.socket.write(bytes) {
+            Ok(n) => bytes = &bytes[n..],
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => harness.iterate(),
+            Err(error) => panic!("not written: {error}"),
+        }
+    }
+}
+
+/// Waits until each of these streams has an answer. Returns the codes by stream.
+fn codes_of(
+    harness: &mut NodeHarness,
+    client: &mut Client,
+    streams: impl Iterator<Item = u32>,
+) -> Vec<Vec<u8>> {
+    let streams: Vec<u32> = streams.collect();
+    harness.until("an answer on each stream", |_| {
+        let codes: Vec<_> = streams.iter().map(|stream| client.answer_codes(*stream)).collect();
+        codes.iter().all(|codes| !codes.is_empty()).then_some(codes)
+    })
+}
+
+/// Guards against sound requests that are lost because the node closes their connection for refusals of its own.
+#[test]
+fn requests_refused_for_the_bound_on_bodies_do_not_close_their_connection() {
+    let mut full = FullNode::start();
+    let mut client = full.harness.client();
+    // A request without a body is within the bound, and stays open all the while.
+    client.send_request(1, "safe", 1, ROW, b"");
+    let refused = 2..=3 * CONSECUTIVE_FAULTS;
+    for stream in refused.clone() {
+        write_to_node(&mut full.harness, &mut client, &held_request(stream, u64::from(stream)));
+    }
+    let codes = codes_of(&mut full.harness, &mut client, refused.clone());
+    assert_eq!(codes, vec![vec![REFUSED]; refused.count()]);
+    assert!(client.answer_codes(1).is_empty(), "the open request is not ended for the refusals");
+    let count = full.harness.node.counters();
+    let over_bodies = u64::from(3 * CONSECUTIVE_FAULTS) - 1;
+    assert_eq!((count.over_bodies, count.closed_for_faults, count.bad_requests), (over_bodies, 0, 0));
+
+    full.make_room();
+    let next = 3 * CONSECUTIVE_FAULTS + 1;
+    write_to_node(&mut full.harness, &mut client, &held_request(next, u64::from(next)));
+    for stream in [1, next] {
+        full.harness.wait_for_command(0, "CALL", &wire_id(u64::from(stream)));
+        full.harness.invokers[0].serve(|command| command[1] == wire_id(u64::from(stream)));
+        assert_eq!(codes_of(&mut full.harness, &mut client, stream..=stream), [[SERVED]]);
+    }
+}
