node: a client whose first request a limit refuses is not unresponsive

Callers saw: a sound client whose first requests were refused for the bound on bodies lost its connection 2 s after it was accepted ("nothing whole came in time"), or earlier, as the first to make room for a new one; during a shutdown it got no go-away frame, so it would open requests there on end.

Only a request that was accepted marked the connection as active and sent the go-away frame; a refusal for a limit of the node was handled like something unusable.

Fix: one function, usable_request, records what follows from a usable request, whether it was accepted or refused for a limit.

Both new tests failed before: the eviction order was NothingSent where Idle is right, and the go-away frame did not come within 20 s.

--- a/crates/node/src/front/input.rs
+++ b/crates/node/src/front/input.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use nettleferry_net::tcp::TcpKey;
+use nettleferry_net::tcp::{Tcp, TcpKey};
 use nettleferry_platform::frames::{self, Code, Frame, kind};
 use tracing::debug;
 
@@ -94,21 +94,11 @@
         match self.accept_request(origin, payload, context.counters) {
             Ok(request) => {
                 context.counters.requests += 1;
-                if let Some(client) = self.clients.get_mut(&key) {
-                    client.faults = 0;
-                    if client.disconnecting {
-                        return self.refuse_unopened(
-                            context.tcp,
-                            key,
-                            stream,
-                            request.token,
-                            context.counters,
-                        );
-                    }
+                self.usable_request(context.tcp, key);
+                if self.clients.get(&key).is_some_and(|client| client.disconnecting) {
+                    return self.refuse_unopened(context.tcp, key, stream, request.token, context.counters);
                 }
                 context.events.push(ClientEvent::Request(request));
-                // A connection accepted during shutdown gets the go-away frame only after its first request.
-                self.send_go_away(context.tcp, key);
             }
             Err(rejected) => {
                 let message = rejected.to_string();
@@ -117,10 +107,20 @@
                 self.send_answer(context.tcp, key, stream, rejected.code(), message.as_bytes());
                 if is_client_fault {
                     self.count_fault(context, key);
-                } else if let Some(client) = self.clients.get_mut(&key) {
-                    client.faults = 0;
+                } else {
+                    self.usable_request(context.tcp, key);
                 }
             }
         }
     }
+
+    /// Records that the client has sent a usable request, whether it was accepted or a limit of the node
+    /// refused it.
+    fn usable_request(&mut self, tcp: &mut Tcp, key: TcpKey) {
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        client.faults = 0;
+        client.active = true;
+        // A connection accepted during shutdown gets the go-away frame only after its first request.
+        self.send_go_away(tcp, key);
+    }
 }
--- a/crates/node/src/front/tests.rs
+++ b/crates/node/src/front/tests.rs
@@ -24,20 +24,31 @@
 impl FrontHarness {
     /// Creates a front with a client that has got an answer and is idle.
     fn new() -> Self {
+        let mut harness = Self::connect(|_| ());
+        let mut ready = Vec::new();
+        frames::bare(&mut ready, kind::READY, 0);
+        harness.client.write_all(&ready).expect("written");
+        harness.until(|harness| harness.client_state().is_some_and(|client| client.active));
+        harness
+    }
+
+    /// Creates a front with a client that has sent nothing; `change` may alter the limits.
+    fn connect(change: impl FnOnce(&mut Bounds)) -> Self {
         let mut tcp = Tcp::new(TcpLimits::default()).expect("a poll");
         let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
-        let bounds = Bounds::of(&nettleferry_platform::config::Limits::default(), None);
+        let mut bounds = Bounds::of(&nettleferry_platform::config::Limits::default(), None);
+        change(&mut bounds);
         let front = Front::new(&["safe".to_owned()], &[], vec![4_000.0], bounds);
         let client = TcpStream::connect(address).expect("it listens");
         client.set_nodelay(true).expect("set");
         client.set_read_timeout(Some(TEST_TIMEOUT)).expect("set");
         let (events, counters) = (Vec::new(), Counters::default());
-        let mut harness = Self { tcp, front, client, key: None, events, counters };
-        let mut ready = Vec::new();
-        frames::bare(&mut ready, kind::READY, 0);
-        harness.client.write_all(&ready).expect("written");
-        harness.until(|harness| harness.key.is_some_and(|key| harness.front.clients[&key].active));
-        harness
+        Self { tcp, front, client, key: None, events, counters }
+    }
+
+    /// The state of the client's connection, while it is open.
+    fn client_state(&self) -> Option<&Client> {
+        self.front.clients.get(&self.key?)
     }
 
     fn with_context(&mut self, act: impl FnOnce(&mut Front, &mut FrontContext)) {
@@ -135,6 +146,22 @@
     assert_eq!(harness.counters.closed_idle, 0);
 }
 
+/// Guards against sound clients that lose their connection because their first requests were refused for a limit of the
+/// node.
+#[test]
+fn connection_whose_first_request_is_refused_for_a_limit_is_not_unresponsive() {
+    let mut harness = FrontHarness::connect(|bounds| bounds.body_bytes = 0);
+    harness.client.write_all(&request()).expect("written");
+    harness.until(|harness| harness.counters.over_bodies == 1);
+    let key = harness.key.expect("connected");
+    let client = harness.front.clients.get_mut(&key).expect("open");
+    client.accepted_at = Instant::now().checked_sub(FIRST_FRAME_TIMEOUT).expect("the clock began earlier");
+    assert_eq!(client.eviction_rank(Instant::now()).order, EvictionOrder::Idle);
+    harness.with_context(|front, context| front.alarm_due(context, key));
+    assert_eq!(harness.counters.closed_for_silence, 0);
+    assert!(harness.client_state().is_some(), "the connection stays open");
+}
+
 #[test]
 fn connection_with_unsent_answers_is_not_evicted() {
     let mut harness = FrontHarness::new();
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -170,7 +170,6 @@
         self.calls.insert(token, call);
         if let Some(client) = self.clients.get_mut(&connection) {
             client.streams.insert(stream, token);
-            client.active = true;
         }
         IncomingRequest {
             token,
--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -115,3 +115,16 @@
         assert_eq!(codes_of(&mut full.harness, &mut client, stream..=stream), [[SERVED]]);
     }
 }
+
+/// Guards against a client that opens requests without end on a connection that a shutdown has to leave.
+#[test]
+fn client_whose_first_request_is_refused_during_shutdown_gets_go_away() {
+    let mut full = FullNode::start();
+    full.harness.node.begin_shutdown();
+    let mut client = full.harness.client();
+    write_to_node(&mut full.harness, &mut client, &held_request(1, 1));
+    assert_eq!(codes_of(&mut full.harness, &mut client, 1..=1), [[REFUSED]]);
+    full.harness.until("the go-away frame", |_| {
+        client.frames().iter().any(|(kind, ..)| *kind == frames::kind::GO_AWAY).then_some(())
+    });
+}
