node: requests written behind the faults that close a connection are refused

Callers saw: when nine unusable requests in a row closed a connection, sound requests written behind them, by whichever client of a shared connection, never got an answer.

Cause: close_for_fault let Front::data clear the input that was read, and Tcp::finish discard what came later. Frames behind an unusable request can be read; and nothing told the client to send no more.

Fix: the ninth fault now leads to a stage of its own: error on stream 0, go-away frame, final answers to what is open, then refusals for 200 ms, 32 at most; then the connection closes. No more than 32 can be of a client that reads its answers, since the go-away frame comes before each refusal. At the bound on connections such a connection gives way behind idle ones. Frames that can't be read and streams used twice close at once, as before.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -28,7 +28,7 @@
 use tracing::debug;
 
 pub use self::call::{Call, ClientEvent, IncomingRequest, RequestToken};
-use self::client::{Client, EvictionOrder};
+use self::client::{Client, CloseStage, EvictionOrder};
 pub use self::context::FrontContext;
 use crate::limits::{
     Bounds, CLIENT_IDLE, Counters, FIRST_FRAME_TIMEOUT, SHORT_ANSWER_BYTES, STREAMS_PER_CLIENT,
@@ -181,7 +181,7 @@
         if let Some(client) = self.clients.get_mut(&key) {
             client.streams.remove(&stream);
             client.idle_since = Instant::now();
-            last_answer = client.closing && client.streams.is_empty();
+            last_answer = client.stage == CloseStage::Closing && client.streams.is_empty();
         }
         counters.reasons.ended(reason);
         debug!(conn = ?key, stream, id = %call_id, ?reason, may_have_run, "request answered");
--- a/crates/node/src/front/client.rs
+++ b/crates/node/src/front/client.rs
@@ -20,8 +20,8 @@
     pub(super) accepted_at: Instant,
     /// A usable frame has arrived on the connection.
     pub(super) active: bool,
-    /// No more input is read, and the connection closes after the last answer.
-    pub(super) closing: bool,
+    /// How far the close of the connection has come.
+    pub(super) stage: CloseStage,
     /// The client has ended its side: requests that are still read are answered and not forwarded.
     pub(super) disconnecting: bool,
     /// Time at which the first byte of the incomplete frame in the input was read; `None` without an
@@ -44,7 +44,7 @@
             faults: 0,
             accepted_at: now,
             active: false,
-            closing: false,
+            stage: CloseStage::Open,
             disconnecting: false,
             frame_began: None,
             idle_since: now,
@@ -55,6 +55,9 @@
     /// Returns the connection's place in the order of eviction. It applies only while no request is open on
     /// it.
     pub(super) fn eviction_rank(&self, now: Instant) -> EvictionRank {
+        if self.stage != CloseStage::Open {
+            return EvictionRank { order: EvictionOrder::ClosingForFaults, since: self.accepted_at };
+        }
         let (order, since) = match self.frame_began {
             Some(began) if now >= began + STALLED_FRAME => (EvictionOrder::StalledFrame, began),
             Some(began) => (EvictionOrder::WithinFrame, began),
@@ -68,6 +71,23 @@
     }
 }
 
+/// How far the close of a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseStage {
+    /// Requests are accepted.
+    Open,
+    /// The client was told that the connection closes for its faults. Requests that it may have written before
+    /// it read that are refused.
+    Refusing {
+        /// Time at which no more input is read.
+        until: Instant,
+        /// Number of requests that are still refused; one more ends this stage.
+        remaining: usize,
+    },
+    /// No more input is read, and the connection closes after the last answer.
+    Closing,
+}
+
 /// States of a connection without open requests, in the order in which they are evicted for a new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum EvictionOrder {
@@ -77,6 +97,8 @@
     Idle,
     /// A frame has been incomplete for [`STALLED_FRAME`].
     StalledFrame,
+    /// The client was told that the connection closes for its faults, and requests may still be on their way.
+    ClosingForFaults,
     /// The connection was accepted less than [`FIRST_BYTES_GRACE`] ago, and its first request is still
     /// expected. It comes late in the order so that in a burst of connections a new one does not evict the
     /// one before it.
--- a/crates/node/src/front/closing.rs
+++ b/crates/node/src/front/closing.rs
@@ -4,13 +4,17 @@
 
 use nettleferry_engine::ClientDisconnect;
 use nettleferry_net::tcp::{Tcp, TcpKey};
-use nettleferry_platform::frames::{self, Code};
+use nettleferry_platform::frames::{self, Code, Frame, kind};
 use tracing::{debug, info};
 
 use super::Front;
 use super::call::{ClientEvent, RequestToken};
+use super::client::CloseStage;
 use super::context::FrontContext;
-use crate::limits::{CONSECUTIVE_FAULTS, Counters, FIRST_FRAME_TIMEOUT, FRAME_TIMEOUT, RECHECK_DELAY};
+use crate::limits::{
+    CONSECUTIVE_FAULTS, Counters, FAULT_CLOSE_DELAY, FIRST_FRAME_TIMEOUT, FRAME_TIMEOUT, RECHECK_DELAY,
+    STREAMS_PER_CLIENT,
+};
 use crate::reasons::{CloseReason, EndReason};
 
 impl Front {
@@ -19,17 +23,59 @@
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.faults += 1;
         if client.faults > CONSECUTIVE_FAULTS {
-            self.close_for_fault(context, key, "too much that can't be used");
+            self.close_after_refusals(context, key, "too much that can't be used");
         }
     }
 
     /// Reports a fault on stream 0 and closes the connection after its open requests have got their final
-    /// answers.
+    /// answers. Nothing more is read: where the next request begins, or which one an answer would belong to,
+    /// is unknown after such a fault.
     pub(super) fn close_for_fault(&mut self, context: &mut FrontContext, key: TcpKey, fault: &str) {
+        if self.clients.get(&key).is_some_and(|client| client.stage == CloseStage::Open) {
+            self.report_fault(context, key, fault);
+        }
+        self.close_after_answers(context, key, CloseReason::Faults);
+    }
+
+    /// Reports a fault on stream 0, answers the open requests, and closes the connection after
+    /// [`FAULT_CLOSE_DELAY`]. Until then requests are refused: the connection may carry the requests of other
+    /// clients, which were written before the close was known there.
+    fn close_after_refusals(&mut self, context: &mut FrontContext, key: TcpKey, fault: &str) {
+        self.report_fault(context, key, fault);
+        self.send_go_away(context.tcp, key);
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        client.stage = CloseStage::Refusing {
+            until: Instant::now() + FAULT_CLOSE_DELAY,
+            // All requests that a client may have open. It opens no further one once it has read an answer, as
+            // the go-away frame comes before it.
+            remaining: STREAMS_PER_CLIENT,
+        };
+        let open = client.streams.len();
+        self.record_close(context.counters, key, CloseReason::Faults, open);
+        self.client_disconnecting(context, key);
+        self.set_alarm(context.tcp, key);
+    }
+
+    fn report_fault(&mut self, context: &mut FrontContext, key: TcpKey, fault: &str) {
         context.counters.closed_for_faults += 1;
         debug!(conn = ?key, fault, "client connection closed for a fault");
         self.send_answer(context.tcp, key, 0, Code::Failed, fault.as_bytes());
-        self.close_after_answers(context, key, CloseReason::Faults);
+    }
+
+    /// Refuses a request on a connection that closes for faults. Ends the connection if it can't be one that
+    /// was written before the client knew of the close. Other frames need no answer any more.
+    pub(super) fn refuse_at_close(&mut self, context: &mut FrontContext, key: TcpKey, frame: &Frame) {
+        let (Frame::Complete { kind, stream, .. } | Frame::TooLong { kind, stream }) = frame;
+        let Some(client) = self.clients.get_mut(&key).filter(|_| *kind == kind::REQUEST) else { return };
+        let CloseStage::Refusing { remaining, .. } = &mut client.stage else { return };
+        if *remaining == 0 || *stream <= client.last_stream {
+            return self.close_after_answers(context, key, CloseReason::Faults);
+        }
+        *remaining -= 1;
+        client.last_stream = *stream;
+        context.counters.refused_at_close += 1;
+        debug!(conn = ?key, stream, "request refused as its connection closes");
+        self.send_answer(context.tcp, key, *stream, Code::Refused, b"its connection closes: it was not run");
     }
 
     /// Closes a connection after its last answer and reads nothing more from it. The client can't cancel its
@@ -37,13 +83,13 @@
     /// are not forwarded. An early answer is always correct.
     pub fn close_after_answers(&mut self, context: &mut FrontContext, key: TcpKey, reason: CloseReason) {
         let Some(client) = self.clients.get_mut(&key) else { return };
-        if !client.closing {
+        if client.stage == CloseStage::Open {
             debug!(conn = ?key, ?reason, open = client.streams.len(), "client connection closing");
             let open = client.streams.len();
             self.record_close(context.counters, key, reason, open);
         }
         let Some(client) = self.clients.get_mut(&key) else { return };
-        client.closing = true;
+        client.stage = CloseStage::Closing;
         client.frame_began = None;
         context.tcp.alarm(key, None);
         self.client_disconnecting(context, key);
@@ -90,7 +136,7 @@
     pub fn connection_closed(&mut self, context: &mut FrontContext, key: TcpKey) {
         let Some(client) = self.clients.remove(&key) else { return };
         debug!(conn = ?key, open = client.streams.len(), "client connection broke");
-        if !client.closing {
+        if client.stage == CloseStage::Open {
             self.record_close(context.counters, key, CloseReason::Broken, client.streams.len());
         }
         for token in client.streams.into_values() {
@@ -110,7 +156,12 @@
     }
 
     pub(super) fn set_alarm(&self, tcp: &mut Tcp, key: TcpKey) {
-        let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
+        let Some(client) = self.clients.get(&key) else { return };
+        match client.stage {
+            CloseStage::Open => {}
+            CloseStage::Refusing { until, .. } => return tcp.alarm(key, Some(until)),
+            CloseStage::Closing => return,
+        }
         let frame = client.frame_began.map(|began| began + FRAME_TIMEOUT);
         let first = (!client.active).then(|| client.accepted_at + FIRST_FRAME_TIMEOUT);
         // A connection with an incomplete frame is not idle: `FRAME_TIMEOUT` applies instead.
@@ -122,8 +173,15 @@
     /// Handles a connection's alarm. Input reported by the poll has been read before; input that has arrived
     /// since is found by a last check before the connection is closed.
     pub fn alarm_due(&mut self, context: &mut FrontContext, key: TcpKey) {
-        let Some(client) = self.clients.get(&key).filter(|c| !c.closing) else { return };
+        let Some(client) = self.clients.get(&key) else { return };
         let now = Instant::now();
+        match client.stage {
+            CloseStage::Open => {}
+            CloseStage::Refusing { until, .. } if now >= until => {
+                return self.close_after_answers(context, key, CloseReason::Faults);
+            }
+            CloseStage::Refusing { .. } | CloseStage::Closing => return self.set_alarm(context.tcp, key),
+        }
         let slow = client.frame_began.is_some_and(|began| now >= began + FRAME_TIMEOUT);
         let unresponsive = !client.active && now >= client.accepted_at + FIRST_FRAME_TIMEOUT;
         let idle =
@@ -152,10 +210,9 @@
         }
     }
 
+    /// Asks a client once to open no new requests on its connection.
     pub(super) fn send_go_away(&mut self, tcp: &mut Tcp, key: TcpKey) {
-        let Some(client) = self.clients.get_mut(&key).filter(|c| self.draining && !c.go_away_sent) else {
-            return;
-        };
+        let Some(client) = self.clients.get_mut(&key).filter(|client| !client.go_away_sent) else { return };
         client.go_away_sent = true;
         self.buffer.clear();
         frames::go_away(&mut self.buffer);
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -6,7 +6,7 @@
 use tracing::debug;
 
 use super::Front;
-use super::client::{EvictionOrder, EvictionRank};
+use super::client::{CloseStage, EvictionOrder, EvictionRank};
 use crate::guard::may_close;
 use crate::limits::{Counters, EVICTION_CANDIDATES};
 use crate::reasons::CloseReason;
@@ -25,7 +25,10 @@
     /// reset. An incomplete frame that was read earlier does not protect its connection.
     pub(super) fn eviction_candidate(&self, tcp: &mut Tcp, last: EvictionOrder) -> Option<TcpKey> {
         let now = Instant::now();
-        let unused = self.clients.iter().filter(|(_, client)| client.streams.is_empty() && !client.closing);
+        let unused = self
+            .clients
+            .iter()
+            .filter(|(_, client)| client.streams.is_empty() && client.stage != CloseStage::Closing);
         let mut candidates: Vec<Candidate> = unused
             .map(|(key, client)| Candidate { rank: client.eviction_rank(now), key: *key })
             .filter(|candidate| candidate.rank.order <= last)
@@ -54,8 +57,14 @@
         let now = Instant::now();
         let EvictionRank { order, since } = client.eviction_rank(now);
         debug!(conn = ?key, ?order, age = ?now - since, "client connection evicted for a new one");
+        let is_open = client.stage == CloseStage::Open;
         self.clients.remove(&key);
         counters.made_room += 1;
+        if !is_open {
+            // Its close was counted when it began. Requests that are on their way must not reset the
+            // connection under its last answers.
+            return tcp.finish(key);
+        }
         counters.reasons.closed(CloseReason::Evicted, 0);
         tcp.close(key);
     }
--- a/crates/node/src/front/input.rs
+++ b/crates/node/src/front/input.rs
@@ -8,6 +8,7 @@
 
 use super::Front;
 use super::call::{ClientEvent, RequestOrigin};
+use super::client::CloseStage;
 use super::context::FrontContext;
 use crate::limits::STREAMS_PER_CLIENT;
 
@@ -22,7 +23,7 @@
         loop {
             let Some(client) = self.clients.get_mut(&key) else { return };
             let Some(input) = context.tcp.input(key) else { return };
-            if client.closing {
+            if client.stage == CloseStage::Closing {
                 return input.clear();
             }
             match client.reader.next(input) {
@@ -47,6 +48,9 @@
 
     fn frame(&mut self, context: &mut FrontContext, key: TcpKey, frame: Frame) {
         let Some(client) = self.clients.get_mut(&key) else { return };
+        if client.stage != CloseStage::Open {
+            return self.refuse_at_close(context, key, &frame);
+        }
         match frame {
             Frame::Complete { kind: kind::REQUEST, stream, payload } => {
                 self.request(context, key, stream, &payload);
@@ -121,6 +125,8 @@
         client.faults = 0;
         client.active = true;
         // A connection accepted during shutdown gets the go-away frame only after its first request.
-        self.send_go_away(tcp, key);
+        if self.draining {
+            self.send_go_away(tcp, key);
+        }
     }
 }
--- a/crates/node/src/front/tests.rs
+++ b/crates/node/src/front/tests.rs
@@ -3,10 +3,13 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
+use bytes::BytesMut;
 use nettleferry_net::tcp::{TcpEvent, TcpLimits};
-use nettleferry_platform::frames::kind;
+use nettleferry_platform::frames::{Frame, kind};
 
 use super::*;
+use crate::limits::CONSECUTIVE_FAULTS;
+use crate::reasons::Reasons;
 
 /// Timeout for each event that a test waits for.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -179,3 +182,35 @@
     assert_eq!(candidate(&mut harness), None);
     assert_eq!(harness.counters.violations.total(), 0);
 }
+
+/// Guards against answers that are lost because the connection on which they were sent is reset for a new one.
+#[test]
+fn connection_that_closes_for_faults_is_evicted_only_at_the_bound_and_keeps_its_answers() {
+    let mut harness = FrontHarness::new();
+    let key = harness.key.expect("connected");
+    let mut faults = Vec::new();
+    (1..=CONSECUTIVE_FAULTS + 1).for_each(|stream| frames::request(&mut faults, stream, &[], b""));
+    harness.client.write_all(&faults).expect("written");
+    harness.until(|harness| harness.counters.closed_for_faults == 1);
+    // Below the bound on connections, and at it.
+    for (last, found) in [(EvictionOrder::StalledFrame, None), (EvictionOrder::WithinFrame, Some(key))] {
+        assert_eq!(harness.front.eviction_candidate(&mut harness.tcp, last), found);
+    }
+    harness.front.evict(&mut harness.tcp, key, &mut harness.counters);
+    let mut reasons = Reasons::default();
+    reasons.closed(CloseReason::Faults, 0);
+    assert_eq!(harness.counters.reasons, reasons, "its close was counted before");
+    // A request that was on its way.
+    harness.client.write_all(&request()).expect("the socket is open");
+    harness.iterate();
+    let mut received = Vec::new();
+    harness.client.read_to_end(&mut received).expect("closed in order");
+    let (mut received, mut reader) = (BytesMut::from(&received[..]), frames::Reader::default());
+    let read = std::iter::from_fn(|| reader.next(&mut received).expect("a frame"));
+    let answered = read.filter_map(|frame| match frame {
+        Frame::Complete { kind: kind::ANSWER, stream, .. } => Some(stream),
+        _ => None,
+    });
+    let all = (1..=CONSECUTIVE_FAULTS + 1).chain([0]);
+    assert_eq!(answered.collect::<Vec<_>>(), all.collect::<Vec<_>>(), "stream 0 tells of the close");
+}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -29,10 +29,13 @@
 pub const EVICTION_CANDIDATES: usize = 8;
 /// Maximum number of requests open at the same time on a client connection, as the platform defines it.
 pub const STREAMS_PER_CLIENT: usize = 32;
-/// Unusable requests and frames that are allowed in a row on one connection; one more closes it. A usable
-/// request resets the count, also if a limit of the node refuses it: a proxy's connection carries the
-/// requests of many clients, and others may wait there for their answers.
+/// Unusable requests and frames that are allowed in a row on one connection; one more closes it, after
+/// [`FAULT_CLOSE_DELAY`]. A usable request resets the count, also if a limit of the node refuses it: a
+/// proxy's connection carries the requests of many clients, and others may wait there for their answers.
 pub const CONSECUTIVE_FAULTS: u32 = 8;
+/// After a connection's client was told that it closes for [`CONSECUTIVE_FAULTS`], requests are refused on it
+/// for this time, at most [`STREAMS_PER_CLIENT`]. It covers what was written before the client read that.
+pub const FAULT_CLOSE_DELAY: Duration = Duration::from_millis(200);
 /// A request may state a time to live of up to this multiple of its class's deadline, and gets the deadline.
 /// Clients may exceed the deadline somewhat as they count by their own clock; a larger value shows that the
 /// client does not know the class.
@@ -167,6 +170,8 @@
     pub made_room: u64,
     /// New client connections closed at once because no other could be evicted.
     pub no_room: u64,
+    /// Requests refused on a connection within [`FAULT_CLOSE_DELAY`].
+    pub refused_at_close: u64,
     /// Requests refused because of [`Bounds::body_bytes`].
     pub over_bodies: u64,
     /// Answers that did not fit into the output buffer of their client connection. The request fails; the
--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -1,11 +1,12 @@
-//! Requests that are refused for a limit of the node.
+//! Requests that are refused without having been opened: for a limit of the node, or because their connection closes
+//! for the faults of others. Each sound request gets its answer.
 
 mod common;
 
 use std::io::Write;
 
-use common::harness::{Client, NodeHarness, wire_id};
-use common::{REFUSED, SERVED};
+use common::harness::{Client, NodeHarness, request, wire_id};
+use common::{FAILED, REFUSED, SERVED};
 use nettleferry_node::limits::{CONSECUTIVE_FAULTS, STREAMS_PER_CLIENT};
 use nettleferry_platform::frames::{self, MAX_BODY_BYTES};
 
@@ -64,6 +65,11 @@
     out
 }
 
+/// A request of a class that does not exist.
+fn unusable_request(stream: u32, id: u64) -> Vec<u8> {
+    request(stream, "none", id, ROW, b"")
+}
+
 /// Writes bytes of any number to a connection, while the node reads.
 fn write_to_node(harness: &mut NodeHarness, client: &mut Client, mut bytes: &[u8]) {
     while !bytes.is_empty() {
@@ -128,3 +134,58 @@
         client.frames().iter().any(|(kind, ..)| *kind == frames::kind::GO_AWAY).then_some(())
     });
 }
+
+/// Guards against sound requests that are lost because they were written behind the faults for which their connection
+/// closes.
+#[test]
+fn sound_requests_behind_the_faults_that_close_their_connection_are_refused() {
+    let mut harness = NodeHarness::start(1, |_| ());
+    let mut client = harness.client();
+    client.send_request(1, "safe", 1, ROW, b"");
+    harness.wait_for_command(0, "CALL", &wire_id(1));
+    // All of it arrives before the client can know of the close.
+    let faults = 2..=CONSECUTIVE_FAULTS + 2;
+    let behind = CONSECUTIVE_FAULTS + 3..=CONSECUTIVE_FAULTS + 6;
+    let mut out = Vec::new();
+    faults.clone().for_each(|stream| out.extend(unusable_request(stream, u64::from(stream))));
+    behind.clone().for_each(|stream| out.extend(request(stream, "safe", u64::from(stream), ROW, b"")));
+    client.socket.write_all(&out).expect("written");
+    harness.iterate();
+    // As does this: the client has read nothing yet.
+    let last = CONSECUTIVE_FAULTS + 7;
+    client.send_request(last, "safe", u64::from(last), ROW, b"");
+    harness.until("the close", |_| client.is_closed().then_some(()));
+
+    let codes = |client: &mut Client, streams: std::ops::RangeInclusive<u32>| -> Vec<Vec<u8>> {
+        streams.map(|stream| client.answer_codes(stream)).collect()
+    };
+    assert_eq!(codes(&mut client, faults.clone()), vec![vec![FAILED]; faults.count()]);
+    assert_eq!(codes(&mut client, behind.clone()), vec![vec![REFUSED]; behind.clone().count()]);
+    assert_eq!(client.answer_codes(last), [REFUSED]);
+    assert_eq!(client.answer_codes(1).len(), 1, "the open request has its final answer");
+    let sent: usize = behind.map(|stream| harness.call_count(&wire_id(u64::from(stream)))).sum();
+    assert_eq!(sent + harness.call_count(&wire_id(u64::from(last))), 0, "refused: it must not run");
+    assert_eq!(harness.node.counters().closed_for_faults, 1);
+}
+
+/// Guards against a client that keeps the node at refusing requests on a connection that closes for its faults.
+#[test]
+fn requests_refused_on_a_closing_connection_are_bounded() {
+    let mut harness = NodeHarness::start(1, |_| ());
+    let mut client = harness.client();
+    let faults = CONSECUTIVE_FAULTS + 1;
+    let last_refused = faults + STREAMS_PER_CLIENT as u32;
+    let mut out = Vec::new();
+    (1..=2 * last_refused).for_each(|stream| out.extend(unusable_request(stream, u64::from(stream))));
+    client.socket.write_all(&out).expect("written");
+    harness.until("the close", |_| client.is_closed().then_some(()));
+    let answered: Vec<(u32, u8)> = client
+        .frames()
+        .iter()
+        .filter(|f| f.0 == frames::kind::ANSWER && f.1 > 0)
+        .map(|f| (f.1, f.2[0]))
+        .collect();
+    let expected = (1..=last_refused).map(|stream| (stream, if stream <= faults { FAILED } else { REFUSED }));
+    assert_eq!(answered, expected.collect::<Vec<_>>());
+    assert_eq!(harness.node.counters().refused_at_close, STREAMS_PER_CLIENT as u64);
+}
