--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -5,7 +5,8 @@
 //!
 //! * `input`: handles frames from clients.
 //! * `validation`: validates and registers requests.
-//! * `closing`: how client connections end.
+//! * `faults`: what is counted against a client, and the close that follows. `closing`: how client connections
+//!   end.
 //! * `eviction`: chooses the connection that is closed for a new one.
 //! * `client`, `call`: the state of a connection and of a request.
 
@@ -14,6 +15,7 @@
 mod closing;
 mod context;
 mod eviction;
+mod faults;
 mod input;
 mod validation;
 
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -103,8 +103,7 @@
             return Err(RequestRejected::NotForwardable);
         }
         // A client counts its time by its own clock, and may state slightly more than the deadline of its
-        // class. Rejecting such requests failed them without an attempt, and nine in a row closed a
-        // connection shared with others.
+        // class.
         let deadline = self.deadlines.get(class.0).copied().unwrap_or(0.0);
         if request.timeout_ms > deadline * MAX_TTL_FACTOR {
             return Err(RequestRejected::TtlTooLong);
