serve: a drain is done when clients have received their responses

Cause: shutdown_due counted a call as over when its answer was handed to the hub, and ended the process 0.5 s later. Behind it a second one: the hub closed a connection in both directions once HTTP/2 had ended it; a window update of a client that still reads then resets the connection under what the kernel holds.

Evidence: with the tests on the program before, clients that read nothing for 2 s got Broken in place of 8 MiB, and a client that never reads left exit code 0. Ruled out: idle clients and cancelled calls hold nothing up.

Fix: the hub tells what clients have yet to receive; connections that have sent all half-close and read on until the client closes. A drain waits for that within its time; a client without progress for 10 s is given up, logged, counted, and shows as exit code 130.

--- a/crates/gateway/src/controller/mod.rs
+++ b/crates/gateway/src/controller/mod.rs
@@ -43,6 +43,7 @@
 use crate::tenants::Tenants;
 use crate::worker_links::WorkerLinks;
 use crate::worker_list::ListWatcher;
+use shutdown::Drain;
 
 /// Why a controller could not start or continue.
 #[derive(Debug, thiserror::Error)]
@@ -77,9 +78,9 @@
 /// How a controller stopped; determines the exit code of `serve`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Shutdown {
-    /// All open calls were answered before the drain timed out.
+    /// All open calls were answered, and the clients have their responses.
     Graceful,
-    /// A second signal was received, or the drain timed out with open calls.
+    /// A second signal was received, the drain timed out, or a client was given up that took no more of its responses.
     Forced,
 }
 
@@ -143,9 +144,8 @@
     /// Commands of the engine that have yet to be executed.
     commands: Vec<Command>,
     grpc_address: SocketAddr,
-    /// Time on the controller's clock at which a drain ends even if calls or connections are still open; `None` while
-    /// the controller is not draining. Set by the first signal, and brought forward once all calls have ended.
-    drain_deadline: Option<Micros>,
+    /// The drain that the first signal began.
+    drain: Option<Drain>,
 }
 
 /// Number of the event source for signals at the hub.
--- a/crates/gateway/src/controller/startup.rs
+++ b/crates/gateway/src/controller/startup.rs
@@ -87,7 +87,7 @@
             next_refresh: 0,
             commands: Vec::new(),
             grpc_address,
-            drain_deadline: None,
+            drain: None,
             config,
         };
         controller.start_restart_admission(restarted);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,7 +22,7 @@
 use crate::front::FrontCounters;
 
 /// Label values of the limits whose hits are counted, in the order of [`limit_hits`].
-const LIMITS: [&str; 11] = [
+const LIMITS: [&str; 12] = [
     "open_calls",
     "calls_per_stream",
     "message_size",
@@ -34,6 +34,7 @@
     "connect_timeout",
     "protocol",
     "worker_connections",
+    "undelivered_responses",
 ];
 
 /// Translates measurements and states of this process into metrics.
@@ -191,6 +192,7 @@
         net.connect_failures,
         net.protocol_errors,
         connections_exhausted,
+        net.undelivered,
     ]
 }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -88,6 +88,10 @@
         assert!(status.expect("kill command runs").success());
     }
 
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("status of the child").is_some()
+    }
+
     pub(crate) fn wait(&mut self) -> ExitStatus {
         let deadline = Instant::now() + CONDITION_TIMEOUT;
         loop {
--- a/crates/net/src/hub/conn.rs
+++ b/crates/net/src/hub/conn.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use h2::{Reason, RecvStream, client, server};
@@ -29,6 +29,10 @@
     Client(client::SendRequest<Bytes>, client::Connection<Io, Bytes>),
     ServerHandshake(server::Handshake<Io, Bytes>),
     Server(Box<server::Connection<Io, Bytes>>),
+    /// All responses were passed to the kernel and the sending direction is shut down. What the peer still
+    /// sends is discarded until it closes the connection: closing the socket under its bytes would reset the
+    /// connection, and responses that it has not received yet would be lost.
+    Lingering,
     Closed,
 }
 
@@ -67,6 +71,10 @@
     limits: NetLimits,
     /// GOAWAY was requested; it is sent after the handshake if that is not complete.
     goaway_sent: bool,
+    /// GOAWAY was requested by [`Conn::go_away`]: open streams continue.
+    graceful: bool,
+    /// Bytes written and received when the connection was last seen to make progress, and the time of that.
+    progress: (u64, Instant),
     /// The peer accepts no new streams.
     pub(super) closed_to_new: bool,
 }
@@ -105,6 +113,8 @@
             state,
             limits: limits.clone(),
             goaway_sent: false,
+            graceful: false,
+            progress: (0, Instant::now()),
             closed_to_new: false,
         }
     }
@@ -142,9 +152,36 @@
             conn.graceful_shutdown();
         }
         self.goaway_sent = true;
+        self.graceful = true;
         self.waker.wake_by_ref();
     }
 
+    /// Whether the responses of the connection's streams have been passed to HTTP/2 but not all of them to the
+    /// peer.
+    pub(super) fn has_unsent_responses(&self) -> bool {
+        match &self.state {
+            // A socket is only full while there is something to write.
+            State::Server(connection) => {
+                !self.shared.writable.get() || self.streams.is_empty() && connection.has_streams()
+            }
+            State::Lingering => true,
+            _ => false,
+        }
+    }
+
+    /// Time since the connection last made progress, as seen by the calls of this function.
+    pub(super) fn stalled_for(&mut self, now: Instant) -> Duration {
+        let bytes = self.shared.written.get() + self.shared.received.get();
+        if self.progress.0 != bytes {
+            self.progress = (bytes, now);
+        }
+        now.saturating_duration_since(self.progress.1)
+    }
+
+    pub(super) fn is_lingering(&self) -> bool {
+        matches!(self.state, State::Lingering)
+    }
+
     /// See [`super::Hub::go_away_abruptly`].
     pub(super) fn go_away_abruptly(&mut self, reason: Reason) {
         if let State::Server(conn) = &mut self.state {
@@ -165,6 +202,7 @@
                 State::Client(send, connection) => self.poll_client(send, connection, &mut cx, streams),
                 State::ServerHandshake(handshake) => self.poll_server_handshake(handshake, &mut cx),
                 State::Server(connection) => self.poll_server(connection, &mut cx),
+                State::Lingering => self.poll_lingering(),
                 State::Closed => Progress::Ended(CloseReason::Ended),
             };
             match progress {
@@ -264,10 +302,38 @@
                 Poll::Ready(None) => break Progress::Ended(CloseReason::Ended),
             }
         };
+        if matches!(progress, Progress::Ended(CloseReason::Ended)) && self.may_linger() {
+            self.state = State::Lingering;
+            return Progress::NextState;
+        }
         self.state = State::Server(connection);
         progress
     }
 
+    /// Whether the connection has ended because its last stream after [`Conn::go_away`] has, and the peer has
+    /// yet to close it.
+    fn may_linger(&self) -> bool {
+        self.graceful && self.streams.is_empty() && !self.shared.input_ended.get()
+    }
+
+    /// Discards what the peer sends, until it closes the connection.
+    fn poll_lingering(&mut self) -> Progress {
+        let mut discarded = [0; DISCARD_BUFFER];
+        for _ in 0..MAX_DISCARDS_PER_POLL {
+            match self.shared.poll_read(&mut discarded) {
+                Poll::Pending => {
+                    self.state = State::Lingering;
+                    return Progress::Pending;
+                }
+                Poll::Ready(Ok(n)) if n > 0 => {}
+                Poll::Ready(_) => return Progress::Ended(CloseReason::Ended),
+            }
+        }
+        self.waker.wake_by_ref();
+        self.state = State::Lingering;
+        Progress::Pending
+    }
+
     /// Starts waiting streams up to the stream limit of the peer.
     fn start_waiting(
         &mut self,
@@ -305,6 +371,10 @@
     }
 }
 
+/// Size of the buffer for bytes that are discarded, in bytes.
+const DISCARD_BUFFER: usize = 4 << 10;
+/// Maximum reads of bytes that are discarded in one poll; the rest is left to the next.
+const MAX_DISCARDS_PER_POLL: usize = 16;
 /// Minimum size of the HTTP/2 send buffer of a stream in bytes.
 const MIN_SEND_BUFFER: usize = 16 << 10;
 
--- a/crates/net/src/hub/mod.rs
+++ b/crates/net/src/hub/mod.rs
@@ -11,6 +11,7 @@
 //! A stream that the owner ends with [`Hub::reset`] reports neither.
 //!
 //! * `events`: keys, events and errors. `streams`: operations on streams. `accept`: listening and connecting.
+//! * `undelivered`: responses that clients have yet to receive, before the owner exits.
 //! * `poll`: the event loop. `conn`, `stream`: the state of one connection and one stream. `faults`: fault
 //!   injection.
 
@@ -21,6 +22,7 @@
 mod poll;
 mod stream;
 mod streams;
+mod undelivered;
 
 use std::collections::BTreeSet;
 use std::io;
@@ -37,6 +39,7 @@
 use conn::Conn;
 pub use events::{CloseReason, ConnKey, ListenerKey, NetEvent, StreamError, StreamKey};
 use stream::Stream;
+pub use undelivered::Undelivered;
 
 /// A listening socket, with its injected fault.
 struct Listener {
@@ -179,7 +182,8 @@
     }
 
     /// Shuts down all accepted connections gracefully: sends GOAWAY and accepts no new streams. Open streams
-    /// continue, and each connection is closed after its last one.
+    /// continue. After its last one a connection sends no more, and it is closed once its peer has closed it,
+    /// or by [`Hub::close_stalled`].
     pub fn go_away(&mut self) {
         for (_, conn) in self.conns.iter_mut() {
             conn.go_away();
--- a/crates/net/src/hub/poll.rs
+++ b/crates/net/src/hub/poll.rs
@@ -205,6 +205,10 @@
             }
             self.alarms.pop_first();
             let Some(conn) = self.conns.get(key.index()).filter(|c| c.key == key) else { continue };
+            if conn.is_lingering() {
+                // Its owner ends it with `Hub::close_stalled`.
+                continue;
+            }
             if !conn.is_established() {
                 let why =
                     if conn.listener.is_some() { CloseReason::Handshake } else { CloseReason::NotConnected };
--- a/crates/net/src/hub/stream.rs
+++ b/crates/net/src/hub/stream.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// Whether the stream has a response of which a part was not passed to HTTP/2. An open call without any
+    /// part of its response has none.
+    pub(super) fn has_unsent_response(&self) -> bool {
+        self.is_incoming && (self.out_bytes > 0 || self.end.is_some())
+    }
+
     /// Finishes the sending direction after the queued bytes.
     pub(super) fn finish(&mut self, trailers: Option<HeaderMap>) {
         if self.end.is_none() {
--- a/crates/net/src/io.rs
+++ b/crates/net/src/io.rs
@@ -21,6 +21,10 @@
     /// Bytes that the kernel has accepted. If it has not changed since a request was passed to HTTP/2, no
     /// byte of that request was written.
     pub(crate) written: Cell<u64>,
+    /// Bytes received. Together with `written` it shows whether the peer makes progress.
+    pub(crate) received: Cell<u64>,
+    /// The peer has closed its sending direction, and all that it sent was read.
+    pub(crate) input_ended: Cell<bool>,
     /// Injected fault of test servers: the socket neither reads nor writes, as with a network partition or an
     /// unresponsive machine.
     pub(crate) frozen: Cell<bool>,
@@ -40,6 +44,8 @@
             readable: Cell::new(true),
             writable: Cell::new(true),
             written: Cell::new(0),
+            received: Cell::new(0),
+            input_ended: Cell::new(false),
             frozen: Cell::new(false),
             cut_at: Cell::new(None),
         });
@@ -49,12 +55,20 @@
 
 impl AsyncRead for Io {
     fn poll_read(self: Pin<&mut Self>, _: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let shared = &self.0;
-        if !shared.readable.get() || shared.frozen.get() {
+        self.0.poll_read(buf.initialize_unfilled()).map_ok(|n| buf.advance(n))
+    }
+}
+
+impl Shared {
+    /// Reads into `buffer`, which is not empty. 0 bytes are the end of the peer's sending direction.
+    pub(crate) fn poll_read(&self, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        if !self.readable.get() || self.frozen.get() {
             return Poll::Pending;
         }
-        poll_io(&shared.readable, || (&shared.socket).read(buf.initialize_unfilled())).map_ok(|n| {
-            buf.advance(n);
+        poll_io(&self.readable, || (&self.socket).read(buffer)).map_ok(|n| {
+            self.received.set(self.received.get() + n as u64);
+            self.input_ended.set(n == 0);
+            n
         })
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -30,5 +30,5 @@
 pub mod tcp;
 mod wake;
 
-pub use hub::{CloseReason, ConnKey, Hub, ListenerKey, NetEvent, StreamError, StreamKey};
+pub use hub::{CloseReason, ConnKey, Hub, ListenerKey, NetEvent, StreamError, StreamKey, Undelivered};
 pub use limits::{NetCounters, NetLimits};
--- a/crates/net/src/limits.rs
+++ b/crates/net/src/limits.rs
@@ -64,6 +64,9 @@
     pub connect_failures: u64,
     /// Connections closed because of [`NetLimits::idle`].
     pub idle_closed: u64,
+    /// Accepted connections closed by [`super::Hub::close_stalled`] before their clients had received all
+    /// responses.
+    pub undelivered: u64,
     /// Messages that were malformed or exceeded [`NetLimits::message_bytes`].
     pub bad_messages: u64,
     /// Connections ended by a protocol error of the peer, including floods of resets or headers.
--- a/crates/net/tests/hub.rs
+++ b/crates/net/tests/hub.rs
@@ -346,3 +346,62 @@
     assert_eq!(pair.hub.counters().wakeups, wakeups);
     assert_eq!(pair.hub.accepted_at(pair.listener).len(), 1);
 }
+
+/// Bytes of a response that the buffers of the sockets and of the stream can't hold.
+const LARGE: usize = 16 << 20;
+
+/// Opens a stream, and answers it with a large response that its client does not read. Returns the client's stream.
+fn unread_response(pair: &mut Pair) -> StreamKey {
+    let client_stream = pair.open();
+    pair.hub.finish(client_stream, None);
+    pair.hub.pause(client_stream);
+    let server_stream = pair.request();
+    pair.hub.respond(server_stream, Response::new(()));
+    pair.hub.send(server_stream, Bytes::from(vec![7; LARGE]));
+    pair.hub.finish(server_stream, Some(Status::new(Code::Ok, "").trailers()));
+    client_stream
+}
+
+#[test]
+fn response_counts_as_undelivered_until_its_client_has_closed_the_connection() {
+    let mut pair = Pair::new(NetLimits::default());
+    assert!(pair.hub.undelivered().is_empty());
+    let client_stream = unread_response(&mut pair);
+    pair.hub.go_away();
+    let undelivered = pair.hub.undelivered();
+    assert_eq!((undelivered.connections, undelivered.streams), (1, 1));
+    assert!(undelivered.bytes > LARGE / 2);
+    pair.hub.resume(client_stream);
+    assert_eq!(pair.message(client_stream).len(), LARGE);
+    assert_eq!(Status::read(&pair.trailers(client_stream)).expect("a status").code, Code::Ok);
+    let server = pair.server;
+    pair.wait(|e| matches!(e, NetEvent::Closed { conn, .. } if *conn == server).then_some(()));
+    assert!(pair.hub.undelivered().is_empty());
+    assert_eq!(pair.hub.counters().undelivered, 0);
+}
+
+#[test]
+fn only_a_connection_with_undelivered_responses_is_closed_as_stalled() {
+    let mut pair = Pair::new(NetLimits::default());
+    let stall = Duration::from_millis(20);
+    // A connection without responses: it is open, and it makes no progress.
+    let until = Instant::now() + 3 * stall;
+    while Instant::now() < until {
+        pair.hub.poll(Some(stall), &mut pair.events).expect("polls");
+        assert!(pair.hub.close_stalled(stall).is_empty());
+    }
+    assert_eq!(pair.hub.open_connections(), 2);
+    let client_stream = unread_response(&mut pair);
+    let until = Instant::now() + TEST_TIMEOUT;
+    let lost = loop {
+        assert!(Instant::now() < until, "the stalled connection was not closed");
+        pair.hub.poll(Some(stall), &mut pair.events).expect("polls");
+        let lost = pair.hub.close_stalled(stall);
+        if !lost.is_empty() {
+            break lost;
+        }
+    };
+    assert_eq!((lost.connections, lost.streams), (1, 1));
+    assert_eq!(pair.hub.counters().undelivered, 1);
+    assert!(matches!(pair.failure(client_stream), StreamError::Broken));
+}
