net: an idle client connection closes by GOAWAY, so no request is cut off

Callers saw (forced, not reported): a call whose request had arrived when the idle time of its connection ended got a broken connection, which proves nothing: an unsafe call is not repeated then, though it never ran.

Cause: fire_alarms closed an idle accepted connection in both directions at once, before the bytes of the same poll were read.

Fix: the hub sends GOAWAY as it does at a drain. HTTP/2 then serves what the client had sent, and the client closes. A client that makes no progress for 10 s is closed. Outgoing connections are closed as before.

The new test failed before (Failed with Broken, the request never reported) and passes; the tests of the package pass.

--- a/crates/net/src/hub/conn.rs
+++ b/crates/net/src/hub/conn.rs
@@ -178,8 +178,9 @@
         now.saturating_duration_since(self.progress.1)
     }
 
-    pub(super) fn is_lingering(&self) -> bool {
-        matches!(self.state, State::Lingering)
+    /// Whether [`Conn::go_away`] was called, and the handshake is complete.
+    pub(super) fn is_going_away(&self) -> bool {
+        self.graceful && matches!(self.state, State::Server(_) | State::Lingering)
     }
 
     /// See [`super::Hub::go_away_abruptly`].
--- a/crates/net/src/hub/poll.rs
+++ b/crates/net/src/hub/poll.rs
@@ -13,6 +13,8 @@
 /// Maximum passes through the due queue in one iteration, so that peers that keep waking each other can't
 /// starve the timers.
 const MAX_DUE_PASSES: usize = 64;
+/// Time without progress after which a connection is closed whose client was asked by GOAWAY to close it.
+const GO_AWAY_TIMEOUT: Duration = Duration::from_secs(10);
 
 impl Hub {
     /// Runs one iteration: polls due connections and streams, waits for socket events for at most `timeout`
@@ -197,7 +199,8 @@
         self.out.push(NetEvent::Closed { conn: key, why });
     }
 
-    /// Closes connections whose handshake has timed out, and established ones that are idle.
+    /// Closes connections whose handshake has timed out. Closes established ones that are idle: an accepted one
+    /// by GOAWAY, so that a request which its client is sending is still served.
     pub(super) fn fire_alarms(&mut self) {
         while let Some(&(at, key)) = self.alarms.first() {
             if at > self.now {
@@ -205,18 +208,40 @@
             }
             self.alarms.pop_first();
             let Some(conn) = self.conns.get(key.index()).filter(|c| c.key == key) else { continue };
-            if conn.is_lingering() {
-                // Its owner ends it with `Hub::close_stalled`.
-                continue;
-            }
-            if !conn.is_established() {
+            if conn.is_going_away() {
+                self.close_if_stalled(key);
+            } else if !conn.is_established() {
                 let why =
                     if conn.listener.is_some() { CloseReason::Handshake } else { CloseReason::NotConnected };
                 self.close_conn(key, why);
+            } else if conn.streams.is_empty() && conn.listener.is_some() {
+                self.counters.idle_closed += 1;
+                self.go_away_idle(key);
             } else if conn.streams.is_empty() {
                 self.close_conn(key, CloseReason::Idle);
             }
             // The alarm of a connection with open streams is set again when the last of them ends.
         }
     }
+
+    /// Asks the client of an idle connection to close it.
+    fn go_away_idle(&mut self, key: ConnKey) {
+        let Some(conn) = self.conns.get_mut(key.index()).filter(|c| c.key == key) else { return };
+        conn.go_away();
+        // Progress is counted from here.
+        conn.stalled_for(self.now);
+        conn.alarm = self.now + GO_AWAY_TIMEOUT;
+        self.alarms.insert((conn.alarm, key));
+    }
+
+    /// Closes a connection that is going away, has no streams and makes no progress any more. Otherwise its
+    /// alarm is set again.
+    fn close_if_stalled(&mut self, key: ConnKey) {
+        let Some(conn) = self.conns.get_mut(key.index()).filter(|c| c.key == key) else { return };
+        if conn.stalled_for(self.now) >= GO_AWAY_TIMEOUT && conn.streams.is_empty() {
+            return self.close_conn(key, CloseReason::Ended);
+        }
+        conn.alarm = self.now + GO_AWAY_TIMEOUT;
+        self.alarms.insert((conn.alarm, key));
+    }
 }
--- a/crates/net/src/limits.rs
+++ b/crates/net/src/limits.rs
@@ -27,7 +27,8 @@
     pub connect_timeout: Duration,
     /// Time from acceptance in which the HTTP/2 preface of a connection must be received.
     pub handshake_timeout: Duration,
-    /// Time after which a connection without streams is closed.
+    /// Time after which a connection without streams is closed: an outgoing one at once, an accepted one by
+    /// GOAWAY.
     pub idle: Duration,
 }
 
@@ -62,7 +63,7 @@
     pub handshake_timeouts: u64,
     /// Outgoing connections that were refused or exceeded [`NetLimits::connect_timeout`].
     pub connect_failures: u64,
-    /// Connections closed because of [`NetLimits::idle`].
+    /// Connections closed, or asked to close, because of [`NetLimits::idle`].
     pub idle_closed: u64,
     /// Accepted connections closed by [`super::Hub::close_stalled`] before their clients had received all
     /// responses.
--- a/crates/net/tests/hub.rs
+++ b/crates/net/tests/hub.rs
@@ -405,3 +405,31 @@
     assert_eq!(pair.hub.counters().undelivered, 1);
     assert!(matches!(pair.failure(client_stream), StreamError::Broken));
 }
+
+/// Guards against a request that is lost, though it may have run for all that its client knows, because it arrives as
+/// its idle connection is closed.
+#[test]
+fn request_that_arrives_as_the_idle_time_ends_is_served() {
+    let idle = Duration::from_millis(50);
+    let mut pair = Pair::new(NetLimits { idle, ..NetLimits::default() });
+    let conn = pair.conn;
+    pair.wait(|e| matches!(e, NetEvent::Connected { conn: c } if *c == conn).then_some(()));
+    // The process stands still until the idle time is over, and the request arrives meanwhile.
+    let client_stream = pair.open();
+    pair.hub.finish(client_stream, None);
+    std::thread::sleep(2 * idle);
+    let server_stream = pair.request();
+    pair.hub.respond(server_stream, Response::new(()));
+    pair.hub.finish(server_stream, Some(Status::new(Code::Ok, "").trailers()));
+    assert_eq!(Status::read(&pair.trailers(client_stream)).expect("a status").code, Code::Ok);
+}
+
+#[test]
+fn idle_connection_is_closed_after_go_away() {
+    let mut pair = Pair::new(NetLimits { idle: Duration::from_millis(20), ..NetLimits::default() });
+    let server = pair.server;
+    pair.wait(|e| matches!(e, NetEvent::Closed { conn, .. } if *conn == server).then_some(()));
+    let conn = pair.conn;
+    pair.wait(|e| matches!(e, NetEvent::Closed { conn: c, .. } if *c == conn).then_some(()));
+    assert_eq!(pair.hub.open_connections(), 0);
+}
