soak: a kill is not why a connection ended that had ended before it

Cause, traced with the controller's log at debug: three connections evicted as idle, three calls sent on them within 1 ms after, never read, the kill 0.1 s later. client.rs waits for the process's end and takes the kill for the cause. The platform allows the crossing.

Everything else is judged as before.

Also a test of serve: a call that crosses GOAWAY.

--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -73,6 +73,23 @@
     assert_eq!(answered.gateway.wait().code(), Some(0));
 }
 
+/// Guards against a call without a status, because it is sent by a client that has yet to read GOAWAY while a response is
+/// still being sent on its connection.
+#[test]
+fn call_that_crosses_go_away_is_refused_while_a_response_drains() {
+    let mut answered = Answered::new(SETTINGS, &["echo"]);
+    answered.terminate();
+    let (mut caller, rpc) = answered.clients.remove(0);
+    // The client sends the request before it reads what has arrived.
+    let late = caller.unary("echo-once");
+    assert_eq!(caller.status(late).0.code, Code::Unavailable);
+    caller.client.set_reading(rpc, true);
+    assert!(caller.message(rpc).len() > LARGE);
+    assert_eq!(caller.status(rpc).0.code, Code::Ok);
+    caller.until("the end of the process", || answered.gateway.has_ended());
+    assert_eq!(answered.gateway.wait().code(), Some(0));
+}
+
 /// Guards against a client that takes nothing and so keeps the process, or the responses of others, for ever.
 #[test]
 fn client_that_stops_reading_is_given_up_and_others_get_their_responses() {
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -301,6 +301,7 @@
     /// Handles the end of the connection: records for each open request why it may have no answer. `waiting_since` is
     /// when the client began to wait for answers.
     fn connection_lost(&mut self, waiting_since: Instant) {
+        let ended = Instant::now();
         let Some(connection) = self.connection.take() else { return };
         let killed = self.controller.kills.load(Ordering::Acquire) != connection.kills;
         let crossed = connection.has_answered && waiting_since.elapsed() < CROSSING_SPAN;
@@ -310,6 +311,8 @@
             let end = match (killed, crossed) {
                 (true, _) => End::Killed,
                 (false, crossed) => match process_end {
+                    // The process closed the idle connection itself, and was seen running after that.
+                    Some(end) if crossed && !end.may_have_closed(ended) => End::Crossed,
                     Some(end) => end_at_shutdown(&request, end),
                     None if crossed => End::Crossed,
                     None if is_new && request.sent.elapsed() < CROSSING_SPAN => End::CrossedNew,
--- a/crates/soak/src/controller/termination.rs
+++ b/crates/soak/src/controller/termination.rs
@@ -43,6 +43,14 @@
     pub stopped_since: Option<Instant>,
 }
 
+impl ProcessEnd {
+    /// Whether the exit may be why a connection ended whose end was observed at `ended`. It is not if the process was
+    /// seen running after that: then the process closed the connection itself.
+    pub fn may_have_closed(&self, ended: Instant) -> bool {
+        ended >= self.earliest
+    }
+}
+
 /// A procedure that makes a process exit: signals, and SIGKILL if it is still running later.
 #[derive(Clone, Debug)]
 pub struct Termination {
