--- a/crates/gateway/tests/common/process.rs
+++ b/crates/gateway/tests/common/process.rs
@@ -91,9 +91,19 @@
     pub(crate) fn resource_usage(&self) -> (usize, usize) {
         let proc = Path::new("/proc").join(self.child.id().to_string());
         let files = std::fs::read_dir(proc.join("fd")).expect("process exists").count();
-        let status = std::fs::read_to_string(proc.join("status")).expect("process exists");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("VmRSS line");
-        (files, line.trim().trim_end_matches(" kB").parse().expect("a numeric VmRSS"))
+        (files, self.status_kib("VmRSS:"))
+    }
+
+    /// The highest resident memory so far, in KiB.
+    pub(crate) fn peak_memory_kib(&self) -> usize {
+        self.status_kib("VmHWM:")
+    }
+
+    fn status_kib(&self, name: &str) -> usize {
+        let path = Path::new("/proc").join(self.child.id().to_string()).join("status");
+        let status = std::fs::read_to_string(path).expect("process exists");
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("a line of this name");
+        line.trim().trim_end_matches(" kB").parse().expect("a number of KiB")
     }
 }
 
