module: functions are evicted at a limit, those without a replica first

Change: Controller::limit_functions; idle functions are evicted when it is reached, a sixteenth of the limit at a time, first those that have no replica. Without the call nothing changes, so the simulator's adapter decides as before. A node keeps 96 functions for each megabyte instead of 128 names.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -83,8 +83,10 @@
         settings.zone = zone.map(|zone| names.zone(zone));
         let order_timeout = settings.loading.order_timeout;
         let cancel = settings.limits.cancel;
+        let mut module = Controller::new(settings, seed)?;
+        module.limit_functions(limits.models);
         Ok(Self {
-            module: Controller::new(settings, seed)?,
+            module,
             names,
             limits,
             order_timeout,
@@ -144,6 +146,11 @@
         (self.calls.len() + orphans).saturating_sub(self.attempts.len())
     }
 
+    /// Number of functions whose state the decision module keeps.
+    pub fn functions(&self) -> usize {
+        self.module.functions()
+    }
+
     /// The health of each listed worker as judged by the decision module.
     pub fn health(&self) -> impl Iterator<Item = Health> + '_ {
         self.module.health()
--- a/crates/engine/tests/soak.rs
+++ b/crates/engine/tests/soak.rs
@@ -58,8 +58,12 @@
     (*state >> 33) % sides
 }
 
+/// Limit on the models that the engine keeps.
+const MODELS: usize = 500;
 const ROUNDS: u64 = 15_000;
 const ROUND: Micros = 20 * MS;
+/// Rounds of a flood of new models.
+const FLOOD_ROUNDS: u64 = 3_000;
 /// Rounds after which the oldest worker is replaced by one with a new name.
 const ROUNDS_PER_WORKER: u64 = 250;
 const ROUNDS_PER_SAMPLE: u64 = 500;
@@ -80,7 +84,7 @@
 
 impl Soak {
     fn new() -> Self {
-        let limits = EngineLimits { models: 500, ..EngineLimits::default() };
+        let limits = EngineLimits { models: MODELS, ..EngineLimits::default() };
         Self {
             engine: Engine::new(settings(), None, limits, 7).expect("valid settings"),
             now: 100 * S,
@@ -119,11 +123,15 @@
         } else {
             format!("f-{}", dice(&mut self.seed, 40))
         };
+        self.open_call_of(round, &model);
+    }
+
+    fn open_call_of(&mut self, round: u64, model: &str) {
         let new_call = NewCall {
             front_token: round,
             class: ClassId(dice(&mut self.seed, 2) as usize),
             tenant: None,
-            model: model.as_str().into(),
+            model: model.into(),
             version: "".into(),
             time_left: 2 * S,
             cost_hint: None,
@@ -217,3 +225,18 @@
     let largest = |half: &[usize]| half.iter().copied().max().unwrap_or(0);
     assert!(largest(last) <= largest(first) * 11 / 10, "{samples:?}");
 }
+
+#[test]
+fn flood_of_new_models_leaves_no_more_functions_than_the_limit() {
+    let mut soak = Soak::new();
+    soak.list_workers(0);
+    for round in 0..FLOOD_ROUNDS {
+        soak.now += MS;
+        soak.open_call_of(round, &format!("new-{round}"));
+        soak.settle();
+        soak.handle(Event::Tick);
+        let functions = soak.engine.functions();
+        let allowed = MODELS + soak.engine.open_calls() + MODELS / 16;
+        assert!(functions <= allowed, "{functions} functions after {round} models, {allowed} are allowed");
+    }
+}
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -108,6 +108,9 @@
     left.min(end.saturating_duration_since(now).as_micros() as u64)
 }
 
+/// Functions for which state is kept, for each megabyte of memory.
+const FUNCTIONS_PER_MEGABYTE: usize = 96;
+
 /// Limits derived from the resources of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -143,7 +146,7 @@
             pool_connections: (sockets / 3).min(sockets - sockets / 2 - RESERVED_DESCRIPTORS),
             open_calls: open.min(megabytes * 256),
             body_bytes: megabytes << 18,
-            functions: megabytes * 128,
+            functions: megabytes * FUNCTIONS_PER_MEGABYTE,
         }
     }
 }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -30,13 +30,15 @@
     /// Workers open to each class, computed lazily during the handling of one event.
     pub(crate) candidates: Vec<OnceCell<Candidates>>,
     pub(crate) functions: BTreeMap<FunctionId, Function>,
+    /// Number of functions from which on idle ones are evicted; `None` without a limit.
+    pub(crate) max_functions: Option<usize>,
     /// Known and pending replicas of all functions, ordered by worker.
     pub(crate) replicas: BTreeSet<ReplicaKey>,
     /// Functions with pending loads.
     pub(crate) loading_functions: BTreeSet<FunctionId>,
     /// Functions by the time bucket in which they are next swept. The key is that time divided by
     /// `IDLE_BUCKET`, rounded up. An entry is stale if the function's `idle_bucket` differs from its key.
-    pub(crate) idle_functions: BTreeMap<Micros, Vec<FunctionId>>,
+    pub(crate) idle_functions: BTreeMap<Micros, BTreeSet<FunctionId>>,
     pub(crate) calls: BTreeMap<RequestId, Call>,
     pub(crate) hold_queue: BTreeMap<Priority, RequestId>,
     /// Attempts in flight, including those of calls that have ended.
@@ -89,12 +91,23 @@
         let workers: usize = self.workers.values().map(|w| 1 + w.lost_orders.len()).sum();
         let calls = self.calls.len() + self.hold_queue.len() + self.attempts.len() + self.timers.len();
         let tenants: usize = self.tenant_requests.values().map(VecDeque::len).sum();
-        let idle: usize = self.idle_functions.values().map(Vec::len).sum();
+        let idle: usize = self.idle_functions.values().map(BTreeSet::len).sum();
         let replicas = self.replicas.len() + self.loading_functions.len() + self.gone_workers.len();
         let ration = self.recent_orders.len() + self.recent_requests.len();
         functions + workers + calls + tenants + idle + replicas + ration
     }
 
+    /// Limits the number of functions whose state is kept. Functions with open calls, attempts in flight or
+    /// pending loads are kept in any case. Without a call of this method there is no limit.
+    pub fn limit_functions(&mut self, max_functions: usize) {
+        self.max_functions = Some(max_functions);
+    }
+
+    /// Number of functions whose state is kept.
+    pub fn functions(&self) -> usize {
+        self.functions.len()
+    }
+
     /// Number of the newest attempt in flight for a call, counted from 0; `None` if there is none.
     pub fn last_attempt(&self, request: RequestId) -> Option<u32> {
         let first = AttemptId { request, number: 0 };
--- a/src/decision/retention.rs
+++ b/src/decision/retention.rs
@@ -21,6 +21,9 @@
 const IDLE_BUCKET: Micros = ARRIVAL_WINDOW;
 /// Maximum number of idle functions swept per event.
 const IDLE_SWEEP_STEP: usize = 32;
+/// When the limit on functions is reached, this share of it is evicted at once, which bounds the cost of the
+/// search for each new function.
+const EVICTED_SHARE: usize = 16;
 /// With more functions than this, idle ones keep no homes; the next call computes them again.
 const FUNCTIONS_WITH_HOMES: usize = 65_536;
 
@@ -34,10 +37,12 @@
         self.swept_at = swept;
         self.avoided.retain(|_, avoided| avoided.until + ARRIVAL_WINDOW > swept);
         self.reported_pressure.retain(|_, sample| sample.at + ARRIVAL_WINDOW > swept);
-        self.last_call + retention > swept
-            || self.held_calls > 0
-            || !self.in_flight.is_empty()
-            || !self.pending_loads.is_empty()
+        self.last_call + retention > swept || self.is_busy()
+    }
+
+    /// Whether the function has a call, an attempt in flight or a pending load.
+    fn is_busy(&self) -> bool {
+        self.held_calls > 0 || !self.in_flight.is_empty() || !self.pending_loads.is_empty()
     }
 
     /// Releases the memory of empty and expired collections. An emptied `BTreeMap` keeps a node allocated.
@@ -68,6 +73,7 @@
     pub(super) fn function_mut(&mut self, id: FunctionId) -> &mut Function {
         self.apply_sweep(id);
         if !self.functions.contains_key(&id) {
+            self.evict_functions();
             self.functions.insert(id, Function { swept_at: self.swept_at, ..Function::default() });
             self.schedule_idle_sweep(id, self.now + RETENTION_WINDOWS * ARRIVAL_WINDOW);
         }
@@ -77,12 +83,35 @@
     /// Applies the last sweep to one function, and removes its state and replicas if it is no longer used.
     pub(super) fn apply_sweep(&mut self, id: FunctionId) {
         let retention = self.retention();
-        if self.functions.get_mut(&id).is_some_and(|f| !f.apply_sweep(self.swept_at, retention))
-            && let Some(function) = self.functions.remove(&id)
-        {
-            for worker in function.warm_replicas.keys() {
-                self.replicas.remove(&ReplicaKey { worker: *worker, function: id });
-            }
+        if self.functions.get_mut(&id).is_some_and(|f| !f.apply_sweep(self.swept_at, retention)) {
+            self.remove_function(id);
+        }
+    }
+
+    fn remove_function(&mut self, id: FunctionId) {
+        let Some(function) = self.functions.remove(&id) else { return };
+        for worker in function.warm_replicas.keys() {
+            self.replicas.remove(&ReplicaKey { worker: *worker, function: id });
+        }
+        // Other functions' entries in the bucket stay, and a stale entry would outlive the function.
+        if let Some(bucket) = self.idle_functions.get_mut(&function.idle_bucket) {
+            bucket.remove(&id);
+        }
+    }
+
+    /// Evicts idle functions if the limit is reached: first those without a replica, the least recently called
+    /// first. A function without a replica has only been asked for, so a flood of names evicts its own.
+    fn evict_functions(&mut self) {
+        let Some(max) = self.max_functions.filter(|max| self.functions.len() >= *max) else { return };
+        let idle = self.functions.iter().filter(|(_, function)| !function.is_busy());
+        let mut idle: Vec<_> = idle.map(|(id, f)| (!f.warm_replicas.is_empty(), f.last_call, *id)).collect();
+        let count = (self.functions.len() - max + 1).max(max / EVICTED_SHARE).min(idle.len());
+        if count == 0 {
+            return;
+        }
+        idle.select_nth_unstable(count - 1);
+        for (_, _, id) in &idle[..count] {
+            self.remove_function(*id);
         }
     }
 
@@ -105,7 +134,7 @@
                 return;
             }
             let bucket_key = *bucket.key();
-            match bucket.get_mut().pop() {
+            match bucket.get_mut().pop_last() {
                 Some(id) => self.sweep_idle_function(id, bucket_key),
                 None => _ = bucket.remove(),
             }
@@ -137,7 +166,7 @@
         let bucket = due.div_ceil(IDLE_BUCKET);
         if let Some(function) = self.functions.get_mut(&id) {
             function.idle_bucket = bucket;
-            self.idle_functions.entry(bucket).or_default().push(id);
+            self.idle_functions.entry(bucket).or_default().insert(id);
         }
     }
 }
