node: a connection to an invoker remembers ended requests in 8 bytes each

Cause: each of up to 341 connections to invokers kept 512 tags of ended requests as two strings each, in a set and a queue: some 60 KB a connection, more than 16 MB in sum once clients have made the node use its connections. Change: the tags are kept as hashes, 4 KB a connection, still 512. Two tags with one hash only make a request take another connection.

--- a/crates/node/src/pools/cancellation.rs
+++ b/crates/node/src/pools/cancellation.rs
@@ -37,7 +37,7 @@
             // requests.
             connection.draining = true;
         }
-        connection.remember_finished(tag);
+        connection.remember_finished(&tag);
         self.retire_if_unused(context.tcp, key);
     }
 
@@ -61,7 +61,7 @@
         // An attempt that is not written yet is dropped from the queue.
         if !connection.remove_waiting(&tag) {
             connection.draining = true;
-            connection.remember_finished(tag);
+            connection.remember_finished(&tag);
         }
         self.retire_if_unused(tcp, key);
     }
@@ -95,7 +95,7 @@
         connection.suspect |=
             request.is_some_and(|request| request.response.is_probe() && request.output.is_some());
         connection.remove_waiting(&tag);
-        connection.remember_finished(tag);
+        connection.remember_finished(&tag);
         self.retire_if_unused(tcp, key);
     }
 
--- a/crates/node/src/pools/connection.rs
+++ b/crates/node/src/pools/connection.rs
@@ -1,16 +1,17 @@
 //! The state of one connection to an invoker: open requests, queued commands, and the tags of requests that
 //! have ended.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
 use nettleferry::{Micros, WorkerId};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::pending::OpenRequest;
 use super::wire_command::WireCommand;
 
 /// Number of tags of ended requests that a connection remembers and does not use again: a duplicate response
-/// must not be matched to a later attempt.
+/// must not be matched to a later attempt. Each takes 8 bytes.
 const REMEMBERED_TAGS: usize = 512;
 
 /// A command that is not written yet, because its connection is being established, the socket's send buffer
@@ -33,10 +34,9 @@
     pub(super) established_at: Micros,
     /// Time since which no request has been open on the connection; `None` while one is open.
     pub(super) idle_since: Option<Instant>,
-    /// Remembered tags of ended requests.
-    finished: HashSet<String>,
-    /// The tags in `finished`, the oldest first.
-    finished_order: VecDeque<String>,
+    /// Hashes of the tags of ended requests, the oldest first. Two tags with the same hash only make a request
+    /// take another connection.
+    finished: VecDeque<u64>,
     /// No new requests are sent on the connection, and it closes after its last response.
     pub(super) draining: bool,
     /// A health check sent on it timed out, and nothing has arrived since.
@@ -55,8 +55,7 @@
             waiting: VecDeque::new(),
             established_at: 0,
             idle_since: None,
-            finished: HashSet::new(),
-            finished_order: VecDeque::new(),
+            finished: VecDeque::new(),
             draining: false,
             suspect: false,
             partial_since: None,
@@ -73,18 +72,18 @@
 
     /// Whether this tag belongs to an open request or is remembered from one that ended.
     pub(super) fn has_used(&self, tag: &str) -> bool {
-        self.open.contains_key(tag) || self.finished.contains(tag)
+        self.open.contains_key(tag) || self.finished.contains(&tag_hash(tag))
     }
 
     /// Remembers the tag of a request that has ended, and forgets the oldest tag if there are too many.
-    pub(super) fn remember_finished(&mut self, tag: String) {
-        if self.finished.insert(tag.clone()) {
-            self.finished_order.push_back(tag);
-        }
-        if self.finished_order.len() > REMEMBERED_TAGS
-            && let Some(old) = self.finished_order.pop_front()
-        {
-            self.finished.remove(&old);
+    pub(super) fn remember_finished(&mut self, tag: &str) {
+        if self.finished.len() >= REMEMBERED_TAGS {
+            self.finished.pop_front();
         }
+        self.finished.push_back(tag_hash(tag));
     }
 }
+
+fn tag_hash(tag: &str) -> u64 {
+    xxh3_64(tag.as_bytes())
+}
--- a/crates/node/src/pools/responses.rs
+++ b/crates/node/src/pools/responses.rs
@@ -64,7 +64,7 @@
         let worker = connection.worker;
         let age = request.started.elapsed();
         debug!(worker = worker.0, tag = answer.id, ?kind, fields = answer.fields, ?age, "response received");
-        connection.remember_finished(answer.id);
+        connection.remember_finished(&answer.id);
         if request.response.is_probe() {
             self.close_suspects(context, worker);
         }
