node: input and output of all connections have a bound in sum, by the memory

Cause: input and output were bounded for each connection alone (68 KB and 1 MiB), buffers doubled their capacity, one poll read up to 64 KB from each of 850 connections before anything was handled, and what was consumed kept its allocation. Change: Tcp accounts for the bytes of all connections (accounting.rs): a sixteenth of the memory for input and as much for output, beside 2 KB of each connection, so that small requests and short answers always pass. Where there is no room a socket is not read further; a frame that is incomplete for 100 ms then gives way, the oldest first, after one more look at its socket. A client that takes its answers gets them whatever others hold; one that does not gets a short answer, as before at 1 MiB. One poll reads 256 KB from clients and as much from invokers, in turns of 4 to 64 KB, and the close of a client is reported though its bytes still wait for their turn.

--- a/crates/gateway/tests/abusive_clients.rs
+++ b/crates/gateway/tests/abusive_clients.rs
@@ -12,8 +12,8 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use abuse::{ABUSED, Abuse, SoundClient, burst, connect, many_fields, new_names, request};
-use common::{Directory, Invoker, ListedInvoker, config};
+use abuse::{ABUSED, Abuse, BURST, SoundClient, burst, connect, many_fields, new_names, request};
+use common::{Directory, Invoker, ListedInvoker, Reaction, ReceivedCommand, config};
 use process::Node;
 
 /// File descriptors in the settings and of the process.
@@ -142,3 +142,32 @@
         println!("{} requests", abuse.finish());
     });
 }
+
+#[test]
+fn clients_that_do_not_read_large_answers_stay_within_the_memory_limit() {
+    let large = || {
+        Invoker::start(|command: &ReceivedCommand| match command.keyword() {
+            "CALL" if command.parts[3] == b"large" => Reaction::Answer("served", "n=w", vec![7; 60 << 10]),
+            "CALL" => Reaction::Answer("served", "n=w", command.parts[3].clone()),
+            "LOAD" => Reaction::Answer("served", "instances=1", vec![]),
+            "PING" | "STATS" => Reaction::Answer("green", "-", vec![]),
+            _ => Reaction::Ignore,
+        })
+    };
+    let platform = Platform::start_with(16, (0..3).map(|_| large()).collect());
+    let address = platform.node.address;
+    platform.assert_withstands("slow readers", || {
+        let clients: Vec<TcpStream> = (0..200)
+            .filter_map(|client| {
+                let mut socket = connect(address)?;
+                let id = |stream: u32| 1 << 50 | client << 20 | u64::from(stream);
+                let requests =
+                    (1..=BURST).flat_map(|stream| request(stream, "safe", id(stream), 0x50, &[], b"large"));
+                socket.write_all(&requests.collect::<Vec<u8>>()).ok()?;
+                Some(socket)
+            })
+            .collect();
+        std::thread::sleep(Duration::from_secs(4));
+        drop(clients);
+    });
+}
--- a/crates/net/src/tcp/connection.rs
+++ b/crates/net/src/tcp/connection.rs
@@ -11,6 +11,8 @@
 
 /// Maximum capacity that an empty buffer retains, which limits the memory of idle connections.
 const RETAINED_BYTES: usize = 4 << 10;
+/// Granularity of the capacity of input buffers, bytes.
+const INPUT_STEP: usize = 1 << 10;
 
 /// The stage of a connection that has not failed.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -65,8 +67,18 @@
     pub(super) has_unflushed: bool,
     /// Bytes that were read and not consumed by the owner.
     pub(super) input: BytesMut,
+    /// Bytes of input that count towards [`super::TcpLimits::input_sum`].
+    pub(super) input_charge: usize,
+    /// Length of the input when it was last accounted for.
+    pub(super) accounted_input: usize,
+    /// The owner may have consumed input since it was last accounted for.
+    pub(super) input_lent: bool,
+    /// The connection waits to be read because of [`super::TcpLimits::input_sum`].
+    pub(super) is_starved: bool,
     /// Queued bytes that the kernel has not accepted.
     pub(super) output: BytesMut,
+    /// Bytes of output that count towards [`super::TcpLimits::output_sum`].
+    pub(super) output_charge: usize,
     /// Total bytes queued so far.
     pub(super) queued: u64,
     /// Total bytes that the kernel has accepted so far.
@@ -111,47 +123,83 @@
 pub(super) enum ReadOutcome {
     /// All available bytes were read.
     Drained,
-    /// A limit was reached; there may be more bytes.
+    /// The quota or the limit on the connection's input was reached; there may be more bytes.
     More,
+    /// The limit on the input of all connections was reached; there may be more bytes.
+    Starved,
     /// The peer has closed its sending direction.
     Ended,
     /// The connection broke, as a read or an earlier write shows.
     Broken,
 }
 
-/// Reads the available bytes, but stops after about `quota` bytes, or when `max_input` bytes wait for the
-/// owner.
-pub(super) fn read(conn: &mut Conn, scratch: &mut [u8], max_input: usize, quota: usize) -> ReadOutcome {
-    let Some(socket) = &mut conn.socket else { return ReadOutcome::Drained };
+/// How much one read may add to the input of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadLimits {
+    /// Maximum bytes that may wait for the owner.
+    pub(super) input: usize,
+    /// As `input`, as far as the limit on the input of all connections permits.
+    pub(super) available: usize,
+    /// Maximum bytes to read.
+    pub(super) quota: usize,
+}
+
+/// Reads the available bytes within the limits. Returns the number of bytes read as well.
+pub(super) fn read(conn: &mut Conn, scratch: &mut [u8], limits: ReadLimits) -> (ReadOutcome, usize) {
+    let Some(socket) = &mut conn.socket else { return (ReadOutcome::Drained, 0) };
     if conn.input_ended {
         // Only an error can still be received.
         let is_broken = conn.write_failed || conn.readable && !matches!(socket.take_error(), Ok(None));
         conn.readable = false;
-        return if is_broken { ReadOutcome::Broken } else { ReadOutcome::Drained };
-    }
-    if conn.input.is_empty() && conn.input.capacity() > RETAINED_BYTES {
-        conn.input = BytesMut::new();
+        return (if is_broken { ReadOutcome::Broken } else { ReadOutcome::Drained }, 0);
     }
     let mut bytes_read = 0;
     while conn.readable {
         let is_discarded = conn.stage == Stage::Lingering;
-        let free = if is_discarded { scratch.len() } else { max_input.saturating_sub(conn.input.len()) };
-        let max_read = free.min(scratch.len());
-        if max_read == 0 || bytes_read >= quota {
-            return ReadOutcome::More;
+        let free =
+            |max: usize| if is_discarded { scratch.len() } else { max.saturating_sub(conn.input.len()) };
+        if free(limits.input) == 0 || bytes_read >= limits.quota {
+            return (ReadOutcome::More, bytes_read);
+        }
+        if free(limits.available) == 0 {
+            return (ReadOutcome::Starved, bytes_read);
         }
+        let room = free(limits.input.min(limits.available));
+        let max_read = room.min(limits.quota - bytes_read).min(scratch.len());
         match socket.read(&mut scratch[..max_read]) {
-            Ok(0) => return ReadOutcome::Ended,
+            Ok(0) => return (ReadOutcome::Ended, bytes_read),
             Ok(n) => {
                 bytes_read += n;
                 if conn.stage == Stage::Open {
-                    conn.input.extend_from_slice(&scratch[..n]);
+                    append(&mut conn.input, &scratch[..n]);
                 }
             }
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => conn.readable = false,
-            Err(_) => return ReadOutcome::Broken,
+            Err(_) => return (ReadOutcome::Broken, bytes_read),
         }
     }
-    ReadOutcome::Drained
+    (ReadOutcome::Drained, bytes_read)
+}
+
+/// Appends bytes without the doubling of the capacity that `extend_from_slice` would cause.
+fn append(input: &mut BytesMut, bytes: &[u8]) {
+    let length = input.len() + bytes.len();
+    if length > input.capacity() {
+        let mut grown = BytesMut::with_capacity(length.next_multiple_of(INPUT_STEP));
+        grown.extend_from_slice(input);
+        *input = grown;
+    }
+    input.extend_from_slice(bytes);
+}
+
+/// Releases the memory of input that the owner has consumed. `before`: the length before.
+pub(super) fn release_consumed(input: &mut BytesMut, before: usize) {
+    let allocated = input.capacity() + before.saturating_sub(input.len());
+    if allocated <= RETAINED_BYTES.max(2 * input.len()) {
+        return;
+    }
+    let mut kept = BytesMut::with_capacity(input.len().next_multiple_of(INPUT_STEP).min(allocated));
+    kept.extend_from_slice(input);
+    *input = if kept.is_empty() { BytesMut::new() } else { kept };
 }
--- a/crates/net/src/tcp/events.rs
+++ b/crates/net/src/tcp/events.rs
@@ -37,6 +37,9 @@
     Data(TcpKey),
     /// The alarm of the connection has expired.
     Alarm(TcpKey),
+    /// The peer of an accepted connection has closed its sending direction, or the connection broke. Bytes that it
+    /// sent before may be unread; [`TcpEvent::Ended`] or [`TcpEvent::Closed`] follows them.
+    Ending(TcpKey),
     /// The peer has closed its sending direction; its bytes were reported before. It may still read, so the
     /// owner decides when to close the connection.
     Ended(TcpKey),
@@ -51,7 +54,7 @@
     pub fn key(&self) -> Option<TcpKey> {
         match self {
             Self::Accepted(key) | Self::Connected(key) | Self::Data(key) => Some(*key),
-            Self::Alarm(key) | Self::Ended(key) | Self::Closed(key, _) => Some(*key),
+            Self::Alarm(key) | Self::Ending(key) | Self::Ended(key) | Self::Closed(key, _) => Some(*key),
             Self::Source(_) => None,
         }
     }
--- a/crates/net/src/tcp/linger.rs
+++ b/crates/net/src/tcp/linger.rs
@@ -25,6 +25,8 @@
         flush(conn);
         conn.deadline = Some(until);
         self.alarms.insert((until, key));
+        self.account_input(key);
+        self.account_output(key);
         self.make_ready(key.index());
         self.start_linger(key);
     }
--- a/crates/net/src/tcp/mod.rs
+++ b/crates/net/src/tcp/mod.rs
@@ -8,9 +8,11 @@
 //! * `events`, `limits`: events, limits and counters. `connection`: the state of one connection.
 //! * `poll`: the event loop. `accept`, `connect`: incoming and outgoing connections. `linger`: orderly close
 //!   by the owner.
+//! * `accounting`: the bytes held for all connections together.
 //! * `input`, `output`: received and queued bytes. `last_poll`: when received bytes may have arrived.
 
 mod accept;
+mod accounting;
 mod connect;
 mod connection;
 mod events;
@@ -33,7 +35,7 @@
 use connection::{Conn, ConnectAttempt, Stage};
 pub use events::{ConnectionFailure, TcpEvent, TcpKey};
 use last_poll::LastPoll;
-pub use limits::{TcpCounters, TcpLimits};
+pub use limits::{MIN_READ_QUOTA, TcpCounters, TcpLimits};
 
 /// First token of listeners; the token of a connection is its index.
 const LISTENERS: usize = 1 << 40;
@@ -42,6 +44,9 @@
 /// Maximum events of one poll; further ones are reported by the next poll.
 const MAX_EVENTS: usize = 8 << 10;
 
+/// Size of the buffer that bytes are read into.
+const SCRATCH_BYTES: usize = 64 << 10;
+
 /// A set of plain TCP connections and listeners with their poll.
 pub struct Tcp {
     poll: Poll,
@@ -55,6 +60,16 @@
     connect_retries: BTreeSet<(Instant, TcpKey)>,
     /// Connections to be processed by this poll or the next.
     ready: VecDeque<TcpKey>,
+    /// Accepted connections whose peer has closed them, as the poll in progress has reported.
+    ending: Vec<TcpKey>,
+    /// Connections whose input was lent to the owner since it was last accounted for.
+    lent: Vec<TcpKey>,
+    /// Connections that wait to be read because of [`TcpLimits::input_sum`], the longest waiting first.
+    starved: VecDeque<TcpKey>,
+    /// Bytes of input that count towards [`TcpLimits::input_sum`].
+    input_held: usize,
+    /// Bytes of output that count towards [`TcpLimits::output_sum`].
+    output_held: usize,
     /// Connections with bytes queued since the last flush.
     unflushed: Vec<TcpKey>,
     /// Connections that broke, and finished ones whose peer has closed its sending direction; the next poll
@@ -95,6 +110,11 @@
             alarms: BTreeSet::new(),
             connect_retries: BTreeSet::new(),
             ready: VecDeque::new(),
+            ending: Vec::new(),
+            lent: Vec::new(),
+            starved: VecDeque::new(),
+            input_held: 0,
+            output_held: 0,
             unflushed: Vec::new(),
             to_remove: Vec::new(),
             accept_at: None,
@@ -104,7 +124,7 @@
             limits,
             counters: TcpCounters::default(),
             out: Vec::new(),
-            scratch: vec![0; 16 << 10],
+            scratch: vec![0; SCRATCH_BYTES],
             now,
             last_poll: LastPoll::new(now),
             earliest_arrival: now,
@@ -169,7 +189,12 @@
             is_ready: false,
             has_unflushed: false,
             input: BytesMut::new(),
+            input_charge: 0,
+            accounted_input: 0,
+            input_lent: false,
+            is_starved: false,
             output: BytesMut::new(),
+            output_charge: 0,
             queued: 0,
             written: 0,
             alarm: None,
@@ -229,6 +254,8 @@
             return;
         }
         let mut conn = self.conns.remove(key.index());
+        self.input_held -= conn.input_charge;
+        self.output_held -= conn.output_charge;
         for at in [conn.alarm, conn.deadline].into_iter().flatten() {
             self.alarms.remove(&(at, key));
         }
--- a/crates/net/src/tcp/output.rs
+++ b/crates/net/src/tcp/output.rs
@@ -4,15 +4,19 @@
 use super::{ConnectionFailure, Tcp, TcpKey};
 
 impl Tcp {
-    /// The number of further bytes that may be queued on a connection; `None` if it accepts no output.
+    /// The number of further bytes that may be queued on a connection; `None` if it accepts no output. While
+    /// [`super::TcpLimits::output_sum`] is reached, that is what remains of the connection's reserve.
     pub fn send_capacity(&self, key: TcpKey) -> Option<usize> {
         let conn = self.get(key).filter(|c| c.stage != Stage::Lingering && !c.is_broken)?;
-        Some(self.limits.output.saturating_sub(conn.output.len()))
+        let is_short = self.output_held >= self.limits.output_sum;
+        let most = if is_short { self.limits.output_reserve } else { self.limits.output };
+        Some(most.saturating_sub(conn.output.len()))
     }
 
     /// Queues bytes, which are sent at the start of the next poll. Returns the offset of their end among all
     /// bytes queued on the connection, to be compared with [`Tcp::written`]. `None` if the connection accepts
-    /// no output, or if it was closed as [`ConnectionFailure::Slow`] because of [`super::TcpLimits::output`].
+    /// no output, or if it was closed as [`ConnectionFailure::Slow`] because of [`super::TcpLimits::output`] or
+    /// [`super::TcpLimits::output_sum`].
     pub fn send(&mut self, key: TcpKey, bytes: &[u8]) -> Option<u64> {
         let max_output = self.limits.output;
         let conn = self.get_mut(key).filter(|c| c.stage != Stage::Lingering && !c.is_broken)?;
@@ -28,9 +32,29 @@
             conn.has_unflushed = true;
             self.unflushed.push(key);
         }
+        self.account_output(key);
+        if !self.keep_output_sum(key) {
+            self.counters.over_output_sum += 1;
+            self.remove(key, Some(ConnectionFailure::Slow));
+            return None;
+        }
         Some(queued)
     }
 
+    /// Sends the bytes of a connection immediately if all connections together hold too many. False if they still
+    /// do, and the connection has its part in it.
+    fn keep_output_sum(&mut self, key: TcpKey) -> bool {
+        let max_held = 2 * self.limits.output_sum;
+        if self.output_held <= max_held {
+            return true;
+        }
+        if let Some(conn) = self.get_mut(key) {
+            flush(conn);
+        }
+        self.account_output(key);
+        self.output_held <= max_held || self.get(key).is_none_or(|conn| conn.output_charge == 0)
+    }
+
     /// Total bytes of a connection that the kernel has accepted; 0 for an unknown connection.
     pub fn written(&self, key: TcpKey) -> u64 {
         self.get(key).map_or(0, |c| c.written)
@@ -59,6 +83,7 @@
         conn.output.truncate(at);
         conn.output.unsplit(rest);
         conn.queued -= to - from;
+        self.account_output(key);
         true
     }
 
@@ -67,9 +92,10 @@
         let Some(conn) = self.get_mut(key) else { return false };
         flush(conn);
         let is_flushed = conn.output.is_empty();
-        if conn.readable {
+        if conn.readable && !conn.is_starved {
             self.make_ready(key.index());
         }
+        self.account_output(key);
         self.start_linger(key);
         is_flushed
     }
@@ -80,9 +106,10 @@
             let Some(conn) = self.get_mut(key) else { continue };
             conn.has_unflushed = false;
             flush(conn);
-            if conn.readable {
+            if conn.readable && !conn.is_starved {
                 self.make_ready(key.index());
             }
+            self.account_output(key);
             self.start_linger(key);
         }
     }
--- a/crates/net/src/tcp/poll.rs
+++ b/crates/net/src/tcp/poll.rs
@@ -1,11 +1,12 @@
 //! One iteration of the event loop: flush, poll, read, fire alarms.
 
+use std::collections::VecDeque;
 use std::io;
 use std::time::{Duration, Instant};
 
 use super::connection::Stage;
 use super::last_poll::PollResult;
-use super::{ConnectionFailure, LISTENERS, SOURCES, Tcp, TcpEvent};
+use super::{ConnectionFailure, LISTENERS, MIN_READ_QUOTA, SOURCES, Tcp, TcpEvent, TcpKey};
 use crate::clock::shorter_timeout;
 
 /// Maximum non-blocking polls after one that was interrupted or overslept, as each may be interrupted as
@@ -21,6 +22,7 @@
             self.remove(key, None);
         }
         self.flush_all();
+        self.account_lent_input();
         let busy = !self.out.is_empty() || !self.ready.is_empty() || !self.unfinished_accepts.is_empty();
         let alarm = self.alarms.first().map(|(at, _)| *at);
         let connect_retry = self.connect_retries.first().map(|(at, _)| *at);
@@ -39,10 +41,8 @@
             self.earliest_arrival = self.earliest_arrival.min(earliest_arrival);
         }
         self.retry_connects();
-        for _ in 0..self.ready.len() {
-            let Some(key) = self.ready.pop_front() else { break };
-            self.process(key);
-        }
+        self.process_ready();
+        self.report_endings();
         // Alarms fire last, because one poll may report both a request and the idle timeout of its
         // connection, or both an established connection and its connect timeout.
         self.fire_alarms();
@@ -50,6 +50,42 @@
         Ok(())
     }
 
+    /// Reports the connections whose peer has closed them and that have bytes left to read.
+    fn report_endings(&mut self) {
+        for key in std::mem::take(&mut self.ending) {
+            if self.get(key).is_some_and(|conn| conn.stage == Stage::Open && !conn.input_ended) {
+                self.out.push(TcpEvent::Ending(key));
+            }
+        }
+    }
+
+    /// Processes the connections that are ready. Outgoing connections have bytes of their own, so that a flood of
+    /// the clients does not delay the answers to them.
+    fn process_ready(&mut self) {
+        let ready = std::mem::take(&mut self.ready);
+        let is_accepted = |key: &TcpKey| self.get(*key).is_some_and(|conn| conn.accepted);
+        let (accepted, outgoing): (VecDeque<_>, VecDeque<_>) = ready.into_iter().partition(is_accepted);
+        let mut left = self.process_within(outgoing);
+        left.append(&mut self.process_within(accepted));
+        if !left.is_empty() {
+            self.counters.over_read_sum += 1;
+        }
+        left.append(&mut self.ready);
+        self.ready = left;
+    }
+
+    /// Processes connections until [`super::TcpLimits::read_sum`] is reached. Returns the others.
+    fn process_within(&mut self, mut ready: VecDeque<TcpKey>) -> VecDeque<TcpKey> {
+        let share = self.limits.read_sum / ready.len().max(1);
+        let quota = share.max(MIN_READ_QUOTA).min(self.limits.read_quota);
+        let mut bytes_read = 0;
+        while bytes_read < self.limits.read_sum {
+            let Some(key) = ready.pop_front() else { break };
+            bytes_read += self.process(key, quota);
+        }
+        ready
+    }
+
     /// Polls once and records the reported events. Returns whether further events may have occurred by its
     /// return.
     fn poll_once(&mut self, timeout: Option<Duration>) -> io::Result<bool> {
@@ -81,9 +117,13 @@
                     accept.push(token - LISTENERS);
                 }
             } else if let Some(conn) = self.conns.get_mut(token) {
+                let was_closed = conn.read_closed;
                 conn.readable |= event.is_readable() || event.is_read_closed() || event.is_error();
                 conn.read_closed |= event.is_read_closed() || event.is_error();
                 conn.writable |= event.is_writable() || event.is_write_closed() || event.is_error();
+                if conn.accepted && conn.read_closed && !was_closed && conn.stage == Stage::Open {
+                    self.ending.push(conn.key);
+                }
                 ready.push(token);
             }
         }
--- a/crates/net/tests/tcp.rs
+++ b/crates/net/tests/tcp.rs
@@ -296,3 +296,60 @@
     }
     assert_eq!((tcp.counters().accepted, tcp.counters().over_accepted), (20, 0));
 }
+
+#[test]
+fn input_of_all_connections_together_is_limited_and_read_once_there_is_room() {
+    let (reserve, sum, sent) = (1 << 10, 8 << 10, 4 << 10);
+    let limits = TcpLimits { input_reserve: reserve, input_sum: sum, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let connect = |_| {
+        let mut client = TcpStream::connect(address).expect("it listens");
+        client.write_all(&vec![1; sent]).expect("written");
+        client
+    };
+    let clients: Vec<TcpStream> = (0..10).map(connect).collect();
+    let (mut keys, mut out) = (Vec::new(), Vec::new());
+    while keys.len() < clients.len() || !tcp.is_input_short() {
+        tcp.poll(Some(Duration::from_millis(5)), &mut out).expect("polls");
+        let is_accepted = |event: &TcpEvent| matches!(event, TcpEvent::Accepted(_));
+        keys.extend(out.drain(..).filter(is_accepted).filter_map(|event| event.key()));
+    }
+    let held: usize = keys.iter().map(|key| tcp.input(*key).expect("open").len()).sum();
+    assert!(held <= sum + keys.len() * reserve, "{held} bytes are held");
+    assert!(keys.iter().all(|key| tcp.input(*key).expect("open").len() >= reserve), "each has its reserve");
+    let mut consumed = 0;
+    while consumed < keys.len() * sent {
+        consumed += keys.iter().map(|key| tcp.input(*key).expect("open").split().len()).sum::<usize>();
+        tcp.poll(Some(Duration::from_millis(5)), &mut out).expect("polls");
+        assert!(tcp.held().0 <= sum + reserve, "{:?}", tcp.held());
+    }
+    let _ = keys.iter().map(|key| tcp.input(*key).expect("open").len()).sum::<usize>();
+    tcp.poll(Some(Duration::ZERO), &mut out).expect("polls");
+    assert_eq!(tcp.held().0, 0, "nothing is held once all is consumed");
+}
+
+#[test]
+fn client_that_reads_is_answered_while_another_holds_all_of_the_output() {
+    let (reserve, sum) = (1 << 10, 256 << 10);
+    let limits = TcpLimits { output_reserve: reserve, output_sum: sum, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let _slow = TcpStream::connect(address).expect("it listens");
+    let slow_key = accepted(&mut tcp);
+    let mut sound = TcpStream::connect(address).expect("it listens");
+    let sound_key = accepted(&mut tcp);
+    let answer = vec![7; 32 << 10];
+    while tcp.send_capacity(slow_key).is_some_and(|room| room >= answer.len()) {
+        tcp.send(slow_key, &answer).expect("within the limits");
+        tcp.flush(slow_key);
+    }
+    assert!(tcp.held().1 >= sum && tcp.held().1 <= sum + answer.len(), "{:?}", tcp.held());
+    assert_eq!(tcp.send_capacity(sound_key), Some(reserve), "the reserve is left");
+    for _ in 0..64 {
+        assert!(tcp.send(sound_key, &answer).is_some() && tcp.flush(sound_key));
+        sound.read_exact(&mut answer.clone()).expect("answered");
+    }
+    assert!(tcp.send(slow_key, &vec![7; 2 * sum]).is_none(), "the one that does not read is closed");
+    assert_eq!((tcp.counters().over_output_sum, tcp.held().1), (1, 0));
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -247,8 +247,9 @@
     let wanted = bytes + STREAMS_PER_CLIENT * SHORT_ANSWER_BYTES;
     let fits = |tcp: &Tcp| tcp.send_capacity(key).is_none_or(|room| wanted <= room);
     fits(tcp) || {
-        tcp.flush(key);
-        fits(tcp)
+        // A client that has taken all of its answers gets this one, whatever others hold.
+        let is_flushed = tcp.flush(key);
+        is_flushed || fits(tcp)
     }
 }
 
--- a/crates/node/src/front/closing.rs
+++ b/crates/node/src/front/closing.rs
@@ -9,9 +9,12 @@
 
 use super::Front;
 use super::call::{ClientEvent, RequestToken};
-use super::client::CloseStage;
+use super::client::{Client, CloseStage};
 use super::context::FrontContext;
-use crate::limits::{Counters, FIRST_FRAME_TIMEOUT, FRAME_TIMEOUT, RECHECK_DELAY};
+use crate::limits::{
+    CLOSES_WHEN_SHORT, Counters, FIRST_FRAME_TIMEOUT, FRAME_TIMEOUT, FRAME_TIMEOUT_WHEN_SHORT, RECHECK_DELAY,
+    STALLED_FRAME,
+};
 use crate::reasons::{CloseReason, EndReason};
 
 impl Front {
@@ -37,7 +40,7 @@
     }
 
     /// Handles the end of a client's side: its open requests get their final answers at once.
-    pub(super) fn client_disconnecting(&mut self, context: &mut FrontContext, key: TcpKey) {
+    pub fn client_disconnecting(&mut self, context: &mut FrontContext, key: TcpKey) {
         let Some(client) = self.clients.get_mut(&key).filter(|client| !client.disconnecting) else { return };
         client.disconnecting = true;
         debug!(conn = ?key, open = client.streams.len(), "client disconnecting");
@@ -144,6 +147,34 @@
         }
     }
 
+    /// Closes connections whose frame has been incomplete for [`FRAME_TIMEOUT_WHEN_SHORT`] while others can't be
+    /// read for lack of room: the oldest frames, first those of connections without open requests.
+    pub fn close_stalled_frames(&mut self, context: &mut FrontContext) {
+        if !context.tcp.is_input_short() {
+            return;
+        }
+        let now = Instant::now();
+        let stalled = self.clients.iter().filter_map(|(key, client)| {
+            let began = client.frame_began.filter(|began| now >= *began + FRAME_TIMEOUT_WHEN_SHORT)?;
+            Some((!client.streams.is_empty(), began, *key))
+        });
+        let mut stalled: Vec<_> = stalled.collect();
+        stalled.sort_unstable();
+        for (_, began, key) in stalled.into_iter().take(CLOSES_WHEN_SHORT) {
+            // The rest of the frame may have arrived and not been read for lack of room.
+            let has_received = context.tcp.read_beyond_sum(key);
+            self.data(context, key);
+            let is_same_frame = |client: &Client| client.frame_began == Some(began);
+            let gives_way = !has_received || now >= began + STALLED_FRAME;
+            if !gives_way || !self.clients.get(&key).is_some_and(is_same_frame) {
+                continue;
+            }
+            context.counters.closed_when_short += 1;
+            self.send_answer(context.tcp, key, 0, Code::Failed, b"nothing whole came in time");
+            self.close_after_answers(context, key, CloseReason::Unresponsive);
+        }
+    }
+
     /// Asks clients to open no new requests on the existing connections. Requests that still arrive are
     /// served.
     pub fn announce_shutdown(&mut self, tcp: &mut Tcp) {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -25,6 +25,11 @@
 /// Clients write a frame in one piece. A connection whose frame is still incomplete after this time is
 /// evicted before connections that were just accepted.
 pub const STALLED_FRAME: Duration = Duration::from_millis(500);
+/// While the input of all connections together is at its limit, a connection whose frame has been incomplete for
+/// this long gives way to others.
+pub const FRAME_TIMEOUT_WHEN_SHORT: Duration = Duration::from_millis(100);
+/// Maximum number of connections closed per iteration because of [`FRAME_TIMEOUT_WHEN_SHORT`].
+pub const CLOSES_WHEN_SHORT: usize = 8;
 /// Maximum number of connections examined per search for one to evict.
 pub const EVICTION_CANDIDATES: usize = 8;
 /// Maximum number of requests open at the same time on a client connection, as the platform defines it.
@@ -108,6 +113,11 @@
     left.min(end.saturating_duration_since(now).as_micros() as u64)
 }
 
+/// Bytes of input that all connections together may hold, for each megabyte of memory; as many of output.
+const BUFFER_BYTES_PER_MEGABYTE: usize = 64 << 10;
+/// Bytes of input and of output of each connection that are always permitted, so that small requests and short
+/// answers pass while others hold the rest. It is less where the memory is small for the connections.
+const MAX_BUFFER_RESERVE: usize = 2 << 10;
 /// Functions for which state is kept, for each megabyte of memory.
 const FUNCTIONS_PER_MEGABYTE: usize = 96;
 
@@ -127,6 +137,10 @@
     pub open_calls: usize,
     /// Maximum size of the bodies of all open requests, bytes.
     pub body_bytes: usize,
+    /// Bytes of input of all connections together, beyond `buffer_reserve` of each; as many of output.
+    pub buffer_bytes: usize,
+    /// Bytes of input and of output of each connection that are always permitted.
+    pub buffer_reserve: usize,
     /// Maximum number of functions for which the engine keeps state.
     pub functions: usize,
 }
@@ -139,6 +153,7 @@
     pub fn of(limits: &config::Limits, open_calls: Option<u64>) -> Self {
         let sockets = usize::try_from(limits.sockets).unwrap_or(usize::MAX).clamp(64, 1 << 20);
         let megabytes = usize::try_from(limits.memory_mb).unwrap_or(usize::MAX).clamp(16, 1 << 20);
+        let buffer_bytes = megabytes * BUFFER_BYTES_PER_MEGABYTE;
         let open = open_calls.and_then(|n| usize::try_from(n).ok()).unwrap_or(usize::MAX);
         Self {
             clients: sockets / 2,
@@ -146,6 +161,8 @@
             pool_connections: (sockets / 3).min(sockets - sockets / 2 - RESERVED_DESCRIPTORS),
             open_calls: open.min(megabytes * 256),
             body_bytes: megabytes << 18,
+            buffer_bytes,
+            buffer_reserve: (buffer_bytes / sockets).min(MAX_BUFFER_RESERVE),
             functions: megabytes * FUNCTIONS_PER_MEGABYTE,
         }
     }
@@ -165,6 +182,8 @@
     pub closed_for_faults: u64,
     /// Client connections closed because of [`FIRST_FRAME_TIMEOUT`] or [`FRAME_TIMEOUT`].
     pub closed_for_silence: u64,
+    /// Client connections closed because of [`FRAME_TIMEOUT_WHEN_SHORT`].
+    pub closed_when_short: u64,
     /// Client connections closed after [`CLIENT_IDLE`].
     pub closed_idle: u64,
     /// Client connections accepted over [`Bounds::clients`].
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -32,6 +32,8 @@
         for event in events.drain(..).filter(is_new) {
             self.read_event(event, &mut pending);
         }
+        let (tcp, events_of_clients, counters) = (&mut self.tcp, &mut self.client_events, &mut self.counters);
+        self.front.close_stalled_frames(&mut FrontContext { tcp, events: events_of_clients, counters });
         self.tcp_events = events;
         pending
     }
@@ -57,6 +59,7 @@
         match event {
             TcpEvent::Data(key) => self.front.data(context, key),
             TcpEvent::Alarm(key) => self.front.alarm_due(context, key),
+            TcpEvent::Ending(key) => self.front.client_disconnecting(context, key),
             TcpEvent::Ended(key) => {
                 self.front.close_after_answers(context, key, CloseReason::ClientEnded);
             }
@@ -76,7 +79,7 @@
                 context.tcp.close(key);
             }
             TcpEvent::Closed(key, reason) => self.pools.connection_closed(context, key, reason),
-            TcpEvent::Accepted(_) | TcpEvent::Connected(_) | TcpEvent::Source(_) => {}
+            TcpEvent::Accepted(_) | TcpEvent::Connected(_) | TcpEvent::Ending(_) | TcpEvent::Source(_) => {}
         }
     }
 
--- a/crates/node/src/node/startup.rs
+++ b/crates/node/src/node/startup.rs
@@ -142,6 +142,10 @@
         outgoing: bounds.pool_connections,
         input: (MAX_PAYLOAD_BYTES + FRAME_OVERHEAD)
             .max(MAX_BODY_BYTES + RESPONSE_TEXT_FIELDS * MAX_TEXT_BYTES),
+        input_reserve: bounds.buffer_reserve,
+        input_sum: bounds.buffer_bytes,
+        output_reserve: bounds.buffer_reserve,
+        output_sum: bounds.buffer_bytes,
         connect_timeout: spans.connect_timeout,
         // After the longest deadline no client waits for an answer any more.
         drain: Duration::from_micros(spans.longest_deadline),
--- a/crates/node/src/pools/tests.rs
+++ b/crates/node/src/pools/tests.rs
@@ -38,6 +38,8 @@
             pool_connections: 2,
             open_calls: 9,
             body_bytes: 9,
+            buffer_bytes: 9,
+            buffer_reserve: 9,
             functions: 9,
         };
         let mut pools = ConnectionPools::new(bounds, 10_000, None, false);
