node: open requests have a bound in sum by their memory, and leave a quarter to others

Change: each open request counts 2 KB and its key against an eighth of the memory (Bounds::call_bytes); one more is refused, which is no fault of its client. The last quarter is left to connections that have no open request.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -57,6 +57,8 @@
     ids: HashSet<u64>,
     /// Total size of the bodies of the open requests, bytes.
     body_bytes: usize,
+    /// Total memory of the open requests beside their bodies, bytes.
+    call_bytes: usize,
     last_token: u64,
     /// Shutdown has begun: clients are asked to open no new requests.
     draining: bool,
@@ -79,6 +81,7 @@
             tokens: BTreeMap::new(),
             ids: HashSet::new(),
             body_bytes: 0,
+            call_bytes: 0,
             last_token: 0,
             draining: false,
             close_log: LogBudget::default(),
@@ -228,6 +231,7 @@
         let call = self.calls.remove(&token)?;
         self.ids.remove(&call.id);
         self.body_bytes -= call.body_bytes;
+        self.call_bytes -= call.call_bytes;
         let id = call.engine_id?;
         self.tokens.remove(&id);
         Some(id)
--- a/crates/node/src/front/call.rs
+++ b/crates/node/src/front/call.rs
@@ -74,6 +74,8 @@
     /// The numeric value of `call_id`.
     pub(super) id: u64,
     pub(super) body_bytes: usize,
+    /// Memory of the request beside its body, as counted by [`crate::limits::Bounds::call_bytes`].
+    pub(super) call_bytes: usize,
     /// The engine's call id, once the request is opened there.
     pub(super) engine_id: Option<CallId>,
     /// The request's id as the client stated it.
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use nettleferry::{ClassId, TenantId};
+use nettleferry_net::tcp::TcpKey;
 use nettleferry_platform::frames::Code;
 use nettleferry_platform::request::{Request, RequestError};
 use tracing::debug;
@@ -13,7 +14,7 @@
 use super::Front;
 use super::call::{Call, IncomingRequest, RequestOrigin, RequestToken};
 use crate::attempt_history::AttemptHistory;
-use crate::limits::{Counters, MAX_TTL_FACTOR};
+use crate::limits::{CALL_BYTES, CALLS_WHEN_SHORT, Counters, MAX_TTL_FACTOR};
 
 /// Why a request is rejected. The text is sent to the client as the answer.
 #[derive(Debug, thiserror::Error)]
@@ -34,6 +35,8 @@
     UnknownTenant,
     #[error("too many bytes are held")]
     TooManyBytes,
+    #[error("too many requests are open")]
+    TooManyOpen,
 }
 
 impl RequestRejected {
@@ -41,7 +44,7 @@
     /// refusal would state that a retry is harmless.
     pub(super) fn code(&self) -> Code {
         match self {
-            Self::TooManyBytes => Code::Refused,
+            Self::TooManyBytes | Self::TooManyOpen => Code::Refused,
             _ => Code::Failed,
         }
     }
@@ -49,7 +52,7 @@
     /// Whether the client sent something unusable. A request that a limit of the node keeps out is usable.
     pub(super) fn is_client_fault(&self) -> bool {
         match self {
-            Self::TooManyBytes => false,
+            Self::TooManyBytes | Self::TooManyOpen => false,
             Self::Unreadable(_)
             | Self::UnknownClass
             | Self::NotForwardable
@@ -64,6 +67,7 @@
         match self {
             Self::DuplicateId => counters.ids_open += 1,
             Self::TooManyBytes => counters.over_bodies += 1,
+            Self::TooManyOpen => counters.over_calls += 1,
             _ => counters.bad_requests += 1,
         }
     }
@@ -76,6 +80,8 @@
     id: u64,
     /// Time to live, limited to the deadline of the class, milliseconds.
     ttl_ms: f64,
+    /// What the request adds to the memory of the open requests beside its body, bytes.
+    call_bytes: usize,
 }
 
 impl Front {
@@ -87,7 +93,7 @@
         counters: &mut Counters,
     ) -> Result<IncomingRequest, RequestRejected> {
         let checked = Request::parse(payload).map_err(RequestRejected::from);
-        let checked = checked.and_then(|request| Ok((self.validate(&request, counters)?, request)));
+        let checked = checked.and_then(|request| Ok((self.validate(origin, &request, counters)?, request)));
         match checked {
             Ok((valid, request)) => Ok(self.register(origin, &valid, &request)),
             Err(rejected) => {
@@ -97,7 +103,12 @@
         }
     }
 
-    fn validate(&self, request: &Request, counters: &mut Counters) -> Result<ValidRequest, RequestRejected> {
+    fn validate(
+        &self,
+        origin: RequestOrigin,
+        request: &Request,
+        counters: &mut Counters,
+    ) -> Result<ValidRequest, RequestRejected> {
         let class = self.classes.get(request.class).copied().ok_or(RequestRejected::UnknownClass)?;
         if !is_plain(request.class) || !request.idempotency_key.is_none_or(is_plain) {
             return Err(RequestRejected::NotForwardable);
@@ -117,7 +128,19 @@
         if self.body_bytes + request.body.len() > self.bounds.body_bytes {
             return Err(RequestRejected::TooManyBytes);
         }
-        Ok(ValidRequest { class, tenant, id, ttl_ms: request.timeout_ms.min(deadline) })
+        let call_bytes = CALL_BYTES + request.idempotency_key.map_or(0, str::len);
+        if self.call_bytes + call_bytes > self.max_call_bytes(origin.connection) {
+            return Err(RequestRejected::TooManyOpen);
+        }
+        Ok(ValidRequest { class, tenant, id, ttl_ms: request.timeout_ms.min(deadline), call_bytes })
+    }
+
+    /// The memory that all open requests may have taken for a connection to open one more: a connection with many
+    /// open requests leaves the last quarter to others.
+    fn max_call_bytes(&self, connection: TcpKey) -> usize {
+        let open = self.clients.get(&connection).map_or(0, |client| client.streams.len());
+        let all = self.bounds.call_bytes;
+        if open < CALLS_WHEN_SHORT { all } else { all - all / 4 }
     }
 
     /// Returns the tenant of a request, if the settings have tenants. A tenant that they don't name is
@@ -150,6 +173,7 @@
         );
         self.ids.insert(valid.id);
         self.body_bytes += request.body.len();
+        self.call_bytes += valid.call_bytes;
         let function: Arc<str> = request.function.into();
         let time_left = microseconds(valid.ttl_ms);
         let call = Call {
@@ -157,6 +181,7 @@
             stream,
             id: valid.id,
             body_bytes: request.body.len(),
+            call_bytes: valid.call_bytes,
             engine_id: None,
             call_id: request.id.into(),
             class: valid.class,
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -118,6 +118,12 @@
 /// Bytes of input and of output of each connection that are always permitted, so that small requests and short
 /// answers pass while others hold the rest. It is less where the memory is small for the connections.
 const MAX_BUFFER_RESERVE: usize = 2 << 10;
+/// Memory of an open request beside its body and its key, bytes: its records in the front, the engine and the
+/// decision module, and what it has waiting for an invoker.
+pub const CALL_BYTES: usize = 2 << 10;
+/// Requests that each client connection may have open while three quarters of [`Bounds::call_bytes`] are taken:
+/// the last quarter is left to clients that have fewer.
+pub const CALLS_WHEN_SHORT: usize = 1;
 /// Functions for which state is kept, for each megabyte of memory.
 const FUNCTIONS_PER_MEGABYTE: usize = 96;
 
@@ -135,6 +141,8 @@
     pub pool_connections: usize,
     /// Maximum number of open requests.
     pub open_calls: usize,
+    /// Maximum memory of all open requests beside their bodies, bytes: [`CALL_BYTES`] and the key of each.
+    pub call_bytes: usize,
     /// Maximum size of the bodies of all open requests, bytes.
     pub body_bytes: usize,
     /// Bytes of input of all connections together, beyond `buffer_reserve` of each; as many of output.
@@ -160,6 +168,7 @@
             idle_clients: sockets / 4,
             pool_connections: (sockets / 3).min(sockets - sockets / 2 - RESERVED_DESCRIPTORS),
             open_calls: open.min(megabytes * 256),
+            call_bytes: megabytes << 17,
             body_bytes: megabytes << 18,
             buffer_bytes,
             buffer_reserve: (buffer_bytes / sockets).min(MAX_BUFFER_RESERVE),
@@ -196,6 +205,8 @@
     pub refused_at_close: u64,
     /// Requests refused because of [`Bounds::body_bytes`].
     pub over_bodies: u64,
+    /// Requests refused because of [`Bounds::call_bytes`].
+    pub over_calls: u64,
     /// Answers that did not fit into the output buffer of their client connection. The request fails; the
     /// connection stays open.
     pub over_answers: u64,
--- a/crates/node/src/pools/tests.rs
+++ b/crates/node/src/pools/tests.rs
@@ -37,6 +37,7 @@
             idle_clients: 1,
             pool_connections: 2,
             open_calls: 9,
+            call_bytes: 9,
             body_bytes: 9,
             buffer_bytes: 9,
             buffer_reserve: 9,
