module: a response frees its function's own held call, however many others are held

Cause: each response examines the first 512 held calls, in the order of the design: recent calls times mean latency. Functions that were never served have no latency and come first. With more than 512 such calls a held call of a warm function is not examined at all, whichever worker answers, until its deadline. Evidence: the log shows 2,047 waiting calls, 174 attempts and no refusal by limits while the sound client's calls expire. Change: when the queue is longer than what one response examines, the first held call of the function that the response belongs to is examined as well. With up to 511 held calls nothing changes. Measured: calls_of_functions_that_nobody_serves_do_not_keep_a_held_call_from_its_warm_worker failed before (no call is sent).

--- a/src/decision/attempts.rs
+++ b/src/decision/attempts.rs
@@ -84,7 +84,7 @@
         } else {
             self.continue_call(id, &attempt, end.outcome);
         }
-        self.release_held(Some(attempt.worker));
+        self.release_held(Some(attempt.worker), Some(attempt.function));
     }
 
     /// Handles a replica that was unloaded or failed to load. Where only orders load functions, it is ordered
@@ -170,7 +170,7 @@
         self.load_finished(replica);
         self.replica_found(replica);
         self.record_load_time(replica.function, load_time);
-        self.release_held(Some(replica.worker));
+        self.release_held(Some(replica.worker), Some(replica.function));
     }
 
     /// Removes an ended attempt from the in-flight counters of its worker and function.
--- a/src/decision/endpoint_list.rs
+++ b/src/decision/endpoint_list.rs
@@ -39,7 +39,7 @@
             self.update_worker(entry);
         }
         self.remove_gone_workers();
-        self.release_held(None);
+        self.release_held(None, None);
         if self.no_worker_in_service() {
             for id in self.hold_queue.values().copied().collect::<Vec<_>>() {
                 self.send_final_answer(id);
--- a/src/decision/health_check.rs
+++ b/src/decision/health_check.rs
@@ -59,7 +59,7 @@
             self.probe_failed(id, outcome, probe);
         }
         self.schedule_timeout_check(id);
-        self.release_held(None);
+        self.release_held(None, None);
     }
 
     /// Handles an answered probe: a worker that was down returns to service, and load orders that were lost
--- a/src/decision/hold_queue.rs
+++ b/src/decision/hold_queue.rs
@@ -16,7 +16,7 @@
 use super::placement::EjectedWorkers;
 use crate::controller::Controller;
 use crate::interface::*;
-use crate::state::{Call, Function, Timer, TimerKind, Worker};
+use crate::state::{Call, FirstRun, Function, Timer, TimerKind, Worker};
 
 /// Held calls examined per response; bounds the time to handle an event.
 const RELEASE_SCAN: usize = 512;
@@ -26,6 +26,10 @@
 /// Lower bound of the interval between two examinations without a response.
 const RELEASE_INTERVAL_MIN: Micros = 20_000;
 
+/// What decides which workers are eligible for a call: its function, its class, the worker that last failed it,
+/// and the first attempt that may have run.
+type Constraints = (FunctionId, usize, Option<WorkerId>, Option<FirstRun>);
+
 impl Controller {
     pub(super) fn hold(&mut self, id: RequestId) {
         let Some(call) = self.calls.get(&id) else { return };
@@ -48,7 +52,7 @@
         call.held = true;
         self.hold_queue.insert(call.priority, id);
         let Some(function) = self.functions.get_mut(&call.function) else { return };
-        function.held_calls += 1;
+        function.held_calls.insert(call.priority, id);
         // Calls of other functions may fill the lanes bound at its replica's worker: probe it for idle cores.
         let full = |w: &Worker| {
             let outdated = w.last_report.is_some_and(|r| r.at + objective < self.now);
@@ -76,32 +80,53 @@
             call.held = false;
             self.hold_queue.remove(&call.priority);
             if let Some(function) = self.functions.get_mut(&call.function) {
-                function.held_calls = function.held_calls.saturating_sub(1);
+                function.held_calls.remove(&call.priority);
             }
         }
     }
 
-    /// Releases the first held calls that a worker can take, after a response of `responder` or, with
-    /// `None`, after any other change. Each call follows its own worker order.
-    pub(super) fn release_held(&mut self, responder: Option<WorkerId>) {
+    /// Releases the first held calls that a worker can take, after a response of `responder` to a call of
+    /// `function` or, with `None`, after any other change. Each call follows its own worker order.
+    pub(super) fn release_held(&mut self, responder: Option<WorkerId>, function: Option<FunctionId>) {
+        let first: Vec<RequestId> = self.hold_queue.values().take(RELEASE_SCAN).copied().collect();
         let mut unplaceable = BTreeSet::new();
-        for id in self.hold_queue.values().take(RELEASE_SCAN).copied().collect::<Vec<_>>() {
-            // After a pause of the process, a call may be past its deadline; its timer answers it next.
-            let in_time = |call: &&Call| self.now < call.answer_by;
-            let Some(call) = self.calls.get(&id).filter(in_time) else { continue };
-            // Calls with the same values of these have the same eligible workers.
-            let constraints = (call.function, call.class, call.last_failed_worker, call.first_run);
-            if unplaceable.contains(&constraints) {
-                continue;
-            }
-            let Some(function) = self.functions.get(&call.function) else { continue };
-            let eligible =
-                responder.is_none_or(|w| self.is_eligible(w, call, function, EjectedWorkers::Excluded));
-            match if eligible { self.select_worker(id) } else { None } {
-                Some(worker) if !self.ensure_recent_load(id, worker) => {}
-                Some(worker) => self.send_attempt(id, worker),
-                None => _ = unplaceable.insert(constraints),
-            }
+        for id in first {
+            self.release_if_placeable(id, responder, &mut unplaceable);
+        }
+        // Functions that nobody serves have no latency and come first. Many calls of theirs must not keep
+        // those of a function from the capacity that its own response has freed.
+        if self.hold_queue.len() >= RELEASE_SCAN
+            && let Some(id) = function.and_then(|id| self.first_held_call(id))
+        {
+            self.release_if_placeable(id, responder, &mut unplaceable);
+        }
+    }
+
+    fn first_held_call(&self, function: FunctionId) -> Option<RequestId> {
+        self.functions.get(&function)?.held_calls.values().next().copied()
+    }
+
+    /// Sends a held call if a worker can take it. Calls with the constraints in `unplaceable` are passed over.
+    fn release_if_placeable(
+        &mut self,
+        id: RequestId,
+        responder: Option<WorkerId>,
+        unplaceable: &mut BTreeSet<Constraints>,
+    ) {
+        // After a pause of the process, a call may be past its deadline; its timer answers it next.
+        let in_time = |call: &&Call| self.now < call.answer_by;
+        let Some(call) = self.calls.get(&id).filter(in_time) else { return };
+        let constraints = (call.function, call.class, call.last_failed_worker, call.first_run);
+        if unplaceable.contains(&constraints) {
+            return;
+        }
+        let Some(function) = self.functions.get(&call.function) else { return };
+        let eligible =
+            responder.is_none_or(|w| self.is_eligible(w, call, function, EjectedWorkers::Excluded));
+        match if eligible { self.select_worker(id) } else { None } {
+            Some(worker) if !self.ensure_recent_load(id, worker) => {}
+            Some(worker) => self.send_attempt(id, worker),
+            None => _ = unplaceable.insert(constraints),
         }
     }
 
--- a/src/decision/replica_loading.rs
+++ b/src/decision/replica_loading.rs
@@ -134,7 +134,7 @@
         } else if outcome != Outcome::Cancelled {
             self.avoid_worker(replica, if outcome == Outcome::Rejected { 1 } else { MAX_REJECTIONS });
         }
-        self.release_held(None);
+        self.release_held(None, Some(function_id));
     }
 
     /// Makes the function avoid the worker for a share of its expected load time, and adds to the number of
--- a/src/decision/retention.rs
+++ b/src/decision/retention.rs
@@ -42,7 +42,7 @@
 
     /// Whether the function has a call, an attempt in flight or a pending load.
     fn is_busy(&self) -> bool {
-        self.held_calls > 0 || !self.in_flight.is_empty() || !self.pending_loads.is_empty()
+        !self.held_calls.is_empty() || !self.in_flight.is_empty() || !self.pending_loads.is_empty()
     }
 
     /// Releases the memory of empty and expired collections. An emptied `BTreeMap` keeps a node allocated.
@@ -55,6 +55,7 @@
         drop_if_empty(&mut self.avoided);
         drop_if_empty(&mut self.reported_pressure);
         drop_if_empty(&mut self.in_flight);
+        drop_if_empty(&mut self.held_calls);
         drop_if_empty(&mut self.pending_loads);
         // The next call would remove these arrivals anyway.
         self.arrivals.retain(|at| at + ARRIVAL_WINDOW >= swept);
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -91,7 +91,7 @@
         let Some(function) = self.calls.get(&id).map(|call| call.function) else { return };
         self.close_call(id);
         let state = self.functions.get(&function);
-        if let Some(state) = state.filter(|f| f.held_calls == 0 && f.in_flight.is_empty()) {
+        if let Some(state) = state.filter(|f| f.held_calls.is_empty() && f.in_flight.is_empty()) {
             let workers = state.pending_loads.keys();
             self.actions.extend(workers.map(|worker| Action::CancelLoad { worker: *worker, function }));
         }
--- a/src/decision/timers.rs
+++ b/src/decision/timers.rs
@@ -25,7 +25,7 @@
                 TimerKind::PollList => self.actions.push(Action::Watch),
                 TimerKind::ReleaseHeld => {
                     self.release_timer_set = false;
-                    self.release_held(None);
+                    self.release_held(None, None);
                     self.set_release_timer();
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,8 +113,8 @@
     /// Concurrent calls of the function at each worker divided by its lanes, recorded at the last served
     /// attempt: those that the worker reported, or this controller's own attempts in flight if more.
     pub(crate) reported_pressure: BTreeMap<WorkerId, PressureSample>,
-    /// Number of calls in the hold queue.
-    pub(crate) held_calls: u32,
+    /// The function's calls in the hold queue, in its order.
+    pub(crate) held_calls: BTreeMap<Priority, RequestId>,
     /// Time of the last call.
     pub(crate) last_call: Micros,
     /// The first workers in the function's rendezvous order.
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -682,3 +682,17 @@
     let expected = format!("worker {home} ejected: unresponsive");
     assert_eq!(logged(&harness.handle(probe_timeout)), [expected.as_str()]);
 }
+
+#[test]
+fn calls_of_functions_that_nobody_serves_do_not_keep_a_held_call_from_its_warm_worker() {
+    let mut harness = Harness::new(settings(), 2);
+    let home = harness.serve_warm(1, 9, 1);
+    assert_eq!(sent(&harness.call(2, 0, 9, 1)), Some(home));
+    assert_eq!(sent(&harness.call(3, 0, 9, 1)), None, "the only lane is in use");
+    for id in 100..900 {
+        harness.call(id, 0, id, 1);
+    }
+    harness.now += 5 * MS;
+    let actions = harness.end_attempt(2, 0, home, Outcome::Ok, Some(LoadNote::Warm));
+    assert!(sends(&actions).contains(&(3, home)), "{actions:?}");
+}
