net: a buffer's allocation is what counts, and it shrinks with what is left in it

Cause: of an answer that a socket takes in part the rest stayed in the whole allocation, and only the capacity behind it was counted. Shown by page faults with their callers: 84 of 100 in Tcp::send; the process's own figures said output=0. Ruled out: fragmentation and what the allocator keeps (the same with MALLOC_MMAP_THRESHOLD_ 16384 and MALLOC_TRIM_THRESHOLD_ 65536). Change: the size of each allocation is kept beside its buffer, counts towards the sums, and is replaced by a smaller one when less than half is used.

--- a/crates/net/src/tcp/accounting.rs
+++ b/crates/net/src/tcp/accounting.rs
@@ -1,7 +1,7 @@
 //! Bytes that are held for all connections together: input that the owner has not consumed, and output that the
 //! kernel has not accepted.
 
-use super::connection::release_consumed;
+use super::connection::release_removed;
 use super::{Tcp, TcpKey};
 
 /// Room in the input of all connections for which one waiting connection is read again.
@@ -30,9 +30,8 @@
         let reserve = self.limits.input_reserve;
         let Some(conn) = self.get_mut(key) else { return };
         conn.input_lent = false;
-        release_consumed(&mut conn.input, conn.accounted_input);
-        conn.accounted_input = conn.input.len();
-        let charge = conn.input.capacity().saturating_sub(reserve);
+        release_removed(&mut conn.input, &mut conn.input_allocated);
+        let charge = conn.input_allocated.saturating_sub(reserve);
         let before = std::mem::replace(&mut conn.input_charge, charge);
         self.input_held = self.input_held + charge - before;
     }
@@ -41,7 +40,7 @@
     pub(super) fn account_output(&mut self, key: TcpKey) {
         let reserve = self.limits.output_reserve;
         let Some(conn) = self.get_mut(key) else { return };
-        let charge = conn.output.len().saturating_sub(reserve);
+        let charge = conn.output_allocated.saturating_sub(reserve);
         let before = std::mem::replace(&mut conn.output_charge, charge);
         self.output_held = self.output_held + charge - before;
     }
--- a/crates/net/src/tcp/connection.rs
+++ b/crates/net/src/tcp/connection.rs
@@ -9,10 +9,10 @@
 
 use super::events::TcpKey;
 
-/// Maximum capacity that an empty buffer retains, which limits the memory of idle connections.
+/// Allocations up to this size are not replaced by smaller ones.
 const RETAINED_BYTES: usize = 4 << 10;
-/// Granularity of the capacity of input buffers, bytes.
-const INPUT_STEP: usize = 1 << 10;
+/// Granularity of the capacity of buffers, bytes.
+const CAPACITY_STEP: usize = 1 << 10;
 
 /// The stage of a connection that has not failed.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -69,14 +69,16 @@
     pub(super) input: BytesMut,
     /// Bytes of input that count towards [`super::TcpLimits::input_sum`].
     pub(super) input_charge: usize,
-    /// Length of the input when it was last accounted for.
-    pub(super) accounted_input: usize,
+    /// Size of the allocation of the input.
+    pub(super) input_allocated: usize,
     /// The owner may have consumed input since it was last accounted for.
     pub(super) input_lent: bool,
     /// The connection waits to be read because of [`super::TcpLimits::input_sum`].
     pub(super) is_starved: bool,
     /// Queued bytes that the kernel has not accepted.
     pub(super) output: BytesMut,
+    /// Size of the allocation of the output.
+    pub(super) output_allocated: usize,
     /// Bytes of output that count towards [`super::TcpLimits::output_sum`].
     pub(super) output_charge: usize,
     /// Total bytes queued so far.
@@ -108,9 +110,7 @@
             }
         }
     }
-    if conn.output.is_empty() && conn.output.capacity() > RETAINED_BYTES {
-        conn.output = BytesMut::new();
-    }
+    release_removed(&mut conn.output, &mut conn.output_allocated);
     // Only once: each shutdown wakes the poll, which would call this function again.
     if conn.output.is_empty() && conn.stage == Stage::Lingering && !conn.write_closed {
         conn.write_closed = true;
@@ -171,7 +171,7 @@
             Ok(n) => {
                 bytes_read += n;
                 if conn.stage == Stage::Open {
-                    append(&mut conn.input, &scratch[..n]);
+                    append(&mut conn.input, &mut conn.input_allocated, &scratch[..n]);
                 }
             }
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -182,24 +182,31 @@
     (ReadOutcome::Drained, bytes_read)
 }
 
-/// Appends bytes without the doubling of the capacity that `extend_from_slice` would cause.
-fn append(input: &mut BytesMut, bytes: &[u8]) {
-    let length = input.len() + bytes.len();
-    if length > input.capacity() {
-        let mut grown = BytesMut::with_capacity(length.next_multiple_of(INPUT_STEP));
-        grown.extend_from_slice(input);
-        *input = grown;
+/// Appends bytes without the doubling of the capacity that `extend_from_slice` would cause. `allocated`: the size of
+/// the buffer's allocation, which its capacity does not show once bytes were removed from the front.
+pub(super) fn append(buffer: &mut BytesMut, allocated: &mut usize, bytes: &[u8]) {
+    let length = buffer.len() + bytes.len();
+    if length > buffer.capacity() {
+        *allocated = length.next_multiple_of(CAPACITY_STEP);
+        let mut grown = BytesMut::with_capacity(*allocated);
+        grown.extend_from_slice(buffer);
+        *buffer = grown;
     }
-    input.extend_from_slice(bytes);
+    buffer.extend_from_slice(bytes);
 }
 
-/// Releases the memory of input that the owner has consumed. `before`: the length before.
-pub(super) fn release_consumed(input: &mut BytesMut, before: usize) {
-    let allocated = input.capacity() + before.saturating_sub(input.len());
-    if allocated <= RETAINED_BYTES.max(2 * input.len()) {
+/// Releases the memory of bytes that were removed from the front. `allocated` is as for [`append`].
+pub(super) fn release_removed(buffer: &mut BytesMut, allocated: &mut usize) {
+    if buffer.is_empty() {
+        *allocated = 0;
+        *buffer = BytesMut::new();
+        return;
+    }
+    if *allocated <= RETAINED_BYTES.max(2 * buffer.len()) {
         return;
     }
-    let mut kept = BytesMut::with_capacity(input.len().next_multiple_of(INPUT_STEP).min(allocated));
-    kept.extend_from_slice(input);
-    *input = if kept.is_empty() { BytesMut::new() } else { kept };
+    *allocated = buffer.len().next_multiple_of(CAPACITY_STEP);
+    let mut kept = BytesMut::with_capacity(*allocated);
+    kept.extend_from_slice(buffer);
+    *buffer = kept;
 }
--- a/crates/net/src/tcp/linger.rs
+++ b/crates/net/src/tcp/linger.rs
@@ -22,6 +22,7 @@
         }
         conn.stage = Stage::Lingering;
         conn.input = BytesMut::new();
+        conn.input_allocated = 0;
         flush(conn);
         conn.deadline = Some(until);
         self.alarms.insert((until, key));
--- a/crates/net/src/tcp/output.rs
+++ b/crates/net/src/tcp/output.rs
@@ -1,6 +1,6 @@
 //! Queued bytes: sent at the start of the next poll, or earlier by a flush.
 
-use super::connection::{Stage, flush};
+use super::connection::{Stage, append, flush};
 use super::{ConnectionFailure, Tcp, TcpKey};
 
 impl Tcp {
@@ -25,7 +25,7 @@
             self.remove(key, Some(ConnectionFailure::Slow));
             return None;
         }
-        conn.output.extend_from_slice(bytes);
+        append(&mut conn.output, &mut conn.output_allocated, bytes);
         conn.queued += bytes.len() as u64;
         let queued = conn.queued;
         if !conn.has_unflushed {
