node: connections take turns, and one iteration passes a bounded number of events on

Cause: requests that were read waited in one queue, so that a client stood behind all that others had sent; an iteration passed all responses that had come to the engine before the sockets were looked at again (280 ms in a debug build), so that the end of a client was noticed late as well. Change: connections take turns to have their requests opened (request_queue.rs); an iteration passes 64 events on. The periodic log line "memory held" tells what is held by kind. A connection may queue an eighth of the output, not 1 MiB.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -94,6 +94,11 @@
         self.clients.contains_key(&key)
     }
 
+    /// Bytes held by the bodies of the open requests, and by the open requests besides.
+    pub fn held(&self) -> (usize, usize) {
+        (self.body_bytes, self.call_bytes)
+    }
+
     /// Number of client connections.
     pub fn clients(&self) -> usize {
         self.clients.len()
--- a/crates/node/src/front/call.rs
+++ b/crates/node/src/front/call.rs
@@ -20,6 +20,8 @@
 pub struct IncomingRequest {
     /// The token of the request.
     pub token: RequestToken,
+    /// The connection that it arrived on.
+    pub connection: TcpKey,
     /// The class, by its position in the settings.
     pub class: ClassId,
     /// Name of the function to run.
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -197,6 +197,7 @@
         }
         IncomingRequest {
             token,
+            connection,
             class: valid.class,
             function,
             tenant: valid.tenant,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`guard`]: the platform's rules as invariants, checked at run time.
 //! * [`attempt_history`]: the attempts of a request.
 //! * [`reasons`]: counters of why requests and connections ended.
+//! * [`request_queue`]: requests that wait to be opened, by connection.
 //! * [`limits`]: all limits and timeouts, and the counters that show when they were reached.
 //! * [`log_budget`]: rate limit for log lines of one kind.
 //! * [`directory`]: polls the directory for the list of invokers.
@@ -28,6 +29,7 @@
 pub mod node;
 pub mod pools;
 pub mod reasons;
+pub mod request_queue;
 pub mod start_times;
 
 pub use error::NodeError;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -58,6 +58,9 @@
 /// Maximum number of requests opened per iteration. The others wait until the sockets have been read again,
 /// which bounds the delay of client disconnects and of answers that are due.
 pub const OPENS_PER_ITERATION: usize = 64;
+/// Maximum number of events, such as responses of invokers, that one iteration passes to the engine. The others
+/// wait until the sockets have been read again, so that the end of a client is noticed between them.
+pub const ENGINE_EVENTS_PER_ITERATION: usize = 64;
 /// Maximum wait of a poll. If the process is not scheduled while it waits, it may read input this much later
 /// than it arrived; the platform allows this much slack on every time.
 pub const MAX_POLL_WAIT: Duration = Duration::from_millis(50);
@@ -123,7 +126,7 @@
 pub const CALL_BYTES: usize = 2 << 10;
 /// Requests that each client connection may have open while three quarters of [`Bounds::call_bytes`] are taken:
 /// the last quarter is left to clients that have fewer.
-pub const CALLS_WHEN_SHORT: usize = 1;
+pub const CALLS_WHEN_SHORT: usize = 2;
 /// Functions for which state is kept, for each megabyte of memory.
 const FUNCTIONS_PER_MEGABYTE: usize = 96;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,7 +17,6 @@
 
 pub use lifecycle::ShutdownWait;
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -31,10 +30,11 @@
 use crate::class::ClassInfo;
 use crate::directory::DiscoveryClient;
 use crate::error::NodeError;
-use crate::front::{ClientEvent, Front, IncomingRequest};
+use crate::front::{ClientEvent, Front};
 use crate::guard::Violation;
-use crate::limits::Counters;
+use crate::limits::{Counters, ENGINE_EVENTS_PER_ITERATION};
 use crate::pools::{ConnectionPools, PoolContext};
+use crate::request_queue::RequestQueue;
 use crate::start_times::StartTimes;
 
 /// Poll source for signals.
@@ -82,8 +82,11 @@
     /// Requests that were read but not yet opened at the engine. Each iteration opens up to
     /// [`crate::limits::OPENS_PER_ITERATION`] of them; the queue is bounded by the requests that clients may
     /// have open.
-    requests: VecDeque<IncomingRequest>,
-    /// Events that have not been passed to the engine yet.
+    requests: RequestQueue,
+    /// Number of events that this iteration may still pass to the engine.
+    engine_events_left: usize,
+    /// Events that have not been passed to the engine yet. Each iteration passes up to
+    /// [`crate::limits::ENGINE_EVENTS_PER_ITERATION`] of them; they are bounded by the open requests.
     engine_events: Vec<Event>,
     commands: Vec<Command>,
 }
@@ -145,10 +148,11 @@
     /// 1. Broken connections, so that nothing is written to them.
     /// 2. All client disconnects, so that nothing is forwarded for a client that has disconnected.
     /// 3. A new list, so that nothing is sent to an invoker that it takes out of service.
-    /// 4. Responses of invokers.
+    /// 4. Responses of invokers, up to [`crate::limits::ENGINE_EVENTS_PER_ITERATION`].
     /// 5. Newly established connections: the commands queued for them are written.
     /// 6. Answers that are due. They are written before any new request is opened.
-    /// 7. New requests, up to [`crate::limits::OPENS_PER_ITERATION`], so that clients are read again soon.
+    /// 7. New requests, up to [`crate::limits::OPENS_PER_ITERATION`], so that clients are read again soon. Their
+    ///    connections take turns.
     /// 8. Timers: a reload that is to be retried, a query to the directory, and the timers of the engine.
     /// 9. All output queued by these steps is written.
     ///
@@ -159,6 +163,7 @@
         let wait = self.poll_wait();
         let wait = max_wait.map_or(wait, |max_wait| max_wait.min(wait));
         let began = Instant::now();
+        self.engine_events_left = ENGINE_EVENTS_PER_ITERATION;
         let events = self.poll(wait)?;
         let pending = self.read_events(events);
         self.check_signals(began);
@@ -194,20 +199,26 @@
             let (tcp, events, counters) = (&mut self.tcp, &mut self.engine_events, &mut self.counters);
             let context = &mut PoolContext { tcp, events, counters };
             self.pools.flush(context, |call| self.front.is_awaited(call));
-            if self.engine_events.is_empty() {
+            if self.engine_events.is_empty() || self.engine_events_left == 0 {
                 return;
             }
             self.run_engine();
         }
     }
 
-    /// Passes queued events to the engine and executes its commands until no events are left.
+    /// Passes queued events to the engine and executes its commands, until no events are left or this iteration
+    /// has passed as many as it may: clients are looked at again before the rest.
     fn run_engine(&mut self) {
-        while !self.engine_events.is_empty() {
-            for event in std::mem::take(&mut self.engine_events) {
+        while self.engine_events_left > 0 && !self.engine_events.is_empty() {
+            let mut events = std::mem::take(&mut self.engine_events);
+            let count = events.len().min(self.engine_events_left);
+            self.engine_events_left -= count;
+            for event in events.drain(..count) {
                 self.record_attempt_end(&event);
                 self.send_to_engine(event);
             }
+            events.append(&mut self.engine_events);
+            self.engine_events = events;
         }
     }
 
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -111,7 +111,7 @@
                     let expects_answer = client.expects_answer && self.front.is_awaited(client.call);
                     clients.push(ClientDisconnect { expects_answer, ..client });
                 }
-                ClientEvent::Request(request) => self.requests.push_back(request),
+                ClientEvent::Request(request) => self.requests.push(request),
             }
         }
         if !clients.is_empty() {
@@ -132,8 +132,8 @@
         // Drops requests that were cancelled after they were read. A flood of them would otherwise use up the
         // requests opened per iteration and delay all requests behind them.
         self.requests.retain(|request| self.front.is_waiting(request.token));
-        let batch = self.requests.len().min(OPENS_PER_ITERATION);
-        for request in self.requests.drain(..batch).collect::<Vec<_>>() {
+        for _ in 0..OPENS_PER_ITERATION {
+            let Some(request) = self.requests.pop() else { break };
             self.open_request(request);
         }
         self.run_engine();
--- a/crates/node/src/node/lifecycle.rs
+++ b/crates/node/src/node/lifecycle.rs
@@ -67,7 +67,7 @@
 
     /// Returns how long the next poll may wait for events.
     pub(super) fn poll_wait(&self) -> Duration {
-        if !self.requests.is_empty() || self.pools.awaits_read() {
+        if !self.requests.is_empty() || !self.engine_events.is_empty() || self.pools.awaits_read() {
             return Duration::ZERO;
         }
         let now = Instant::now();
@@ -191,6 +191,11 @@
         let (open_calls, waiting_calls) = (self.engine.open_calls(), self.engine.waiting_calls());
         let list_age = self.discovery.list_age(Instant::now());
         info!(clients, invoker_connections, open_calls, waiting_calls, ?list_age, "current load");
+        let (input, output) = self.tcp.held();
+        let (bodies, calls) = self.front.held();
+        let (unopened, engine_events, functions) =
+            (self.requests.len(), self.engine_events.len(), self.engine.functions());
+        info!(input, output, bodies, calls, unopened, engine_events, functions, "memory held");
         info!(engine = ?self.engine.counters(), "engine counters");
         info!(node = ?self.counters, tcp = ?self.tcp.counters(), "connection counters");
     }
--- a/crates/node/src/node/startup.rs
+++ b/crates/node/src/node/startup.rs
@@ -1,6 +1,5 @@
 //! Builds a node from its configuration.
 
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -26,8 +25,9 @@
 use crate::directory::DiscoveryClient;
 use crate::error::NodeError;
 use crate::front::Front;
-use crate::limits::{ACCEPTS_PER_ITERATION, Bounds, Counters};
+use crate::limits::{ACCEPTS_PER_ITERATION, Bounds, Counters, SHORT_ANSWER_BYTES, STREAMS_PER_CLIENT};
 use crate::pools::ConnectionPools;
+use crate::request_queue::RequestQueue;
 use crate::start_times::StartTimes;
 
 /// Upper bound on the bytes of a frame besides its payload.
@@ -35,6 +35,11 @@
 /// Text fields of a response besides its body.
 const RESPONSE_TEXT_FIELDS: usize = 4;
 
+/// A connection may queue one of so many shares of the output of all connections.
+const OUTPUT_SHARES: usize = 8;
+/// Lower bound of the output that a connection may queue, bytes: two of the largest answers.
+const MIN_OUTPUT: usize = 2 * (MAX_BODY_BYTES + STREAMS_PER_CLIENT * SHORT_ANSWER_BYTES);
+
 /// Durations derived from the settings.
 struct Spans {
     /// Time in which a connection to an invoker must be established.
@@ -109,7 +114,8 @@
             signals_checked_at: now,
             tcp_events: Vec::new(),
             client_events: Vec::new(),
-            requests: VecDeque::new(),
+            requests: RequestQueue::default(),
+            engine_events_left: 0,
             engine_events: Vec::new(),
             commands: Vec::new(),
         };
@@ -144,6 +150,7 @@
             .max(MAX_BODY_BYTES + RESPONSE_TEXT_FIELDS * MAX_TEXT_BYTES),
         input_reserve: bounds.buffer_reserve,
         input_sum: bounds.buffer_bytes,
+        output: (bounds.buffer_bytes / OUTPUT_SHARES).clamp(MIN_OUTPUT, TcpLimits::default().output),
         output_reserve: bounds.buffer_reserve,
         output_sum: bounds.buffer_bytes,
         connect_timeout: spans.connect_timeout,
