node: an id that may have run is not run again when it comes back

Cause: ids were known while their request was open only; the end of a client ends it. Change: the ids of ended requests that may have run are remembered, of all classes but those that may be repeated freely: 1,024 for each megabyte, the oldest forgotten first (FinishedIds). A request with such an id fails; it is not refused, which would state that a retry is harmless. A request that provably never ran may come again. Left: an id that comes after 32,768 others at 32 MB is run again.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -16,6 +16,7 @@
 mod context;
 mod eviction;
 mod faults;
+mod finished_ids;
 mod input;
 mod validation;
 
@@ -32,6 +33,7 @@
 pub use self::call::{Call, ClientEvent, IncomingRequest, RequestToken};
 use self::client::{Client, CloseStage, EvictionOrder};
 pub use self::context::FrontContext;
+use self::finished_ids::FinishedIds;
 use crate::limits::{
     Bounds, CLIENT_IDLE, Counters, FIRST_FRAME_TIMEOUT, SHORT_ANSWER_BYTES, STREAMS_PER_CLIENT,
 };
@@ -55,6 +57,10 @@
     tokens: BTreeMap<CallId, RequestToken>,
     /// Ids of the open requests, as stated by their clients.
     ids: HashSet<u64>,
+    /// Ids of ended requests that may have run and must not run twice.
+    finished_ids: FinishedIds,
+    /// Whether a second run of a request is harmless, by class.
+    idempotent: Vec<bool>,
     /// Total size of the bodies of the open requests, bytes.
     body_bytes: usize,
     /// Total memory of the open requests beside their bodies, bytes.
@@ -69,7 +75,14 @@
 
 impl Front {
     /// Creates a front without connections. `classes` and `deadlines` (milliseconds) have the same order.
-    pub fn new(classes: &[String], tenants: &[String], deadlines: Vec<f64>, bounds: Bounds) -> Self {
+    /// `idempotent` states in the same order whether a second run of a request is harmless.
+    pub fn new(
+        classes: &[String],
+        tenants: &[String],
+        deadlines: Vec<f64>,
+        idempotent: Vec<bool>,
+        bounds: Bounds,
+    ) -> Self {
         Self {
             classes: classes.iter().enumerate().map(|(at, name)| (name.clone(), ClassId(at))).collect(),
             tenants: tenants.iter().enumerate().map(|(at, name)| (name.clone(), TenantId(at))).collect(),
@@ -80,6 +93,8 @@
             calls: BTreeMap::new(),
             tokens: BTreeMap::new(),
             ids: HashSet::new(),
+            finished_ids: FinishedIds::default(),
+            idempotent,
             body_bytes: 0,
             call_bytes: 0,
             last_token: 0,
@@ -235,6 +250,10 @@
     fn close_call(&mut self, token: RequestToken) -> Option<CallId> {
         let call = self.calls.remove(&token)?;
         self.ids.remove(&call.id);
+        let is_idempotent = self.idempotent.get(call.class.0).copied().unwrap_or(false);
+        if call.attempts.may_have_run() && !is_idempotent {
+            self.finished_ids.insert(call.id, self.bounds.finished_ids);
+        }
         self.body_bytes -= call.body_bytes;
         self.call_bytes -= call.call_bytes;
         let id = call.engine_id?;
--- a/crates/node/src/front/tests.rs
+++ b/crates/node/src/front/tests.rs
@@ -41,7 +41,7 @@
         let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
         let mut bounds = Bounds::of(&nettleferry_platform::config::Limits::default(), None);
         change(&mut bounds);
-        let front = Front::new(&["safe".to_owned()], &[], vec![4_000.0], bounds);
+        let front = Front::new(&["safe".to_owned()], &[], vec![4_000.0], vec![true], bounds);
         let client = TcpStream::connect(address).expect("it listens");
         client.set_nodelay(true).expect("set");
         client.set_read_timeout(Some(TEST_TIMEOUT)).expect("set");
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -31,6 +31,8 @@
     InvalidId(#[from] ParseIntError),
     #[error("this id is open already")]
     DuplicateId,
+    #[error("a request with this id may have run")]
+    UsedId,
     #[error("there is no such tenant")]
     UnknownTenant,
     #[error("too many bytes are held")]
@@ -40,7 +42,7 @@
 }
 
 impl RequestRejected {
-    /// The code of the answer. A duplicate id is not refused: the first request with that id may run, and a
+    /// The code of the answer. An id that is open or was used is not refused: the first request with it may run, and a
     /// refusal would state that a retry is harmless.
     pub(super) fn code(&self) -> Code {
         match self {
@@ -59,6 +61,7 @@
             | Self::TtlTooLong
             | Self::InvalidId(_)
             | Self::DuplicateId
+            | Self::UsedId
             | Self::UnknownTenant => true,
         }
     }
@@ -66,6 +69,7 @@
     fn count(&self, counters: &mut Counters) {
         match self {
             Self::DuplicateId => counters.ids_open += 1,
+            Self::UsedId => counters.ids_used += 1,
             Self::TooManyBytes => counters.over_bodies += 1,
             Self::TooManyOpen => counters.over_calls += 1,
             _ => counters.bad_requests += 1,
@@ -124,6 +128,9 @@
         if self.ids.contains(&id) {
             return Err(RequestRejected::DuplicateId);
         }
+        if self.finished_ids.contains(id) {
+            return Err(RequestRejected::UsedId);
+        }
         let tenant = self.tenant_of(request)?;
         if self.body_bytes + request.body.len() > self.bounds.body_bytes {
             return Err(RequestRejected::TooManyBytes);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -127,6 +127,8 @@
 /// Requests that each client connection may have open while three quarters of [`Bounds::call_bytes`] are taken:
 /// the last quarter is left to clients that have fewer.
 pub const CALLS_WHEN_SHORT: usize = 2;
+/// Ids of ended requests that are remembered, for each megabyte of memory; each takes some 32 bytes.
+const FINISHED_IDS_PER_MEGABYTE: usize = 1_024;
 /// Functions for which state is kept, for each megabyte of memory.
 const FUNCTIONS_PER_MEGABYTE: usize = 96;
 
@@ -148,6 +150,8 @@
     pub call_bytes: usize,
     /// Maximum size of the bodies of all open requests, bytes.
     pub body_bytes: usize,
+    /// Number of ids remembered of ended requests that may have run and must not run twice.
+    pub finished_ids: usize,
     /// Bytes of input of all connections together, beyond `buffer_reserve` of each; as many of output.
     pub buffer_bytes: usize,
     /// Bytes of input and of output of each connection that are always permitted.
@@ -173,6 +177,7 @@
             open_calls: open.min(megabytes * 256),
             call_bytes: megabytes << 17,
             body_bytes: megabytes << 18,
+            finished_ids: megabytes * FINISHED_IDS_PER_MEGABYTE,
             buffer_bytes,
             buffer_reserve: (buffer_bytes / sockets).min(MAX_BUFFER_RESERVE),
             functions: megabytes * FUNCTIONS_PER_MEGABYTE,
@@ -217,6 +222,8 @@
     pub over_deadline: u64,
     /// Requests rejected because a request with the same id was open.
     pub ids_open: u64,
+    /// Requests rejected because a request with the same id may have run: see [`Bounds::finished_ids`].
+    pub ids_used: u64,
     /// The longest time that a request may have waited between its arrival and its opening, microseconds.
     pub longest_read_delay: u64,
     /// The longest iteration, microseconds: from the return of the poll to the end of the iteration.
--- a/crates/node/src/node/startup.rs
+++ b/crates/node/src/node/startup.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use mio::Interest;
-use nettleferry::{ListForm, Reports, SettingsError};
+use nettleferry::{Effect, ListForm, Reports, SettingsError};
 use nettleferry_engine::{Engine, EngineLimits};
 use nettleferry_net::clock::Clock;
 use nettleferry_net::retry::retry_startup;
@@ -162,7 +162,9 @@
 
 fn build_front(platform: &PlatformSettings, bounds: Bounds) -> Front {
     let deadlines_ms = platform.settings.classes.iter().map(|class| class.deadline as f64 / 1000.0).collect();
-    Front::new(&platform.classes, &platform.tenants, deadlines_ms, bounds)
+    let idempotent =
+        platform.settings.classes.iter().map(|class| class.effect == Effect::Idempotent).collect();
+    Front::new(&platform.classes, &platform.tenants, deadlines_ms, idempotent, bounds)
 }
 
 fn build_pools(platform: &PlatformSettings, bounds: Bounds) -> ConnectionPools {
--- a/crates/node/src/pools/tests.rs
+++ b/crates/node/src/pools/tests.rs
@@ -39,6 +39,7 @@
             open_calls: 9,
             call_bytes: 9,
             body_bytes: 9,
+            finished_ids: 9,
             buffer_bytes: 9,
             buffer_reserve: 9,
             functions: 9,
