serve: half-received messages and open requests have a bound in sum

Cause: a message is bounded (64 MiB), all of them together are not; nor are the requests of the open calls. Change: the incomplete messages of all clients may take 192 MiB (or one largest message); above it the largest is given up with RESOURCE_EXHAUSTED, and no call was opened for it. Calls whose requests would take all open ones over 192 MiB are refused with a pushback before admission. Both are counted. Measured: incomplete_messages_of_all_streams_together_are_limited (hub, two ends over loopback). Not measured on a serve process; what h2 buffers for paused streams and what SETTINGS frames cost is not touched.

--- a/crates/gateway/src/controller/startup.rs
+++ b/crates/gateway/src/controller/startup.rs
@@ -115,6 +115,8 @@
         connections: edge.connections,
         streams_per_connection: edge.streams_per_connection,
         message_bytes: edge.message_bytes,
+        // One message of the largest size can be received in any case.
+        message_sum: NetLimits::default().message_sum.max(edge.message_bytes),
         header_bytes: edge.header_bytes,
         stream_window: edge.stream_window,
         send_queue_bytes: edge.send_queue,
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -25,6 +25,9 @@
 /// their clients do not all retry at once.
 const RETRY_JITTER_MS: u64 = 1_000;
 
+/// Maximum size of the requests of all open calls together, bytes, or one message of the largest size if that is more.
+const OPEN_BODY_BYTES: usize = 192 << 20;
+
 impl Front {
     /// Opens the call of a request message, or answers the message at once if the call is rejected.
     pub(super) fn open_call(&mut self, context: &mut FrontContext, stream: StreamKey, payload: Bytes) {
@@ -71,6 +74,11 @@
             self.counters.without_lease += 1;
             return Err(failure);
         }
+        let max_body_bytes = OPEN_BODY_BYTES.max(self.config.edge.message_bytes);
+        if self.body_bytes + body.len() > max_body_bytes {
+            self.counters.over_bodies += 1;
+            return Err(Failure::refused("too many bytes are held here", self.pushback()));
+        }
         self.last_call_number += 1;
         let number = self.last_call_number;
         let tenant = match self.admit(context, number, rpc, head, model) {
@@ -101,7 +109,9 @@
     /// not added to its RPC.
     fn start_call(&mut self, context: &mut FrontContext, stream: StreamKey, id: &str, new_call: NewCall) {
         let number = new_call.front_token;
-        let open_call = OpenCall { stream, id: id.into(), model: Arc::clone(&new_call.model) };
+        let body_bytes = new_call.body.len();
+        self.body_bytes += body_bytes;
+        let open_call = OpenCall { stream, id: id.into(), model: Arc::clone(&new_call.model), body_bytes };
         self.calls.insert(number, open_call);
         self.opened_calls += 1;
         let now = context.now_ms();
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -85,6 +85,7 @@
     /// The `id` of the client's request.
     id: Arc<str>,
     model: Arc<str>,
+    body_bytes: usize,
 }
 
 /// Totals of the front since the start of the process.
@@ -103,6 +104,8 @@
     pub rejected_after_restart: u64,
     /// Calls rejected because this controller had no lease, or was fenced.
     pub without_lease: u64,
+    /// Calls rejected because the requests of all open calls take too much memory together.
+    pub over_bodies: u64,
     /// Number of times that reading of a stream was paused because of the limit `calls-per-stream`.
     pub over_calls_per_stream: u64,
     /// Number of times that the send queue of a stream filled because the client read too slowly. The workers of its
@@ -118,6 +121,8 @@
     calls: HashMap<u64, OpenCall>,
     /// The number of the newest call. A call that is then rejected by its tenant's limits has used a number too.
     last_call_number: u64,
+    /// Total size of the requests of the open calls, bytes.
+    body_bytes: usize,
     draining: bool,
     /// Whether a worker is in service. ServerReady and ModelReady report it, unless a drain or the state of the lease
     /// makes this controller not ready.
@@ -135,6 +140,7 @@
             rpcs: HashMap::new(),
             calls: HashMap::new(),
             last_call_number: 0,
+            body_bytes: 0,
             draining: false,
             ready: false,
             opened_calls: 0,
@@ -163,6 +169,12 @@
         }
     }
 
+    fn remove_call(&mut self, number: u64) -> Option<OpenCall> {
+        let call = self.calls.remove(&number)?;
+        self.body_bytes -= call.body_bytes;
+        Some(call)
+    }
+
     fn draining_failure(&self) -> Failure {
         Failure::refused("this controller is going away", self.pushback())
     }
@@ -273,7 +285,7 @@
     /// Reports to the engine that the client of these calls has disconnected.
     fn abandon_calls(&mut self, context: &mut FrontContext, calls: BTreeMap<CallId, u64>) {
         for (call, number) in calls {
-            self.calls.remove(&number);
+            self.remove_call(number);
             context.engine.handle(context.now, Event::ClientDisconnected { call }, context.commands);
         }
     }
@@ -298,7 +310,7 @@
 
 fn code_of(error: &FrameError) -> Code {
     match error {
-        FrameError::TooLarge { .. } => Code::ResourceExhausted,
+        FrameError::TooLarge { .. } | FrameError::NoRoom => Code::ResourceExhausted,
         FrameError::Truncated(_) | FrameError::BadFlag(_) => Code::Internal,
         FrameError::NoEncoding | FrameError::BadGzip => Code::InvalidArgument,
     }
--- a/crates/gateway/src/front/respond.rs
+++ b/crates/gateway/src/front/respond.rs
@@ -25,7 +25,7 @@
         number: u64,
         answer: FinalAnswer,
     ) {
-        let Some(call) = self.calls.remove(&number) else { return };
+        let Some(call) = self.remove_call(number) else { return };
         let pushback = self.pushback();
         let Some(rpc) = self.rpcs.get_mut(&call.stream) else { return };
         rpc.calls.remove(&id);
--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -25,6 +25,9 @@
     /// The gzip data is corrupt.
     #[error("a message is not sound gzip")]
     BadGzip,
+    /// The incomplete messages of all clients together exceeded the limit, and this one held the most.
+    #[error("the messages that are being received take too much memory together")]
+    NoRoom,
     /// The stream ended inside a message; this many bytes of it were received.
     #[error("the stream ended inside a message: {0} bytes of it had come")]
     Truncated(usize),
@@ -47,6 +50,11 @@
         Self { buffer: BytesMut::new(), max_bytes, gzip }
     }
 
+    /// Bytes received of messages that are not complete.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Adds received bytes. A chunk that starts a message is not copied if it is not shared.
     pub fn push(&mut self, chunk: Bytes) {
         if self.buffer.is_empty() {
--- a/crates/net/src/hub/mod.rs
+++ b/crates/net/src/hub/mod.rs
@@ -66,6 +66,8 @@
     taken: Vec<Due>,
     conns: Slab<Conn>,
     streams: Slab<Stream>,
+    /// Bytes of the incomplete messages of all incoming streams.
+    received_held: usize,
     listeners: Vec<Listener>,
     alarms: BTreeSet<(Instant, ConnKey)>,
     /// Time at which accepting is resumed; `None` unless it is paused.
@@ -93,6 +95,7 @@
             taken: Vec::new(),
             conns: Slab::new(),
             streams: Slab::new(),
+            received_held: 0,
             listeners: Vec::new(),
             alarms: BTreeSet::new(),
             accept_at: None,
--- a/crates/net/src/hub/poll.rs
+++ b/crates/net/src/hub/poll.rs
@@ -8,6 +8,7 @@
 use super::stream::Stream;
 use super::{CloseReason, ConnKey, Hub, LISTENERS, NetEvent, SOURCES, StreamError, StreamKey, WAKE};
 use crate::clock::shorter_timeout;
+use crate::framing::FrameError;
 use crate::wake::Due;
 
 /// Maximum passes through the due queue in one iteration, so that peers that keep waking each other can't
@@ -100,10 +101,33 @@
         let Some(stream) = self.streams.get_mut(key.index()).filter(|s| s.key == key) else { return };
         let written = self.conns.get(stream.conn.index()).map_or(0, |c| c.shared.written.get());
         let has_ended = stream.poll(written, &self.limits, &mut self.counters, &mut self.out);
+        let held = stream.incomplete_bytes();
+        self.received_held = self.received_held + held - std::mem::replace(&mut stream.held, held);
         if has_ended {
-            let stream = self.streams.remove(key.index());
+            let stream = self.remove_stream(key);
             self.unlink(&stream);
         }
+        self.keep_message_sum();
+    }
+
+    /// Removes a stream that exists.
+    pub(super) fn remove_stream(&mut self, key: StreamKey) -> Stream {
+        let stream = self.streams.remove(key.index());
+        self.received_held -= stream.held;
+        stream
+    }
+
+    /// Gives up incomplete messages while those of all clients together exceed
+    /// [`crate::NetLimits::message_sum`]: the largest first. No call has been opened for them.
+    fn keep_message_sum(&mut self) {
+        while self.received_held > self.limits.message_sum {
+            let largest = self.streams.iter_mut().max_by_key(|(index, stream)| (stream.held, *index));
+            let Some((_, stream)) = largest else { return };
+            stream.give_up_message(&self.limits);
+            self.received_held -= std::mem::take(&mut stream.held);
+            self.counters.over_message_sum += 1;
+            self.out.push(NetEvent::Malformed { stream: stream.key, error: FrameError::NoRoom });
+        }
     }
 
     /// Removes a stream that has ended from its connection, whose idle time starts after the last one.
@@ -154,7 +178,7 @@
         }
         for (stream, why) in failed {
             if self.is_open(stream) {
-                let failed_stream = self.streams.remove(stream.index());
+                let failed_stream = self.remove_stream(stream);
                 self.unlink(&failed_stream);
                 self.out.push(NetEvent::Failed { stream, why });
             }
@@ -184,7 +208,7 @@
         let written = conn.shared.written.get();
         for stream in streams {
             if self.is_open(stream) {
-                let failed_stream = self.streams.remove(stream.index());
+                let failed_stream = self.remove_stream(stream);
                 let why = if why == CloseReason::NotConnected && failed_stream.is_waiting() {
                     StreamError::NotConnected
                 } else if failed_stream.is_unwritten(written) {
--- a/crates/net/src/hub/stream.rs
+++ b/crates/net/src/hub/stream.rs
@@ -47,6 +47,8 @@
     pub(super) conn: ConnKey,
     pub(super) waker: Waker,
     pub(super) decoder: Decoder,
+    /// Bytes of the stream in the sum of the incomplete messages; 0 for an outgoing stream.
+    pub(super) held: usize,
     /// Received data is not read, so that the receive window closes.
     pub(super) paused: bool,
     /// Size of `out` in bytes.
@@ -80,6 +82,7 @@
             conn,
             waker,
             decoder: Decoder::new(limits.message_bytes, false),
+            held: 0,
             paused: false,
             out_bytes: 0,
             request: None,
@@ -124,6 +127,17 @@
         }
     }
 
+    /// Bytes received of a message that a client has not completed.
+    pub(super) fn incomplete_bytes(&self) -> usize {
+        if self.is_incoming { self.decoder.buffered() } else { 0 }
+    }
+
+    /// Gives up the message that is being received. The stream stays open for its response.
+    pub(super) fn give_up_message(&mut self, limits: &NetLimits) {
+        self.recv = None;
+        self.decoder = Decoder::new(limits.message_bytes, false);
+    }
+
     /// Whether the stream is outgoing and not started yet.
     pub(super) fn is_waiting(&self) -> bool {
         self.request.is_some()
--- a/crates/net/src/hub/streams.rs
+++ b/crates/net/src/hub/streams.rs
@@ -132,7 +132,7 @@
         if !self.is_open(key) {
             return;
         }
-        let mut stream = self.streams.remove(key.index());
+        let mut stream = self.remove_stream(key);
         stream.reset(reason);
         self.unlink(&stream);
     }
--- a/crates/net/src/limits.rs
+++ b/crates/net/src/limits.rs
@@ -11,6 +11,9 @@
     pub streams_per_connection: u32,
     /// Maximum size of a gRPC message in bytes, after decompression.
     pub message_bytes: usize,
+    /// Maximum bytes of the incomplete messages of all clients together. Above it the stream that holds the most is
+    /// ended with [`crate::framing::FrameError::NoRoom`].
+    pub message_sum: usize,
     /// Maximum size of a header list in bytes (`SETTINGS_MAX_HEADER_LIST_SIZE`). A longer or never-ending one
     /// ends the stream or the connection.
     pub header_bytes: u32,
@@ -38,6 +41,7 @@
             connections: 4096,
             streams_per_connection: 16_384,
             message_bytes: 64 << 20,
+            message_sum: 192 << 20,
             header_bytes: 16 << 10,
             stream_window: 1 << 20,
             connection_window: 16 << 20,
@@ -70,6 +74,8 @@
     pub undelivered: u64,
     /// Messages that were malformed or exceeded [`NetLimits::message_bytes`].
     pub bad_messages: u64,
+    /// Messages given up because of [`NetLimits::message_sum`].
+    pub over_message_sum: u64,
     /// Connections ended by a protocol error of the peer, including floods of resets or headers.
     pub protocol_errors: u64,
     /// Streams opened by this side or by peers.
--- a/crates/net/tests/hub.rs
+++ b/crates/net/tests/hub.rs
@@ -433,3 +433,28 @@
     pair.wait(|e| matches!(e, NetEvent::Closed { conn: c, .. } if *c == conn).then_some(()));
     assert_eq!(pair.hub.open_connections(), 0);
 }
+
+/// Guards against messages that clients have half sent and that together take all memory.
+#[test]
+fn incomplete_messages_of_all_streams_together_are_limited() {
+    let (half, sum) = (64 << 10, 256 << 10);
+    let mut pair = Pair::new(NetLimits { message_sum: sum, ..NetLimits::default() });
+    let streams: Vec<StreamKey> = (0..6).map(|_| pair.open()).collect();
+    let received: Vec<StreamKey> = streams.iter().map(|_| pair.request()).collect();
+    let announced = u32::try_from(2 * half).expect("fits");
+    let half_message = |_: usize| {
+        let prefix = [&[0][..], &announced.to_be_bytes()].concat();
+        Bytes::from([prefix, vec![7; half]].concat())
+    };
+    for stream in &streams[1..] {
+        pair.hub.send_raw(*stream, half_message(0));
+    }
+    let given_up = pair.wait(|e| match e {
+        NetEvent::Malformed { stream, error: framing::FrameError::NoRoom } => Some(*stream),
+        _ => None,
+    });
+    assert!(received.contains(&given_up) && pair.hub.is_open(given_up), "its response is still sent");
+    pair.hub.send(streams[0], Bytes::from_static(b"small"));
+    assert_eq!(pair.message(received[0]), Bytes::from_static(b"small"), "a complete message is received");
+    assert!(pair.hub.counters().over_message_sum >= 1);
+}
