node: behind a reset an invoker is asked whether it is the process that the list names

Cause: when its connections end, an invoker gets new ones to the same address. Whoever answers there has the old one's name, its warm functions and its health; the probe behind a broken connection is answered by the new process as well. Ruled out: waiting for the next list alone, as the directory may tell 1.5 s late; a tag or id of the process, as the wire has none. Change (pools/identity.rs): after the last connection has been ended by the other side, the first command on a new one asks for replicas of the function that was served last (LOAD with 0, which only asks). None: it is another process, its connections are closed, and it counts as not connected until a list names it anew, or one that came 1.5 s later still names it (4.5 s where the directory is silent). No answer within 250 ms: it is used as before. Only where orders are permitted and the replica must still be loaded.

--- a/crates/gateway/tests/departed_peers.rs
+++ b/crates/gateway/tests/departed_peers.rs
@@ -267,8 +267,11 @@
     assert_eq!(new.calls(), 0, "a process that no list had named got calls that were meant for the old one");
     let successor = ListedInvoker { id: "s-2".to_owned(), ..ListedInvoker::new(0, new.address) };
     platform.directory.change(vec![successor, ListedInvoker::new(1, other.address)]);
+    // Of the functions that nobody has called yet some have their homes there.
+    let mut next = 100;
     wait_until("a call at the new process", || {
-        send(1..17);
+        next += 1;
+        send(next..next + 1);
         new.calls() > 0
     });
 }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -235,6 +235,11 @@
         Ok(())
     }
 
+    /// Returns when a response last confirmed or changed the list; `None` before the first one.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.received.latest
+    }
+
     /// Returns when the list before the latest one was received; `None` before the second list.
     pub fn previous_list(&self) -> Option<Instant> {
         self.received.previous
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -232,6 +232,10 @@
     pub bad_answers: u64,
     /// Responses of invokers that belong to no open request.
     pub stray_answers: u64,
+    /// Questions who listens at an invoker's address, after all connections to it had ended.
+    pub identity_questions: u64,
+    /// Times that another process was found at an invoker's address before a list named it.
+    pub replaced_processes: u64,
     /// Connections to invokers closed because a cancellation could not be written at once.
     pub cut_to_withdraw: u64,
     /// Requests for which no connection was available because of [`Bounds::pool_connections`], which is
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -120,7 +120,9 @@
     }
 
     fn dispatch_list(&mut self) {
-        let Some(list) = self.discovery.receive(&mut self.counters) else { return };
+        let list = self.discovery.receive(&mut self.counters);
+        self.pools.list_confirmed(self.discovery.confirmed_at());
+        let Some(list) = list else { return };
         info!(serial = list.serial, invokers = list.invokers.len(), "invoker list changed");
         self.apply_list(ListForm::Complete, &list);
     }
--- a/crates/node/src/node/startup.rs
+++ b/crates/node/src/node/startup.rs
@@ -170,7 +170,12 @@
 fn build_pools(platform: &PlatformSettings, bounds: Bounds) -> ConnectionPools {
     let idle = (platform.idle_timeout > 0).then(|| Duration::from_micros(platform.idle_timeout));
     let reports = platform.settings.reports != Reports::None;
-    ConnectionPools::new(bounds, platform.streams as usize, idle, reports)
+    let mut pools = ConnectionPools::new(bounds, platform.streams as usize, idle, reports);
+    let loading = &platform.settings.loading;
+    if loading.orders {
+        pools.check_identity(Duration::from_micros(loading.keep_alive));
+    }
+    pools
 }
 
 fn class_infos(platform: &PlatformSettings) -> Vec<ClassInfo> {
--- a/crates/node/src/pools.rs
+++ b/crates/node/src/pools.rs
@@ -9,11 +9,13 @@
 //! * `writing`: writes queued commands to their connections.
 //! * `postponement`: decides when writes wait until the sockets have been read again.
 //! * `cancellation`: cancels requests and withdraws those that are not written yet.
+//! * `identity`: who listens at an invoker's address after its connections have ended.
 //! * `responses`: handles responses, and connections that end.
 
 mod cancellation;
 mod connection;
 mod context;
+mod identity;
 mod pending;
 mod postponement;
 mod requests;
@@ -32,6 +34,7 @@
 
 use self::connection::Connection;
 pub use self::context::PoolContext;
+use self::identity::Identity;
 use self::pending::{PendingResponse, ResponseLocation};
 use self::postponement::Postponement;
 pub use self::requests::LoadOrder;
@@ -44,6 +47,7 @@
     endpoint: Option<Endpoint>,
     address: SocketAddr,
     connections: Vec<TcpKey>,
+    identity: Identity,
 }
 
 /// An invoker's address and state, as listed by the directory.
@@ -74,6 +78,10 @@
     idle: Option<Duration>,
     /// Whether health checks ask for a load report.
     reports: bool,
+    /// Time for which a replica stays loaded after a request; zero if an invoker can't be asked for replicas.
+    keep_alive: Duration,
+    /// Time at which the directory last confirmed or changed the list.
+    list_confirmed: Option<Instant>,
     buffer: Vec<u8>,
 }
 
@@ -92,10 +100,23 @@
             streams: streams.max(1),
             idle: idle.map(|idle| idle * 3 / 4),
             reports,
+            keep_alive: Duration::ZERO,
+            list_confirmed: None,
             buffer: Vec::new(),
         }
     }
 
+    /// Asks an invoker whose connections have all ended for replicas that it must still have. `keep_alive`: how long
+    /// a replica stays loaded after a request.
+    pub fn check_identity(&mut self, keep_alive: Duration) {
+        self.keep_alive = keep_alive;
+    }
+
+    /// Records when the directory last confirmed or changed the list.
+    pub fn list_confirmed(&mut self, at: Option<Instant>) {
+        self.list_confirmed = at;
+    }
+
     /// Whether this is a connection to an invoker.
     pub fn owns(&self, key: TcpKey) -> bool {
         self.connections.contains_key(&key)
@@ -120,11 +141,13 @@
             }
             let Some(new) = new.filter(|new| new.address == pool.address) else {
                 pool.address = new.map_or(pool.address, |new| new.address);
+                pool.identity = Identity::default();
                 stale.extend(pool.connections.iter().copied());
                 to_return.push(*id);
                 continue;
             };
             if new.started.is_some() && old.is_some_and(|old| old.started != new.started) {
+                pool.identity = Identity::default();
                 // The invoker is another process: connections established before its start are dead.
                 let from_before = |key: &&TcpKey| {
                     self.connections
@@ -137,7 +160,8 @@
         }
         for (id, endpoint) in listed {
             let (endpoint, address) = (Some(*endpoint), endpoint.address);
-            let new_pool = || WorkerPool { endpoint, address, connections: Vec::new() };
+            let new_pool =
+                || WorkerPool { endpoint, address, connections: Vec::new(), identity: Identity::default() };
             self.pools.entry(*id).or_insert_with(new_pool);
         }
         for id in to_return {
--- a/crates/node/src/pools/pending.rs
+++ b/crates/node/src/pools/pending.rs
@@ -1,5 +1,6 @@
 //! Requests to invokers whose response is awaited.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use nettleferry_engine::{AttemptEnd, AttemptId, AttemptReport, ControlRequestId, Event};
@@ -41,6 +42,8 @@
 /// A request that was assigned to a connection and has no response yet.
 pub(super) struct OpenRequest {
     pub(super) response: PendingResponse,
+    /// The function of an attempt.
+    pub(super) function: Option<Arc<str>>,
     pub(super) started: Instant,
     /// Range of the request in the connection's output; `None` while no byte of it has been written.
     pub(super) output: Option<OutputRange>,
--- a/crates/node/src/pools/requests.rs
+++ b/crates/node/src/pools/requests.rs
@@ -99,7 +99,8 @@
         if connection.established && connection.partial_since.is_none() {
             context.tcp.alarm(key, None);
         }
-        let request = OpenRequest { response, started: Instant::now(), output: None };
+        let function = command.function().cloned();
+        let request = OpenRequest { response, function, started: Instant::now(), output: None };
         connection.open.insert(tag.clone(), request);
         self.pending.insert(response, ResponseLocation { connection: key, tag: tag.clone() });
         self.enqueue(key, WaitingCommand { tag: Some(tag), command });
--- a/crates/node/src/pools/responses.rs
+++ b/crates/node/src/pools/responses.rs
@@ -12,6 +12,7 @@
 
 use super::ConnectionPools;
 use super::context::PoolContext;
+use super::identity::QUESTION_TAG;
 use super::pending::{OpenRequest, PendingResponse};
 use crate::limits::RESPONSE_TIMEOUT;
 
@@ -57,17 +58,29 @@
             self.close_for_bad_response(context, key);
             return false;
         };
+        let worker = connection.worker;
+        let is_identity = answer.id == QUESTION_TAG
+            && self.pools.get(&worker).is_some_and(|pool| pool.identity.is_asked_on(key));
+        if is_identity {
+            self.identity_answered(context, worker, fields.instances.unwrap_or(0));
+            return self.connections.contains_key(&key);
+        }
+        let Some(connection) = self.connections.get_mut(&key) else { return false };
         let Some(request) = connection.open.remove(&answer.id) else {
             context.counters.stray_answers += 1;
             return true;
         };
-        let worker = connection.worker;
         let age = request.started.elapsed();
         debug!(worker = worker.0, tag = answer.id, ?kind, fields = answer.fields, ?age, "response received");
         connection.remember_finished(&answer.id);
         if request.response.is_probe() {
             self.close_suspects(context, worker);
         }
+        if let Some(function) = request.function.filter(|_| kind == AnswerKind::Served)
+            && let Some(pool) = self.pools.get_mut(&worker)
+        {
+            pool.identity.served(&function, Instant::now(), self.keep_alive);
+        }
         self.deliver(request.response, kind, &fields, answer.body, context.events);
         true
     }
@@ -124,6 +137,8 @@
     /// Handles the end of a connection: ends its open requests, depending on whether they were written.
     pub fn connection_closed(&mut self, context: &mut PoolContext, key: TcpKey, reason: ConnectionFailure) {
         let written = context.tcp.written(key);
+        let established = self.connections.get(&key).filter(|connection| connection.established);
+        let worker = established.map(|connection| connection.worker);
         self.remove_connection(key, context.events, |request| match (reason, request.output) {
             (ConnectionFailure::Refused | ConnectionFailure::NotConnected, _) => AttemptEnd::NotConnected,
             (_, None) => AttemptEnd::NotWritten,
@@ -131,6 +146,19 @@
             (_, Some(output)) if output.end > written => AttemptEnd::NotWritten,
             _ => AttemptEnd::Broken,
         });
+        if let Some(worker) = worker {
+            self.peer_closed(worker);
+        }
+    }
+
+    /// Records that an invoker's side has ended a connection. After the last one it is unknown who listens there.
+    fn peer_closed(&mut self, worker: WorkerId) {
+        let Some(pool) = self.pools.get_mut(&worker) else { return };
+        let is_established =
+            |key: &TcpKey| self.connections.get(key).is_some_and(|connection| connection.established);
+        if !pool.connections.iter().any(is_established) {
+            pool.identity.connections_ended(Instant::now());
+        }
     }
 
     /// Removes a connection and ends its open requests, each as returned by `end_of`.
--- a/crates/node/src/pools/selection.rs
+++ b/crates/node/src/pools/selection.rs
@@ -55,9 +55,13 @@
     ) -> Result<TcpKey, AttemptEnd> {
         let share = self.bounds.pool_connections / self.pools.len().max(1);
         let share = share.max(MIN_CONNECTIONS_PER_WORKER);
-        let listed = self.pools.get(&worker).filter(|pool| pool.endpoint.is_some());
-        let Some(pool) = listed else { return Err(AttemptEnd::NotConnected) };
         let now = Instant::now();
+        let confirmed = self.list_confirmed;
+        let listed = self.pools.get_mut(&worker).filter(|pool| pool.endpoint.is_some());
+        if listed.is_none_or(|pool| pool.identity.is_replaced(now, confirmed)) {
+            return Err(AttemptEnd::NotConnected);
+        }
+        let Some(pool) = self.pools.get(&worker) else { return Err(AttemptEnd::NotConnected) };
         let has_room = |key: &&TcpKey| self.connections.get(key).is_some_and(|c| self.has_room(c, tag, now));
         let load = |key: &&TcpKey| self.connections.get(key).map(|c| (!c.established, c.open.len()));
         let idle =
--- a/crates/node/src/pools/wire_command.rs
+++ b/crates/node/src/pools/wire_command.rs
@@ -84,6 +84,14 @@
         Some(WriteCheck { awaited, in_service, deadline: attempt.deadline, send_by: attempt.send_by })
     }
 
+    /// The function of an attempt; `None` for control requests.
+    pub(super) fn function(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::Attempt(attempt) => Some(&attempt.function),
+            Self::Control(_) => None,
+        }
+    }
+
     /// Whether this is an attempt whose deadline, or time limit for retries, has passed.
     pub(super) fn is_expired(&self, now: Instant) -> bool {
         let expired = |attempt: &Attempt| {
--- a/crates/node/src/pools/writing.rs
+++ b/crates/node/src/pools/writing.rs
@@ -7,13 +7,16 @@
 
 use std::time::Instant;
 
-use nettleferry::Micros;
+use nettleferry::{Micros, WorkerId};
 use nettleferry_engine::{AttemptEnd, CallId};
 use nettleferry_net::tcp::{Tcp, TcpKey};
+use nettleferry_platform::resp;
+use tracing::{debug, info};
 
 use super::ConnectionPools;
 use super::connection::WaitingCommand;
 use super::context::PoolContext;
+use super::identity::QUESTION_TAG;
 use super::pending::OutputRange;
 use super::wire_command::WireCommand;
 use crate::guard::Violation;
@@ -40,6 +43,8 @@
         let Some(connection) = self.connections.get_mut(&key) else { return };
         connection.established = true;
         connection.established_at = at;
+        let worker = connection.worker;
+        self.ask_identity(context, key, worker);
         self.postponement.begin(context.tcp.now());
         self.write_waiting(context, key, &awaited);
         self.retire_if_unused(context.tcp, key);
@@ -62,6 +67,9 @@
 
     fn write_waiting(&mut self, context: &mut PoolContext, key: TcpKey, awaited: &impl Fn(CallId) -> bool) {
         loop {
+            if !self.may_write_to_process(key) {
+                return;
+            }
             let Some(connection) = self.connections.get_mut(&key) else { return };
             let Some(waiting) = connection.waiting.pop_front() else { return };
             if let Err(violation) = self.check_write(key, &waiting.command, awaited) {
@@ -76,6 +84,44 @@
         }
     }
 
+    /// Asks who listens at the address, if that is unknown, on a connection that is established.
+    fn ask_identity(&mut self, context: &mut PoolContext, key: TcpKey, worker: WorkerId) {
+        let Some(pool) = self.pools.get_mut(&worker) else { return };
+        let Some(function) = pool.identity.question(key, Instant::now()) else { return };
+        debug!(worker = worker.0, conn = ?key, %function, "asking who listens at the address");
+        context.counters.identity_questions += 1;
+        self.buffer.clear();
+        resp::load(&mut self.buffer, QUESTION_TAG, &function, 0);
+        context.tcp.send(key, &self.buffer);
+    }
+
+    /// Whether commands may be written to the process at the other end. If not, they wait until it is known.
+    fn may_write_to_process(&mut self, key: TcpKey) -> bool {
+        let Some(worker) = self.connections.get(&key).map(|connection| connection.worker) else {
+            return false;
+        };
+        let Some(pool) = self.pools.get_mut(&worker) else { return true };
+        let may_write = pool.identity.may_write(Instant::now());
+        if !may_write {
+            self.unwritten.insert(key);
+        }
+        may_write
+    }
+
+    /// Handles the answer to the question who listens at the address.
+    pub(super) fn identity_answered(&mut self, context: &mut PoolContext, worker: WorkerId, replicas: u32) {
+        let Some(pool) = self.pools.get_mut(&worker) else { return };
+        if pool.identity.answered(replicas, Instant::now()) {
+            return;
+        }
+        info!(worker = worker.0, address = %pool.address, "another process listens at an invoker's address");
+        context.counters.replaced_processes += 1;
+        for key in pool.connections.clone() {
+            context.tcp.finish(key);
+            self.remove_connection(key, context.events, |_| AttemptEnd::NotConnected);
+        }
+    }
+
     /// Encodes and writes one command. Returns false if none of it was written; a command that is partly
     /// written stays in the connection's output.
     fn write(&mut self, tcp: &mut Tcp, key: TcpKey, waiting: &WaitingCommand) -> bool {
