--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,6 +33,7 @@
 use crate::front::{ClientEvent, Front};
 use crate::guard::Violation;
 use crate::limits::{Counters, ENGINE_EVENTS_PER_ITERATION};
+use crate::log_budget::LogBudget;
 use crate::pools::{ConnectionPools, PoolContext};
 use crate::request_queue::RequestQueue;
 use crate::start_times::StartTimes;
@@ -71,6 +72,8 @@
     quiet_iteration: Option<Instant>,
     /// Time of the next retry of a failed reload of the configuration; `None` if no reload has failed.
     reload_at: Option<Instant>,
+    /// Rate limit for log lines of the decision module.
+    module_log: LogBudget,
     next_counters_log: Instant,
     /// Time at which the shutdown progress is logged next, if a shutdown has begun.
     next_shutdown_log: Instant,
--- a/crates/node/src/node/execute.rs
+++ b/crates/node/src/node/execute.rs
@@ -47,7 +47,11 @@
             Command::Probe { request_id, worker } => self.pools.probe(context, worker, request_id),
             Command::ForgetControlRequest { request_id } => self.pools.forget(context.tcp, request_id),
             Command::WatchList | Command::FetchList => self.discovery.query_now(),
-            Command::Log(line) => info!("{line}"),
+            Command::Log(line) => {
+                if let Some(left_out) = self.module_log.take(self.tcp.now()) {
+                    info!(left_out, "{line}");
+                }
+            }
             // Responses on this platform arrive as a whole: there are no parts to forward, and no flow
             // control.
             Command::ResponsePart { .. } | Command::Pause { .. } | Command::Resume { .. } => {}
--- a/crates/node/src/node/startup.rs
+++ b/crates/node/src/node/startup.rs
@@ -26,6 +26,7 @@
 use crate::error::NodeError;
 use crate::front::Front;
 use crate::limits::{ACCEPTS_PER_ITERATION, Bounds, Counters, SHORT_ANSWER_BYTES, STREAMS_PER_CLIENT};
+use crate::log_budget::LogBudget;
 use crate::pools::ConnectionPools;
 use crate::request_queue::RequestQueue;
 use crate::start_times::StartTimes;
@@ -108,6 +109,7 @@
             last_client_activity: now,
             quiet_iteration: None,
             reload_at: None,
+            module_log: LogBudget::default(),
             next_counters_log: now + COUNTERS_LOG_INTERVAL,
             next_shutdown_log: now,
             next_signal_check: now,
