--- a/src/decision/hold_queue.rs
+++ b/src/decision/hold_queue.rs
@@ -26,8 +26,8 @@
 /// Lower bound of the interval between two examinations without a response.
 const RELEASE_INTERVAL_MIN: Micros = 20_000;
 
-/// What decides which workers are eligible for a call: its function, its class, the worker that last failed it,
-/// and the first attempt that may have run.
+/// What decides which workers are eligible for a call: its function, its class, the worker that last failed
+/// it, and the first attempt that may have run.
 type Constraints = (FunctionId, usize, Option<WorkerId>, Option<FirstRun>);
 
 impl Controller {
@@ -106,7 +106,8 @@
         self.functions.get(&function)?.held_calls.values().next().copied()
     }
 
-    /// Sends a held call if a worker can take it. Calls with the constraints in `unplaceable` are passed over.
+    /// Sends a held call if a worker can take it. Calls with the constraints in `unplaceable` are passed
+    /// over.
     fn release_if_placeable(
         &mut self,
         id: RequestId,
--- a/src/decision/retention.rs
+++ b/src/decision/retention.rs
@@ -100,8 +100,9 @@
         }
     }
 
-    /// Evicts idle functions if the limit is reached: first those without a replica, the least recently called
-    /// first. A function without a replica has only been asked for, so a flood of names evicts its own.
+    /// Evicts idle functions if the limit is reached: first those without a replica, the least recently
+    /// called first. A function without a replica has only been asked for, so a flood of names evicts its
+    /// own.
     fn evict_functions(&mut self) {
         let Some(max) = self.max_functions.filter(|max| self.functions.len() >= *max) else { return };
         let idle = self.functions.iter().filter(|(_, function)| !function.is_busy());
