net: a connection that waits for room in the input is not caught up with

A shutdown ends after an iteration that has read all there is; a connection that is parked because the input of all is at its limit is in no queue of ready ones, so that its requests could be left unread. The queue of parked ones also kept those that had closed. Change: Tcp::caught_up looks at them, and a connection that is removed leaves the queue. Measured: connection_that_waits_for_room_is_not_caught_up_with_until_it_is_read_or_closed failed before and passes; the tests of net and node pass.

--- a/crates/net/src/tcp/mod.rs
+++ b/crates/net/src/tcp/mod.rs
@@ -255,6 +255,9 @@
             return;
         }
         let mut conn = self.conns.remove(key.index());
+        if conn.is_starved {
+            self.starved.retain(|starved| *starved != key);
+        }
         self.input_held -= conn.input_charge;
         self.output_held -= conn.output_charge;
         for at in [conn.alarm, conn.deadline].into_iter().flatten() {
@@ -286,6 +289,6 @@
     /// or of a limit, no unread data and no unreported event.
     pub fn caught_up(&self) -> bool {
         let accepted = self.accept_at.is_none() && self.unfinished_accepts.is_empty();
-        accepted && self.ready.is_empty() && self.out.is_empty()
+        accepted && self.ready.is_empty() && self.starved.is_empty() && self.out.is_empty()
     }
 }
--- a/crates/net/tests/tcp.rs
+++ b/crates/net/tests/tcp.rs
@@ -353,3 +353,21 @@
     assert!(tcp.send(slow_key, &vec![7; 2 * sum]).is_none(), "the one that does not read is closed");
     assert_eq!((tcp.counters().over_output_sum, tcp.held().1), (1, 0));
 }
+
+/// Guards against a shutdown that ends while requests are unread because others hold all of the input.
+#[test]
+fn connection_that_waits_for_room_is_not_caught_up_with_until_it_is_read_or_closed() {
+    let limits = TcpLimits { input_reserve: 1 << 10, input_sum: 1 << 10, ..TcpLimits::default() };
+    let mut tcp = Tcp::new(limits).expect("a poll");
+    let address = tcp.listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    let key = accepted(&mut tcp);
+    client.write_all(&[1; 16 << 10]).expect("written");
+    let mut out = Vec::new();
+    while !tcp.is_input_short() {
+        tcp.poll(Some(Duration::from_millis(5)), &mut out).expect("polls");
+    }
+    assert!(!tcp.caught_up(), "bytes of the client are unread");
+    tcp.close(key);
+    assert!(!tcp.is_input_short() && tcp.caught_up(), "a closed connection waits for nothing");
+}
