--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -13,15 +13,17 @@
 use crate::{Options, record};
 
 /// Sends calls, each on an RPC of its own, and waits for their ends. Options: `to`, `name`, `count`, `models` (they take
-/// turns, `echo-0` and so on), `streamed` (yes or no), `timeout` (milliseconds), `gap` (milliseconds between two calls)
-/// `tenant` (its name; none if empty), `ids` (no: the requests have no id, which the protocol leaves to the client) and `wait` (milliseconds after the last call; calls without an end by then are
-/// recorded).
+/// turns, `echo-0` and so on), `streamed` (yes or no), `timeout` (milliseconds), `gap` (milliseconds between two calls),
+/// `tenant` (its name; none if empty), `ids` (no: the requests have no id, which the protocol leaves to the client),
+/// `first` (the number of the first model) and `wait` (milliseconds after the last call; calls without an end by then
+/// are recorded).
 pub fn run(options: &Options) {
     let mut hub =
         Hub::new(NetLimits { idle: Duration::from_secs(300), ..NetLimits::default() }).expect("a poll");
     let to = options.text("to").parse().expect("an address");
     let name = options.text("name").to_owned();
     let (count, models) = (options.number("count", 1), options.number("models", 1).max(1));
+    let first = options.number("first", 0);
     let streamed = options.text_or("streamed", "no") == "yes";
     let timeout = Duration::from_millis(options.number("timeout", 4_000));
     let gap = Duration::from_millis(options.number("gap", 0));
@@ -46,7 +48,7 @@
             let head = head.body(()).expect("a valid head");
             let stream = hub.open(connection, head).expect("a connection");
             let request = ModelInferRequest {
-                model_name: format!("echo-{}", sent % models),
+                model_name: format!("echo-{}", (first + sent) % models),
                 id: if with_ids { id.clone() } else { String::new() },
                 raw_input_contents: vec![id.clone().into()],
                 ..Default::default()
