--- a/adapter/src/wire/events.rs
+++ b/adapter/src/wire/events.rs
@@ -113,6 +113,8 @@
         lanes: fields.optional_integer(9, "concurrency")?.unwrap_or(1).clamp(1, COUNT_MAX) as u32,
         load_time: fields.optional_time(10, "start_ms")?,
         repeat: flags & FLAG_REPEAT != 0,
+        // The simulator's workers recognise a repeat by the request id, which each request has.
+        has_idempotency_key: true,
     })
 }
 
--- a/crates/engine/src/engine/calls.rs
+++ b/crates/engine/src/engine/calls.rs
@@ -83,6 +83,7 @@
             lanes: new_call.lanes.max(1),
             load_time: new_call.load_time,
             repeat: new_call.repeat,
+            has_idempotency_key: new_call.has_idempotency_key,
         }));
     }
 
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -31,6 +31,8 @@
     pub load_time: Option<Micros>,
     /// Whether the client marked the call as a retry.
     pub repeat: bool,
+    /// Whether the request carries an idempotency key, by which workers recognise its repeats.
+    pub has_idempotency_key: bool,
     /// Metrics group of the model, chosen by the front end and returned in [`crate::Measurement::CallEnded`].
     pub group: u32,
     /// Whether the answer may arrive in parts, each delivered to the client as soon as it arrives.
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -125,6 +125,7 @@
             lanes: 2,
             load_time: None,
             repeat: false,
+            has_idempotency_key: true,
             group: 0,
             streamed,
             body: Bytes::from_static(b"request"),
--- a/crates/engine/tests/soak.rs
+++ b/crates/engine/tests/soak.rs
@@ -138,6 +138,7 @@
             lanes: 4,
             load_time: Some(300 * MS),
             repeat: false,
+            has_idempotency_key: true,
             group: 0,
             streamed: false,
             body: Bytes::from_static(b"x"),
--- a/crates/gateway/benches/measure.rs
+++ b/crates/gateway/benches/measure.rs
@@ -135,6 +135,7 @@
             lanes: 64,
             load_time: None,
             repeat: false,
+            has_idempotency_key: true,
             group: 0,
             streamed: false,
             body: Bytes::from_static(b"request"),
@@ -189,6 +190,7 @@
             lanes: 64,
             load_time: None,
             repeat: false,
+            has_idempotency_key: true,
         };
         module.handle(now, nettleferry::Event::Request(request), &mut actions);
         let chosen_worker = actions.iter().find_map(|action| match action {
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -88,6 +88,11 @@
                 return Err(self.admission_failure(&rejection));
             }
         };
+        let has_idempotency_key = identifies_request(&head.id);
+        let effect = self.config.settings.classes[model.class.0].effect;
+        if matches!(effect, Effect::IdempotencyKey { .. }) && !has_idempotency_key {
+            self.counters.keyed_without_id += 1;
+        }
         Ok(Some(NewCall {
             front_token: number,
             class: model.class,
@@ -99,6 +104,7 @@
             lanes: model.lanes,
             load_time: model.load_time,
             repeat: rpc.headers.is_retry,
+            has_idempotency_key,
             group: model.group,
             streamed: rpc.method == Method::Stream,
             body,
@@ -237,6 +243,12 @@
     }
 }
 
+/// Whether workers can recognise a repeat of a request by its `id`. Clients that leave the id empty or blank name no
+/// request by it.
+fn identifies_request(id: &str) -> bool {
+    !id.trim().is_empty()
+}
+
 fn unknown_model(head: &InferHead) -> Failure {
     let version = if head.version.is_empty() { String::new() } else { format!(" version {}", head.version) };
     Failure::new(Code::NotFound, format!("no model {:?}{version} is served here", head.model))
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -100,6 +100,8 @@
     pub unknown_model: u64,
     /// Calls rejected because of their tenant: its limits or rights, or a missing or outdated snapshot of the tenants.
     pub not_admitted: u64,
+    /// Accepted calls of keyed classes whose requests have no id, so that workers can't recognise their repeats.
+    pub keyed_without_id: u64,
     /// Calls rejected by the restart limiter.
     pub rejected_after_restart: u64,
     /// Calls rejected because this controller had no lease, or was fenced.
--- a/crates/node/src/front/call.rs
+++ b/crates/node/src/front/call.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use nettleferry::{ClassId, TenantId};
+use nettleferry::{ClassId, Effect, TenantId};
 use nettleferry_engine::{CallId, ClientDisconnect};
 use nettleferry_net::tcp::TcpKey;
 
@@ -30,6 +30,8 @@
     pub tenant: Option<TenantId>,
     /// The client states that this is a retry.
     pub repeat: bool,
+    /// The request carries an idempotency key, by which invokers recognise its repeats.
+    pub has_idempotency_key: bool,
     /// Expected execution time, microseconds.
     pub cost_hint: Option<u64>,
     /// The earliest time at which the last byte of the request may have arrived.
@@ -69,6 +71,11 @@
     pub(super) arrived: Instant,
 }
 
+/// Whether invokers can recognise a repeat by this idempotency key: a blank one names no request.
+pub(super) fn identifies_request(key: &str) -> bool {
+    !key.trim().is_empty()
+}
+
 /// The state of a request that has no final answer yet.
 pub struct Call {
     pub(super) connection: TcpKey,
@@ -96,3 +103,10 @@
     /// The end of the last attempt that has ended; `None` before the first end.
     pub last_end: Option<RetryReason>,
 }
+
+impl Call {
+    /// Whether this request may run more than once, given the effect of its class.
+    pub fn effect(&self, class_effect: Effect) -> Effect {
+        class_effect.of_request(self.key.as_deref().is_some_and(identifies_request))
+    }
+}
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -12,7 +12,7 @@
 use tracing::debug;
 
 use super::Front;
-use super::call::{Call, IncomingRequest, RequestOrigin, RequestToken};
+use super::call::{Call, IncomingRequest, RequestOrigin, RequestToken, identifies_request};
 use crate::attempt_history::AttemptHistory;
 use crate::limits::{CALL_BYTES, CALLS_WHEN_SHORT, Counters, MAX_TTL_FACTOR};
 
@@ -209,6 +209,7 @@
             function,
             tenant: valid.tenant,
             repeat: request.repeat,
+            has_idempotency_key: request.idempotency_key.is_some_and(identifies_request),
             cost_hint: request.service_time_ms.map(microseconds),
             arrived,
             time_left,
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -94,7 +94,7 @@
     pub in_flight: bool,
     /// An attempt of the request may have run.
     pub may_have_run: bool,
-    /// The effect of a second run, as declared by the class of the request.
+    /// Whether the request may run more than once.
     pub effect: Effect,
     /// The time until the client's deadline when the engine decided on the attempt.
     pub time_left: Duration,
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -171,6 +171,7 @@
             lanes: request.lanes,
             load_time: request.load_time,
             repeat: request.repeat,
+            has_idempotency_key: request.has_idempotency_key,
             group: 0,
             streamed: false,
             body: request.body,
--- a/crates/node/src/node/execute.rs
+++ b/crates/node/src/node/execute.rs
@@ -69,7 +69,7 @@
         let check = AttemptCheck {
             in_flight: call.attempts.is_pending(),
             may_have_run: call.attempts.may_have_run(),
-            effect: class.effect,
+            effect: call.effect(class.effect),
             time_left,
         };
         if let Err(violation) = check.run() {
@@ -126,9 +126,9 @@
             self.counters.violations.report(Violation::AnswerWithoutRequest, &token.0);
             return answer;
         };
-        let effect = self.classes.get(call.class.0).map_or(Effect::NonIdempotent, |class| class.effect);
+        let class_effect = self.classes.get(call.class.0).map_or(Effect::NonIdempotent, |class| class.effect);
         let refused = matches!(answer, FinalAnswer::Refused { .. });
-        match guard::may_refuse(call.attempts.may_have_run(), effect) {
+        match guard::may_refuse(call.attempts.may_have_run(), call.effect(class_effect)) {
             Err(violation) if refused => {
                 self.counters.violations.report(violation, &call.call_id);
                 let message = "nothing is promised: the call may have run".to_owned();
--- a/crates/node/tests/retry_windows.rs
+++ b/crates/node/tests/retry_windows.rs
@@ -24,17 +24,17 @@
 
 /// Sends a request with the key `k-1`.
 fn send_request(client: &mut Client, stream: u32, id: u64, ttl_ms: u64) {
+    send_with_key(client, stream, id, ttl_ms, Some("k-1"));
+}
+
+/// Sends a request with this idempotency key, or without one.
+fn send_with_key(client: &mut Client, stream: u32, id: u64, ttl_ms: u64, key: Option<&str>) {
     use std::io::Write;
     let (id, ttl) = (wire_id(id), ttl_ms.to_string());
     let tags = "memory_mb:9;lanes:64;load_ms:50";
-    let fields = [
-        ("op", "keyed"),
-        ("call", id.as_str()),
-        ("ttl", &ttl),
-        ("row", ROW),
-        ("tags", tags),
-        ("dedupe", "k-1"),
-    ];
+    let mut fields =
+        vec![("op", "keyed"), ("call", id.as_str()), ("ttl", &ttl), ("row", ROW), ("tags", tags)];
+    fields.extend(key.map(|key| ("dedupe", key)));
     let mut out = Vec::new();
     frames::request(&mut out, stream, &fields, b"");
     client.socket.write_all(&out).expect("written");
@@ -167,3 +167,22 @@
     });
     assert_eq!(keyed.count(), 4, "the key is forwarded unchanged");
 }
+
+// Guards against a second run of a keyed request that no invoker can recognise as a repeat, and against a refusal,
+// which would state that a retry is harmless.
+#[test]
+fn keyed_request_without_a_key_is_not_repeated_after_it_may_have_run() {
+    for scope in ["all", "zone", "cell"] {
+        for key in [None, Some(""), Some(" ")] {
+            let mut harness = NodeHarness::start(2, |config| keyed(config, scope));
+            let mut client = harness.client();
+            send_with_key(&mut client, 1, 5, 6_000, key);
+            let first = attempt(&mut harness, 5, 1);
+            break_at(&mut harness, first);
+            assert_eq!(codes(&mut harness, &mut client, 1), [FAILED], "{scope}, key {key:?}");
+            harness.fence(500);
+            assert_eq!(harness.call_count(&wire_id(5)), 1, "{scope}, key {key:?}");
+            assert_eq!(harness.node.counters().violations.total(), 0, "the decision module decided it");
+        }
+    }
+}
--- a/crates/scale/src/measure/module/driver.rs
+++ b/crates/scale/src/measure/module/driver.rs
@@ -147,6 +147,7 @@
             lanes: LANES,
             load_time: None,
             repeat: false,
+            has_idempotency_key: true,
         };
         self.cost.started += 1;
         self.open_calls.insert(id, OpenCall::default());
--- a/examples/nettleferry.sexp
+++ b/examples/nettleferry.sexp
@@ -27,7 +27,8 @@
   (stream no))                      ; answers come in parts as a rule (default no)
 
 (class keyed
-  (effect keyed zone 5s)            ; repeats are dropped by all | zone | cell for this long after the first send
+  (effect keyed zone 5s)            ; repeats are dropped by all | zone | cell for this long after the first send;
+                                    ; a request without an id is treated as unsafe
   (aim 1s)
   (deadline 5s))
 
--- a/src/decision/arrivals.rs
+++ b/src/decision/arrivals.rs
@@ -38,6 +38,7 @@
         let answer_by = self.now + request.time_left.saturating_sub(self.settings.event_interval);
         let call = Call {
             class: request.class.0,
+            effect: self.settings.classes[request.class.0].effect.of_request(request.has_idempotency_key),
             function: request.function,
             arrived: self.now,
             answer_by,
--- a/src/decision/placement.rs
+++ b/src/decision/placement.rs
@@ -175,7 +175,7 @@
         let warm = self.is_warm(function, id);
         let in_flight = function.in_flight.get(&id).copied().unwrap_or(0);
         // A worker whose ejection time has passed gets one trial call at a time, never a non-idempotent one.
-        let non_idempotent = self.settings.classes[call.class].effect == Effect::NonIdempotent;
+        let non_idempotent = call.effect == Effect::NonIdempotent;
         let excluded = self.ejection_active(worker) || worker.ejected && non_idempotent;
         // The lanes bound of the design. Calls that wait for a load use no core, so they count only for their
         // own function. One call starts a load; the others are held by the controller and don't occupy slots
--- a/src/decision/response_timeout.rs
+++ b/src/decision/response_timeout.rs
@@ -103,7 +103,7 @@
     fn cancel_if_idempotent(&mut self, id: AttemptId) {
         let AttemptId { request, number } = id;
         let Some(call) = self.calls.get(&request) else { return };
-        let idempotent = self.settings.classes[call.class].effect == Effect::Idempotent;
+        let idempotent = call.effect == Effect::Idempotent;
         let attempts_left = call.attempts < self.settings.limits.max_attempts;
         let in_flight = call.in_flight == Some(number) && !call.streaming;
         if idempotent && attempts_left && in_flight && self.settings.limits.cancel {
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -4,6 +4,7 @@
 //!
 //! * of the calls that may have executed, those with an idempotency key are repeated only where and while
 //!   workers drop duplicates, and non-idempotent ones never (effects that happen twice);
+//! * a call of a keyed class without a key is non-idempotent: no worker recognises its repeat;
 //! * each call gets exactly one answer, in time (calls without an answer);
 //! * a call is refused only if the client may safely retry it.
 
@@ -11,12 +12,23 @@
 use crate::interface::*;
 use crate::state::{Call, Timer, TimerKind, Worker};
 
+impl Effect {
+    /// The effect of one request of a class with this effect. Workers recognise a repeat by its idempotency
+    /// key, so a request without one must not be executed twice.
+    pub fn of_request(self, has_idempotency_key: bool) -> Self {
+        match self {
+            Self::IdempotencyKey { .. } if !has_idempotency_key => Self::NonIdempotent,
+            effect => effect,
+        }
+    }
+}
+
 impl Controller {
     /// Whether the call may be sent to this worker, given where it may already have executed.
     pub(super) fn idempotency_permits(&self, call: &Call, worker: &Worker) -> bool {
         let Some(first) = call.first_run else { return true };
         let first = self.workers.get(&first.worker).map(|w| &w.entry);
-        let in_scope = match self.settings.classes[call.class].effect {
+        let in_scope = match call.effect {
             Effect::IdempotencyKey { scope: KeyScope::Zone, .. } => {
                 first.is_some_and(|first| first.zone == worker.entry.zone)
             }
@@ -32,7 +44,7 @@
     /// shortened by one event interval, as it may end before the attempt arrives.
     pub(super) fn may_repeat(&self, call: &Call) -> bool {
         let Some(first) = call.first_run else { return true };
-        match self.settings.classes[call.class].effect {
+        match call.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
             Effect::IdempotencyKey { window, .. } => {
@@ -58,9 +70,8 @@
     pub(super) fn send_final_answer(&mut self, id: RequestId) {
         let Some(call) = self.calls.get(&id) else { return };
         let never_ran = call.in_flight.is_none() && call.first_run.is_none();
-        let effect = self.settings.classes[call.class].effect;
         let harmless =
-            matches!(effect, Effect::Idempotent | Effect::IdempotencyKey { scope: KeyScope::All, .. });
+            matches!(call.effect, Effect::Idempotent | Effect::IdempotencyKey { scope: KeyScope::All, .. });
         self.actions.push(if never_ran || harmless {
             Action::Refuse { request: id, retry_after: None }
         } else {
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -64,6 +64,9 @@
     pub load_time: Option<Micros>,
     /// The client marked the request as a retry.
     pub repeat: bool,
+    /// The request carries an idempotency key, by which workers recognise its repeats (see
+    /// [`Effect::of_request`](crate::Effect::of_request)).
+    pub has_idempotency_key: bool,
 }
 
 /// An observation reported to the controller.
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -16,12 +16,13 @@
 }
 
 /// Whether a request may be executed more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// Repeated execution is harmless.
     Idempotent,
     /// Workers within `scope` drop repeats for `window`, counted from the first attempt that may have
-    /// executed.
+    /// executed. Applies to requests that carry an idempotency key; the others of such a class must not be
+    /// executed twice.
     IdempotencyKey {
         /// The workers that recognise the key.
         scope: KeyScope,
@@ -29,6 +30,7 @@
         window: Micros,
     },
     /// The request must not be executed twice.
+    #[default]
     NonIdempotent,
 }
 
@@ -39,7 +41,7 @@
     pub latency_objective: Micros,
     /// Time that a client waits for the final answer, over all attempts.
     pub deadline: Micros,
-    /// Whether a request may be executed more than once.
+    /// Whether a request may be executed more than once; for a single request see [`Effect::of_request`].
     pub effect: Effect,
     /// Priority weight of a request that meets its objective.
     pub priority_weight: f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 //!     lanes: 2,
 //!     load_time: None,
 //!     repeat: false,
+//!     has_idempotency_key: true,
 //! };
 //! controller.handle(1_000, Event::Request(call), &mut actions);
 //! assert!(actions.contains(&Action::Send { request: RequestId(1), worker: WorkerId(7), timeout: None }));
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,6 +159,8 @@
 pub(crate) struct Call {
     /// Index of the class in the settings.
     pub(crate) class: usize,
+    /// Whether this call may be executed more than once.
+    pub(crate) effect: Effect,
     /// The function to execute.
     pub(crate) function: FunctionId,
     /// Time at which the call arrived.
--- a/tests/any_order.rs
+++ b/tests/any_order.rs
@@ -28,6 +28,7 @@
 /// A call as recorded by the test.
 struct SeenCall {
     class: usize,
+    has_idempotency_key: bool,
     /// Time by which the call must be answered.
     deadline: Micros,
     attempts: Vec<SeenAttempt>,
@@ -136,13 +137,20 @@
         let time_left = (50 + self.random.below(3_000)) * MS;
         let now = self.harness.now;
         self.last_id += 1;
-        let call = SeenCall { class, deadline: now + time_left, attempts: vec![], answered: false };
+        let has_idempotency_key = !self.last_id.is_multiple_of(3);
+        let call = SeenCall {
+            class,
+            has_idempotency_key,
+            deadline: now + time_left,
+            attempts: vec![],
+            answered: false,
+        };
         self.calls.insert(self.last_id, call);
         self.arrivals.push(now);
         let function = self.random.below(12);
         let lanes = 1 + self.random.below(3) as u32;
-        self.harness
-            .handle(Event::Request(Request { time_left, ..request(self.last_id, class, function, lanes) }))
+        let request = request(self.last_id, class, function, lanes);
+        self.harness.handle(Event::Request(Request { time_left, has_idempotency_key, ..request }))
     }
 
     /// Ends an attempt in flight with a random outcome.
@@ -234,6 +242,7 @@
         if let Some(first) = call.attempts.iter().find(|a| !proven_not_run(a.outcome.unwrap())) {
             assert_ne!(call.class, 1, "a non-idempotent call that may have executed is not repeated");
             if call.class == 2 {
+                assert!(call.has_idempotency_key, "no worker recognises a repeat without a key");
                 assert!(now < first.sent + 2 * S && worker % 2 == first.worker % 2);
             }
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -121,6 +121,12 @@
         self.handle(Event::Request(request(id, class, function, lanes)))
     }
 
+    /// Reports a request without an idempotency key, with 4 s left to answer it.
+    pub(crate) fn call_without_key(&mut self, id: u64, class: usize, function: u64) -> Vec<Action> {
+        let request = Request { has_idempotency_key: false, ..request(id, class, function, 2) };
+        self.handle(Event::Request(request))
+    }
+
     /// Ends an attempt 50 ms after it was sent. The call is complete if the outcome is [`Outcome::Ok`].
     pub(crate) fn end_attempt(
         &mut self,
@@ -186,6 +192,7 @@
         lanes,
         load_time: None,
         repeat: false,
+        has_idempotency_key: true,
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -328,3 +328,34 @@
     };
     assert_eq!(sends(&harness.handle(loaded)), vec![(1, worker)]);
 }
+
+// Guards against a second run of a call that no worker can recognise as a repeat.
+#[test]
+fn a_keyed_call_without_a_key_that_may_have_run_fails() {
+    for scope in [KeyScope::All, KeyScope::Zone, KeyScope::Cell] {
+        for outcome in [Outcome::Error, Outcome::Reset, Outcome::Timeout, Outcome::Cancelled] {
+            let mut settings = settings();
+            settings.classes[KEYED].effect = Effect::IdempotencyKey { scope, window: 2 * S };
+            let mut harness = Harness::new(settings, 8);
+            let worker = sent(&harness.call_without_key(1, KEYED, 9)).unwrap();
+            let mut actions = harness.end_attempt(1, 0, worker, outcome, None);
+            actions.extend(harness.advance(5 * S));
+            assert!(failed(&actions, 1) && !refused(&actions, 1), "{scope:?}, {outcome:?}");
+            assert!(sends(&actions).is_empty(), "{scope:?}, {outcome:?}");
+        }
+    }
+}
+
+// Guards against losing sound calls: whatever proves that nothing ran still permits any other worker, and a refusal.
+#[test]
+fn a_keyed_call_without_a_key_that_never_ran_is_retried_and_refused() {
+    for outcome in [Outcome::ConnectFailed, Outcome::PartlySent, Outcome::Rejected] {
+        let mut harness = Harness::new(settings(), 8);
+        let worker = sent(&harness.call_without_key(1, KEYED, 9)).unwrap();
+        assert!(sent(&harness.end_attempt(1, 0, worker, outcome, None)).is_some(), "{outcome:?}");
+    }
+    let mut harness = Harness::new(settings(), 0);
+    let mut actions = harness.call_without_key(1, KEYED, 9);
+    actions.extend(harness.advance(5 * S));
+    assert!(refused(&actions, 1) && !failed(&actions, 1));
+}
