Keyed calls: refused only while every worker still drops the repeat

What callers saw: a call of `keyed all` that may have run was refused (UNAVAILABLE with a pushback; `Refused` on the platform) also after its window, in which workers remember the id. A client that does as it is told then has the call run a second time.

Cause: `send_final_answer` knew the scope of the class alone, not when the attempt that may have run was sent. It concerns the last answer only: a controller's own repeats keep the window.

Change: `client_may_retry` refuses a keyed call that may have run only if the window, from the send of the first attempt that may have run (one in flight included), is not over before the longest retry advice is. `serve` sets that advice to the pushback that it sends, or `retry-after` if longer.

--- a/crates/config/src/settings/limits.rs
+++ b/crates/config/src/settings/limits.rs
@@ -77,12 +77,15 @@
     let header_bytes = size("header-size", 16 << 10, 4 << 10, 1 << 20);
     let send_queue = size("send-queue", 256 << 10, 16 << 10, 64 << 20);
     let stream_window = size("stream-window", 1 << 20, 64 << 10, 64 << 20);
+    let pushback = form.micros_or("pushback", 100_000);
+    let longest_advice = form.optional::<TimeSpan>("retry-after").map_or(0, |span| span.0);
     let limits = Limits {
         max_attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
         parallel_attempts: false,
         probes: form.value_or("probes", true),
         cancel: true,
-        retry_after: form.optional::<TimeSpan>("retry-after").map(|span| span.0),
+        // Each refusal advises a delay: that of the decision module, or the pushback.
+        retry_after: Some(longest_advice.max(pushback)),
         connect_timeout: form.micros_or("connect-timeout", 250_000),
     };
     let edge = EdgeLimits {
@@ -90,7 +93,7 @@
         remembered_models,
         answer_margin: form.micros_or("answer-margin", 10_000),
         probe_timeout: form.micros_or("probe-timeout", 1_000_000),
-        pushback: form.micros_or("pushback", 100_000),
+        pushback,
         message_bytes: message_bytes as usize,
         header_bytes: header_bytes as u32,
         connections,
--- a/crates/config/src/settings/tests.rs
+++ b/crates/config/src/settings/tests.rs
@@ -26,6 +26,18 @@
     assert_eq!(config.models.find("climb-windhoek").expect("by prefix").lanes, 4);
 }
 
+// Guards against refusals whose advice is longer than the decision module counts on.
+#[test]
+fn longest_retry_advice_covers_the_pushback() {
+    let longest_advice = |limits: &str| {
+        let text = format!("{SETTINGS_WITHOUT_MODEL} (model m (class c)) (limits {limits})");
+        read("n", &text).expect("valid settings").settings.limits.retry_after
+    };
+    assert_eq!(longest_advice(""), Some(100_000), "the default pushback");
+    assert_eq!(longest_advice("(pushback 3s) (retry-after 2s)"), Some(3_000_000));
+    assert_eq!(longest_advice("(pushback 1s) (retry-after 2s)"), Some(2_000_000));
+}
+
 #[test]
 fn longest_prefix_wins() {
     let text = format!(
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -6,11 +6,11 @@
 //!   workers drop duplicates, and non-idempotent ones never (effects that happen twice);
 //! * a call of a keyed class without a key is non-idempotent: no worker recognises its repeat;
 //! * each call gets exactly one answer, in time (calls without an answer);
-//! * a call is refused only if the client may safely retry it.
+//! * a call is refused only if the client may safely retry it, with a key while all workers remember it.
 
 use crate::controller::Controller;
 use crate::interface::*;
-use crate::state::{Call, Timer, TimerKind, Worker};
+use crate::state::{AttemptId, Call, Timer, TimerKind, Worker};
 
 impl Effect {
     /// The effect of one request of a class with this effect. Workers recognise a repeat by its idempotency
@@ -65,14 +65,34 @@
         }
     }
 
+    /// The time at which the first attempt that may have executed, or may still execute, was sent.
+    fn first_possible_run(&self, id: RequestId, call: &Call) -> Option<Micros> {
+        let in_flight = || {
+            let attempt = AttemptId { request: id, number: call.in_flight? };
+            Some(self.attempts.get(&attempt).map_or(call.arrived, |attempt| attempt.sent))
+        };
+        call.first_run.map(|first| first.sent).or_else(in_flight)
+    }
+
+    /// Whether a retry by the client is harmless. It may reach any worker, up to the longest retry advice
+    /// later, so a call with an idempotency key needs one that all workers then still recognise.
+    fn client_may_retry(&self, id: RequestId, call: &Call) -> bool {
+        let Some(sent) = self.first_possible_run(id, call) else { return true };
+        match call.effect {
+            Effect::Idempotent => true,
+            Effect::IdempotencyKey { scope: KeyScope::All, window } => {
+                let longest_advice = self.settings.limits.retry_after.unwrap_or(0);
+                self.now + self.settings.event_interval + longest_advice < sent + window
+            }
+            _ => false,
+        }
+    }
+
     /// Sends the final answer to an unserved call: a refusal if the client may safely retry, otherwise a
     /// failure.
     pub(super) fn send_final_answer(&mut self, id: RequestId) {
         let Some(call) = self.calls.get(&id) else { return };
-        let never_ran = call.in_flight.is_none() && call.first_run.is_none();
-        let harmless =
-            matches!(call.effect, Effect::Idempotent | Effect::IdempotencyKey { scope: KeyScope::All, .. });
-        self.actions.push(if never_ran || harmless {
+        self.actions.push(if self.client_may_retry(id, call) {
             Action::Refuse { request: id, retry_after: None }
         } else {
             Action::Fail { request: id }
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -146,7 +146,8 @@
     pub probes: bool,
     /// Whether the controller may cancel attempts ([`Action::Cancel`](crate::Action::Cancel)).
     pub cancel: bool,
-    /// Longest retry advice that clients follow; `None` means that clients get no such advice.
+    /// Longest retry advice that clients follow, given by the controller or by the embedding program for it;
+    /// `None` means that clients get no such advice.
     pub retry_after: Option<Micros>,
     /// Timeout for establishing a connection.
     pub connect_timeout: Micros,
