--- a/crates/gateway/tests/days.rs
+++ b/crates/gateway/tests/days.rs
@@ -11,7 +11,7 @@
 #[test]
 fn scenarios_with_most_faults_break_no_rule() {
     let days = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days");
-    for day in ["stop", "ration", "clients", "refuse", "bad"] {
+    for day in ["stop", "ration", "clients", "refuse", "bad", "without-id"] {
         play(&days, day);
     }
     // These two need little CPU time and run concurrently.
@@ -50,5 +50,5 @@
         nettleferry_scenario::script::read(&name, &text).unwrap_or_else(|e| panic!("{e}"));
         scenario_count += 1;
     }
-    assert!(scenario_count >= 22);
+    assert!(scenario_count >= 23);
 }
--- a/crates/scenario/src/audit.rs
+++ b/crates/scenario/src/audit.rs
@@ -52,11 +52,11 @@
 }
 
 /// A call as observed by its client.
-struct Call<'a> {
+struct Call {
     controller: usize,
     sent: Micros,
     deadline: Micros,
-    effect: &'a Effect,
+    effect: Effect,
     slow: bool,
     finals: Vec<FinalAnswer>,
     cancelled: Option<Micros>,
@@ -98,15 +98,17 @@
     auditor.breaches
 }
 
-fn calls(evidence: &Evidence) -> BTreeMap<&str, Call<'_>> {
-    let mut calls: BTreeMap<&str, Call<'_>> = BTreeMap::new();
+fn calls(evidence: &Evidence) -> BTreeMap<&str, Call> {
+    let mut calls: BTreeMap<&str, Call> = BTreeMap::new();
     for record in &evidence.clients {
-        if let ClientObservation::Sent { controller, deadline, effect, slow, .. } = &record.observation {
+        if let ClientObservation::Sent { controller, deadline, effect, has_id, slow, .. } =
+            &record.observation
+        {
             let call = Call {
                 controller: *controller,
                 sent: record.at,
                 deadline: *deadline,
-                effect,
+                effect: judged_effect(*effect, *has_id),
                 slow: *slow,
                 finals: Vec::new(),
                 cancelled: None,
@@ -129,6 +131,13 @@
     calls
 }
 
+/// The effect by which a call is judged. Workers drop a repeat by the id of the request, so a repeat without one has its
+/// effect again.
+fn judged_effect(class_effect: Effect, has_id: bool) -> Effect {
+    let is_keyed = matches!(class_effect, Effect::IdempotencyKey { .. });
+    if is_keyed && !has_id { Effect::NonIdempotent } else { class_effect }
+}
+
 struct Auditor<'a> {
     evidence: &'a Evidence,
     links: Links<'a>,
@@ -204,21 +213,19 @@
     /// Rule 2: no repeated effects, no overlapping attempts, and no refusal of a call that may have had an effect.
     fn check_effects(&mut self, id: &str, call: &Call, attempts: &[Attempt]) {
         let runs: Vec<&Attempt> = attempts.iter().filter(|attempt| attempt.ran).collect();
-        if *call.effect == Effect::NonIdempotent && runs.len() > 1 {
+        if call.effect == Effect::NonIdempotent && runs.len() > 1 {
             let description = format!("unsafe, and ran at {} and at {}", runs[0].worker, runs[1].worker);
             self.add_call_breach(2, runs[1].arrived, id, &description);
         }
-        let may_repeat =
-            matches!(call.effect, Effect::Idempotent | Effect::IdempotencyKey { scope: KeyScope::All, .. });
         if let Some(FinalAnswer { at, kind: FinalStatus::Refused }) = call.finals.first()
-            && !may_repeat
             && let Some(run) = runs.first()
+            && !self.may_refuse(call, *at, run)
         {
             self.add_call_breach(2, *at, id, &format!("refused, and ran at {}", run.worker));
         }
         self.check_attempt_numbers(id, attempts);
         if let Effect::IdempotencyKey { scope, window } = call.effect {
-            self.check_keyed(id, *scope, *window, attempts);
+            self.check_keyed(id, scope, window, attempts);
         }
         for (index, later) in attempts.iter().enumerate() {
             for earlier in &attempts[..index] {
@@ -233,6 +240,19 @@
         }
     }
 
+    /// Whether a call that ran may be refused at `at`, which tells its client that a retry is harmless: any worker has to
+    /// drop the retry.
+    fn may_refuse(&self, call: &Call, at: Micros, first_run: &Attempt) -> bool {
+        match call.effect {
+            Effect::Idempotent => true,
+            Effect::IdempotencyKey { scope: KeyScope::All, window } => {
+                // A slow reader records the refusal long after it was sent.
+                call.slow || at <= first_run.arrived + window + self.slack
+            }
+            _ => false,
+        }
+    }
+
     fn check_attempt_numbers(&mut self, id: &str, attempts: &[Attempt]) {
         for (index, attempt) in attempts.iter().enumerate() {
             let repeated = index > 0 && attempt.number == attempts[index - 1].number;
--- a/crates/scenario/src/event_log.rs
+++ b/crates/scenario/src/event_log.rs
@@ -37,9 +37,10 @@
     let records = evidence.clients.iter();
     let lines = records.map(|record| {
         let text = match &record.observation {
-            ClientObservation::Sent { controller, model, deadline, effect, class, .. } => format!(
-                "sent to controller {controller}: {model}, class {class}, {}, deadline at {:.3}",
+            ClientObservation::Sent { controller, model, deadline, effect, class, has_id, .. } => format!(
+                "sent to controller {controller}: {model}, class {class}, {}{}, deadline at {:.3}",
                 effect_text(*effect),
+                if *has_id { "" } else { ", without an id" },
                 *deadline as f64 / 1e6
             ),
             ClientObservation::Part => "a part of the answer".to_owned(),
--- a/crates/scenario/src/evidence.rs
+++ b/crates/scenario/src/evidence.rs
@@ -34,6 +34,8 @@
         class: String,
         /// Latency objective of the class.
         latency_objective: Micros,
+        /// Whether the request has an id, by which workers recognise its repeats.
+        has_id: bool,
         /// Whether the client reads slowly, so that it records the answer later than the answer arrived.
         slow: bool,
     },
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -110,6 +110,8 @@
     pub cancel: f64,
     /// Share of streams that the client reads slowly, from 0 to 1.
     pub slow: f64,
+    /// Share of calls whose requests have no id, from 0 to 1.
+    pub without_id: f64,
 }
 
 /// A fault on the timeline of a scenario.
@@ -373,10 +375,14 @@
         deadline: form.optional::<TimeSpan>("deadline").map(|s| s.0),
         cancel: share(&mut form, "cancel"),
         slow: share(&mut form, "slow"),
+        without_id: share(&mut form, "without-id"),
     };
     if traffic.shared && !traffic.streamed {
         form.error("(shared yes) requires (streamed yes)");
     }
+    if traffic.shared && traffic.without_id > 0.0 {
+        form.error("(shared yes) excludes (without-id ...): the answers of a shared stream are told apart by their ids");
+    }
     form.finish();
     traffic
 }
--- a/crates/scenario/src/script/tests.rs
+++ b/crates/scenario/src/script/tests.rs
@@ -34,3 +34,12 @@
         assert!(errors.contains(part), "no error contains {part:?}: {errors}");
     }
 }
+
+// Guards against traffic whose answers the client can't assign to its calls.
+#[test]
+fn shared_streams_need_ids() {
+    let traffic = "(traffic climb-s (rate 1) (streamed yes) (shared yes) (without-id 0.5))";
+    let errors =
+        read("d.sexp", &format!("{SCENARIO} {traffic}")).expect_err("contradictory traffic").to_string();
+    assert!(errors.contains("(shared yes) excludes (without-id ...)"), "{errors}");
+}
--- a/crates/scenario/src/traffic.rs
+++ b/crates/scenario/src/traffic.rs
@@ -13,9 +13,9 @@
 use nettleferry_net::NetLimits;
 use nettleferry_net::grpc::{Code, Status};
 use nettleferry_proto::inference::{
-    FINAL, InferParameter, ModelStreamInferResponse, infer_parameter::ParameterChoice,
+    FINAL, InferParameter, ModelInferRequest, ModelStreamInferResponse, infer_parameter::ParameterChoice,
 };
-use nettleferry_test_servers::models::climb_request;
+use nettleferry_test_servers::models::{climb_request, remove_id};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -228,7 +228,12 @@
         let slow = traffic.streamed && !traffic.shared && self.random.random::<f64>() < traffic.slow;
         let cancel = !traffic.shared && self.random.random::<f64>() < traffic.cancel;
         let timeout = traffic.deadline.map_or(settings.deadline, |deadline| deadline.min(settings.deadline));
-        let message = encode_request(&traffic, &model, &id);
+        let has_id = traffic.without_id == 0.0 || self.random.random::<f64>() >= traffic.without_id;
+        let mut request = build_request(&traffic, &model, &id);
+        if !has_id {
+            remove_id(&mut request);
+        }
+        let message = request.encode_to_vec().into();
         let now = self.now();
         let deadline = now + timeout;
         let sent = ClientObservation::Sent {
@@ -238,6 +243,7 @@
             effect: settings.effect,
             class: self.plan.config.classes[class].clone(),
             latency_objective: settings.latency_objective,
+            has_id,
             slow,
         };
         self.record(&id, sent);
@@ -350,7 +356,7 @@
         match event {
             ClientEvent::Message { rpc, payload } => {
                 if !self.unary.contains(&rpc) {
-                    self.handle_message(payload);
+                    self.handle_message(rpc, payload);
                 }
             }
             ClientEvent::End { rpc, status, trailers } => {
@@ -375,11 +381,17 @@
         }
     }
 
+    /// The id of the call that a response belongs to. A response without an id answers the only call of its RPC; `None`
+    /// if that call has ended.
+    fn answered_call(&self, rpc: u64, response_id: String) -> Option<String> {
+        if response_id.is_empty() { self.rpcs.get(&rpc)?.first().cloned() } else { Some(response_id) }
+    }
+
     /// Records a response message of a streaming RPC. Messages that can't be decoded are ignored.
-    fn handle_message(&mut self, payload: Bytes) {
+    fn handle_message(&mut self, rpc: u64, payload: Bytes) {
         let Ok(message) = ModelStreamInferResponse::decode(payload) else { return };
         let response = message.infer_response.unwrap_or_default();
-        let id = response.id;
+        let Some(id) = self.answered_call(rpc, response.id) else { return };
         if !message.error_message.is_empty() {
             let refused = response.parameters.get("grpc_status").is_some_and(
                 |p| matches!(&p.parameter_choice, Some(ParameterChoice::StringParam(s)) if s == "UNAVAILABLE"),
@@ -406,6 +418,7 @@
         deadline: None,
         cancel: 0.0,
         slow: 0.0,
+        without_id: 0.0,
     }
 }
 
@@ -419,15 +432,14 @@
     }
 }
 
-/// Encodes a request: a generated height profile for a `climb` model, or `traffic.bytes` bytes for an `echo` model.
-fn encode_request(traffic: &Traffic, model: &str, id: &str) -> Bytes {
-    let request = if model.starts_with("climb") {
+/// Builds a request: a generated height profile for a `climb` model, or `traffic.bytes` bytes for an `echo` model.
+fn build_request(traffic: &Traffic, model: &str, id: &str) -> ModelInferRequest {
+    if model.starts_with("climb") {
         let heights: Vec<f32> = (0..=traffic.segments * 4).map(|n| ((n * 37) % 11) as f32).collect();
         climb_request(model, id, &heights, traffic.segments)
     } else {
         let mut request = climb_request(model, id, &[], 1);
         request.raw_input_contents = vec![Bytes::from(vec![7; traffic.bytes])];
         request
-    };
-    request.encode_to_vec().into()
+    }
 }
--- a/crates/scenario/tests/audit.rs
+++ b/crates/scenario/tests/audit.rs
@@ -41,6 +41,11 @@
 }
 
 fn sent(evidence: &mut Evidence, at: u64, id: &str, effect: Effect) {
+    sent_with(evidence, at, id, effect, true);
+}
+
+/// Records that a client sent a call, whose request has an id or not.
+fn sent_with(evidence: &mut Evidence, at: u64, id: &str, effect: Effect, has_id: bool) {
     let observation = ClientObservation::Sent {
         controller: 0,
         model: "echo".into(),
@@ -48,6 +53,7 @@
         effect,
         class: "c".into(),
         latency_objective: S,
+        has_id,
         slow: false,
     };
     client(evidence, at, id, observation);
@@ -184,6 +190,50 @@
     assert_eq!(breaches(&refused(Effect::IdempotencyKey { scope: KeyScope::All, window: S })), vec![]);
 }
 
+// Guards against an audit that takes each call of a keyed class as one whose repeats are dropped.
+#[test]
+fn rule_2_keyed_call_without_an_id_runs_twice_or_is_refused() {
+    for scope in [KeyScope::All, KeyScope::Zone, KeyScope::Cell] {
+        let effect = Effect::IdempotencyKey { scope, window: 10 * S };
+        let ran_at_w1 = |has_id: bool| {
+            let mut evidence = empty();
+            sent_with(&mut evidence, S, "x", effect, has_id);
+            arrive(&mut evidence, S, "w1", 1, "x");
+            worker(&mut evidence, S + 1, "w1", ObservationKind::Runs { stream: 1 });
+            answered(&mut evidence, S + 2, "w1", 1, false);
+            evidence
+        };
+        let ran_twice = |has_id: bool| {
+            let mut evidence = ran_at_w1(has_id);
+            arrive(&mut evidence, 2 * S, "w1", 2, "x");
+            worker(&mut evidence, 2 * S + 1, "w1", ObservationKind::Runs { stream: 2 });
+            answered(&mut evidence, 2 * S + 2, "w1", 2, false);
+            client(&mut evidence, 2 * S + 3, "x", ClientObservation::Final(FinalStatus::Served));
+            evidence
+        };
+        assert_eq!(breaches(&ran_twice(true)), vec![], "{scope:?}: the worker dropped the repeat");
+        assert_breach(&ran_twice(false), 2, "unsafe, and ran at w1 and at w1");
+        let mut refused = ran_at_w1(false);
+        client(&mut refused, S + 3, "x", ClientObservation::Final(FinalStatus::Refused));
+        assert_breach(&refused, 2, "refused, and ran at w1");
+    }
+}
+
+#[test]
+fn rule_2_refusal_after_the_window_of_a_keyed_call() {
+    let refused_at = |at: u64| {
+        let mut evidence = empty();
+        sent(&mut evidence, S, "x", Effect::IdempotencyKey { scope: KeyScope::All, window: S });
+        arrive(&mut evidence, S, "w1", 1, "x");
+        worker(&mut evidence, S + 1, "w1", ObservationKind::Runs { stream: 1 });
+        answered(&mut evidence, S + 2, "w1", 1, false);
+        client(&mut evidence, at, "x", ClientObservation::Final(FinalStatus::Refused));
+        evidence
+    };
+    assert_eq!(breaches(&refused_at(2 * S)), vec![]);
+    assert_breach(&refused_at(3 * S), 2, "refused, and ran at w1");
+}
+
 #[test]
 fn rule_2_keyed_call_leaves_its_group_or_window() {
     let repeat = |worker: &str, at: u64, first_never_ran: bool| {
--- a/crates/test-servers/src/models.rs
+++ b/crates/test-servers/src/models.rs
@@ -2,6 +2,7 @@
 //! ascent and descent of a height profile for each of its segments.
 
 use bytes::Bytes;
+use nettleferry_proto::inference::infer_parameter::ParameterChoice;
 use nettleferry_proto::inference::model_infer_response::InferOutputTensor;
 use nettleferry_proto::inference::{
     FINAL, InferParameter, InferTensorContents, ModelInferRequest, ModelInferResponse,
@@ -182,6 +183,24 @@
     response
 }
 
+/// Request parameter by which a test names a call whose request has no id.
+const CALL_NAME: &str = "test_call_name";
+
+/// Removes the id of a request, and names the call by a parameter instead, which only the records of test workers use.
+pub fn remove_id(request: &mut ModelInferRequest) {
+    let name = std::mem::take(&mut request.id);
+    let name = InferParameter { parameter_choice: Some(ParameterChoice::StringParam(name)) };
+    request.parameters.insert(CALL_NAME.to_owned(), name);
+}
+
+/// The name of a call in the records of a test: the id of its request, or the parameter of [`remove_id`].
+pub(crate) fn call_name(request: &ModelInferRequest) -> &str {
+    match request.parameters.get(CALL_NAME).and_then(|parameter| parameter.parameter_choice.as_ref()) {
+        Some(ParameterChoice::StringParam(name)) => name,
+        _ => &request.id,
+    }
+}
+
 /// Builds a `climb` request with raw tensor contents, for clients and tests.
 pub fn climb_request(model: &str, id: &str, heights: &[f32], segments: i64) -> ModelInferRequest {
     use nettleferry_proto::inference::model_infer_request::InferInputTensor;
--- a/crates/test-servers/src/server/observation.rs
+++ b/crates/test-servers/src/server/observation.rs
@@ -29,7 +29,7 @@
     Call {
         /// Number of the stream, unique at this worker.
         stream: u64,
-        /// Id of the request, as set by the client.
+        /// Id of the request, or the name of a call without one; see [`crate::models::remove_id`].
         id: String,
         /// Name of the model.
         model: String,
--- a/crates/test-servers/src/server/request.rs
+++ b/crates/test-servers/src/server/request.rs
@@ -199,7 +199,7 @@
         let number = stream.number();
         self.observe(ObservationKind::Call {
             stream: number,
-            id: request.id.clone(),
+            id: models::call_name(&request).to_owned(),
             model: model.clone(),
             controller,
             attempt,
