serve: a refusal that ends a stream permits no retry of its running calls

What callers saw: with `triton_grpc_error: true` the first failing call ends the stream with its status. If that was a refusal (UNAVAILABLE, pushback 100) while another call of the stream was running, the status covered that call as well: a client that heeds it, or a gRPC library with a retry policy as long as no response has begun, sends the whole stream again, and an unsafe call runs twice.

Cause: `Front::end_rpc` took the failing call's status for all open calls of the RPC.

Change: the decision module says of an open call whether its client's retry is harmless (`Controller::client_may_retry`, the rule of its own refusals). Unless it is for all open calls of the RPC, a status that permits a retry is replaced by ABORTED with -1.

Measured: refusal_that_ends_a_stream_permits_no_retry_of_its_other_calls failed before (UNAVAILABLE, 100 for a running unsafe call) and passes; for a call of a safe class the status stays UNAVAILABLE, 100. Tests streams, limits, unidentified_calls, module and engine pass.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -22,7 +22,8 @@
 use std::vec::Drain;
 
 use nettleferry::{
-    Action, Controller, Event as ModuleEvent, Health, Micros, Settings, SettingsError, WorkerId, WorkerState,
+    Action, Controller, Event as ModuleEvent, Health, Micros, RequestId, Settings, SettingsError, WorkerId,
+    WorkerState,
 };
 
 use self::state::{Call, ControlRequest, InFlightAttempt};
@@ -156,6 +157,11 @@
         self.module.health()
     }
 
+    /// Whether a retry of an open call by its client is harmless, as of the last event.
+    pub fn client_may_retry(&self, call: CallId) -> bool {
+        self.module.client_may_retry(RequestId(call.0))
+    }
+
     /// Number of calls without a final answer.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
--- a/crates/gateway/src/front/failure.rs
+++ b/crates/gateway/src/front/failure.rs
@@ -42,6 +42,16 @@
         Self { status: Status::new(Code::Unavailable, message), pushback_ms: Some(ms) }
     }
 
+    /// This failure for an RPC with further calls that may have run and must not run twice: one that permits a retry is
+    /// replaced by ABORTED.
+    pub(super) fn without_retry(&self) -> Self {
+        if self.pushback_ms.is_none_or(|ms| ms < 0) {
+            return self.clone();
+        }
+        let message = format!("{}; other calls of the stream may have run", self.status.message);
+        Self { status: Status::new(Code::Aborted, message), pushback_ms: Some(-1) }
+    }
+
     /// The trailers that end an RPC with this failure. A retry delay is sent as metadata and in `RetryInfo`; a negative
     /// one as metadata only.
     pub(super) fn trailers(&self) -> HeaderMap {
--- a/crates/gateway/src/front/respond.rs
+++ b/crates/gateway/src/front/respond.rs
@@ -80,8 +80,11 @@
     }
 
     /// Ends an RPC with the status of a failure. The engine is told that the client of its open calls has disconnected.
+    /// The status applies to these calls as well, so it permits a retry only if a retry of each of them is harmless.
     pub(super) fn end_rpc(&mut self, context: &mut FrontContext, stream: StreamKey, failure: &Failure) {
         let Some(rpc) = self.rpcs.remove(&stream) else { return };
+        let may_retry = rpc.calls.keys().all(|call| context.engine.client_may_retry(*call));
+        let failure = if may_retry { failure } else { &failure.without_retry() };
         if rpc.responded {
             context.hub.finish(stream, Some(failure.trailers()));
         } else {
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -113,6 +113,31 @@
     });
 }
 
+/// Starts a call of `model` on a stream whose errors end it, waits until it runs, and adds a call that is refused. Returns
+/// the code of the stream and the advice on retries.
+fn refusal_beside_a_running_call(model: &str) -> (Code, String) {
+    let mut fleet = Fleet::new(1, SLOW);
+    let gateway = serve(&format!("{SETTINGS}(limits (open-calls 1))"), &fleet.list());
+    let mut caller = Caller::new(gateway.address);
+    let request = ClientRequest {
+        headers: vec![("triton_grpc_error".to_owned(), "true".to_owned())],
+        keep_open: true,
+        ..client_request("ModelStreamInfer", &climb(model, "a", 4))
+    };
+    let rpc = caller.start_rpc(request);
+    caller.until("the call runs", || fleet.any(|s| matches!(s, ObservationKind::Runs { .. })));
+    caller.client.send(rpc, climb(model, "refused", 1).encode_to_vec().into());
+    let (status, trailers) = caller.status(rpc);
+    (status.code, trailers["grpc-retry-pushback-ms"].to_str().expect("ASCII").to_owned())
+}
+
+// Guards against a stream whose status permits a retry although one of its calls, which must not run twice, may have run.
+#[test]
+fn refusal_that_ends_a_stream_permits_no_retry_of_its_other_calls() {
+    assert_eq!(refusal_beside_a_running_call("climb-once"), (Code::Aborted, "-1".to_owned()));
+    assert_eq!(refusal_beside_a_running_call("climb"), (Code::Unavailable, "100".to_owned()));
+}
+
 #[test]
 fn slow_reader_delays_only_its_own_worker() {
     let fast_worker = "(listen \"127.0.0.1:0\") (cores 8) (model \"\" (lanes 64) (load-time 1ms) (work 1ms))";
--- a/src/decision/retry.rs
+++ b/src/decision/retry.rs
@@ -74,9 +74,15 @@
         call.first_run.map(|first| first.sent).or_else(in_flight)
     }
 
+    /// Whether a retry of an open request by its client is harmless, as of the last event. `false` if the
+    /// request is unknown.
+    pub fn client_may_retry(&self, request: RequestId) -> bool {
+        self.calls.get(&request).is_some_and(|call| self.client_may_retry_call(request, call))
+    }
+
     /// Whether a retry by the client is harmless. It may reach any worker, up to the longest retry advice
     /// later, so a call with an idempotency key needs one that all workers then still recognise.
-    fn client_may_retry(&self, id: RequestId, call: &Call) -> bool {
+    fn client_may_retry_call(&self, id: RequestId, call: &Call) -> bool {
         let Some(sent) = self.first_possible_run(id, call) else { return true };
         match call.effect {
             Effect::Idempotent => true,
@@ -92,7 +98,7 @@
     /// failure.
     pub(super) fn send_final_answer(&mut self, id: RequestId) {
         let Some(call) = self.calls.get(&id) else { return };
-        self.actions.push(if self.client_may_retry(id, call) {
+        self.actions.push(if self.client_may_retry_call(id, call) {
             Action::Refuse { request: id, retry_after: None }
         } else {
             Action::Fail { request: id }
