--- a/crates/config/src/settings/limits.rs
+++ b/crates/config/src/settings/limits.rs
@@ -78,16 +78,7 @@
     let send_queue = size("send-queue", 256 << 10, 16 << 10, 64 << 20);
     let stream_window = size("stream-window", 1 << 20, 64 << 10, 64 << 20);
     let pushback = form.micros_or("pushback", 100_000);
-    let longest_advice = form.optional::<TimeSpan>("retry-after").map_or(0, |span| span.0);
-    let limits = Limits {
-        max_attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
-        parallel_attempts: false,
-        probes: form.value_or("probes", true),
-        cancel: true,
-        // Each refusal advises a delay: that of the decision module, or the pushback.
-        retry_after: Some(longest_advice.max(pushback)),
-        connect_timeout: form.micros_or("connect-timeout", 250_000),
-    };
+    let limits = module_limits(&mut form, attempts, pushback);
     let edge = EdgeLimits {
         open_calls,
         remembered_models,
@@ -111,3 +102,17 @@
     form.finish();
     (limits, edge)
 }
+
+/// Reads the limits of the decision module. Each refusal advises a delay, that of the module or the pushback, so the
+/// longest advice covers both.
+fn module_limits(form: &mut Form, attempts: usize, pushback: Micros) -> Limits {
+    let longest_advice = form.optional::<TimeSpan>("retry-after").map_or(0, |span| span.0);
+    Limits {
+        max_attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
+        parallel_attempts: false,
+        probes: form.value_or("probes", true),
+        cancel: true,
+        retry_after: Some(longest_advice.max(pushback)),
+        connect_timeout: form.micros_or("connect-timeout", 250_000),
+    }
+}
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -88,11 +88,6 @@
                 return Err(self.admission_failure(&rejection));
             }
         };
-        let has_idempotency_key = identifies_request(&head.id);
-        let effect = self.config.settings.classes[model.class.0].effect;
-        if matches!(effect, Effect::IdempotencyKey { .. }) && !has_idempotency_key {
-            self.counters.keyed_without_id += 1;
-        }
         Ok(Some(NewCall {
             front_token: number,
             class: model.class,
@@ -104,7 +99,7 @@
             lanes: model.lanes,
             load_time: model.load_time,
             repeat: rpc.headers.is_retry,
-            has_idempotency_key,
+            has_idempotency_key: identifies_request(&head.id),
             group: model.group,
             streamed: rpc.method == Method::Stream,
             body,
@@ -120,6 +115,7 @@
         let open_call = OpenCall { stream, id: id.into(), model: Arc::clone(&new_call.model), body_bytes };
         self.calls.insert(number, open_call);
         self.opened_calls += 1;
+        self.count_missing_key(&new_call);
         let now = context.now_ms();
         if let Some(recorder) = &mut context.recorder {
             recorder.call_accepted(now, new_call.tenant.map_or(NO_TENANT, |tenant| tenant.0 as u64));
@@ -136,6 +132,13 @@
         }
     }
 
+    /// Counts a call of a keyed class whose repeats workers can't recognise.
+    fn count_missing_key(&mut self, call: &NewCall) {
+        let class_effect = self.config.settings.classes[call.class.0].effect;
+        let is_keyed = matches!(class_effect, Effect::IdempotencyKey { .. });
+        self.counters.keyed_without_id += u64::from(is_keyed && !call.has_idempotency_key);
+    }
+
     /// Adds an open call to its RPC. Reading of the stream is paused once it has the maximum number of open calls.
     /// Where the stream's send queue is full, the engine is told that the client of the call is slow.
     fn track_call(&mut self, context: &mut FrontContext, stream: StreamKey, call: CallId, number: u64) {
