Request::repeat is Request::is_retry; one function says whether a key names a request

`serve` and `node` each had their own test for a blank key. Renamed through module, engine, adapter, node and platform; `nettleferry_engine::identifies_request` serves both fronts. Behaviour unchanged.

--- a/adapter/src/wire/events.rs
+++ b/adapter/src/wire/events.rs
@@ -112,7 +112,7 @@
         cpu_time_hint: fields.optional_time(7, "size_hint_ms")?.filter(|_| flags & FLAG_SIZE_HINT != 0),
         lanes: fields.optional_integer(9, "concurrency")?.unwrap_or(1).clamp(1, COUNT_MAX) as u32,
         load_time: fields.optional_time(10, "start_ms")?,
-        repeat: flags & FLAG_REPEAT != 0,
+        is_retry: flags & FLAG_REPEAT != 0,
         // The simulator's workers recognise a repeat by the request id, which each request has.
         has_idempotency_key: true,
     })
--- a/crates/engine/src/engine/calls.rs
+++ b/crates/engine/src/engine/calls.rs
@@ -82,7 +82,7 @@
             cpu_time_hint: new_call.cost_hint,
             lanes: new_call.lanes.max(1),
             load_time: new_call.load_time,
-            repeat: new_call.repeat,
+            is_retry: new_call.is_retry,
             has_idempotency_key: new_call.has_idempotency_key,
         }));
     }
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -30,7 +30,7 @@
     /// Typical duration of a load of the model, if known.
     pub load_time: Option<Micros>,
     /// Whether the client marked the call as a retry.
-    pub repeat: bool,
+    pub is_retry: bool,
     /// Whether the request carries an idempotency key, by which workers recognise its repeats.
     pub has_idempotency_key: bool,
     /// Metrics group of the model, chosen by the front end and returned in [`crate::Measurement::CallEnded`].
@@ -41,6 +41,12 @@
     pub body: Bytes,
 }
 
+/// Whether workers can recognise a repeat of a request by this idempotency key, which the client may have left empty or
+/// blank.
+pub fn identifies_request(idempotency_key: &str) -> bool {
+    !idempotency_key.trim().is_empty()
+}
+
 /// An entry of the worker list. Worker, zone, machine kind and cell are given by name.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -32,7 +32,7 @@
 
 pub use commands::{Cause, Command, FinalAnswer, Refusal};
 pub use engine::Engine;
-pub use events::{AttemptReport, ClientDisconnect, Event, Member, NewCall};
+pub use events::{AttemptReport, ClientDisconnect, Event, Member, NewCall, identifies_request};
 pub use ids::{AttemptId, CallId, ControlRequestId};
 pub use limits::{EngineCounters, EngineLimits};
 pub use measurements::{CallOutcome, Measurement, Phase, Step};
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -124,7 +124,7 @@
             cost_hint: None,
             lanes: 2,
             load_time: None,
-            repeat: false,
+            is_retry: false,
             has_idempotency_key: true,
             group: 0,
             streamed,
--- a/crates/engine/tests/soak.rs
+++ b/crates/engine/tests/soak.rs
@@ -137,7 +137,7 @@
             cost_hint: None,
             lanes: 4,
             load_time: Some(300 * MS),
-            repeat: false,
+            is_retry: false,
             has_idempotency_key: true,
             group: 0,
             streamed: false,
--- a/crates/gateway/benches/measure.rs
+++ b/crates/gateway/benches/measure.rs
@@ -134,7 +134,7 @@
             cost_hint: None,
             lanes: 64,
             load_time: None,
-            repeat: false,
+            is_retry: false,
             has_idempotency_key: true,
             group: 0,
             streamed: false,
@@ -189,7 +189,7 @@
             cpu_time_hint: None,
             lanes: 64,
             load_time: None,
-            repeat: false,
+            is_retry: false,
             has_idempotency_key: true,
         };
         module.handle(now, nettleferry::Event::Request(request), &mut actions);
--- a/crates/gateway/src/front/accept.rs
+++ b/crates/gateway/src/front/accept.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use nettleferry::{ClassId, Effect, Micros, TenantId};
 use nettleferry_config::Model;
-use nettleferry_engine::{CallId, Command, Event, NewCall};
+use nettleferry_engine::{CallId, Command, Event, NewCall, identifies_request};
 use nettleferry_fleet::gate::{CallInfo, Verdict};
 use nettleferry_fleet::lease::Stage;
 use nettleferry_net::StreamKey;
@@ -98,7 +98,7 @@
             cost_hint: model.service_time,
             lanes: model.lanes,
             load_time: model.load_time,
-            repeat: rpc.headers.is_retry,
+            is_retry: rpc.headers.is_retry,
             has_idempotency_key: identifies_request(&head.id),
             group: model.group,
             streamed: rpc.method == Method::Stream,
@@ -246,12 +246,6 @@
     }
 }
 
-/// Whether workers can recognise a repeat of a request by its `id`. Clients that leave the id empty or blank name no
-/// request by it.
-fn identifies_request(id: &str) -> bool {
-    !id.trim().is_empty()
-}
-
 fn unknown_model(head: &InferHead) -> Failure {
     let version = if head.version.is_empty() { String::new() } else { format!(" version {}", head.version) };
     Failure::new(Code::NotFound, format!("no model {:?}{version} is served here", head.model))
--- a/crates/node/src/front/call.rs
+++ b/crates/node/src/front/call.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use nettleferry::{ClassId, Effect, TenantId};
-use nettleferry_engine::{CallId, ClientDisconnect};
+use nettleferry_engine::{CallId, ClientDisconnect, identifies_request};
 use nettleferry_net::tcp::TcpKey;
 
 use crate::attempt_history::AttemptHistory;
@@ -29,7 +29,7 @@
     /// The tenant, if the request states one and the settings have tenants.
     pub tenant: Option<TenantId>,
     /// The client states that this is a retry.
-    pub repeat: bool,
+    pub is_retry: bool,
     /// The request carries an idempotency key, by which invokers recognise its repeats.
     pub has_idempotency_key: bool,
     /// Expected execution time, microseconds.
@@ -71,11 +71,6 @@
     pub(super) arrived: Instant,
 }
 
-/// Whether invokers can recognise a repeat by this idempotency key: a blank one names no request.
-pub(super) fn identifies_request(key: &str) -> bool {
-    !key.trim().is_empty()
-}
-
 /// The state of a request that has no final answer yet.
 pub struct Call {
     pub(super) connection: TcpKey,
--- a/crates/node/src/front/validation.rs
+++ b/crates/node/src/front/validation.rs
@@ -6,13 +6,14 @@
 
 use bytes::Bytes;
 use nettleferry::{ClassId, TenantId};
+use nettleferry_engine::identifies_request;
 use nettleferry_net::tcp::TcpKey;
 use nettleferry_platform::frames::Code;
 use nettleferry_platform::request::{Request, RequestError};
 use tracing::debug;
 
 use super::Front;
-use super::call::{Call, IncomingRequest, RequestOrigin, RequestToken, identifies_request};
+use super::call::{Call, IncomingRequest, RequestOrigin, RequestToken};
 use crate::attempt_history::AttemptHistory;
 use crate::limits::{CALL_BYTES, CALLS_WHEN_SHORT, Counters, MAX_TTL_FACTOR};
 
@@ -208,7 +209,7 @@
             class: valid.class,
             function,
             tenant: valid.tenant,
-            repeat: request.repeat,
+            is_retry: request.is_retry,
             has_idempotency_key: request.idempotency_key.is_some_and(identifies_request),
             cost_hint: request.service_time_ms.map(microseconds),
             arrived,
--- a/crates/node/src/node/dispatch.rs
+++ b/crates/node/src/node/dispatch.rs
@@ -170,7 +170,7 @@
             cost_hint: request.cost_hint,
             lanes: request.lanes,
             load_time: request.load_time,
-            repeat: request.repeat,
+            is_retry: request.is_retry,
             has_idempotency_key: request.has_idempotency_key,
             group: 0,
             streamed: false,
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -18,7 +18,7 @@
     /// The idempotency key, by which invokers drop repeats of requests of a keyed class. It is forwarded unchanged.
     pub idempotency_key: Option<&'a str>,
     /// Whether the client marked the request as a retry.
-    pub repeat: bool,
+    pub is_retry: bool,
     /// The expected service time in milliseconds, if the client states one.
     pub service_time_ms: Option<f64>,
     /// Memory of one replica of the function, in MB.
@@ -83,7 +83,7 @@
             function: id("row")?,
             tenant: fields.get("org"),
             idempotency_key: fields.get("dedupe"),
-            repeat: fields.get("rep").is_some_and(|value| value != "0" && value != "false"),
+            is_retry: fields.get("rep").is_some_and(|value| value != "0" && value != "false"),
             service_time_ms: fields.get("work").map(|value| number("work", value, MAX_MS)).transpose()?,
             memory_mb: None,
             lanes: None,
--- a/crates/scale/src/measure/module/driver.rs
+++ b/crates/scale/src/measure/module/driver.rs
@@ -146,7 +146,7 @@
             cpu_time_hint: None,
             lanes: LANES,
             load_time: None,
-            repeat: false,
+            is_retry: false,
             has_idempotency_key: true,
         };
         self.cost.started += 1;
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -381,7 +381,7 @@
         form.error("(shared yes) requires (streamed yes)");
     }
     if traffic.shared && traffic.without_id > 0.0 {
-        form.error("(shared yes) excludes (without-id ...): the answers of a shared stream are told apart by their ids");
+        form.error("(shared yes) excludes (without-id ...): clients assign the answers of a shared stream by their ids");
     }
     form.finish();
     traffic
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -63,7 +63,7 @@
     /// Expected time to load the function.
     pub load_time: Option<Micros>,
     /// The client marked the request as a retry.
-    pub repeat: bool,
+    pub is_retry: bool,
     /// The request carries an idempotency key, by which workers recognise its repeats (see
     /// [`Effect::of_request`](crate::Effect::of_request)).
     pub has_idempotency_key: bool,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,7 +50,7 @@
 //!     cpu_time_hint: None,
 //!     lanes: 2,
 //!     load_time: None,
-//!     repeat: false,
+//!     is_retry: false,
 //!     has_idempotency_key: true,
 //! };
 //! controller.handle(1_000, Event::Request(call), &mut actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -191,7 +191,7 @@
         cpu_time_hint: None,
         lanes,
         load_time: None,
-        repeat: false,
+        is_retry: false,
         has_idempotency_key: true,
     }
 }
